--- /dev/null
+++ b/core/mangoagent/prober.go
@@ -0,0 +1,196 @@
+package mangoagent
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"mangolane/core/mangocommand"
+	"mangolane/core/mangomember"
+	"mangolane/core/mangomodel"
+)
+
+const (
+	// DefaultProbeInterval is the pause between two probes.
+	DefaultProbeInterval = 500 * time.Millisecond
+	// probeTimeout bounds a direct probe.
+	probeTimeout = 300 * time.Millisecond
+	// indirectTimeout bounds a probe through helpers.
+	indirectTimeout = 700 * time.Millisecond
+	// helpers is how many daemons are asked to probe a silent target.
+	helpers = 2
+	// farEvery is the number of rounds between probes of other data centres
+	// and of daemons that are not known to be alive.
+	farEvery = 4
+)
+
+// Prober finds out which daemons are alive and exchanges news with them.
+type Prober struct {
+	control  Control
+	probes   Probes
+	follower *Follower
+	interval time.Duration
+	seeds    []mangomodel.Address
+	rng      *rand.Rand
+	// round lists the peers that are still to be probed in this round.
+	round []mangomember.Member
+	turn  int
+}
+
+// ProberOption configures a Prober.
+type ProberOption func(*Prober)
+
+// WithProbeInterval sets the pause between two probes.
+func WithProbeInterval(d time.Duration) ProberOption { return func(p *Prober) { p.interval = d } }
+
+// WithSeeds sets the addresses of daemons that are asked when none is known.
+func WithSeeds(addrs []mangomodel.Address) ProberOption { return func(p *Prober) { p.seeds = addrs } }
+
+// WithRandomSeed sets the seed of the order of probes.
+func WithRandomSeed(seed uint64) ProberOption {
+	return func(p *Prober) { p.rng = rand.New(rand.NewPCG(seed, seed)) }
+}
+
+// NewProber returns a Prober. The follower is told of newer configuration.
+func NewProber(control Control, probes Probes, follower *Follower, opts ...ProberOption) *Prober {
+	p := &Prober{
+		control: control, probes: probes, follower: follower,
+		interval: DefaultProbeInterval, rng: rand.New(rand.NewPCG(1, 1)),
+	}
+	for _, opt := range opts {
+		opt(p)
+	}
+	return p
+}
+
+// Run probes until ctx ends.
+func (p *Prober) Run(ctx context.Context) { every(ctx, p.interval, p.probeNext) }
+
+// probeNext probes the next peer of the round and, now and then, a far daemon.
+func (p *Prober) probeNext(ctx context.Context) {
+	p.turn++
+	if p.turn%farEvery == 1 {
+		go p.probeFar(ctx, p.turn/farEvery)
+	}
+	target, ok := p.next()
+	if !ok {
+		return
+	}
+	if p.probe(ctx, target, probeTimeout) == nil || ctx.Err() != nil {
+		return
+	}
+	if p.probeThroughHelpers(ctx, target) {
+		return
+	}
+	// Only the control goroutine's end makes this fail.
+	_ = p.control.Do(ctx, mangocommand.ProbeFailed{Daemon: target.Daemon})
+}
+
+// next returns the next peer of the own data centre, each once in a round.
+func (p *Prober) next() (mangomember.Member, bool) {
+	snap := p.control.Snapshot()
+	if len(p.round) == 0 {
+		for _, m := range snap.Peers() {
+			if m.State != mangomember.Dead {
+				p.round = append(p.round, m)
+			}
+		}
+		p.rng.Shuffle(len(p.round), func(i, j int) { p.round[i], p.round[j] = p.round[j], p.round[i] })
+	}
+	if len(p.round) == 0 {
+		return mangomember.Member{}, false
+	}
+	target := p.round[0]
+	p.round = p.round[1:]
+	return target, true
+}
+
+// probeFar probes one daemon that rounds leave out: a contact in another data
+// centre, one that was found dead and may be back, or a seed.
+func (p *Prober) probeFar(ctx context.Context, round int) {
+	snap := p.control.Snapshot()
+	targets := snap.Contacts()
+	for _, m := range snap.Peers() {
+		if m.State == mangomember.Dead {
+			targets = append(targets, m)
+		}
+	}
+	for _, addr := range p.seeds {
+		if addr != snap.Self.Address {
+			targets = append(targets, mangomember.Member{Address: addr})
+		}
+	}
+	if len(targets) == 0 {
+		return
+	}
+	target := targets[round%len(targets)]
+	err := p.probe(ctx, target, indirectTimeout)
+	if err != nil && target.Daemon != "" && ctx.Err() == nil {
+		// Only the control goroutine's end makes this fail.
+		_ = p.control.Do(ctx, mangocommand.ProbeFailed{Daemon: target.Daemon})
+	}
+}
+
+// probe exchanges news with one daemon.
+func (p *Prober) probe(ctx context.Context, target mangomember.Member, timeout time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	news := Compose(p.control, target)
+	answer, err := p.probes.Probe(ctx, target, news)
+	if err != nil {
+		return err
+	}
+	return p.Learn(ctx, news, answer)
+}
+
+// Learn takes in the answer to a probe.
+func (p *Prober) Learn(ctx context.Context, sent, answer News) error {
+	if err := p.control.Do(ctx, mangocommand.Spread{Members: sent.Members}); err != nil {
+		return err
+	}
+	return Take(ctx, p.control, p.follower, answer)
+}
+
+func (p *Prober) probeThroughHelpers(ctx context.Context, target mangomember.Member) bool {
+	ctx, cancel := context.WithTimeout(ctx, indirectTimeout)
+	defer cancel()
+	peers := p.control.Snapshot().Peers()
+	p.rng.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+	answers := make(chan error, len(peers))
+	asked := 0
+	for _, helper := range peers {
+		if asked < helpers && helper.Daemon != target.Daemon && helper.State == mangomember.Alive {
+			asked++
+			go func() { answers <- p.probes.ProbeThrough(ctx, helper, target) }()
+		}
+	}
+	for range asked {
+		if err := <-answers; err == nil {
+			return true
+		}
+	}
+	return false
+}
+
+// Compose returns the news for a daemon.
+func Compose(control Control, to mangomember.Member) News {
+	snap := control.Snapshot()
+	return News{
+		Members: snap.Updates(to), Suspicions: snap.TravellingSuspicions(), Revision: snap.Catalog.Revision(),
+	}
+}
+
+// Take turns news from another daemon into commands. The first member is the
+// sender.
+func Take(ctx context.Context, control Control, follower *Follower, news News) error {
+	if len(news.Members) > 0 {
+		if err := control.Do(ctx, mangocommand.MergeMembers{Members: news.Members}); err != nil {
+			return err
+		}
+		follower.Hint(news.Members[0], news.Revision)
+	}
+	if len(news.Suspicions) == 0 {
+		return nil
+	}
+	return control.Do(ctx, mangocommand.MergeSuspicions{Suspicions: news.Suspicions})
+}
--- /dev/null
+++ b/core/mangocommand/grant.go
@@ -0,0 +1,86 @@
+package mangocommand
+
+import (
+	"time"
+
+	"mangolane/core/mangoloop"
+	"mangolane/core/mangomodel"
+	"mangolane/core/mangoquery"
+)
+
+// Acquire asks the scheduler for a grant and is answered when the demand is
+// granted or refused. Repeating it with the same grant id is harmless.
+type Acquire struct {
+	Shard  mangomodel.ShardID
+	Demand mangomodel.Demand
+}
+
+// Apply implements [mangoloop.Command].
+func (c Acquire) Apply(s *state, now time.Time) error {
+	s.scheduler.Acquire(now, c.Shard, c.Demand)
+	s.changed.grants = true
+	return nil
+}
+
+// Await keeps the reply until the scheduler has decided.
+func (c Acquire) Await(s *state, r mangoloop.Reply) {
+	s.waiting[c.Demand.Grant] = append(s.waiting[c.Demand.Grant], r)
+}
+
+// Withdraw gives up a demand, and its grant if it was granted meanwhile.
+type Withdraw struct{ Grant mangomodel.GrantID }
+
+// Apply implements [mangoloop.Command].
+func (c Withdraw) Apply(s *state, now time.Time) error {
+	s.scheduler.Withdraw(now, c.Grant)
+	delete(s.waiting, c.Grant)
+	s.changed.grants = true
+	return nil
+}
+
+// Release ends a grant that this daemon's scheduler gave.
+type Release struct {
+	Grant mangomodel.GrantID
+	Usage mangomodel.Usage
+}
+
+// Apply implements [mangoloop.Command].
+func (c Release) Apply(s *state, now time.Time) error {
+	s.scheduler.Release(now, c.Grant, c.Usage)
+	s.changed.grants = true
+	return nil
+}
+
+// Renew lists all grants of this scheduler that a holder holds.
+type Renew struct {
+	Holder mangomodel.Holder
+	Grants []mangomodel.Grant
+}
+
+// Apply implements [mangoloop.Command].
+func (c Renew) Apply(s *state, now time.Time) error {
+	s.scheduler.Renew(now, c.Holder, c.Grants)
+	s.changed.grants = true
+	return nil
+}
+
+// Hold notes a grant that a request of this daemon holds, so that it is
+// renewed with its scheduler.
+type Hold struct{ Holding mangoquery.Holding }
+
+// Apply implements [mangoloop.Command].
+func (c Hold) Apply(s *state, _ time.Time) error {
+	s.holdings[c.Holding.Grant.ID] = c.Holding
+	s.changed.holdings = true
+	return nil
+}
+
+// Drop notes that a request no longer holds a grant.
+type Drop struct{ Grant mangomodel.GrantID }
+
+// Apply implements [mangoloop.Command].
+func (c Drop) Apply(s *state, _ time.Time) error {
+	delete(s.holdings, c.Grant)
+	s.changed.holdings = true
+	return nil
+}
--- /dev/null
+++ b/core/mangoconfig/effective.go
@@ -0,0 +1,161 @@
+package mangoconfig
+
+import (
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/hex"
+	"net/netip"
+	"slices"
+	"strings"
+	"time"
+
+	"mangolane/core/mangomodel"
+)
+
+// DefaultCallTimeout bounds an application call that names no timeout.
+const DefaultCallTimeout = 10 * time.Second
+
+// Effective is a workspace's complete parameters.
+type Effective struct {
+	ID      mangomodel.WorkspaceID
+	Models  []mangomodel.ModelID
+	Targets [mangomodel.Ranks]Targets
+	Calls   []Call
+	Weight  int
+	keyHash [sha256.Size]byte
+}
+
+// KeyMatches reports whether key is the workspace's key.
+func (e Effective) KeyMatches(key string) bool {
+	sum := sha256.Sum256([]byte(key))
+	return subtle.ConstantTimeCompare(sum[:], e.keyHash[:]) == 1
+}
+
+// HasModel reports whether the workspace may use a model.
+func (e Effective) HasModel(model mangomodel.ModelID) bool {
+	return slices.Contains(e.Models, model)
+}
+
+// Call returns the call of a name.
+func (e Effective) Call(name mangomodel.CallName) (Call, bool) {
+	i := slices.IndexFunc(e.Calls, func(c Call) bool { return c.Name == name })
+	if i < 0 {
+		return Call{}, false
+	}
+	return e.Calls[i], true
+}
+
+// DefaultPool returns the parameters of a pool that has no document.
+func DefaultPool(model mangomodel.ModelID) Pool {
+	return Pool{
+		Model:           model,
+		BasicFloor:      0.1,
+		UrgentReserve:   0.2,
+		PieceTokens:     2000,
+		KVBytesPerToken: 128 << 10,
+		LinkRate:        10 << 30,
+	}
+}
+
+// overlay lays a workspace's settings over its template's.
+func overlay(t Template, w Workspace) (Effective, error) {
+	s := merge(t.Settings, w.Settings)
+	e := Effective{ID: w.ID, Models: s.Models, Calls: s.Calls, Weight: max(s.Weight, 1)}
+	if s.Urgent == nil || s.Basic == nil {
+		return e, invalid("workspace %q: Urgent and Basic targets are needed", w.ID)
+	}
+	e.Targets = [mangomodel.Ranks]Targets{mangomodel.RankUrgent: *s.Urgent, mangomodel.RankBasic: *s.Basic}
+	hash, err := hex.DecodeString(s.KeyHash)
+	if err != nil || len(hash) != sha256.Size {
+		return e, invalid("workspace %q: KeyHash must be 64 hexadecimal digits", w.ID)
+	}
+	copy(e.keyHash[:], hash)
+	return e, checkEffective(e, s.Weight)
+}
+
+func merge(base, over Settings) Settings {
+	if over.Models != nil {
+		base.Models = over.Models
+	}
+	if over.Urgent != nil {
+		base.Urgent = over.Urgent
+	}
+	if over.Basic != nil {
+		base.Basic = over.Basic
+	}
+	if over.Calls != nil {
+		base.Calls = over.Calls
+	}
+	if over.KeyHash != "" {
+		base.KeyHash = over.KeyHash
+	}
+	if over.Weight != 0 {
+		base.Weight = over.Weight
+	}
+	return base
+}
+
+func checkEffective(e Effective, weight int) error {
+	if weight < 0 {
+		return invalid("workspace %q: Weight is negative", e.ID)
+	}
+	for rank, t := range e.Targets {
+		if t.TTFT <= 0 || t.TPOT <= 0 {
+			return invalid("workspace %q: %s targets must be positive", e.ID, mangomodel.Rank(rank))
+		}
+	}
+	seen := make(map[mangomodel.CallName]bool, len(e.Calls))
+	for _, c := range e.Calls {
+		if err := checkCall(e.ID, c); err != nil {
+			return err
+		}
+		if seen[c.Name] {
+			return invalid("workspace %q: call %q is given twice", e.ID, c.Name)
+		}
+		seen[c.Name] = true
+	}
+	return nil
+}
+
+func checkCall(id mangomodel.WorkspaceID, c Call) error {
+	switch {
+	case c.Name == "" || c.Service == "":
+		return invalid("workspace %q: a call needs a Name and a Service", id)
+	case !strings.HasPrefix(c.Path, "/"):
+		return invalid("workspace %q: call %q: Path must start with /", id, c.Name)
+	case c.NonIdempotent == nil:
+		return invalid("workspace %q: call %q: NonIdempotent must be given", id, c.Name)
+	case c.Timeout < 0:
+		return invalid("workspace %q: call %q: Timeout is negative", id, c.Name)
+	}
+	return nil
+}
+
+func checkHost(h Host) error {
+	if _, err := netip.ParseAddrPort(string(h.Address)); err != nil {
+		return invalid("host %q: Address must be an IP number and a port: %v", h.ID, err)
+	}
+	if h.DataCentre == "" || h.Region == "" || h.Model == "" {
+		return invalid("host %q: Region, DataCentre and Model are needed", h.ID)
+	}
+	if h.Slots <= 0 {
+		return invalid("host %q: Slots must be positive", h.ID)
+	}
+	if h.Role == mangomodel.RoleDecode && h.Pieces <= 0 {
+		return invalid("host %q: a decode server needs Pieces", h.ID)
+	}
+	if h.PrefillRate < 0 {
+		return invalid("host %q: PrefillRate is negative", h.ID)
+	}
+	return nil
+}
+
+func checkPool(p Pool) error {
+	switch {
+	case p.BasicFloor < 0 || p.UrgentReserve < 0 || p.BasicFloor+p.UrgentReserve >= 1:
+		return invalid("pool %q: BasicFloor and UrgentReserve must add up to less than 1", p.Model)
+	case p.PieceTokens <= 0 || p.KVBytesPerToken <= 0 || p.LinkRate <= 0:
+		return invalid("pool %q: PieceTokens, KVBytesPerToken and LinkRate must be positive", p.Model)
+	}
+	return nil
+}
--- /dev/null
+++ b/core/mangoconfig/shard.go
@@ -0,0 +1,78 @@
+package mangoconfig
+
+import (
+	"cmp"
+	"slices"
+	"strconv"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/dgryski/go-rendezvous"
+
+	"mangolane/core/mangomodel"
+)
+
+// ServersPerShard is how many decode servers one scheduler looks after. It
+// bounds a scheduler's state and load as a pool grows.
+const ServersPerShard = 16
+
+// Shard is one shard's pool and servers.
+type Shard struct {
+	ID      mangomodel.ShardID
+	Pool    Pool
+	Servers []Host
+}
+
+// Shards returns the shards of the model engines of a data centre, in order
+// of model and index. A server keeps its shard while the number of shards of
+// its pool stays the same.
+func (c *Catalog) Shards(dc mangomodel.DataCentreID) []Shard {
+	pools := make(map[mangomodel.ModelID][]Host)
+	for _, h := range c.Hosts() {
+		if h.DataCentre == dc && h.Role != mangomodel.RoleService {
+			pools[h.Model] = append(pools[h.Model], h)
+		}
+	}
+	var shards []Shard
+	for model, hosts := range pools {
+		shards = append(shards, c.split(dc, model, hosts)...)
+	}
+	slices.SortFunc(shards, func(a, b Shard) int {
+		return cmp.Or(cmp.Compare(a.ID.Model, b.ID.Model), cmp.Compare(a.ID.Index, b.ID.Index))
+	})
+	return shards
+}
+
+// ShardCount returns how many shards the pool of a model has in a data
+// centre; it is zero when no engine offers the model there.
+func (c *Catalog) ShardCount(dc mangomodel.DataCentreID, model mangomodel.ModelID) int {
+	n := 0
+	for _, s := range c.Shards(dc) {
+		if s.ID.Model == model {
+			n++
+		}
+	}
+	return n
+}
+
+func (c *Catalog) split(dc mangomodel.DataCentreID, model mangomodel.ModelID, hosts []Host) []Shard {
+	decode := 0
+	for _, h := range hosts {
+		if h.Role == mangomodel.RoleDecode {
+			decode++
+		}
+	}
+	n := max(1, (decode+ServersPerShard-1)/ServersPerShard)
+	shards := make([]Shard, n)
+	names := make([]string, n)
+	for i := range shards {
+		shards[i].ID = mangomodel.ShardID{DataCentre: dc, Model: model, Index: i}
+		shards[i].Pool = c.Pool(model)
+		names[i] = strconv.Itoa(i)
+	}
+	ring := rendezvous.New(names, xxhash.Sum64String)
+	for _, h := range hosts {
+		i := slices.Index(names, ring.Lookup(string(h.ID)))
+		shards[i].Servers = append(shards[i].Servers, h)
+	}
+	return shards
+}
--- /dev/null
+++ b/core/mangoentry/row.go
@@ -0,0 +1,57 @@
+package mangoentry
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/url"
+	"time"
+
+	"mangolane/core/mangomodel"
+)
+
+// State is the state of an entry's row.
+type State int
+
+const (
+	// Reserved means that a process may have sent the call or may send it.
+	Reserved State = iota
+	// Done means that the call ran and its outcome is in the row.
+	Done
+	// Abandoned means that the reservation's call was never sent.
+	Abandoned
+	// Unknown means that the call was sent and no outcome arrived.
+	Unknown
+)
+
+// Token names one reservation. It is unique among all processes.
+type Token string
+
+// Entry is the content of an entry's row.
+type Entry struct {
+	State       State
+	Token       Token
+	Fingerprint mangomodel.Fingerprint
+	Response    Response
+	// At is when the row was written, by the writer's clock.
+	At time.Time
+}
+
+// Response is the answer of a plain service.
+type Response struct {
+	Status      int
+	ContentType string
+	Body        []byte
+}
+
+// KeyOf returns the key of an operation's row.
+func KeyOf(ws mangomodel.WorkspaceID, key mangomodel.IdempotencyKey) mangomodel.TableKey {
+	return mangomodel.TableKey(fmt.Sprintf("Entry/%s/%s", url.PathEscape(string(ws)), url.PathEscape(string(key))))
+}
+
+func encode(e Entry) ([]byte, error) { return json.Marshal(e) }
+
+func decode(row mangomodel.Row) (Entry, error) {
+	var e Entry
+	err := json.Unmarshal(row.Value, &e)
+	return e, err
+}
--- /dev/null
+++ b/core/mangomodel/unit.go
@@ -0,0 +1,50 @@
+package mangomodel
+
+import "time"
+
+// Units. Each is a count of what its name says.
+type (
+	// Tokens counts tokens of a prompt or an answer.
+	Tokens int64
+	// Bytes counts bytes.
+	Bytes int64
+	// BytesPerSecond is a rate of a link.
+	BytesPerSecond float64
+	// TokensPerSecond is a rate of a prefill engine.
+	TokensPerSecond float64
+	// Slots counts requests that a decode engine can hold.
+	Slots int
+	// Pieces counts the units in which an engine hands out KV memory.
+	Pieces int
+	// Share is a fraction between 0 and 1.
+	Share float64
+)
+
+// PiecesFor returns how many pieces of pieceSize tokens hold n tokens.
+func PiecesFor(n, pieceSize Tokens) Pieces {
+	if n <= 0 || pieceSize <= 0 {
+		return 0
+	}
+	return Pieces((n + pieceSize - 1) / pieceSize)
+}
+
+// Duration is a time.Duration that is written as text, such as "340ms".
+type Duration time.Duration
+
+// Std returns d as a time.Duration.
+func (d Duration) Std() time.Duration { return time.Duration(d) }
+
+// MarshalText returns d in the notation of time.Duration.
+func (d Duration) MarshalText() ([]byte, error) {
+	return []byte(time.Duration(d).String()), nil
+}
+
+// UnmarshalText parses the notation of time.ParseDuration.
+func (d *Duration) UnmarshalText(text []byte) error {
+	v, err := time.ParseDuration(string(text))
+	if err != nil {
+		return err
+	}
+	*d = Duration(v)
+	return nil
+}
--- /dev/null
+++ b/core/mangoquery/placement.go
@@ -0,0 +1,191 @@
+package mangoquery
+
+import (
+	"cmp"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/dgryski/go-rendezvous"
+
+	"mangolane/core/mangoconfig"
+	"mangolane/core/mangomember"
+	"mangolane/core/mangomodel"
+)
+
+// failureMemory is how long a server whose call failed is avoided.
+const failureMemory = 2 * time.Second
+
+// Task is work that one daemon of a data centre does for all of them.
+type Task string
+
+const (
+	// TaskConfiguration reads new changes of configuration.
+	TaskConfiguration Task = "configuration"
+	// TaskHostList reads the platform's list of hosts.
+	TaskHostList Task = "hostlist"
+)
+
+// Owner returns the daemon that schedules a shard: for the own data centre
+// the first by rendezvous hashing among the daemons that schedule, for another
+// one any reachable daemon there, which passes the demand on.
+func (s *Snapshot) Owner(shard mangomodel.ShardID) (mangomember.Member, bool) {
+	if shard.DataCentre != s.Self.DataCentre {
+		return s.pick(shard.DataCentre, "contact", mangomember.Member.Reachable)
+	}
+	return s.pick(shard.DataCentre, shard.String(), mangomember.Member.Schedules)
+}
+
+// Does reports whether this daemon does a task for its data centre.
+func (s *Snapshot) Does(task Task) bool {
+	m, ok := s.pick(s.Self.DataCentre, string(task), mangomember.Member.Schedules)
+	return ok && m.Daemon == s.Self.Daemon
+}
+
+// OwnShards returns the shards that this daemon schedules.
+func (s *Snapshot) OwnShards() []mangoconfig.Shard {
+	var own []mangoconfig.Shard
+	for _, shard := range s.Catalog.Shards(s.Self.DataCentre) {
+		if m, ok := s.Owner(shard.ID); ok && m.Daemon == s.Self.Daemon {
+			own = append(own, shard)
+		}
+	}
+	return own
+}
+
+// ShardsFor returns the shards that can serve a model, best first: those of
+// the own data centre, then of the own region, then of other regions. Within
+// a data centre the request's first prefix chooses the first shard, so that
+// requests with a common prefix meet.
+func (s *Snapshot) ShardsFor(model mangomodel.ModelID, prefix mangomodel.PrefixHash) []mangomodel.ShardID {
+	var shards []mangomodel.ShardID
+	for _, dc := range s.dataCentresFor(model) {
+		n := s.Catalog.ShardCount(dc, model)
+		for i := range n {
+			index := (int(uint64(prefix)%uint64(n)) + i) % n
+			shards = append(shards, mangomodel.ShardID{DataCentre: dc, Model: model, Index: index})
+		}
+	}
+	return shards
+}
+
+// ServiceServers returns the servers of a plain service that take new work,
+// best first: near ones before far ones, those that failed lately last. The
+// key spreads calls over servers of equal standing.
+func (s *Snapshot) ServiceServers(now time.Time, service mangomodel.ModelID, key string) []mangoconfig.Host {
+	var hosts []mangoconfig.Host
+	for _, h := range s.Catalog.Hosts() {
+		if h.Role == mangomodel.RoleService && h.Model == service && s.takesWork(h) {
+			hosts = append(hosts, h)
+		}
+	}
+	spread := func(h mangoconfig.Host) uint64 { return xxhash.Sum64String(key + string(h.ID)) }
+	slices.SortFunc(hosts, func(a, b mangoconfig.Host) int {
+		return cmp.Or(
+			cmp.Compare(s.failed(now, a), s.failed(now, b)),
+			cmp.Compare(s.distance(a), s.distance(b)),
+			cmp.Compare(spread(a), spread(b)),
+		)
+	})
+	return hosts
+}
+
+func (s *Snapshot) takesWork(h mangoconfig.Host) bool {
+	return h.State == mangomodel.ServerLive && !s.Leaving[mangomodel.ServerID(h.ID)]
+}
+
+// failed is 1 for a server whose call failed lately.
+func (s *Snapshot) failed(now time.Time, h mangoconfig.Host) int {
+	at, ok := s.Failing[mangomodel.ServerID(h.ID)]
+	if ok && now.Sub(at) < failureMemory {
+		return 1
+	}
+	return 0
+}
+
+// distance is 0 within the data centre, 1 within the region and else 2.
+func (s *Snapshot) distance(h mangoconfig.Host) int {
+	switch {
+	case h.DataCentre == s.Self.DataCentre:
+		return 0
+	case h.Region == s.Self.Region:
+		return 1
+	default:
+		return 2
+	}
+}
+
+// dataCentresFor returns the data centres with engines of a model, near ones
+// first.
+func (s *Snapshot) dataCentresFor(model mangomodel.ModelID) []mangomodel.DataCentreID {
+	type candidate struct {
+		dc       mangomodel.DataCentreID
+		distance int
+	}
+	var found []candidate
+	for _, h := range s.Catalog.Hosts() {
+		c := candidate{h.DataCentre, s.distance(h)}
+		if h.Model == model && h.Role != mangomodel.RoleService && !slices.Contains(found, c) {
+			found = append(found, c)
+		}
+	}
+	slices.SortFunc(found, func(a, b candidate) int {
+		return cmp.Or(cmp.Compare(a.distance, b.distance), cmp.Compare(a.dc, b.dc))
+	})
+	dcs := make([]mangomodel.DataCentreID, len(found))
+	for i, c := range found {
+		dcs[i] = c.dc
+	}
+	return dcs
+}
+
+// pick chooses one eligible daemon of a data centre by rendezvous hashing.
+func (s *Snapshot) pick(dc mangomodel.DataCentreID, key string, eligible func(mangomember.Member) bool) (mangomember.Member, bool) {
+	var names []string
+	for _, m := range s.Members {
+		if m.DataCentre == dc && eligible(m) {
+			names = append(names, string(m.Daemon))
+		}
+	}
+	if len(names) == 0 {
+		return mangomember.Member{}, false
+	}
+	ring := rendezvous.New(names, xxhash.Sum64String)
+	return s.Member(mangomodel.DaemonID(ring.Lookup(key)))
+}
+
+// HoldingsBy returns the grants that this daemon holds, grouped by the daemon
+// that schedules their shard now.
+func (s *Snapshot) HoldingsBy() []SchedulerHoldings {
+	groups := make(map[mangomodel.DaemonID]*SchedulerHoldings)
+	for _, h := range s.Holdings {
+		owner, ok := s.Owner(h.Grant.Shard)
+		if !ok {
+			continue
+		}
+		g, ok := groups[owner.Daemon]
+		if !ok {
+			g = &SchedulerHoldings{Scheduler: owner}
+			groups[owner.Daemon] = g
+		}
+		g.Grants = append(g.Grants, h.Grant)
+	}
+	list := make([]SchedulerHoldings, 0, len(groups))
+	for _, g := range groups {
+		list = append(list, *g)
+	}
+	slices.SortFunc(list, func(a, b SchedulerHoldings) int {
+		return cmp.Compare(a.Scheduler.Daemon, b.Scheduler.Daemon)
+	})
+	return list
+}
+
+// SchedulerHoldings are the grants to renew with one scheduler.
+type SchedulerHoldings struct {
+	Scheduler mangomember.Member
+	Grants    []mangomodel.Grant
+}
+
+// KeyOf returns a key that spreads requests, from a number.
+func KeyOf(n uint64) string { return strconv.FormatUint(n, 16) }
--- /dev/null
+++ b/core/mangoquery/snapshot.go
@@ -0,0 +1,91 @@
+package mangoquery
+
+import (
+	"time"
+
+	"mangolane/core/mangoconfig"
+	"mangolane/core/mangomember"
+	"mangolane/core/mangomodel"
+)
+
+// Holding is a grant that a request of this daemon holds.
+type Holding struct {
+	Grant mangomodel.Grant
+	// Scheduler is the daemon that gave the grant.
+	Scheduler mangomodel.DaemonID
+}
+
+// ShardStatus is what is shown of a shard that this daemon schedules.
+type ShardStatus struct {
+	Shard   mangomodel.ShardID
+	Slots   int
+	Used    [mangomodel.Ranks]int
+	Waiting [mangomodel.Ranks]int
+}
+
+// Snapshot is a daemon's control state at one instant. Its fields are not
+// changed after it was published.
+type Snapshot struct {
+	Self    mangomember.Member
+	Catalog *mangoconfig.Catalog
+	// Recent are the last applied changes, up to the catalog's revision.
+	Recent  []mangoconfig.Numbered
+	Members []mangomember.Member
+	// Changes are the records of daemons that still travel on messages.
+	Changes []mangomember.Member
+	// Stopping is set once the daemon has begun a graceful shutdown.
+	Stopping bool
+	// Grants are those that this daemon's scheduler has in force.
+	Grants map[mangomodel.GrantID]mangomodel.Grant
+	// Holdings are the grants that this daemon's requests hold.
+	Holdings map[mangomodel.GrantID]Holding
+	// Leaving are the servers that the platform's host list shows as leaving.
+	Leaving map[mangomodel.ServerID]bool
+	// Failing is when a call to a server last failed.
+	Failing map[mangomodel.ServerID]time.Time
+	// Busy is until when a shard is not asked again after a refusal.
+	Busy map[mangomodel.ShardID]time.Time
+	// Suspicions are the requests that were aboard crashes.
+	Suspicions []mangomodel.Suspicion
+	Shards     []ShardStatus
+}
+
+// Grant returns a grant that this daemon's scheduler gave.
+func (s *Snapshot) Grant(id mangomodel.GrantID) (mangomodel.Grant, bool) {
+	g, ok := s.Grants[id]
+	return g, ok
+}
+
+// Workspace returns the effective parameters of a workspace.
+func (s *Snapshot) Workspace(id mangomodel.WorkspaceID) (mangoconfig.Effective, bool) {
+	return s.Catalog.Workspace(id)
+}
+
+// Server returns the announcement of a backend server.
+func (s *Snapshot) Server(id mangomodel.ServerID) (mangoconfig.Host, bool) {
+	return s.Catalog.Host(mangomodel.HostID(id))
+}
+
+// Member returns the record of a daemon.
+func (s *Snapshot) Member(id mangomodel.DaemonID) (mangomember.Member, bool) {
+	for _, m := range s.Members {
+		if m.Daemon == id {
+			return m, true
+		}
+	}
+	return mangomember.Member{}, false
+}
+
+// ChangesAfter returns the remembered changes after a revision, and whether
+// they lead up to the configuration in force without a gap.
+func (s *Snapshot) ChangesAfter(rev mangomodel.Revision) ([]mangoconfig.Numbered, bool) {
+	if rev >= s.Catalog.Revision() {
+		return nil, true
+	}
+	for i, c := range s.Recent {
+		if c.Revision == rev+1 {
+			return s.Recent[i:], true
+		}
+	}
+	return nil, false
+}
--- /dev/null
+++ b/core/mangorest/client.go
@@ -0,0 +1,154 @@
+package mangorest
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"syscall"
+	"time"
+
+	"github.com/zeromicro/go-zero/core/breaker"
+	"github.com/zeromicro/go-zero/rest/httpc"
+
+	"mangolane/core/mangomodel"
+	"mangolane/core/mangowire"
+)
+
+const (
+	// dialTimeout bounds the making of a connection.
+	dialTimeout = 2 * time.Second
+	// idleConnections is how many idle connections are kept to one peer.
+	idleConnections = 64
+	// idleTimeout is how long an idle connection is kept.
+	idleTimeout = 30 * time.Second
+	// maxAnswer bounds the body of an answer that is read whole.
+	maxAnswer = 64 << 20
+)
+
+// Client makes HTTP requests to one peer.
+type Client struct {
+	peer      mangomodel.PeerName
+	base      string
+	service   httpc.Service
+	transport *http.Transport
+}
+
+// ClientOption configures a Client.
+type ClientOption func(*http.Transport)
+
+// WithoutReuse gives every request a connection of its own. The transport
+// never sends a request twice over such connections.
+func WithoutReuse() ClientOption {
+	return func(t *http.Transport) { t.DisableKeepAlives = true }
+}
+
+// NewClient returns a client of the peer at an IP number and port.
+func NewClient(peer mangomodel.PeerName, addr mangomodel.Address, opts ...ClientOption) *Client {
+	transport := &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		MaxIdleConnsPerHost: idleConnections,
+		IdleConnTimeout:     idleTimeout,
+	}
+	for _, opt := range opts {
+		opt(transport)
+	}
+	name := "mangolane/" + string(peer) + "/" + string(addr)
+	breaker.NoBreakerFor(name)
+	client := &http.Client{Transport: transport, CheckRedirect: noRedirect}
+	return &Client{
+		peer: peer, base: "http://" + string(addr),
+		service: httpc.NewServiceWithClient(name, client), transport: transport,
+	}
+}
+
+// noRedirect hands redirects to the caller, since following one would send a
+// request twice.
+func noRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+
+// Close ends idle connections.
+func (c *Client) Close() { c.transport.CloseIdleConnections() }
+
+// Open sends a request and returns the open answer. The answer's status is
+// not looked at. A failure is a fault with RunNot if no connection was made
+// and with RunUnknown else; idle connections are then given up, since they
+// may have gone silent as well.
+func (c *Client) Open(ctx context.Context, step mangomodel.Step, method, path string, header http.Header, body []byte) (*http.Response, error) {
+	req, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, mangomodel.NewFault(step, c.peer, mangomodel.CodeInvalid, mangomodel.RunNot, err)
+	}
+	for name, values := range header {
+		req.Header[name] = values
+	}
+	resp, err := c.service.DoRequest(req)
+	if err != nil {
+		c.transport.CloseIdleConnections()
+		return nil, mangomodel.NewFault(step, c.peer, mangomodel.CodeUnavailable, runOf(err), err)
+	}
+	return resp, nil
+}
+
+// Exchange sends a message as JSON and reads the answer into out, which may
+// be nil. An answer that is not 200 becomes a fault.
+func (c *Client) Exchange(ctx context.Context, step mangomodel.Step, method, path string, in, out any) error {
+	var body []byte
+	if in != nil {
+		var err error
+		if body, err = json.Marshal(in); err != nil {
+			return mangomodel.NewFault(step, c.peer, mangomodel.CodeInvalid, mangomodel.RunNot, err)
+		}
+	}
+	resp, err := c.Open(ctx, step, method, path, jsonHeader(), body)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
+	if err != nil {
+		return mangomodel.NewFault(step, c.peer, mangomodel.CodeUnavailable, mangomodel.RunUnknown, err)
+	}
+	if resp.StatusCode != http.StatusOK {
+		return c.Refused(step, resp.StatusCode, data)
+	}
+	if out == nil {
+		return nil
+	}
+	if err := json.Unmarshal(data, out); err != nil {
+		return mangomodel.NewFault(step, c.peer, mangomodel.CodeBackend, mangomodel.RunUnknown, err)
+	}
+	return nil
+}
+
+// Refused returns the fault for an answer with an error status.
+func (c *Client) Refused(step mangomodel.Step, status int, data []byte) error {
+	var body mangowire.FaultBody
+	if err := json.Unmarshal(data, &body); err == nil && body.Message != "" {
+		f := body.Fault()
+		f.Step, f.Peer = step, c.peer
+		return f
+	}
+	return mangomodel.Faultf(step, c.peer, mangowire.CodeFrom(status), mangomodel.RunUnknown,
+		"status %d: %s", status, bytes.TrimSpace(data))
+}
+
+// Refuses reports whether an error says that the peer's host answered and no
+// process listens there.
+func Refuses(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
+
+// runOf tells a failure to connect, after which nothing can have run, from
+// every other failure.
+func runOf(err error) mangomodel.Run {
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return mangomodel.RunNot
+	}
+	return mangomodel.RunUnknown
+}
+
+func jsonHeader() http.Header {
+	return http.Header{"Content-Type": {"application/json"}}
+}
--- /dev/null
+++ b/core/mangorest/respond.go
@@ -0,0 +1,73 @@
+package mangorest
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/zeromicro/go-zero/rest"
+
+	"mangolane/core/mangoconfig"
+	"mangolane/core/mangomodel"
+	"mangolane/core/mangowire"
+)
+
+// Handle returns a route that reads a message of type In strictly, hands it
+// to f and writes what f returns.
+func Handle[In, Out any](method, path string, f func(r *http.Request, in In) (Out, error)) rest.Route {
+	return rest.Route{Method: method, Path: path, Handler: func(w http.ResponseWriter, r *http.Request) {
+		in, err := Read[In](r)
+		if err != nil {
+			WriteFault(w, err)
+			return
+		}
+		out, err := f(r, in)
+		if err != nil {
+			WriteFault(w, err)
+			return
+		}
+		Write(w, http.StatusOK, out)
+	}}
+}
+
+// Query returns a route that writes what f returns.
+func Query[Out any](path string, f func(r *http.Request) (Out, error)) rest.Route {
+	return rest.Route{Method: http.MethodGet, Path: path, Handler: func(w http.ResponseWriter, r *http.Request) {
+		out, err := f(r)
+		if err != nil {
+			WriteFault(w, err)
+			return
+		}
+		Write(w, http.StatusOK, out)
+	}}
+}
+
+// Read reads a request's body as one strict JSON document.
+func Read[In any](r *http.Request) (In, error) {
+	var zero In
+	data, err := io.ReadAll(r.Body)
+	if err != nil {
+		return zero, mangomodel.NewFault(mangomodel.StepParse, "", mangomodel.CodeInvalid, mangomodel.RunNot, err)
+	}
+	return mangoconfig.Decode[In](data)
+}
+
+// Write writes a message.
+func Write(w http.ResponseWriter, status int, out any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	// A failed write means that the caller is gone.
+	_ = json.NewEncoder(w).Encode(out)
+}
+
+// WriteFault writes an error as a fault body with the status of its code.
+func WriteFault(w http.ResponseWriter, err error) {
+	f := mangomodel.AsFault(err, mangomodel.StepRespond)
+	if f.RetryAfter > 0 {
+		seconds := (f.RetryAfter + time.Second - 1) / time.Second
+		w.Header().Set(mangowire.HeaderRetryAfter, strconv.Itoa(int(seconds)))
+	}
+	Write(w, mangowire.StatusOf(f.Code), mangowire.FaultBodyOf(f))
+}
--- /dev/null
+++ b/core/mangosched/report.go
@@ -0,0 +1,111 @@
+package mangosched
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"mangolane/core/mangomodel"
+	"mangolane/core/mangoquery"
+)
+
+// OrphanGrace is how long a sequence may run on an engine without a grant
+// before it is cancelled.
+const OrphanGrace = 8 * time.Second
+
+// Report takes in a server's report of itself. A changed boot confirms that
+// the server's process has crashed or was restarted.
+func (s *Scheduler) Report(now time.Time, load mangomodel.Load) {
+	sv, ok := s.servers[load.Server]
+	if !ok {
+		return
+	}
+	if sv.boot != "" && sv.boot != load.Boot {
+		s.suspect.crashed(now, sv)
+	} else {
+		s.suspect.survived(sv.id, load.At)
+	}
+	sv.boot = load.Boot
+	sv.down = false
+	sv.draining = load.Draining
+	unclaimed := s.unclaimed(load)
+	sv.foreign = len(unclaimed)
+	s.sweep(now, load.Server, unclaimed)
+	s.dispatchAll(now)
+}
+
+// Unreachable takes in that a server did not answer. Refused says that its
+// host answered and no process listens, which confirms a crash.
+func (s *Scheduler) Unreachable(now time.Time, id mangomodel.ServerID, refused bool) {
+	sv, ok := s.servers[id]
+	if !ok {
+		return
+	}
+	if refused && !sv.down && sv.boot != "" {
+		s.suspect.crashed(now, sv)
+	}
+	sv.down = true
+}
+
+// unclaimed returns the sequences of a report that no grant here explains.
+func (s *Scheduler) unclaimed(load mangomodel.Load) []mangomodel.Sequence {
+	var unclaimed []mangomodel.Sequence
+	for _, seq := range load.Running {
+		if !s.claimed[seq] {
+			unclaimed = append(unclaimed, seq)
+		}
+	}
+	return unclaimed
+}
+
+// sweep cancels sequences that have stayed unclaimed for OrphanGrace. Within
+// that time every live holder has renewed its grants with the shard's owner.
+func (s *Scheduler) sweep(now time.Time, id mangomodel.ServerID, unclaimed []mangomodel.Sequence) {
+	sv := s.servers[id]
+	orphans := make(map[mangomodel.Sequence]time.Time, len(unclaimed))
+	for _, seq := range unclaimed {
+		first, seen := sv.orphans[seq]
+		if !seen {
+			first = now
+		}
+		orphans[seq] = first
+		if now.Sub(first) >= OrphanGrace {
+			s.effects = append(s.effects, Cancel{Server: id, Sequence: seq})
+		}
+	}
+	sv.orphans = orphans
+}
+
+// learn updates the measured speeds and the suspicions from a usage.
+func (s *Scheduler) learn(now time.Time, h *held, u mangomodel.Usage) {
+	h.shard.hold.add(now.Sub(h.since).Seconds())
+	if sv, ok := s.servers[h.grant.Prefill]; ok && u.PrefillTime > 0 {
+		sv.rate.add(float64(u.PrefillTokens) / u.PrefillTime.Seconds())
+	}
+	if sv, ok := s.servers[h.grant.Decode]; ok && u.StepTime > 0 {
+		sv.step.add(u.StepTime.Seconds())
+	}
+	if sv, ok := s.servers[u.Failed]; ok {
+		s.suspect.brokenOn(now, sv, h.grant.Fingerprint)
+		return
+	}
+	if u.StepTime > 0 {
+		s.suspect.acquit(h.grant.Fingerprint)
+	}
+}
+
+// Status returns what is shown of each shard.
+func (s *Scheduler) Status() []mangoquery.ShardStatus {
+	list := make([]mangoquery.ShardStatus, 0, len(s.shards))
+	for id, sh := range s.shards {
+		st := mangoquery.ShardStatus{Shard: id, Slots: sh.slots(), Used: sh.used}
+		for rank := range sh.queue {
+			st.Waiting[rank] = sh.queue[rank].len()
+		}
+		list = append(list, st)
+	}
+	slices.SortFunc(list, func(a, b mangoquery.ShardStatus) int {
+		return cmp.Compare(a.Shard.String(), b.Shard.String())
+	})
+	return list
+}
--- /dev/null
+++ b/core/mangosched/scheduler.go
@@ -0,0 +1,343 @@
+package mangosched
+
+import (
+	"maps"
+	"time"
+
+	"mangolane/core/mangoconfig"
+	"mangolane/core/mangomodel"
+)
+
+// adoptGrace is how long a grant that its holder does not list in a renewal
+// is kept, since the renewal may have been composed before the grant.
+const adoptGrace = 5 * time.Second
+
+// HolderLease is how long a holder's grants last without a renewal.
+const HolderLease = 6 * time.Second
+
+// Effect is something that the owner of a Scheduler must carry out.
+type Effect interface{ effect() }
+
+// Decided answers a demand. Err is nil when the grant was given.
+type Decided struct {
+	Grant mangomodel.GrantID
+	Err   error
+}
+
+// Cancel asks for a sequence to be cancelled on a server.
+type Cancel struct {
+	Server   mangomodel.ServerID
+	Sequence mangomodel.Sequence
+}
+
+func (Decided) effect() {}
+func (Cancel) effect()  {}
+
+// Scheduler is the state of the shards that a daemon schedules.
+type Scheduler struct {
+	// self is the daemon's own life, whose grants need no renewal.
+	self    mangomodel.Holder
+	holders map[mangomodel.Holder]time.Time
+	shards  map[mangomodel.ShardID]*shard
+	servers map[mangomodel.ServerID]*server
+	grants  map[mangomodel.GrantID]*held
+	waiting map[mangomodel.GrantID]*waiter
+	suspect *suspects
+	// claimed holds the sequences of the grants in force.
+	claimed map[mangomodel.Sequence]bool
+	effects []Effect
+}
+
+// held is a grant in force.
+type held struct {
+	grant mangomodel.Grant
+	since time.Time
+	shard *shard
+}
+
+// New returns an empty scheduler of a daemon.
+func New(self mangomodel.Holder) *Scheduler {
+	return &Scheduler{
+		self:    self,
+		holders: make(map[mangomodel.Holder]time.Time),
+		claimed: make(map[mangomodel.Sequence]bool),
+		shards:  make(map[mangomodel.ShardID]*shard),
+		servers: make(map[mangomodel.ServerID]*server),
+		grants:  make(map[mangomodel.GrantID]*held),
+		waiting: make(map[mangomodel.GrantID]*waiter),
+		suspect: newSuspects(),
+	}
+}
+
+// Configure replaces the set of shards. Servers that stay keep their state;
+// grants on servers that are gone end when their holders release them.
+func (s *Scheduler) Configure(now time.Time, shards []mangoconfig.Shard) {
+	known := make(map[mangomodel.ServerID]bool)
+	for _, sh := range s.shards {
+		sh.servers = nil
+	}
+	for _, cfg := range shards {
+		sh := s.shard(cfg.ID)
+		sh.pool = cfg.Pool
+		for _, host := range cfg.Servers {
+			id := mangomodel.ServerID(host.ID)
+			known[id] = true
+			sh.servers = append(sh.servers, s.configureServer(id, host))
+		}
+	}
+	maps.DeleteFunc(s.servers, func(id mangomodel.ServerID, _ *server) bool { return !known[id] })
+	s.dispatchAll(now)
+}
+
+// Acquire asks for a grant. The answer is a Decided effect, now or later.
+func (s *Scheduler) Acquire(now time.Time, id mangomodel.ShardID, d mangomodel.Demand) {
+	if _, ok := s.grants[d.Grant]; ok {
+		s.effects = append(s.effects, Decided{Grant: d.Grant})
+		return
+	}
+	sh, ok := s.shards[id]
+	if !ok || len(sh.servers) == 0 {
+		s.refuse(d.Grant, mangomodel.Faultf(mangomodel.StepAdmission, peerOf(id),
+			mangomodel.CodeUnavailable, mangomodel.RunNot, "no server of the shard is configured"))
+		return
+	}
+	if _, ok := s.waiting[d.Grant]; ok {
+		return
+	}
+	if s.suspect.quarantined(now, d.Fingerprint) {
+		s.refuse(d.Grant, mangomodel.Faultf(mangomodel.StepAdmission, peerOf(id),
+			mangomodel.CodeQuarantined, mangomodel.RunNot, "the request has crashed backend servers"))
+		return
+	}
+	s.holders[d.Sequence.Holder] = now
+	w := &waiter{demand: d, arrived: now, suspect: s.suspect.suspected(now, d.Fingerprint)}
+	if err := sh.admit(now, w); err != nil {
+		s.refuse(d.Grant, err)
+		return
+	}
+	s.waiting[d.Grant] = w
+	sh.queue[d.Rank].push(w)
+	s.dispatch(now, sh)
+}
+
+// Withdraw forgets a demand whose caller no longer waits. A demand that was
+// granted in the meantime is released.
+func (s *Scheduler) Withdraw(now time.Time, id mangomodel.GrantID) {
+	if w, ok := s.waiting[id]; ok {
+		w.gone = true
+		delete(s.waiting, id)
+		return
+	}
+	s.Release(now, id, mangomodel.Usage{})
+}
+
+// Release ends a grant and learns from its usage. Releasing an unknown grant
+// does nothing, so a release may be repeated.
+func (s *Scheduler) Release(now time.Time, id mangomodel.GrantID, u mangomodel.Usage) {
+	h, ok := s.grants[id]
+	if !ok {
+		return
+	}
+	s.learn(now, h, u)
+	s.end(h)
+	s.dispatch(now, h.shard)
+}
+
+// Renew records that a holder is alive and which grants it holds. Grants
+// unknown here, such as those of a predecessor, are adopted; grants of the
+// holder that it no longer lists are ended.
+func (s *Scheduler) Renew(now time.Time, holder mangomodel.Holder, grants []mangomodel.Grant) {
+	s.holders[holder] = now
+	listed := make(map[mangomodel.GrantID]bool, len(grants))
+	for _, g := range grants {
+		listed[g.ID] = true
+		s.adopt(now, g)
+	}
+	for id, h := range s.grants {
+		if h.grant.Sequence.Holder == holder && !listed[id] && now.Sub(h.since) > adoptGrace {
+			s.end(h)
+		}
+	}
+	s.dispatchAll(now)
+}
+
+// HolderLost ends every grant of a daemon life that is over and cancels its
+// sequences on the engines.
+func (s *Scheduler) HolderLost(now time.Time, holder mangomodel.Holder) {
+	delete(s.holders, holder)
+	for _, h := range s.grants {
+		if h.grant.Sequence.Holder != holder {
+			continue
+		}
+		s.effects = append(s.effects,
+			Cancel{Server: h.grant.Prefill, Sequence: h.grant.Sequence},
+			Cancel{Server: h.grant.Decode, Sequence: h.grant.Sequence})
+		s.end(h)
+	}
+	for id, w := range s.waiting {
+		if w.demand.Sequence.Holder == holder {
+			w.gone = true
+			delete(s.waiting, id)
+		}
+	}
+	s.dispatchAll(now)
+}
+
+// Tick refuses the demands that can no longer meet their targets and ends the
+// grants of holders whose lease has lapsed.
+func (s *Scheduler) Tick(now time.Time) {
+	for holder, renewed := range s.holders {
+		if holder != s.self && now.Sub(renewed) >= HolderLease {
+			s.HolderLost(now, holder)
+		}
+	}
+	for id, w := range s.waiting {
+		if !now.Before(w.giveUp) {
+			w.gone = true
+			s.refuse(id, mangomodel.Faultf(mangomodel.StepAdmission, "",
+				mangomodel.CodeOverloaded, mangomodel.RunNot, "no server became free within the latency target"))
+		}
+	}
+	s.dispatchAll(now)
+}
+
+// NextDue returns when Tick next has something to do, if ever.
+func (s *Scheduler) NextDue() (time.Time, bool) {
+	var due time.Time
+	earlier := func(t time.Time) {
+		if due.IsZero() || t.Before(due) {
+			due = t
+		}
+	}
+	for _, w := range s.waiting {
+		earlier(w.giveUp)
+	}
+	for holder, renewed := range s.holders {
+		if holder != s.self {
+			earlier(renewed.Add(HolderLease))
+		}
+	}
+	return due, !due.IsZero()
+}
+
+// TakeEffects returns the effects since the last call.
+func (s *Scheduler) TakeEffects() []Effect {
+	effects := s.effects
+	s.effects = nil
+	return effects
+}
+
+// Grants returns the grants in force, in no order.
+func (s *Scheduler) Grants() []mangomodel.Grant {
+	grants := make([]mangomodel.Grant, 0, len(s.grants))
+	for _, h := range s.grants {
+		grants = append(grants, h.grant)
+	}
+	return grants
+}
+
+func (s *Scheduler) shard(id mangomodel.ShardID) *shard {
+	sh, ok := s.shards[id]
+	if !ok {
+		sh = newShard(id)
+		s.shards[id] = sh
+	}
+	return sh
+}
+
+func (s *Scheduler) configureServer(id mangomodel.ServerID, host mangoconfig.Host) *server {
+	sv, ok := s.servers[id]
+	if !ok {
+		sv = newServer(id, host)
+		s.servers[id] = sv
+	}
+	sv.host = host
+	return sv
+}
+
+func (s *Scheduler) refuse(id mangomodel.GrantID, err error) {
+	delete(s.waiting, id)
+	s.effects = append(s.effects, Decided{Grant: id, Err: err})
+}
+
+func (s *Scheduler) adopt(now time.Time, g mangomodel.Grant) {
+	if _, ok := s.grants[g.ID]; ok {
+		return
+	}
+	s.take(&held{grant: g, since: now, shard: s.shard(g.Shard)})
+}
+
+// take counts a grant against its shard and its decode server.
+func (s *Scheduler) take(h *held) {
+	s.grants[h.grant.ID] = h
+	s.claimed[h.grant.Sequence] = true
+	h.shard.used[h.grant.Rank]++
+	if sv, ok := s.servers[h.grant.Decode]; ok {
+		sv.used++
+		sv.pieces += h.grant.Pieces
+	}
+}
+
+// end gives back what take counted.
+func (s *Scheduler) end(h *held) {
+	delete(s.grants, h.grant.ID)
+	delete(s.claimed, h.grant.Sequence)
+	h.shard.used[h.grant.Rank]--
+	if sv, ok := s.servers[h.grant.Decode]; ok {
+		sv.used = max(0, sv.used-1)
+		sv.pieces = max(0, sv.pieces-h.grant.Pieces)
+		if sv.suspect == h.grant.ID {
+			sv.suspect = ""
+		}
+	}
+}
+
+func (s *Scheduler) dispatchAll(now time.Time) {
+	for _, sh := range s.shards {
+		s.dispatch(now, sh)
+	}
+}
+
+// dispatch grants waiting demands of a shard while there is room.
+func (s *Scheduler) dispatch(now time.Time, sh *shard) {
+	for {
+		w, place := sh.next(now)
+		if w == nil {
+			return
+		}
+		sh.queue[w.demand.Rank].served(w)
+		if place.expected > w.remaining(now) {
+			s.refuse(w.demand.Grant, overloaded(sh.id, place.expected-w.remaining(now)))
+			continue
+		}
+		s.give(now, sh, w, place)
+	}
+}
+
+func (s *Scheduler) give(now time.Time, sh *shard, w *waiter, p placement) {
+	d := w.demand
+	g := mangomodel.Grant{
+		ID: d.Grant, Shard: sh.id, Sequence: d.Sequence, Workspace: d.Workspace, Rank: d.Rank,
+		Prefill: p.prefill.id, Decode: p.decode.id, Fingerprint: d.Fingerprint,
+		Pieces: mangomodel.PiecesFor(d.Prompt+d.MaxTokens, sh.pool.PieceTokens), Expected: p.expected,
+	}
+	p.prefill.busyUntil = p.prefillDone
+	p.prefill.remember(d.Prefixes)
+	if w.suspect {
+		p.decode.suspect = d.Grant
+	}
+	delete(s.waiting, d.Grant)
+	s.take(&held{grant: g, since: now, shard: sh})
+	s.effects = append(s.effects, Decided{Grant: d.Grant})
+}
+
+func peerOf(id mangomodel.ShardID) mangomodel.PeerName {
+	return mangomodel.PeerName(id.String())
+}
+
+func overloaded(id mangomodel.ShardID, after time.Duration) error {
+	f := mangomodel.Faultf(mangomodel.StepAdmission, peerOf(id), mangomodel.CodeOverloaded, mangomodel.RunNot,
+		"the latency target cannot be met now")
+	f.RetryAfter = max(after, time.Millisecond)
+	return f
+}
--- /dev/null
+++ b/core/mangosched/server.go
@@ -0,0 +1,123 @@
+package mangosched
+
+import (
+	"time"
+
+	lru "github.com/hashicorp/golang-lru/v2"
+
+	"mangolane/core/mangoconfig"
+	"mangolane/core/mangomodel"
+)
+
+const (
+	// prefixMemory is how many prefix blocks are assumed resident on a
+	// prefill server.
+	prefixMemory = 4096
+	// prefixDiscount is the part of a remembered prefix that is expected to
+	// be still resident, since cache events are late and have gaps.
+	prefixDiscount = 0.7
+	// initialPrefillRate is assumed when a host announces no rate.
+	initialPrefillRate mangomodel.TokensPerSecond = 20000
+	// initialStep is the assumed time between tokens.
+	initialStep = 20 * time.Millisecond
+	// averageGain is the weight of a new sample in a moving average.
+	averageGain = 0.2
+)
+
+// server is what the scheduler knows of one backend server.
+type server struct {
+	id   mangomodel.ServerID
+	host mangoconfig.Host
+	// down is set while the server cannot be reached.
+	down bool
+	// draining is set while the server itself asks for no new work.
+	draining bool
+	boot     string
+	used     int
+	pieces   mangomodel.Pieces
+	// foreign counts reported sequences that no grant here explains.
+	foreign int
+	// orphans is when each such sequence was first reported.
+	orphans map[mangomodel.Sequence]time.Time
+	// busyUntil is when the prefills granted so far are predicted to end.
+	busyUntil time.Time
+	rate      average
+	step      average
+	resident  *lru.Cache[mangomodel.PrefixHash, struct{}]
+	// suspect is the one grant of a suspect request aboard, if any.
+	suspect mangomodel.GrantID
+	crash   crashRecord
+}
+
+func newServer(id mangomodel.ServerID, host mangoconfig.Host) *server {
+	rate := host.PrefillRate
+	if rate == 0 {
+		rate = initialPrefillRate
+	}
+	resident, err := lru.New[mangomodel.PrefixHash, struct{}](prefixMemory)
+	if err != nil {
+		panic(err) // only a non-positive size fails
+	}
+	return &server{
+		id: id, host: host, resident: resident,
+		rate: newAverage(float64(rate)), step: newAverage(initialStep.Seconds()),
+	}
+}
+
+// usable reports whether the server takes new work.
+func (sv *server) usable() bool {
+	return !sv.down && !sv.draining && sv.host.State == mangomodel.ServerLive
+}
+
+// occupied is the number of slots that are taken.
+func (sv *server) occupied() int { return sv.used + sv.foreign }
+
+func (sv *server) occupancy() float64 {
+	return float64(sv.occupied()) / float64(sv.host.Slots)
+}
+
+// fits reports whether the server can take a request of so many pieces.
+func (sv *server) fits(need mangomodel.Pieces) bool {
+	return sv.usable() && sv.occupied() < int(sv.host.Slots) && sv.pieces+need <= sv.host.Pieces
+}
+
+func (sv *server) stepTime() time.Duration {
+	return time.Duration(sv.step.value * float64(time.Second))
+}
+
+// prefillFinish predicts when a prompt's prefill would end on the server.
+func (sv *server) prefillFinish(now time.Time, d mangomodel.Demand) time.Time {
+	start := now
+	if sv.busyUntil.After(start) {
+		start = sv.busyUntil
+	}
+	work := float64(d.Prompt) - prefixDiscount*float64(sv.residentTokens(d.Prefixes))
+	return start.Add(time.Duration(max(work, 0) / sv.rate.value * float64(time.Second)))
+}
+
+// residentTokens counts the tokens of the longest remembered prefix.
+func (sv *server) residentTokens(prefixes []mangomodel.PrefixHash) mangomodel.Tokens {
+	n := mangomodel.Tokens(0)
+	for _, p := range prefixes {
+		if !sv.resident.Contains(p) {
+			break
+		}
+		n += mangomodel.PrefixBlock
+	}
+	return n
+}
+
+func (sv *server) remember(prefixes []mangomodel.PrefixHash) {
+	for _, p := range prefixes {
+		sv.resident.Add(p, struct{}{})
+	}
+}
+
+// average is an exponentially weighted moving average.
+type average struct{ value float64 }
+
+func newAverage(initial float64) average { return average{value: initial} }
+
+func (a *average) add(sample float64) {
+	a.value += averageGain * (sample - a.value)
+}
--- /dev/null
+++ b/core/mangowire/caller.go
@@ -0,0 +1,59 @@
+package mangowire
+
+import (
+	"mangolane/core/mangoconfig"
+	"mangolane/core/mangomodel"
+)
+
+// Paths and headers of the callers' and operators' interface. Commands and
+// queries have paths of their own.
+const (
+	PathGenerate = "/v1/generate"
+	PathCall     = "/v1/call/:Workspace/:Call"
+	PathHealth   = "/healthz"
+
+	PathPublish = "/admin/command/publish"
+	PathStop    = "/admin/command/stop"
+
+	PathConfiguration = "/admin/query/configuration"
+	PathStatus        = "/admin/query/status"
+	PathMetrics       = "/admin/query/metrics"
+	PathTraces        = "/admin/query/traces"
+
+	// HeaderKey carries the workspace's key as "Bearer KEY".
+	HeaderKey = "Authorization"
+	// HeaderIdempotency carries the idempotency key of a call.
+	HeaderIdempotency = "Idempotency-Key"
+	// HeaderRequest carries the caller's own id of a request.
+	HeaderRequest = "X-Request-Id"
+	// HeaderRetryAfter carries whole seconds.
+	HeaderRetryAfter = "Retry-After"
+)
+
+// Generate is a caller's generation request.
+type Generate struct {
+	Workspace mangomodel.WorkspaceID
+	Model     mangomodel.ModelID
+	Rank      mangomodel.Rank
+	Prompt    string
+	MaxTokens mangomodel.Tokens
+}
+
+// Event is one line of the answer to a Generate. The last line has either
+// Done or Fault set.
+type Event struct {
+	Request mangomodel.RequestID `json:",omitempty"`
+	Offset  mangomodel.Tokens
+	Text    string     `json:",omitempty"`
+	Done    bool       `json:",omitempty"`
+	Fault   *FaultBody `json:",omitempty"`
+}
+
+// Published answers an accepted change of configuration.
+type Published struct {
+	Revision mangomodel.Revision
+	ID       mangomodel.ChangeID
+}
+
+// Configuration answers a query for the configuration in force.
+type Configuration struct{ Documents mangoconfig.Documents }
--- /dev/null
+++ b/core/mangowire/fault.go
@@ -0,0 +1,80 @@
+package mangowire
+
+import (
+	"errors"
+	"net/http"
+	"strings"
+	"time"
+
+	"mangolane/core/mangomodel"
+)
+
+// FaultBody is a fault as callers and peers receive it.
+type FaultBody struct {
+	Step    mangomodel.Step
+	Peer    mangomodel.PeerName `json:",omitempty"`
+	Code    mangomodel.Code
+	Run     mangomodel.Run
+	Message string
+	// RetryAfter is when a new try is reasonable; zero means unknown.
+	RetryAfter mangomodel.Duration `json:",omitempty"`
+}
+
+// FaultBodyOf returns the body for a fault.
+func FaultBodyOf(f *mangomodel.Fault) FaultBody {
+	return FaultBody{
+		Step: f.Step, Peer: f.Peer, Code: f.Code, Run: f.Run,
+		Message: strings.TrimPrefix(f.Err.Error(), string(mangomodel.Errors)+": "), RetryAfter: mangomodel.Duration(f.RetryAfter),
+	}
+}
+
+// Fault returns the fault that a body describes.
+func (b FaultBody) Fault() *mangomodel.Fault {
+	f := mangomodel.NewFault(b.Step, b.Peer, b.Code, b.Run, errors.New(b.Message))
+	f.RetryAfter = time.Duration(b.RetryAfter)
+	return f
+}
+
+// StatusOf returns the HTTP status for a fault's code.
+func StatusOf(code mangomodel.Code) int {
+	switch code {
+	case mangomodel.CodeInvalid:
+		return http.StatusBadRequest
+	case mangomodel.CodeUnauthorised:
+		return http.StatusUnauthorized
+	case mangomodel.CodeNotFound:
+		return http.StatusNotFound
+	case mangomodel.CodeOverloaded:
+		return http.StatusTooManyRequests
+	case mangomodel.CodeUnavailable:
+		return http.StatusServiceUnavailable
+	case mangomodel.CodeConflict, mangomodel.CodeInProgress:
+		return http.StatusConflict
+	case mangomodel.CodeQuarantined:
+		return http.StatusUnprocessableEntity
+	case mangomodel.CodeUnknownOutcome:
+		return http.StatusGatewayTimeout
+	default:
+		return http.StatusBadGateway
+	}
+}
+
+// CodeFrom returns the code for an HTTP status.
+func CodeFrom(status int) mangomodel.Code {
+	switch status {
+	case http.StatusBadRequest:
+		return mangomodel.CodeInvalid
+	case http.StatusUnauthorized:
+		return mangomodel.CodeUnauthorised
+	case http.StatusNotFound:
+		return mangomodel.CodeNotFound
+	case http.StatusTooManyRequests:
+		return mangomodel.CodeOverloaded
+	case http.StatusServiceUnavailable:
+		return mangomodel.CodeUnavailable
+	case http.StatusConflict, http.StatusPreconditionFailed:
+		return mangomodel.CodeConflict
+	default:
+		return mangomodel.CodeBackend
+	}
+}
--- /dev/null
+++ b/mangolanectl/main.go
@@ -0,0 +1,91 @@
+// Mangolanectl is the operators' command line.
+//
+// # Usage
+//
+//	mangolanectl [-admin ADDRESS[,ADDRESS...]] [-key KEY] command publish FILE...
+//	mangolanectl command join HOST
+//	mangolanectl command leave HOST
+//	mangolanectl command stop
+//	mangolanectl query status|configuration|metrics
+//	mangolanectl query traces [-trace ID]
+//	mangolanectl query key-hash KEY
+//
+// Verbs under "command" change something and print no more than a revision;
+// verbs under "query" only read. The addresses are tried in order until one
+// can be reached. Flags may also be given as environment variables, such as
+// MANGOLANECTL_KEY.
+package main
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/peterbourgon/ff/v3"
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"mangolane/core/mangomodel"
+	"mangolane/core/mangorest"
+	"mangolane/mangolanectl/mangoclient"
+)
+
+// defaultTimeout bounds one invocation.
+const defaultTimeout = 30 * time.Second
+
+func main() {
+	mangorest.Quiet()
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	if err := run(ctx, os.Args[1:]); err != nil && !errors.Is(err, flag.ErrHelp) {
+		fmt.Fprintln(os.Stderr, "mangolanectl:", err)
+		os.Exit(1)
+	}
+}
+
+// options are the flags that all verbs share.
+type options struct {
+	admin   string
+	key     string
+	timeout time.Duration
+}
+
+// client returns a client of the daemons that the flags name.
+func (o *options) client() *mangoclient.Client {
+	var addrs []mangomodel.Address
+	for _, a := range strings.Split(o.admin, ",") {
+		addrs = append(addrs, mangomodel.Address(a))
+	}
+	return mangoclient.New(addrs, o.key)
+}
+
+func run(ctx context.Context, args []string) error {
+	var o options
+	flags := flag.NewFlagSet("mangolanectl", flag.ContinueOnError)
+	flags.StringVar(&o.admin, "admin", "127.0.0.1:7101", "admin addresses of daemons, separated by commas")
+	flags.StringVar(&o.key, "key", "", "the operators' key")
+	flags.DurationVar(&o.timeout, "timeout", defaultTimeout, "how long the invocation may take")
+	root := &ffcli.Command{
+		ShortUsage: "mangolanectl [flags] <command|query> <verb> [arguments]",
+		FlagSet:    flags,
+		Options:    []ff.Option{ff.WithEnvVarPrefix("MANGOLANECTL")},
+		Subcommands: []*ffcli.Command{
+			{Name: "command", ShortHelp: "change something", Subcommands: commands(&o), Exec: help},
+			{Name: "query", ShortHelp: "read something", Subcommands: queries(&o), Exec: help},
+		},
+		Exec: help,
+	}
+	if err := root.Parse(args); err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, o.timeout)
+	defer cancel()
+	return root.Run(ctx)
+}
+
+func help(context.Context, []string) error { return flag.ErrHelp }
--- /dev/null
+++ b/mangolanectl/query.go
@@ -0,0 +1,47 @@
+package main
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"flag"
+	"fmt"
+	"net/url"
+	"os"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"mangolane/core/mangomodel"
+	"mangolane/core/mangowire"
+)
+
+// queries returns the verbs that only read.
+func queries(o *options) []*ffcli.Command {
+	flags := flag.NewFlagSet("traces", flag.ContinueOnError)
+	trace := flags.String("trace", "", "only the spans of this trace")
+	return []*ffcli.Command{
+		show(o, "status", "show members, shards and grants", mangowire.PathStatus),
+		show(o, "configuration", "show the documents in force", mangowire.PathConfiguration),
+		show(o, "metrics", "show counters and latencies", mangowire.PathMetrics),
+		{Name: "traces", FlagSet: flags, ShortHelp: "show recorded spans",
+			Exec: func(ctx context.Context, _ []string) error {
+				return o.client().Show(ctx, mangowire.PathTraces+"?Trace="+url.QueryEscape(*trace), os.Stdout)
+			}},
+		{Name: "key-hash", ShortUsage: "key-hash KEY", ShortHelp: "print the hash to configure for a key", Exec: keyHash},
+	}
+}
+
+func show(o *options, name, help, path string) *ffcli.Command {
+	return &ffcli.Command{Name: name, ShortHelp: help, Exec: func(ctx context.Context, _ []string) error {
+		return o.client().Show(ctx, path, os.Stdout)
+	}}
+}
+
+func keyHash(_ context.Context, args []string) error {
+	if len(args) != 1 {
+		return mangomodel.Errors.New("exactly one key is needed")
+	}
+	sum := sha256.Sum256([]byte(args[0]))
+	fmt.Println(hex.EncodeToString(sum[:]))
+	return nil
+}
--- /dev/null
+++ b/mangolaned/mangodaemon/daemon.go
@@ -0,0 +1,175 @@
+// Package mangodaemon puts a daemon together from its settings and runs it
+// from start to graceful shutdown.
+//
+// # Usage
+//
+//	d, err := mangodaemon.New(settings, logger)
+//	err = d.Run(ctx) // serves until ctx ends, then drains
+package mangodaemon
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"mangolane/core/mangoagent"
+	"mangolane/core/mangocommand"
+	"mangolane/core/mangoentry"
+	"mangolane/core/mangomember"
+	"mangolane/core/mangomodel"
+	"mangolane/core/mangorest"
+	"mangolane/core/mangorevision"
+	"mangolane/core/mangoroute"
+	"mangolane/mangolaned/mangoadmin"
+	"mangolane/mangolaned/mangobackend"
+	"mangolane/mangolaned/mangofront"
+	"mangolane/mangolaned/mangolog"
+	"mangolane/mangolaned/mangometrics"
+	"mangolane/mangolaned/mangopeer"
+	"mangolane/mangolaned/mangoplatform"
+	"mangolane/mangolaned/mangosettings"
+	"mangolane/mangolaned/mangotrace"
+)
+
+// runner is a worker with a goroutine of its own.
+type runner interface{ Run(ctx context.Context) }
+
+// Daemon is one daemon.
+type Daemon struct {
+	settings mangosettings.Settings
+	logger   *zap.Logger
+	control  *mangocommand.Control
+	workers  []runner
+	front    *mangorest.Server
+	admin    *mangorest.Server
+	peers    *mangopeer.Server
+	// background counts the work that outlives its request.
+	background group
+	// stop is closed when an operator asks for a graceful shutdown.
+	stop     chan struct{}
+	stopOnce sync.Once
+}
+
+// New puts a daemon together. Nothing runs yet.
+func New(s mangosettings.Settings, logger *zap.Logger) (*Daemon, error) {
+	self := mangomember.Member{
+		Daemon: s.Daemon, Incarnation: mangomodel.Incarnation(time.Now().UnixNano()),
+		Region: s.Region, DataCentre: s.DataCentre, Address: s.Peer,
+	}
+	d := &Daemon{settings: s, logger: logger, control: mangocommand.New(self), stop: make(chan struct{})}
+	recorder := mangotrace.NewRecorder(s.TraceSpans)
+	tracer := mangotrace.Install(recorder, s.Daemon)
+	metrics := mangometrics.New()
+	backend := mangobackend.New()
+	platform := mangoplatform.New(s.Platform)
+	peers := mangopeer.NewPeers()
+
+	follower := mangoagent.NewFollower(d.control, mangorevision.NewReader(platform, platform), peers, peers, failureLog{logger}, s.FollowInterval.Std())
+	d.workers = []runner{
+		recorder, follower,
+		mangoagent.NewProber(d.control, peers, follower,
+			mangoagent.WithProbeInterval(s.ProbeInterval.Std()),
+			mangoagent.WithSeeds(s.Seeds), mangoagent.WithRandomSeed(s.RandomSeed)),
+		mangoagent.NewRenewer(d.control, peers, s.RenewInterval.Std()),
+		mangoagent.NewPoller(d.control, backend, s.LoadInterval.Std()),
+		mangoagent.NewCanceller(d.control, backend, d.control.Cancels()),
+		mangoagent.NewHostWatcher(d.control, platform, failureLog{logger}, s.HostListInterval.Std()),
+	}
+	d.peers = mangopeer.NewServer(d.control, peers, follower, tracer)
+
+	generator := mangoroute.New(d.control, peers, backend,
+		mangoroute.WithTracer(tracer), mangoroute.WithObserver(observers{metrics, faultLog{logger}}))
+	ledger := mangoentry.NewLedger(platform, self.Holder())
+	caller := mangoentry.NewCaller(d.control, ledger, backend, tracer, &d.background)
+	front := mangofront.New(d.control, generator, caller, mangofront.WithMaxTokens(s.MaxTokens))
+	publisher := mangorevision.NewPublisher(platform, platform)
+	admin := mangoadmin.New(d.control, publisher, follower, recorder, metrics, s.OperatorKeyHash, d.Stop)
+	return d, d.listen(front, admin)
+}
+
+// listen makes the HTTP servers.
+func (d *Daemon) listen(front *mangofront.Front, admin *mangoadmin.Admin) error {
+	var err error
+	if d.front, err = mangorest.NewServer("front", d.settings.Front, front.Routes(), mangorest.WithMaxBody(d.settings.MaxBody)); err != nil {
+		return err
+	}
+	d.admin, err = mangorest.NewServer("admin", d.settings.Admin, admin.Routes())
+	return err
+}
+
+// Stop begins a graceful shutdown. It may be called more than once.
+func (d *Daemon) Stop() { d.stopOnce.Do(func() { close(d.stop) }) }
+
+// Run serves until ctx ends or Stop is called, then drains and returns.
+func (d *Daemon) Run(ctx context.Context) error {
+	listener, err := net.Listen("tcp", string(d.settings.Peer))
+	if err != nil {
+		return mangomodel.Errors.Wrap(err)
+	}
+	defer listener.Close()
+	workCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	var running sync.WaitGroup
+	running.Go(func() { d.control.Run(workCtx) })
+	for _, w := range d.workers {
+		running.Go(func() { w.Run(workCtx) })
+	}
+	go d.servePeers(listener)
+	go d.front.Serve()
+	go d.admin.Serve()
+	d.logger.Info("started", zap.String("Daemon", string(d.settings.Daemon)), zap.String("Front", string(d.settings.Front)))
+
+	select {
+	case <-ctx.Done():
+	case <-d.stop:
+	}
+	err = d.drain(workCtx)
+	cancel()
+	running.Wait()
+	return err
+}
+
+func (d *Daemon) servePeers(l net.Listener) {
+	if err := d.peers.Serve(l); err != nil {
+		d.logger.Error("peers", mangolog.Fault(err)...)
+	}
+}
+
+// drain refuses new requests, lets the other daemons take over the shards,
+// and waits for the requests and writes that are under way.
+func (d *Daemon) drain(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, d.settings.DrainTimeout.Std())
+	defer cancel()
+	started := time.Now()
+	if err := d.control.Do(ctx, mangocommand.Stop{}); err != nil {
+		return err
+	}
+	d.logger.Info("draining")
+	d.handOver(ctx)
+	if err := d.front.Shutdown(ctx); err != nil {
+		return err
+	}
+	if err := d.background.wait(ctx); err != nil {
+		return err
+	}
+	if err := d.admin.Shutdown(ctx); err != nil {
+		return err
+	}
+	d.logger.Info("drained", zap.Duration("Duration", time.Since(started)))
+	return nil
+}
+
+// handOver keeps listening for a few probes, so that the other daemons learn
+// of the shutdown and the balancer finds this daemon not ready.
+func (d *Daemon) handOver(ctx context.Context) {
+	const probes = 4
+	timer := time.NewTimer(probes * d.settings.ProbeInterval.Std())
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/mangolaned/mangodaemon/group.go
@@ -0,0 +1,76 @@
+package mangodaemon
+
+import (
+	"context"
+	"sync"
+
+	"go.uber.org/zap"
+
+	"mangolane/core/mangomodel"
+	"mangolane/core/mangoroute"
+	"mangolane/mangolaned/mangolog"
+)
+
+// group counts goroutines that a shutdown waits for.
+type group struct{ running sync.WaitGroup }
+
+// Go runs f on a goroutine of the group.
+func (g *group) Go(f func()) { g.running.Go(f) }
+
+// wait returns when all goroutines have ended, or fails when ctx ends first.
+func (g *group) wait(ctx context.Context) error {
+	done := make(chan struct{})
+	go func() {
+		g.running.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+		return nil
+	case <-ctx.Done():
+		return context.Cause(ctx)
+	}
+}
+
+// observers passes what is observed on to several observers.
+type observers []mangoroute.Observer
+
+func (o observers) Finished(r mangoroute.Result) {
+	for _, observer := range o {
+		observer.Finished(r)
+	}
+}
+
+func (o observers) PrefillDone(n mangomodel.Tokens) {
+	for _, observer := range o {
+		observer.PrefillDone(n)
+	}
+}
+
+func (o observers) PrefillWasted(n mangomodel.Tokens) {
+	for _, observer := range o {
+		observer.PrefillWasted(n)
+	}
+}
+
+// faultLog logs requests that failed after an engine was asked.
+type faultLog struct{ logger *zap.Logger }
+
+func (l faultLog) Finished(r mangoroute.Result) {
+	if r.Err == nil || mangomodel.AsFault(r.Err, mangomodel.StepRespond).Run == mangomodel.RunNot {
+		return
+	}
+	fields := append(mangolog.Fault(r.Err), zap.String("Request", string(r.Request.ID)), zap.Int64("Tokens", int64(r.Tokens)))
+	l.logger.Warn("request failed", fields...)
+}
+
+func (l faultLog) PrefillDone(mangomodel.Tokens)   {}
+func (l faultLog) PrefillWasted(mangomodel.Tokens) {}
+
+// failureLog logs failed exchanges of the background workers.
+type failureLog struct{ logger *zap.Logger }
+
+// Failed logs one failure.
+func (l failureLog) Failed(_ mangomodel.Step, err error) {
+	l.logger.Warn("exchange failed", mangolog.Fault(err)...)
+}
--- /dev/null
+++ b/mangolaned/mangometrics/metrics.go
@@ -0,0 +1,81 @@
+// Package mangometrics counts what the users measure: goodput under both
+// latency targets, wasted prefill, and service by rank.
+//
+// # Usage
+//
+//	m := mangometrics.New()
+//	generator := mangoroute.New(..., mangoroute.WithObserver(m))
+//	m.WriteJSON(w)
+package mangometrics
+
+import (
+	"io"
+
+	"github.com/rcrowley/go-metrics"
+
+	"mangolane/core/mangomodel"
+	"mangolane/core/mangoroute"
+)
+
+const (
+	// sampleSize and sampleAlpha shape the decaying samples of latencies.
+	sampleSize  = 1028
+	sampleAlpha = 0.015
+)
+
+// Metrics is a registry of counters. All its methods may be called from any
+// goroutine.
+type Metrics struct{ registry metrics.Registry }
+
+// New returns an empty registry.
+func New() *Metrics { return &Metrics{registry: metrics.NewRegistry()} }
+
+// WriteJSON writes all metrics as one JSON document.
+func (m *Metrics) WriteJSON(w io.Writer) { metrics.WriteJSONOnce(m.registry, w) }
+
+// Finished counts a request by rank and outcome.
+func (m *Metrics) Finished(r mangoroute.Result) {
+	rank := "Requests." + r.Request.Rank.String()
+	m.count(rank+".Total", 1)
+	m.count(rank+"."+outcome(r), 1)
+	m.count("Workspaces."+string(r.Request.Workspace.ID)+"."+r.Request.Rank.String()+"."+outcome(r), 1)
+	m.count("Tokens.Generated", int64(r.Tokens))
+	if r.TTFT > 0 {
+		m.sample(rank+".TTFT", r.TTFT.Microseconds())
+	}
+	if r.TPOT > 0 {
+		m.sample(rank+".TPOT", r.TPOT.Microseconds())
+	}
+}
+
+// PrefillDone counts prefilled tokens.
+func (m *Metrics) PrefillDone(n mangomodel.Tokens) { m.count("Tokens.Prefilled", int64(n)) }
+
+// PrefillWasted counts prefilled tokens that were never decoded.
+func (m *Metrics) PrefillWasted(n mangomodel.Tokens) { m.count("Tokens.PrefillWasted", int64(n)) }
+
+func outcome(r mangoroute.Result) string {
+	switch {
+	case r.OnTime():
+		return "OnTime"
+	case r.Err == nil:
+		return "Late"
+	case mangomodel.AsFault(r.Err, mangomodel.StepRespond).Run == mangomodel.RunNot:
+		return "Refused"
+	case mangomodel.HasCode(r.Err, mangomodel.CodeCancelled):
+		return "Cancelled"
+	default:
+		return "Failed"
+	}
+}
+
+func (m *Metrics) count(name string, n int64) {
+	metrics.GetOrRegisterCounter(name, m.registry).Inc(n)
+}
+
+func (m *Metrics) sample(name string, v int64) {
+	h := m.registry.GetOrRegister(name, func() metrics.Histogram {
+		return metrics.NewHistogram(metrics.NewExpDecaySample(sampleSize, sampleAlpha))
+	})
+	h.(metrics.Histogram).Update(v)
+}
--- /dev/null
+++ b/mangolaned/mangopeer/doc.go
@@ -0,0 +1,16 @@
+// Package mangopeer carries the exchanges between daemons over net/rpc.
+//
+// A daemon serves two services: Command, whose methods change its control
+// state, and Query, whose methods only read it. Faults travel in the replies,
+// since net/rpc carries errors as bare text.
+//
+// net/rpc has neither deadlines nor cancellation, and one connection carries
+// all calls. So every call here is bounded by its context; a call that gets
+// no answer in time closes its connection, and the next call opens a new one.
+//
+// # Usage
+//
+//	peers := mangopeer.NewPeers()
+//	server := mangopeer.NewServer(control, peers, follower)
+//	err := server.Serve(listener)
+package mangopeer
--- /dev/null
+++ b/mangolaned/mangopeer/message.go
@@ -0,0 +1,83 @@
+package mangopeer
+
+import (
+	"time"
+
+	"mangolane/core/mangoagent"
+	"mangolane/core/mangoconfig"
+	"mangolane/core/mangomember"
+	"mangolane/core/mangomodel"
+	"mangolane/core/mangowire"
+	"mangolane/mangolaned/mangotrace"
+)
+
+// Names of the methods.
+const (
+	methodProbe   = "Command.Probe"
+	methodAcquire = "Command.Acquire"
+	methodRelease = "Command.Release"
+	methodRenew   = "Command.Renew"
+	methodReach   = "Query.Reach"
+	methodChanges = "Query.Changes"
+	methodCatalog = "Query.Catalog"
+)
+
+// ProbeArgs are the sender's news; its first member is the sender.
+type ProbeArgs struct{ News mangoagent.News }
+
+// ProbeReply are the receiver's news.
+type ProbeReply struct{ News mangoagent.News }
+
+// ReachArgs asks whether the receiver reaches a daemon.
+type ReachArgs struct{ Target mangomember.Member }
+
+// ReachReply says whether it does.
+type ReachReply struct{ Reached bool }
+
+// AcquireArgs asks for a grant.
+type AcquireArgs struct {
+	Trace   mangotrace.Carrier
+	Shard   mangomodel.ShardID
+	Demand  mangomodel.Demand
+	Timeout time.Duration
+	// Forwarded is set on a demand that a contact passes on to the owner, so
+	// that it is passed on once at most.
+	Forwarded bool
+}
+
+// AcquireReply holds the grant or the scheduler's refusal.
+type AcquireReply struct {
+	Grant mangomodel.Grant
+	Fault *mangowire.FaultBody
+}
+
+// ReleaseArgs gives a grant back.
+type ReleaseArgs struct {
+	Trace     mangotrace.Carrier
+	Grant     mangomodel.GrantID
+	Shard     mangomodel.ShardID
+	Usage     mangomodel.Usage
+	Forwarded bool
+}
+
+// RenewArgs lists the grants of a holder.
+type RenewArgs struct {
+	Holder    mangomodel.Holder
+	Grants    []mangomodel.Grant
+	Forwarded bool
+}
+
+// ChangesArgs asks for the changes after a revision.
+type ChangesArgs struct{ After mangomodel.Revision }
+
+// ChangesReply holds them; Known is false when some are no longer there.
+type ChangesReply struct {
+	Known   bool
+	Changes []mangoconfig.Numbered
+}
+
+// CatalogReply holds all documents in force.
+type CatalogReply struct{ Documents mangoconfig.Documents }
+
+// Empty is an argument or reply without content.
+type Empty struct{}
--- /dev/null
+++ b/mangolaned/mangopeer/peers.go
@@ -0,0 +1,129 @@
+package mangopeer
+
+import (
+	"context"
+	"net/rpc"
+	"time"
+
+	"mangolane/core/mangoagent"
+	"mangolane/core/mangoconfig"
+	"mangolane/core/mangomember"
+	"mangolane/core/mangomodel"
+	"mangolane/mangolaned/mangotrace"
+)
+
+const (
+	// acquireSlack is added to a demand's patience before its scheduler
+	// counts as unreachable.
+	acquireSlack = 500 * time.Millisecond
+	// releaseTimeout bounds the giving back of a grant.
+	releaseTimeout = 2 * time.Second
+)
+
+// Peers makes calls to other daemons.
+type Peers struct{ connections *connections }
+
+// NewPeers returns Peers without connections.
+func NewPeers() *Peers {
+	return &Peers{connections: &connections{open: make(map[endpoint]*rpc.Client)}}
+}
+
+// Probe exchanges news with a daemon. A failure closes all connections to it.
+func (p *Peers) Probe(ctx context.Context, to mangomember.Member, news mangoagent.News) (mangoagent.News, error) {
+	var reply ProbeReply
+	err := p.control(ctx, to.Address, mangomodel.StepProbe, methodProbe, ProbeArgs{News: news}, &reply)
+	if err != nil {
+		p.connections.dropAll(to.Address)
+	}
+	return reply.News, err
+}
+
+// Notify exchanges news outside of the probing.
+func (p *Peers) Notify(ctx context.Context, to mangomember.Member, news mangoagent.News) (mangoagent.News, error) {
+	return p.Probe(ctx, to, news)
+}
+
+// ProbeThrough asks a helper to probe a target.
+func (p *Peers) ProbeThrough(ctx context.Context, helper, target mangomember.Member) error {
+	var reply ReachReply
+	if err := p.control(ctx, helper.Address, mangomodel.StepProbe, methodReach, ReachArgs{Target: target}, &reply); err != nil {
+		return err
+	}
+	if !reply.Reached {
+		return mangomodel.Faultf(mangomodel.StepProbe, mangomodel.PeerName(target.Daemon),
+			mangomodel.CodeUnavailable, mangomodel.RunUnknown, "helper %s does not reach it", helper.Daemon)
+	}
+	return nil
+}
+
+// ChangesAfter returns the changes that a daemon remembers after a revision.
+func (p *Peers) ChangesAfter(ctx context.Context, from mangomember.Member, rev mangomodel.Revision) ([]mangoconfig.Numbered, error) {
+	var reply ChangesReply
+	if err := p.control(ctx, from.Address, mangomodel.StepConfigure, methodChanges, ChangesArgs{After: rev}, &reply); err != nil {
+		return nil, err
+	}
+	if !reply.Known {
+		return nil, mangomodel.Faultf(mangomodel.StepConfigure, mangomodel.PeerName(from.Daemon),
+			mangomodel.CodeNotFound, mangomodel.RunNot, "the changes after %d are no longer there", rev)
+	}
+	return reply.Changes, nil
+}
+
+// Catalog returns all documents in force at a daemon.
+func (p *Peers) Catalog(ctx context.Context, from mangomember.Member) (mangoconfig.Documents, error) {
+	var reply CatalogReply
+	err := p.control(ctx, from.Address, mangomodel.StepConfigure, methodCatalog, Empty{}, &reply)
+	return reply.Documents, err
+}
+
+// Renew renews a holder's grants with their scheduler.
+func (p *Peers) Renew(ctx context.Context, scheduler mangomember.Member, holder mangomodel.Holder, grants []mangomodel.Grant) error {
+	args := RenewArgs{Holder: holder, Grants: grants}
+	return p.control(ctx, scheduler.Address, mangomodel.StepRelease, methodRenew, args, &Empty{})
+}
+
+// Acquire asks a daemon for a grant. When the caller gives up, the demand is
+// withdrawn.
+func (p *Peers) Acquire(ctx context.Context, owner mangomember.Member, shard mangomodel.ShardID, d mangomodel.Demand) (mangomodel.Grant, error) {
+	args := AcquireArgs{Trace: mangotrace.Inject(ctx), Shard: shard, Demand: d, Timeout: d.Patience + acquireSlack}
+	return p.acquire(ctx, owner, args)
+}
+
+func (p *Peers) acquire(ctx context.Context, owner mangomember.Member, args AcquireArgs) (mangomodel.Grant, error) {
+	callCtx, cancel := context.WithTimeout(ctx, args.Timeout)
+	defer cancel()
+	var reply AcquireReply
+	to := endpoint{owner.Address, laneAdmission}
+	if err := p.connections.call(callCtx, to, mangomodel.StepProbe, methodAcquire, args, &reply); err != nil {
+		p.withdraw(ctx, owner, args)
+		return mangomodel.Grant{}, err
+	}
+	if reply.Fault != nil {
+		return mangomodel.Grant{}, reply.Fault.Fault()
+	}
+	return reply.Grant, nil
+}
+
+// withdraw gives up a demand whose fate is open.
+func (p *Peers) withdraw(ctx context.Context, owner mangomember.Member, args AcquireArgs) {
+	ctx = context.WithoutCancel(ctx)
+	go func() {
+		// A lost withdrawal is made up for by the next renewal.
+		_ = p.release(ctx, owner, ReleaseArgs{Grant: args.Demand.Grant, Shard: args.Shard})
+	}()
+}
+
+// Release gives a grant back.
+func (p *Peers) Release(ctx context.Context, owner mangomember.Member, grant mangomodel.Grant, u mangomodel.Usage) error {
+	return p.release(ctx, owner, ReleaseArgs{Trace: mangotrace.Inject(ctx), Grant: grant.ID, Shard: grant.Shard, Usage: u})
+}
+
+func (p *Peers) release(ctx context.Context, owner mangomember.Member, args ReleaseArgs) error {
+	ctx, cancel := context.WithTimeout(ctx, releaseTimeout)
+	defer cancel()
+	return p.control(ctx, owner.Address, mangomodel.StepRelease, methodRelease, args, &Empty{})
+}
+
+func (p *Peers) control(ctx context.Context, addr mangomodel.Address, step mangomodel.Step, method string, args, reply any) error {
+	return p.connections.call(ctx, endpoint{addr, laneControl}, step, method, args, reply)
+}
--- /dev/null
+++ b/mangolaned/mangotrace/trace.go
@@ -0,0 +1,68 @@
+// Package mangotrace records a span for each hop of a request and keeps the
+// last finished ones in memory, where operators can query them.
+//
+// # Usage
+//
+//	recorder := mangotrace.NewRecorder(4096)
+//	go recorder.Run(ctx)
+//	tracer := mangotrace.Install(recorder, "a1")
+//	ctx, end := tracer.Start(ctx, mangomodel.StepPrefill, "p1")
+//	end(err)
+//
+// The context travels to other daemons as a W3C trace parent; see [Inject]
+// and [Extract].
+package mangotrace
+
+import (
+	"context"
+
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/codes"
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/sdk/resource"
+	sdktrace "go.opentelemetry.io/otel/sdk/trace"
+	"go.opentelemetry.io/otel/trace"
+
+	"mangolane/core/mangomodel"
+)
+
+// Tracer starts spans.
+type Tracer struct{ tracer trace.Tracer }
+
+// Install makes a recorder the destination of all spans of the process.
+func Install(r *Recorder, daemon mangomodel.DaemonID) *Tracer {
+	provider := sdktrace.NewTracerProvider(
+		sdktrace.WithBatcher(r),
+		sdktrace.WithResource(resource.NewSchemaless(attribute.String("Daemon", string(daemon)))),
+	)
+	otel.SetTracerProvider(provider)
+	otel.SetTextMapPropagator(propagation.TraceContext{})
+	return &Tracer{tracer: provider.Tracer("mangolane")}
+}
+
+// Start begins the span of a step against a peer.
+func (t *Tracer) Start(ctx context.Context, step mangomodel.Step, peer mangomodel.PeerName) (context.Context, func(error)) {
+	ctx, span := t.tracer.Start(ctx, step.String(), trace.WithAttributes(attribute.String("Peer", string(peer))))
+	return ctx, func(err error) {
+		if err != nil {
+			span.SetStatus(codes.Error, err.Error())
+		}
+		span.End()
+	}
+}
+
+// Carrier is a trace context as it travels on a message.
+type Carrier struct{ TraceParent string }
+
+// Inject returns the trace context of ctx.
+func Inject(ctx context.Context) Carrier {
+	m := propagation.MapCarrier{}
+	propagation.TraceContext{}.Inject(ctx, m)
+	return Carrier{TraceParent: m["traceparent"]}
+}
+
+// Extract returns ctx with a trace context that came on a message.
+func Extract(ctx context.Context, c Carrier) context.Context {
+	return propagation.TraceContext{}.Extract(ctx, propagation.MapCarrier{"traceparent": c.TraceParent})
+}
--- /dev/null
+++ b/mangostand/main.go
@@ -0,0 +1,41 @@
+// Mangostand runs the stand-ins for what mangolane serves and relies on: model
+// engines, plain services and the platform.
+//
+// # Usage
+//
+//	mangostand platform -listen 127.0.0.1:7900
+//	mangostand engine -listen 127.0.0.1:8001 -id p1
+//	mangostand service -listen 127.0.0.1:8101 -paths /retire,/lookup
+//	mangostand load -front 127.0.0.1:7001 -rate 5 -duration 10s ...
+//
+// The servers run until SIGTERM or SIGINT.
+package main
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"mangolane/core/mangorest"
+)
+
+func main() {
+	mangorest.Quiet()
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	root := &ffcli.Command{
+		ShortUsage:  "mangostand <engine|service|platform|load> [flags]",
+		Subcommands: []*ffcli.Command{engineCommand(), serviceCommand(), platformCommand(), loadCommand()},
+		Exec:        func(context.Context, []string) error { return flag.ErrHelp },
+	}
+	if err := root.ParseAndRun(ctx, os.Args[1:]); err != nil && !errors.Is(err, flag.ErrHelp) {
+		fmt.Fprintln(os.Stderr, "mangostand:", err)
+		os.Exit(1)
+	}
+}
