Proofs under failure: answers, entries, configuration, crashes

Cause: the path was only seen to work without faults. The proofs run real control states, workers, net/rpc and generators over emulated engines, an emulated platform and a network that can be cut, in a synctest bubble.

What the first runs showed, each found by a failing spec and then mended: - A stalled transfer put both decode servers on the request's list of servers to avoid, and the request was refused. To avoid is a preference now. - Ten passengers of one crash ran one after the other, each to its end, and were refused after 5 s. Suspects now run apart for a probation of 0.5 s of decoding only, since a retry begins where the crash ended it; a retry may wait 20 s for a server. - Retries burnt their attempts on a crashed server until the next poll; a broken connection now marks the server down until its next report. - A request that crashes servers got a third crash in: it was queued before its second crash was confirmed. Suspicions are now applied to demands that wait, a request whose last crash is open waits, and the mark above no longer hides the crash from the poll. - A change took over 8 s when the daemon that reads the platform for its data centre was cut off from it, and when its reads held up news from peers. All daemons now read every 4 s as a backstop, reads and news have goroutines of their own, and news goes to a delegate of each other data centre at once.

Ruled out: quarantining after two crashes whoever was aboard (innocents of a shared prefill server were refused); acquitting by time aboard before the crash (says nothing of a late trigger).

The naive caller, which retries on any error, runs entries twice in the same check.

--- a/core/mangoagent/follower.go
+++ b/core/mangoagent/follower.go
@@ -19,7 +19,11 @@
 	fetchTimeout = 2 * time.Second
 	// hintQueue is how many hints of newer configuration may wait.
 	hintQueue = 16
-	// fanOut is how many daemons are told of a new revision at once.
+	// backstopEvery is the number of intervals after which any daemon reads
+	// the platform, in case the one that does so for the data centre cannot.
+	backstopEvery = 4
+	// fanOut is how many daemons of the data centre are told of a new revision
+	// at once, beside one in each other data centre.
 	fanOut = 3
 )
 
@@ -44,6 +48,8 @@
 	reporter Reporter
 	interval time.Duration
 	hints    chan hint
+	// idle counts the intervals since the last read.
+	idle int
 }
 
 // NewFollower returns a Follower.
@@ -73,17 +79,14 @@
 	}
 }
 
-// Run follows the configuration until ctx ends.
+// Run follows the configuration until ctx ends. Reads of the platform and of
+// peers have goroutines of their own, so that neither waits for the other.
 func (f *Follower) Run(ctx context.Context) {
-	ticker := time.NewTicker(f.interval)
-	defer ticker.Stop()
-	f.poll(ctx)
+	go every(ctx, f.interval, f.poll)
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-ticker.C:
-			f.poll(ctx)
 		case h := <-f.hints:
 			f.fetch(ctx, h)
 		}
@@ -93,14 +96,15 @@
 // Refresh reads the platform now, such as after a change was published here.
 func (f *Follower) Refresh(ctx context.Context) { f.read(ctx) }
 
-// poll reads the platform if this daemon does so for its data centre, or has
-// no configuration yet.
+// poll reads the platform if this daemon does so for its data centre, has no
+// configuration yet, or has not read for a while.
 func (f *Follower) poll(ctx context.Context) {
+	f.idle++
 	snap := f.control.Snapshot()
-	if snap.Catalog.Revision() > 0 && !snap.Does(mangoquery.TaskConfiguration) {
-		return
+	if snap.Catalog.Revision() == 0 || snap.Does(mangoquery.TaskConfiguration) || f.idle >= backstopEvery {
+		f.idle = 0
+		f.read(ctx)
 	}
-	f.read(ctx)
 }
 
 func (f *Follower) read(ctx context.Context) {
@@ -180,7 +184,7 @@
 	if snap.Catalog.Revision() == before {
 		return
 	}
-	for _, m := range snap.Spread(uint64(snap.Catalog.Revision()), fanOut) {
+	for _, m := range snap.Audience(uint64(snap.Catalog.Revision()), fanOut) {
 		go f.notify(ctx, m)
 	}
 }
--- a/core/mangoagent/prober.go
+++ b/core/mangoagent/prober.go
@@ -17,6 +17,8 @@
 	probeTimeout = 300 * time.Millisecond
 	// indirectTimeout bounds a probe through helpers.
 	indirectTimeout = 700 * time.Millisecond
+	// farTimeout bounds a probe of another data centre.
+	farTimeout = time.Second
 	// helpers is how many daemons are asked to probe a silent target.
 	helpers = 2
 	// farEvery is the number of rounds between probes of other data centres
@@ -34,7 +36,7 @@
 	rng      *rand.Rand
 	// round lists the peers that are still to be probed in this round.
 	round []mangomember.Member
-	turn  int
+	turn  uint64
 }
 
 // ProberOption configures a Prober.
@@ -70,7 +72,7 @@
 func (p *Prober) probeNext(ctx context.Context) {
 	p.turn++
 	if p.turn%farEvery == 1 {
-		go p.probeFar(ctx, p.turn/farEvery)
+		p.probeFar(ctx, p.turn/farEvery)
 	}
 	target, ok := p.next()
 	if !ok {
@@ -105,26 +107,38 @@
 	return target, true
 }
 
-// probeFar probes one daemon that rounds leave out: a contact in another data
-// centre, one that was found dead and may be back, or a seed.
-func (p *Prober) probeFar(ctx context.Context, round int) {
+// probeFar probes the daemons that rounds leave out: a delegate of each other
+// data centre, one that was found dead and may be back, and a seed that is not
+// known yet.
+func (p *Prober) probeFar(ctx context.Context, turn uint64) {
 	snap := p.control.Snapshot()
-	targets := snap.Contacts()
-	for _, m := range snap.Peers() {
-		if m.State == mangomember.Dead {
-			targets = append(targets, m)
-		}
+	targets := append(snap.Delegates(turn), snap.Rejoin(turn)...)
+	if seed, ok := p.unknownSeed(turn); ok {
+		targets = append(targets, mangomember.Member{Address: seed})
+	}
+	for _, target := range targets {
+		go p.probeOne(ctx, target)
 	}
+}
+
+// unknownSeed returns a seed that no known daemon has as its address.
+func (p *Prober) unknownSeed(turn uint64) (mangomodel.Address, bool) {
+	snap := p.control.Snapshot()
+	var unknown []mangomodel.Address
 	for _, addr := range p.seeds {
-		if addr != snap.Self.Address {
-			targets = append(targets, mangomember.Member{Address: addr})
+		if !snap.Knows(addr) {
+			unknown = append(unknown, addr)
 		}
 	}
-	if len(targets) == 0 {
-		return
+	if len(unknown) == 0 {
+		return "", false
 	}
-	target := targets[round%len(targets)]
-	err := p.probe(ctx, target, indirectTimeout)
+	return unknown[turn%uint64(len(unknown))], true
+}
+
+// probeOne probes a far daemon, without helpers.
+func (p *Prober) probeOne(ctx context.Context, target mangomember.Member) {
+	err := p.probe(ctx, target, farTimeout)
 	if err != nil && target.Daemon != "" && ctx.Err() == nil {
 		// Only the control goroutine's end makes this fail.
 		_ = p.control.Do(ctx, mangocommand.ProbeFailed{Daemon: target.Daemon})
--- a/core/mangomodel/grant.go
+++ b/core/mangomodel/grant.go
@@ -19,7 +19,8 @@
 	TPOT time.Duration
 	// Weight is the workspace's share within its rank.
 	Weight int
-	// Avoid lists servers that failed earlier attempts of the request.
+	// Avoid lists servers that failed earlier attempts of the request. They
+	// are used only if there are no others.
 	Avoid []ServerID
 }
 
@@ -47,7 +48,8 @@
 	PrefillTokens Tokens
 	// StepTime is the mean time between tokens; zero when unknown.
 	StepTime time.Duration
-	// Failed is the server whose failure ended the attempt, if any.
+	// Failed is the server whose connection broke and ended the attempt, if
+	// any. It may have crashed.
 	Failed ServerID
 }
 
--- a/core/mangoquery/gossip.go
+++ b/core/mangoquery/gossip.go
@@ -1,6 +1,7 @@
 package mangoquery
 
 import (
+	"maps"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -68,12 +69,41 @@
 	return rotate(reachable(s.Peers()), xxhash.Sum64String(string(to)), mangomember.ContactsPerDataCentre-1)
 }
 
-// Spread returns up to n daemons to tell of news: most of the own data centre
-// and, if there is any, one contact elsewhere. The key varies the choice.
-func (s *Snapshot) Spread(key uint64, n int) []mangomember.Member {
+// Audience returns the daemons to tell of news: up to n of the own data centre
+// and one of each other one. The key varies the choice.
+func (s *Snapshot) Audience(key uint64, n int) []mangomember.Member {
 	mix := xxhash.Sum64String(string(s.Self.Daemon) + KeyOf(key))
-	chosen := rotate(reachable(s.Contacts()), mix, 1)
-	return append(chosen, rotate(reachable(s.Peers()), mix, n-len(chosen))...)
+	return append(s.Delegates(mix), rotate(reachable(s.Peers()), mix, n)...)
+}
+
+// Delegates returns one daemon of each other data centre, a reachable one if
+// there is any. The key varies the choice.
+func (s *Snapshot) Delegates(key uint64) []mangomember.Member {
+	byDC := make(map[mangomodel.DataCentreID][]mangomember.Member)
+	for _, m := range s.Contacts() {
+		byDC[m.DataCentre] = append(byDC[m.DataCentre], m)
+	}
+	var delegates []mangomember.Member
+	for _, dc := range slices.Sorted(maps.Keys(byDC)) {
+		candidates := byDC[dc]
+		if up := reachable(slices.Clone(candidates)); len(up) > 0 {
+			candidates = up
+		}
+		delegates = append(delegates, rotate(candidates, key, 1)...)
+	}
+	return delegates
+}
+
+// Rejoin returns a daemon of the own data centre that was found dead and may
+// be back, if there is any. The key varies the choice.
+func (s *Snapshot) Rejoin(key uint64) []mangomember.Member {
+	dead := slices.DeleteFunc(s.Peers(), func(m mangomember.Member) bool { return m.State != mangomember.Dead })
+	return rotate(dead, key, 1)
+}
+
+// Knows reports whether some daemon has an address.
+func (s *Snapshot) Knows(addr mangomodel.Address) bool {
+	return slices.ContainsFunc(s.Members, func(m mangomember.Member) bool { return m.Address == addr })
 }
 
 func reachable(members []mangomember.Member) []mangomember.Member {
--- a/core/mangoroute/attempt.go
+++ b/core/mangoroute/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"mangolane/core/mangoconfig"
@@ -62,7 +63,7 @@
 	})
 	end(err)
 	if err != nil {
-		a.blame(ctx, grant.Prefill)
+		a.blame(ctx, err, grant.Prefill)
 		return err
 	}
 	a.prefilled = true
@@ -89,7 +90,7 @@
 	err = g.engines.Import(stepCtx, to, ImportOrder{Sequence: grant.Sequence, From: from.Address})
 	end(err)
 	if err != nil {
-		a.blame(ctx, grant.Decode)
+		a.blame(ctx, err, grant.Prefill, grant.Decode)
 	}
 	return err
 }
@@ -113,7 +114,7 @@
 		a.usage.StepTime = time.Since(a.began) / time.Duration(a.tokens)
 	}
 	if err != nil && !mangomodel.HasCode(err, mangomodel.CodeCancelled) {
-		a.blame(ctx, a.lease.grant.Decode)
+		a.blame(ctx, err, a.lease.grant.Decode)
 	}
 	return err
 }
@@ -173,12 +174,15 @@
 	r.done = c.Last
 }
 
-// blame notes the server whose failure ended the attempt. Nobody is to blame
-// when the caller went away.
-func (a *attempt) blame(ctx context.Context, id mangomodel.ServerID) {
+// blame notes the servers whose failure ended the attempt. Nobody is to blame
+// when the caller went away. A server whose connection broke may have crashed;
+// one that was only slow has not.
+func (a *attempt) blame(ctx context.Context, err error, ids ...mangomodel.ServerID) {
 	if ctx.Err() != nil {
 		return
 	}
-	a.usage.Failed = id
-	a.run.avoid = append(a.run.avoid, id)
+	a.run.avoid = append(a.run.avoid, ids...)
+	if len(ids) == 1 && !errors.Is(err, context.DeadlineExceeded) && mangomodel.HasCode(err, mangomodel.CodeUnavailable) {
+		a.usage.Failed = ids[0]
+	}
 }
--- a/core/mangoroute/lease.go
+++ b/core/mangoroute/lease.go
@@ -12,8 +12,12 @@
 	"mangolane/core/mangoquery"
 )
 
-// maxShards bounds how many shards are asked for one attempt.
-const maxShards = 3
+const (
+	// maxShards bounds how many shards are asked for one attempt.
+	maxShards = 3
+	// retryPatience is how long a retry may wait for a server.
+	retryPatience = 20 * time.Second
+)
 
 // lease is a grant and the daemon that gave it.
 type lease struct {
@@ -165,11 +169,11 @@
 }
 
 // patience is how long an attempt may wait for its first token. A request
-// that has begun to answer is worth finishing late, so it gets the whole
-// target anew.
+// whose server failed was accepted once, and its caller would rather have the
+// answer late than not at all.
 func (r *run) patience(target time.Duration) time.Duration {
 	if r.attempt > 1 {
-		return target
+		return max(target, retryPatience)
 	}
 	return target - time.Since(r.started)
 }
--- a/core/mangosched/report.go
+++ b/core/mangosched/report.go
@@ -20,10 +20,11 @@
 	if !ok {
 		return
 	}
-	if sv.boot != "" && sv.boot != load.Boot {
-		s.suspect.crashed(now, sv)
-	} else {
+	switch {
+	case sv.boot == load.Boot:
 		s.suspect.survived(sv.id, load.At)
+	case sv.boot != "" && sv.crash.id.Boot != sv.boot:
+		s.suspect.crashed(now, sv)
 	}
 	sv.boot = load.Boot
 	sv.down = false
@@ -31,6 +32,7 @@
 	unclaimed := s.unclaimed(load)
 	sv.foreign = len(unclaimed)
 	s.sweep(now, load.Server, unclaimed)
+	s.review(now)
 	s.dispatchAll(now)
 }
 
@@ -41,10 +43,11 @@
 	if !ok {
 		return
 	}
-	if refused && !sv.down && sv.boot != "" {
+	if refused && sv.boot != "" && sv.crash.id.Boot != sv.boot {
 		s.suspect.crashed(now, sv)
 	}
 	sv.down = true
+	s.review(now)
 }
 
 // unclaimed returns the sequences of a report that no grant here explains.
@@ -86,11 +89,15 @@
 		sv.step.add(u.StepTime.Seconds())
 	}
 	if sv, ok := s.servers[u.Failed]; ok {
-		s.suspect.brokenOn(now, sv, h.grant.Fingerprint)
+		// Until the next report says otherwise, so that retries do not run
+		// into the same server.
+		sv.down = true
+		s.suspect.brokenOn(sv, broken{fingerprint: h.grant.Fingerprint, at: now, alone: h.onProbation(now)})
+		s.review(now)
 		return
 	}
 	if u.StepTime > 0 {
-		s.suspect.acquit(h.grant.Fingerprint)
+		s.suspect.passed(now, h.grant.Fingerprint)
 	}
 }
 
--- a/core/mangosched/scheduler.go
+++ b/core/mangosched/scheduler.go
@@ -53,8 +53,14 @@
 	grant mangomodel.Grant
 	since time.Time
 	shard *shard
+	// probationEnds is when a suspect's probation ends; zero for others.
+	probationEnds time.Time
 }
 
+// onProbation reports whether the grant's request may still show that it
+// crashes servers.
+func (h *held) onProbation(now time.Time) bool { return now.Before(h.probationEnds) }
+
 // New returns an empty scheduler of a daemon.
 func New(self mangomodel.Holder) *Scheduler {
 	return &Scheduler{
@@ -105,12 +111,12 @@
 		return
 	}
 	if s.suspect.quarantined(now, d.Fingerprint) {
-		s.refuse(d.Grant, mangomodel.Faultf(mangomodel.StepAdmission, peerOf(id),
-			mangomodel.CodeQuarantined, mangomodel.RunNot, "the request has crashed backend servers"))
+		s.refuse(d.Grant, quarantinedFault(d))
 		return
 	}
 	s.holders[d.Sequence.Holder] = now
-	w := &waiter{demand: d, arrived: now, suspect: s.suspect.suspected(now, d.Fingerprint)}
+	w := &waiter{demand: d, arrived: now}
+	s.inspect(now, w)
 	if err := sh.admit(now, w); err != nil {
 		s.refuse(d.Grant, err)
 		return
@@ -191,6 +197,7 @@
 			s.HolderLost(now, holder)
 		}
 	}
+	s.endProbations(now)
 	for id, w := range s.waiting {
 		if !now.Before(w.giveUp) {
 			w.gone = true
@@ -201,6 +208,27 @@
 	s.dispatchAll(now)
 }
 
+// endProbations clears the suspects that have run long enough.
+func (s *Scheduler) endProbations(now time.Time) {
+	for _, h := range s.grants {
+		if h.probationEnds.IsZero() || h.onProbation(now) {
+			continue
+		}
+		h.probationEnds = time.Time{}
+		s.suspect.passed(now, h.grant.Fingerprint)
+		s.clearProbation(h)
+	}
+}
+
+// clearProbation lets other suspects onto the servers of a grant.
+func (s *Scheduler) clearProbation(h *held) {
+	for _, id := range []mangomodel.ServerID{h.grant.Prefill, h.grant.Decode} {
+		if sv, ok := s.servers[id]; ok && sv.probation == h.grant.ID {
+			sv.probation = ""
+		}
+	}
+}
+
 // NextDue returns when Tick next has something to do, if ever.
 func (s *Scheduler) NextDue() (time.Time, bool) {
 	var due time.Time
@@ -212,6 +240,11 @@
 	for _, w := range s.waiting {
 		earlier(w.giveUp)
 	}
+	for _, h := range s.grants {
+		if !h.probationEnds.IsZero() {
+			earlier(h.probationEnds)
+		}
+	}
 	for holder, renewed := range s.holders {
 		if holder != s.self {
 			earlier(renewed.Add(HolderLease))
@@ -286,10 +319,8 @@
 	if sv, ok := s.servers[h.grant.Decode]; ok {
 		sv.used = max(0, sv.used-1)
 		sv.pieces = max(0, sv.pieces-h.grant.Pieces)
-		if sv.suspect == h.grant.ID {
-			sv.suspect = ""
-		}
 	}
+	s.clearProbation(h)
 }
 
 func (s *Scheduler) dispatchAll(now time.Time) {
@@ -323,11 +354,13 @@
 	}
 	p.prefill.busyUntil = p.prefillDone
 	p.prefill.remember(d.Prefixes)
+	h := &held{grant: g, since: now, shard: sh}
 	if w.suspect {
-		p.decode.suspect = d.Grant
+		p.prefill.probation, p.decode.probation = d.Grant, d.Grant
+		h.probationEnds = now.Add(p.expected + probationTime)
 	}
 	delete(s.waiting, d.Grant)
-	s.take(&held{grant: g, since: now, shard: sh})
+	s.take(h)
 	s.effects = append(s.effects, Decided{Grant: d.Grant})
 }
 
--- a/core/mangosched/server.go
+++ b/core/mangosched/server.go
@@ -44,9 +44,9 @@
 	rate      average
 	step      average
 	resident  *lru.Cache[mangomodel.PrefixHash, struct{}]
-	// suspect is the one grant of a suspect request aboard, if any.
-	suspect mangomodel.GrantID
-	crash   crashRecord
+	// probation is the one grant aboard that is on probation, if any.
+	probation mangomodel.GrantID
+	crash     crashRecord
 }
 
 func newServer(id mangomodel.ServerID, host mangoconfig.Host) *server {
@@ -81,6 +81,12 @@
 	return sv.usable() && sv.occupied() < int(sv.host.Slots) && sv.pieces+need <= sv.host.Pieces
 }
 
+// takesSuspect reports whether a demand may go to the server: a suspect only
+// if no other one is on probation there.
+func (sv *server) takesSuspect(w *waiter) bool {
+	return !w.suspect || sv.probation == ""
+}
+
 func (sv *server) stepTime() time.Duration {
 	return time.Duration(sv.step.value * float64(time.Second))
 }
--- a/core/mangosched/shard.go
+++ b/core/mangosched/shard.go
@@ -33,8 +33,10 @@
 	demand  mangomodel.Demand
 	arrived time.Time
 	// giveUp is when the demand can no longer meet its target.
-	giveUp  time.Time
-	suspect bool
+	giveUp time.Time
+	// suspect is set when the demand must run on probation, and unresolved
+	// when it must wait until its last crash is confirmed or cleared.
+	suspect, unresolved bool
 	// gone is set when the demand was decided or withdrawn.
 	gone bool
 }
@@ -71,10 +73,15 @@
 	if rank == mangomodel.RankBasic {
 		sh.basicSeen = now
 	}
+	if !sh.configured(mangomodel.RolePrefill) || !sh.configured(mangomodel.RoleDecode) {
+		return mangomodel.Faultf(mangomodel.StepAdmission, peerOf(sh.id), mangomodel.CodeUnavailable,
+			mangomodel.RunNot, "no prefill or no decode server takes new work")
+	}
 	service, ok := sh.serviceTime(now, w)
 	if !ok {
-		return mangomodel.Faultf(mangomodel.StepAdmission, peerOf(sh.id), mangomodel.CodeUnavailable,
-			mangomodel.RunNot, "no prefill or no decode server can take the request")
+		// All servers of a role are down; one may be back in time.
+		w.giveUp = now.Add(w.demand.Patience)
+		return nil
 	}
 	wait := sh.predictedWait(now, rank)
 	if wait+service > w.demand.Patience {
@@ -84,6 +91,13 @@
 	return nil
 }
 
+// configured reports whether a server of a role takes new work when it is up.
+func (sh *shard) configured(role mangomodel.Role) bool {
+	return slices.ContainsFunc(sh.servers, func(sv *server) bool {
+		return sv.host.Role == role && sv.host.State == mangomodel.ServerLive && !sv.draining
+	})
+}
+
 // predictedWait estimates how long a new demand of a rank waits for a slot:
 // the demands ahead of it, served at the rate at which the rank's slots free.
 func (sh *shard) predictedWait(now time.Time, rank mangomodel.Rank) time.Duration {
@@ -181,6 +195,9 @@
 // place chooses the pair of servers with the earliest predicted first token.
 // It fails when no decode server has room.
 func (sh *shard) place(now time.Time, w *waiter) (placement, bool) {
+	if w.unresolved {
+		return placement{}, false
+	}
 	decode := sh.bestDecode(w)
 	prefill, done := sh.bestPrefill(now, w)
 	if decode == nil || prefill == nil {
@@ -204,15 +221,13 @@
 	return time.Duration(size / float64(sh.pool.LinkRate) * float64(time.Second))
 }
 
-// bestDecode returns the least occupied decode server with room.
+// bestDecode returns the least occupied decode server with room. Servers that
+// failed the request before are used only if there are no others.
 func (sh *shard) bestDecode(w *waiter) *server {
 	need := mangomodel.PiecesFor(w.demand.Prompt+w.demand.MaxTokens, sh.pool.PieceTokens)
 	var best *server
-	for _, sv := range sh.servers {
-		if sv.host.Role != mangomodel.RoleDecode || !sv.fits(need) || slices.Contains(w.demand.Avoid, sv.id) {
-			continue
-		}
-		if w.suspect && sv.suspect != "" {
+	for _, sv := range sh.choices(w, mangomodel.RoleDecode) {
+		if !sv.fits(need) || !sv.takesSuspect(w) {
 			continue
 		}
 		if best == nil || sv.occupancy() < best.occupancy() {
@@ -226,8 +241,8 @@
 func (sh *shard) bestPrefill(now time.Time, w *waiter) (*server, time.Time) {
 	var best *server
 	var done time.Time
-	for _, sv := range sh.servers {
-		if sv.host.Role != mangomodel.RolePrefill || !sv.usable() || slices.Contains(w.demand.Avoid, sv.id) {
+	for _, sv := range sh.choices(w, mangomodel.RolePrefill) {
+		if !sv.takesSuspect(w) {
 			continue
 		}
 		finish := sv.prefillFinish(now, w.demand)
@@ -237,3 +252,22 @@
 	}
 	return best, done
 }
+
+// choices returns the servers of a role that take new work, without those to
+// avoid unless there are no others.
+func (sh *shard) choices(w *waiter, role mangomodel.Role) []*server {
+	var preferred, avoided []*server
+	for _, sv := range sh.servers {
+		switch {
+		case sv.host.Role != role || !sv.usable():
+		case slices.Contains(w.demand.Avoid, sv.id):
+			avoided = append(avoided, sv)
+		default:
+			preferred = append(preferred, sv)
+		}
+	}
+	if len(preferred) == 0 {
+		return avoided
+	}
+	return preferred
+}
--- a/mangolaned/mangobackend/engine.go
+++ b/mangolaned/mangobackend/engine.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"time"
@@ -100,7 +100,7 @@
 	case r := <-s.chunks:
 		return mangoroute.Chunk(r.chunk), r.err
 	case <-timer.C:
-		return mangoroute.Chunk{}, s.broken(errors.New("no progress within " + timeout.String()))
+		return mangoroute.Chunk{}, s.broken(fmt.Errorf("no progress within %v: %w", timeout, context.DeadlineExceeded))
 	}
 }
 
--- a/mangolaned/mangopeer/connection.go
+++ b/mangolaned/mangopeer/connection.go
@@ -28,9 +28,17 @@
 	lane lane
 }
 
+// Dial makes a connection to a daemon.
+type Dial func(ctx context.Context, addr mangomodel.Address) (net.Conn, error)
+
+func dialTCP(ctx context.Context, addr mangomodel.Address) (net.Conn, error) {
+	return (&net.Dialer{Timeout: dialTimeout}).DialContext(ctx, "tcp", string(addr))
+}
+
 // connections holds one connection to each endpoint. It is a connection pool
 // and holds no control state, so a lock guards it.
 type connections struct {
+	dial Dial
 	mu   sync.Mutex
 	open map[endpoint]*rpc.Client
 }
@@ -67,7 +75,7 @@
 	if ok {
 		return client, nil
 	}
-	conn, err := (&net.Dialer{Timeout: dialTimeout}).DialContext(ctx, "tcp", string(to.addr))
+	conn, err := c.dial(ctx, to.addr)
 	if err != nil {
 		return nil, err
 	}
--- a/mangolaned/mangopeer/peers.go
+++ b/mangolaned/mangopeer/peers.go
@@ -23,9 +23,19 @@
 // Peers makes calls to other daemons.
 type Peers struct{ connections *connections }
 
+// Option configures Peers.
+type Option func(*Peers)
+
+// WithDial sets how connections are made; the default is TCP.
+func WithDial(d Dial) Option { return func(p *Peers) { p.connections.dial = d } }
+
 // NewPeers returns Peers without connections.
-func NewPeers() *Peers {
-	return &Peers{connections: &connections{open: make(map[endpoint]*rpc.Client)}}
+func NewPeers(opts ...Option) *Peers {
+	p := &Peers{connections: &connections{dial: dialTCP, open: make(map[endpoint]*rpc.Client)}}
+	for _, opt := range opts {
+		opt(p)
+	}
+	return p
 }
 
 // Probe exchanges news with a daemon. A failure closes all connections to it.
--- /dev/null
+++ b/mangolaned/mangoproof/crash_test.go
@@ -0,0 +1,69 @@
+package mangoproof_test
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+
+	"mangolane/core/mangomodel"
+	"mangolane/mangostand/mangoengine"
+)
+
+// crashes counts the crashes of all engines.
+func (c *cluster) crashes() int {
+	n := 0
+	for _, e := range c.engines {
+		n += e.View().Stats.Crashes
+	}
+	return n
+}
+
+var _ = ginkgo.Describe("a request that crashes servers", func() {
+	ginkgo.DescribeTable("is quarantined after two crashes, wherever it is sent again, and its fellow passengers are served",
+		func(mark string) {
+			bubble(func(ctx context.Context, g *gomega.WithT) {
+				c := newCluster(ctx, g, oneZone)
+				var innocent []*answer
+				var running sync.WaitGroup
+				running.Go(func() {
+					innocent = c.generateMany(ctx, 40, 200*time.Millisecond, mangomodel.RankBasic, 60)
+				})
+				time.Sleep(time.Second)
+				poison := mark + " audit of hat 7"
+				first := c.nodes[0].generate(ctx, mangomodel.RankBasic, poison, 50)
+				g.Expect(first.err).To(gomega.HaveOccurred())
+				time.Sleep(settle)
+				resent := c.nodes[1].generate(ctx, mangomodel.RankBasic, poison, 50)
+				g.Expect(mangomodel.HasCode(resent.err, mangomodel.CodeQuarantined)).To(gomega.BeTrue(), "%v", resent.err)
+				running.Wait()
+				g.Expect(c.crashes()).To(gomega.Equal(2))
+				for _, a := range innocent {
+					g.Expect(a.err).NotTo(gomega.HaveOccurred())
+					g.Expect(a.whole()).To(gomega.BeTrue())
+				}
+			})()
+		},
+		ginkgo.Entry("in its decode", mangoengine.PoisonDecode),
+		ginkgo.Entry("in its prefill", mangoengine.PoisonPrefill),
+	)
+
+	ginkgo.It("is not suspected when a connection only fell silent", bubble(func(ctx context.Context, g *gomega.WithT) {
+		c := newCluster(ctx, g, oneZone)
+		go func() {
+			for range 8 {
+				time.Sleep(500 * time.Millisecond)
+				_ = c.engines["east-a-d0"].Silence(ctx)
+				_ = c.engines["east-a-d1"].Silence(ctx)
+			}
+		}()
+		for _, a := range c.generateMany(ctx, 20, 200*time.Millisecond, mangomodel.RankBasic, 60) {
+			g.Expect(a.whole()).To(gomega.BeTrue())
+		}
+		for _, n := range c.nodes {
+			g.Expect(n.control.Snapshot().Suspicions).To(gomega.BeEmpty())
+		}
+	}))
+})
--- a/mangostand/mangoengine/engine.go
+++ b/mangostand/mangoengine/engine.go
@@ -128,7 +128,7 @@
 		return c, nil
 	case <-timer.C:
 		return mangowire.Chunk{}, mangomodel.Faultf(mangomodel.StepDecode, mangomodel.PeerName(s.id),
-			mangomodel.CodeUnavailable, mangomodel.RunUnknown, "no chunk within %v", timeout)
+			mangomodel.CodeUnavailable, mangomodel.RunUnknown, "no chunk within %v: %w", timeout, context.DeadlineExceeded)
 	case <-s.ctx.Done():
 		return mangowire.Chunk{}, context.Cause(s.ctx)
 	}
