--- /dev/null
+++ b/mangolaned/mangoprocess/site_test.go
@@ -0,0 +1,232 @@
+// Package mangoprocess_test runs the programs as separate processes on
+// loopback and ends, kills and pauses them.
+package mangoprocess_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"mangolane/core/mangoconfig"
+	"mangolane/core/mangomodel"
+	"mangolane/core/mangorest"
+	"mangolane/core/mangowire"
+	"mangolane/mangolaned/mangosettings"
+	"mangolane/mangostand/mangohttp"
+)
+
+// keyHash is the SHA-256 of "key".
+const keyHash = "2c70e12b7a0646f92279f427c7b38e7334d8e5389cff167a1dc30e73f826b683"
+
+// site is a set of processes: the platform, three engines, a plain service
+// and two daemons.
+type site struct {
+	t         *testing.T
+	g         *gomega.WithT
+	dir       string
+	processes map[string]*exec.Cmd
+	addrs     map[string]mangomodel.Address
+}
+
+// newSite builds the programs, starts them and publishes a configuration.
+func newSite(t *testing.T) *site {
+	mangorest.Quiet()
+	s := &site{
+		t: t, g: gomega.NewWithT(t), dir: t.TempDir(),
+		processes: make(map[string]*exec.Cmd), addrs: make(map[string]mangomodel.Address),
+	}
+	t.Cleanup(s.end)
+	for _, program := range []string{"mangolaned", "mangostand"} {
+		build := exec.Command("go", "build", "-o", s.dir, "mangolane/"+program)
+		build.Stderr = os.Stderr
+		s.g.Expect(build.Run()).To(gomega.Succeed())
+	}
+	s.stand("platform", "platform")
+	for _, id := range []string{"p0", "d0", "d1"} {
+		s.stand(id, "engine", "-id", id)
+	}
+	s.stand("s0", "service", "-paths", "/retire,/lookup")
+	for _, id := range []string{"a1", "a2"} {
+		for _, port := range []string{"front", "admin", "peer"} {
+			s.addrs[id+port] = freeAddress(s.g)
+		}
+	}
+	s.daemon("a1")
+	s.daemon("a2")
+	s.configure()
+	return s
+}
+
+// freeAddress returns a loopback address that nothing listens on.
+func freeAddress(g *gomega.WithT) mangomodel.Address {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	defer l.Close()
+	return mangomodel.Address(l.Addr().String())
+}
+
+func (s *site) stand(name string, args ...string) {
+	if _, ok := s.addrs[name]; !ok {
+		s.addrs[name] = freeAddress(s.g)
+	}
+	s.start(name, "mangostand", append(args, "-listen", string(s.addrs[name]))...)
+}
+
+func (s *site) daemon(id string) {
+	settings := mangosettings.Settings{
+		Daemon: mangomodel.DaemonID(id), Region: "almaty", DataCentre: "almaty-a",
+		Front: s.addrs[id+"front"], Admin: s.addrs[id+"admin"], Peer: s.addrs[id+"peer"],
+		Platform: s.addrs["platform"], OperatorKeyHash: keyHash,
+		Seeds: []mangomodel.Address{s.addrs["a1peer"], s.addrs["a2peer"]},
+	}
+	data, err := json.Marshal(settings)
+	s.g.Expect(err).NotTo(gomega.HaveOccurred())
+	path := filepath.Join(s.dir, id+".json")
+	s.g.Expect(os.WriteFile(path, data, 0o600)).To(gomega.Succeed())
+	s.start(id, "mangolaned", "-settings", path)
+}
+
+func (s *site) start(name, program string, args ...string) {
+	cmd := exec.Command(filepath.Join(s.dir, program), args...)
+	if testing.Verbose() {
+		cmd.Stderr = os.Stderr
+	}
+	s.g.Expect(cmd.Start()).To(gomega.Succeed())
+	s.processes[name] = cmd
+}
+
+func (s *site) end() {
+	for _, p := range s.processes {
+		_ = p.Process.Kill()
+		_ = p.Wait()
+	}
+}
+
+func (s *site) signal(name string, sig syscall.Signal) {
+	s.g.Expect(s.processes[name].Process.Signal(sig)).To(gomega.Succeed())
+}
+
+// configure publishes the documents and waits until both daemons are ready.
+func (s *site) configure() {
+	yes, no := true, false
+	pool := mangoconfig.DefaultPool("summary-llm")
+	s.publish(mangoconfig.Change{Pool: &pool})
+	s.publish(mangoconfig.Change{Template: &mangoconfig.Template{ID: "t", Settings: mangoconfig.Settings{
+		Models: []mangomodel.ModelID{"summary-llm"},
+		Urgent: &mangoconfig.Targets{TTFT: millis(340), TPOT: millis(31)},
+		Basic:  &mangoconfig.Targets{TTFT: millis(5000), TPOT: millis(60)},
+		Calls: []mangoconfig.Call{
+			{Name: "retire", Service: "expiry-app", Path: "/retire", NonIdempotent: &yes},
+			{Name: "lookup", Service: "expiry-app", Path: "/lookup", NonIdempotent: &no},
+		},
+	}}})
+	s.publish(mangoconfig.Change{Workspace: &mangoconfig.Workspace{ID: "demo", Template: "t", Settings: mangoconfig.Settings{KeyHash: keyHash}}})
+	roles := map[string]mangomodel.Role{"p0": mangomodel.RolePrefill, "d0": mangomodel.RoleDecode, "d1": mangomodel.RoleDecode, "s0": mangomodel.RoleService}
+	for id, role := range roles {
+		model := mangomodel.ModelID("summary-llm")
+		if role == mangomodel.RoleService {
+			model = "expiry-app"
+		}
+		s.publish(mangoconfig.Change{Host: &mangoconfig.Host{
+			ID: mangomodel.HostID(id), Region: "almaty", DataCentre: "almaty-a", Address: s.addrs[id],
+			Role: role, Model: model, Slots: 20, Pieces: 60,
+		}})
+	}
+	for _, id := range []string{"a1", "a2"} {
+		s.g.Eventually(func() mangomodel.Revision { return s.status(id).Revision }, 10*time.Second).Should(gomega.BeEquivalentTo(7))
+	}
+}
+
+func millis(n int) mangomodel.Duration {
+	return mangomodel.Duration(time.Duration(n) * time.Millisecond)
+}
+
+func (s *site) publish(change mangoconfig.Change) {
+	change.ID = mangomodel.ChangeID(fmt.Sprintf("%p", &change))
+	s.g.Eventually(func() error {
+		return s.post("a1admin", mangowire.PathPublish, nil, change, nil)
+	}, 10*time.Second).Should(gomega.Succeed())
+}
+
+// status is the part of a daemon's status that the tests look at.
+type status struct {
+	Revision mangomodel.Revision
+	Grants   int
+	Holdings int
+}
+
+func (s *site) status(id string) status {
+	var st status
+	if err := s.get(id+"admin", mangowire.PathStatus, &st); err != nil {
+		return status{}
+	}
+	return st
+}
+
+func (s *site) get(name, path string, out any) error {
+	return s.exchange(name, http.MethodGet, path, nil, nil, out)
+}
+
+func (s *site) post(name, path string, header http.Header, in, out any) error {
+	return s.exchange(name, http.MethodPost, path, header, in, out)
+}
+
+func (s *site) exchange(name, method, path string, header http.Header, in, out any) error {
+	body, err := json.Marshal(in)
+	if err != nil {
+		return err
+	}
+	req, err := http.NewRequest(method, "http://"+string(s.addrs[name])+path, strings.NewReader(string(body)))
+	if err != nil {
+		return err
+	}
+	for k, v := range header {
+		req.Header[k] = v
+	}
+	req.Header.Set(mangowire.HeaderKey, "Bearer key")
+	ctx, cancel := context.WithTimeout(s.t.Context(), 5*time.Second)
+	defer cancel()
+	resp, err := http.DefaultClient.Do(req.WithContext(ctx))
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return fmt.Errorf("%s: status %d", path, resp.StatusCode)
+	}
+	if out == nil {
+		return nil
+	}
+	return json.NewDecoder(resp.Body).Decode(out)
+}
+
+// retirements returns how often the service ran each retirement.
+func (s *site) retirements() map[string]int {
+	var st struct{ Runs map[string]int }
+	s.g.Expect(s.get("s0", mangohttp.PathState, &st)).To(gomega.Succeed())
+	return st.Runs
+}
+
+// held counts the sequences that hold memory on the engines.
+func (s *site) held() int {
+	n := 0
+	for _, id := range []string{"p0", "d0", "d1"} {
+		var load mangowire.Load
+		if err := s.get(id, mangowire.PathLoad, &load); err != nil {
+			return -1
+		}
+		n += len(load.Running)
+	}
+	return n
+}
