Renewals name grants by number instead of carrying them whole

Cause: a renewal cost 156 bytes for each grant. A daemon of the target size holds about 190 grants, so renewing every 2 s would take 14.8 KB/s of the 26 KB/s that all of control may take.

Change: a grant id is its holder and a number; a renewal lists numbers, the scheduler answers with those it does not know, and only these are sent whole, to be adopted. That is what a new owner of a shard needs once.

Ruled out: a hash of the holder's set, since requests that begin or end while the renewal travels make it differ and the full list follow.

--- a/core/mangoagent/port.go
+++ b/core/mangoagent/port.go
@@ -52,7 +52,11 @@
 
 // Renewals reaches the schedulers of other daemons.
 type Renewals interface {
-	Renew(ctx context.Context, scheduler mangomember.Member, holder mangomodel.Holder, grants []mangomodel.Grant) error
+	// Renew names all grants that a holder holds of a scheduler. It returns
+	// the numbers of those that the scheduler does not know.
+	Renew(ctx context.Context, scheduler mangomember.Member, holder mangomodel.Holder, lists []mangomodel.ShardGrants) ([]uint64, error)
+	// Adopt hands grants to a scheduler that does not know them.
+	Adopt(ctx context.Context, scheduler mangomember.Member, grants []mangomodel.Grant) error
 }
 
 // Servers reaches backend servers.
--- a/core/mangoagent/renewer.go
+++ b/core/mangoagent/renewer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -59,15 +60,29 @@
 	wait.Wait()
 }
 
+// renew renews the grants of one scheduler and hands it those that it does not
+// know. A lost renewal is made up for by the next one within the lease.
 func (r *Renewer) renew(ctx context.Context, snap *mangoquery.Snapshot, h mangoquery.SchedulerHoldings) {
 	ctx, cancel := context.WithTimeout(ctx, renewTimeout)
 	defer cancel()
-	holder := snap.Self.Holder()
-	if h.Scheduler.Daemon == snap.Self.Daemon {
-		// Only the control goroutine's end makes this fail.
-		_ = r.control.Do(ctx, mangocommand.Renew{Holder: holder, Grants: h.Grants})
+	holder, lists := snap.Self.Holder(), h.Lists()
+	local := h.Scheduler.Daemon == snap.Self.Daemon
+	var unknown []uint64
+	var err error
+	if local {
+		err = r.control.Do(ctx, mangocommand.Renew{Holder: holder, Lists: lists})
+		unknown = r.control.Snapshot().Unknown(holder, lists)
+	} else {
+		unknown, err = r.renewals.Renew(ctx, h.Scheduler, holder, lists)
+	}
+	if err != nil || len(unknown) == 0 {
 		return
 	}
-	// A lost renewal is made up for by the next one within the lease.
-	_ = r.renewals.Renew(ctx, h.Scheduler, holder, h.Grants)
+	grants := slices.DeleteFunc(h.Grants, func(g mangomodel.Grant) bool { return !slices.Contains(unknown, g.ID.Number) })
+	if local {
+		err = r.control.Do(ctx, mangocommand.Adopt{Grants: grants})
+	} else {
+		err = r.renewals.Adopt(ctx, h.Scheduler, grants)
+	}
+	_ = err // the next renewal tries again
 }
--- a/core/mangocommand/bench_test.go
+++ b/core/mangocommand/bench_test.go
@@ -45,7 +45,7 @@
 
 func benchDemand(i int) mangomodel.Demand {
 	return mangomodel.Demand{
-		Grant: mangomodel.GrantID(fmt.Sprintf("daemon-in-east-a/1796369491689533315/%d", i)),
+		Grant: mangomodel.GrantID{Holder: mangomodel.Holder{Daemon: "a", Incarnation: 1}, Number: uint64(i)},
 		Sequence: mangomodel.Sequence{
 			Request: mangomodel.RequestID(fmt.Sprintf("daemon-in-east-a/1796369491689533315/%d", i)), Attempt: 1,
 			Holder: mangomodel.Holder{Daemon: "a", Incarnation: 1},
--- a/core/mangocommand/grant.go
+++ b/core/mangocommand/grant.go
@@ -54,12 +54,22 @@
 // Renew lists all grants of this scheduler that a holder holds.
 type Renew struct {
 	Holder mangomodel.Holder
-	Grants []mangomodel.Grant
+	Lists  []mangomodel.ShardGrants
 }
 
 // Apply implements [mangoloop.Command].
 func (c Renew) Apply(s *state, now time.Time) error {
-	s.scheduler.Renew(now, c.Holder, c.Grants)
+	s.scheduler.Renew(now, c.Holder, c.Lists)
+	s.changed.shards = true
+	return nil
+}
+
+// Adopt takes over grants that another scheduler gave.
+type Adopt struct{ Grants []mangomodel.Grant }
+
+// Apply implements [mangoloop.Command].
+func (c Adopt) Apply(s *state, now time.Time) error {
+	s.scheduler.Adopt(now, c.Grants)
 	s.changed.shards = true
 	return nil
 }
--- a/core/mangomodel/grant.go
+++ b/core/mangomodel/grant.go
@@ -40,6 +40,12 @@
 	Expected time.Duration
 }
 
+// ShardGrants names the grants of one shard that a holder holds.
+type ShardGrants struct {
+	Shard   ShardID
+	Numbers []uint64
+}
+
 // Usage is what a holder measured while it held a grant.
 type Usage struct {
 	// PrefillTime is the duration of the prefill; zero when none completed.
--- a/core/mangomodel/id.go
+++ b/core/mangomodel/id.go
@@ -1,6 +1,9 @@
 package mangomodel
 
-import "fmt"
+import (
+	"cmp"
+	"fmt"
+)
 
 // Identifiers of configured things. They are chosen by operators and compared
 // byte by byte.
@@ -39,8 +42,6 @@
 	CallerID string
 	// Attempt numbers the attempts of one request from 1.
 	Attempt uint32
-	// GrantID is unique among all grants of all daemons.
-	GrantID string
 	// IdempotencyKey is the identifier of an operation. It is the same in
 	// every resend of the operation and differs between operations.
 	IdempotencyKey string
@@ -67,6 +68,28 @@
 	return fmt.Sprintf("%s/%d", h.Daemon, h.Incarnation)
 }
 
+// GrantID is unique among all grants of all daemons: the holder numbers its
+// grants.
+type GrantID struct {
+	Holder Holder
+	Number uint64
+}
+
+// String returns the id as "daemon/incarnation/number".
+func (id GrantID) String() string { return fmt.Sprintf("%s/%d", id.Holder, id.Number) }
+
+// Hash spreads ids evenly over small numbers.
+func (id GrantID) Hash() uint64 { return id.Number }
+
+// Compare orders ids by holder and number.
+func (id GrantID) Compare(other GrantID) int {
+	return cmp.Or(
+		cmp.Compare(id.Holder.Daemon, other.Holder.Daemon),
+		cmp.Compare(id.Holder.Incarnation, other.Holder.Incarnation),
+		cmp.Compare(id.Number, other.Number),
+	)
+}
+
 // Sequence identifies one attempt of one request on an engine.
 type Sequence struct {
 	Request RequestID
--- a/core/mangoquery/index.go
+++ b/core/mangoquery/index.go
@@ -3,18 +3,23 @@
 import (
 	"iter"
 	"maps"
-
-	"github.com/cespare/xxhash/v2"
 )
 
 // buckets is the number of parts of an Index. A change copies one part and the
 // list of parts.
 const buckets = 64
 
+// Key is a key of an Index.
+type Key interface {
+	comparable
+	// Hash spreads keys evenly over small numbers.
+	Hash() uint64
+}
+
 // Index is an immutable map. A change gives a new Index that shares all but
 // one part with the old one, so that publishing a change costs the same
 // however many entries there are. The zero Index is empty.
-type Index[K ~string, V any] struct {
+type Index[K Key, V any] struct {
 	parts *[buckets]map[K]V
 	n     int
 }
@@ -84,4 +89,4 @@
 	return Index[K, V]{parts: parts, n: x.n}, i
 }
 
-func bucketOf[K ~string](k K) int { return int(xxhash.Sum64String(string(k)) % buckets) }
+func bucketOf[K Key](k K) int { return int(k.Hash() % buckets) }
--- a/core/mangoquery/placement.go
+++ b/core/mangoquery/placement.go
@@ -156,5 +156,32 @@
 	Grants    []mangomodel.Grant
 }
 
+// Lists names the grants by shard.
+func (h SchedulerHoldings) Lists() []mangomodel.ShardGrants {
+	numbers := make(map[mangomodel.ShardID][]uint64)
+	for _, g := range h.Grants {
+		numbers[g.Shard] = append(numbers[g.Shard], g.ID.Number)
+	}
+	lists := make([]mangomodel.ShardGrants, 0, len(numbers))
+	for shard, list := range numbers {
+		lists = append(lists, mangomodel.ShardGrants{Shard: shard, Numbers: list})
+	}
+	return lists
+}
+
+// Unknown returns which of a holder's grants this daemon's scheduler does not
+// have.
+func (s *Snapshot) Unknown(holder mangomodel.Holder, lists []mangomodel.ShardGrants) []uint64 {
+	var unknown []uint64
+	for _, list := range lists {
+		for _, n := range list.Numbers {
+			if _, ok := s.Grants.Get(mangomodel.GrantID{Holder: holder, Number: n}); !ok {
+				unknown = append(unknown, n)
+			}
+		}
+	}
+	return unknown
+}
+
 // KeyOf returns a key that spreads requests, from a number.
 func KeyOf(n uint64) string { return strconv.FormatUint(n, 16) }
--- a/core/mangoroute/generator.go
+++ b/core/mangoroute/generator.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"sync/atomic"
 	"time"
 
@@ -182,7 +181,7 @@
 // nextGrant returns a new grant id.
 func (g *Generator) nextGrant() mangomodel.GrantID {
 	self := g.control.Snapshot().Self
-	return mangomodel.GrantID(fmt.Sprintf("%s/%d", self.Holder(), g.grants.Add(1)))
+	return mangomodel.GrantID{Holder: self.Holder(), Number: g.grants.Add(1)}
 }
 
 type noTracer struct{}
--- a/core/mangosched/fair.go
+++ b/core/mangosched/fair.go
@@ -87,7 +87,7 @@
 	return cmp.Or(
 		cmp.Compare(f.finish, other.finish),
 		a.arrived.Compare(b.arrived),
-		cmp.Compare(a.demand.Grant, b.demand.Grant),
+		a.demand.Grant.Compare(b.demand.Grant),
 	)
 }
 
--- a/core/mangosched/scheduler.go
+++ b/core/mangosched/scheduler.go
@@ -171,30 +171,39 @@
 	s.dispatch(now, h.shard)
 }
 
-// Renew records that a holder is alive and which grants it holds. Grants
-// unknown here, such as those of a predecessor, are adopted; grants of the
-// holder that it no longer lists are ended.
-func (s *Scheduler) Renew(now time.Time, holder mangomodel.Holder, grants []mangomodel.Grant) {
+// Renew records that a holder is alive and which grants it holds. Grants of
+// the holder that it no longer lists are ended.
+func (s *Scheduler) Renew(now time.Time, holder mangomodel.Holder, lists []mangomodel.ShardGrants) {
 	s.holders[holder] = now
-	listed := make(map[mangomodel.GrantID]bool, len(grants))
-	for _, g := range grants {
-		listed[g.ID] = true
-		s.adopt(now, g)
+	listed := make(map[uint64]bool)
+	for _, list := range lists {
+		for _, n := range list.Numbers {
+			listed[n] = true
+		}
 	}
 	for id, h := range s.grants {
-		if h.grant.Sequence.Holder == holder && !listed[id] && now.Sub(h.since) > adoptGrace {
+		if id.Holder == holder && !listed[id.Number] && now.Sub(h.since) > adoptGrace {
 			s.end(h)
 		}
 	}
 	s.dispatchAll(now)
 }
 
+// Adopt takes over grants that another scheduler gave, such as those of a
+// predecessor.
+func (s *Scheduler) Adopt(now time.Time, grants []mangomodel.Grant) {
+	for _, g := range grants {
+		s.holders[g.ID.Holder] = now
+		s.adopt(now, g)
+	}
+}
+
 // HolderLost ends every grant of a daemon life that is over and cancels its
 // sequences on the engines.
 func (s *Scheduler) HolderLost(now time.Time, holder mangomodel.Holder) {
 	delete(s.holders, holder)
 	for _, h := range s.grants {
-		if h.grant.Sequence.Holder != holder {
+		if h.grant.ID.Holder != holder {
 			continue
 		}
 		s.effects = append(s.effects,
@@ -203,7 +212,7 @@
 		s.end(h)
 	}
 	for id, w := range s.waiting {
-		if w.demand.Sequence.Holder == holder {
+		if id.Holder == holder {
 			w.gone = true
 			delete(s.waiting, id)
 		}
@@ -247,7 +256,7 @@
 func (s *Scheduler) clearProbation(h *held) {
 	for _, id := range []mangomodel.ServerID{h.grant.Prefill, h.grant.Decode} {
 		if sv, ok := s.servers[id]; ok && sv.probation == h.grant.ID {
-			sv.probation = ""
+			sv.probation = mangomodel.GrantID{}
 		}
 	}
 }
--- a/core/mangosched/scheduler_test.go
+++ b/core/mangosched/scheduler_test.go
@@ -32,9 +32,18 @@
 	return s
 }
 
+// grantID returns the id of a named demand of a holder.
+func grantID(holder mangomodel.Holder, name string) mangomodel.GrantID {
+	return mangomodel.GrantID{Holder: holder, Number: uint64(mangomodel.FingerprintOf("grant", name))}
+}
+
 func demand(id string, rank mangomodel.Rank) mangomodel.Demand {
+	return demandOf(self, id, rank)
+}
+
+func demandOf(holder mangomodel.Holder, id string, rank mangomodel.Rank) mangomodel.Demand {
 	return mangomodel.Demand{
-		Grant: mangomodel.GrantID(id), Sequence: mangomodel.Sequence{Request: mangomodel.RequestID(id), Attempt: 1, Holder: self},
+		Grant: grantID(holder, id), Sequence: mangomodel.Sequence{Request: mangomodel.RequestID(id), Attempt: 1, Holder: holder},
 		Workspace: "w", Model: "m", Rank: rank, Prompt: 100, MaxTokens: 100, Patience: time.Minute, Weight: 1,
 		Fingerprint: mangomodel.FingerprintOf("w", id),
 	}
@@ -55,11 +64,11 @@
 func TestWithdrawalOvertakesItsDemand(t *testing.T) {
 	g := gomega.NewWithT(t)
 	s := newScheduler(1, 4)
-	s.Withdraw(start, "x")
+	s.Withdraw(start, grantID(self, "x"))
 	s.Acquire(start, shard0, demand("x", mangomodel.RankUrgent))
 	granted, refused := decisions(s)
 	g.Expect(granted).To(gomega.BeEmpty())
-	g.Expect(refused).To(gomega.ConsistOf(mangomodel.GrantID("x")))
+	g.Expect(refused).To(gomega.ConsistOf(grantID(self, "x")))
 	g.Expect(s.Grants()).To(gomega.BeEmpty())
 }
 
@@ -70,8 +79,8 @@
 		s.Acquire(start, shard0, demand("x", mangomodel.RankUrgent))
 	}
 	g.Expect(s.Grants()).To(gomega.HaveLen(1))
-	s.Release(start, "x", mangomodel.Usage{})
-	s.Release(start, "x", mangomodel.Usage{})
+	s.Release(start, grantID(self, "x"), mangomodel.Usage{})
+	s.Release(start, grantID(self, "x"), mangomodel.Usage{})
 	g.Expect(s.Status()[0].Used).To(gomega.Equal([mangomodel.Ranks]int{}))
 }
 
@@ -135,16 +144,15 @@
 func TestLostHolderIsCancelled(t *testing.T) {
 	g := gomega.NewWithT(t)
 	s := newScheduler(1, 4)
-	d := demand("x", mangomodel.RankUrgent)
-	d.Sequence.Holder = other
+	d := demandOf(other, "x", mangomodel.RankUrgent)
 	s.Acquire(start, shard0, d)
 	s.TakeEffects()
-	s.Renew(start.Add(5*time.Second), other, s.Grants())
+	s.Renew(start.Add(5*time.Second), other, []mangomodel.ShardGrants{{Shard: shard0, Numbers: []uint64{d.Grant.Number}}})
 	s.Tick(start.Add(5*time.Second + HolderLease - 1))
 	g.Expect(s.Grants()).To(gomega.HaveLen(1), "the lease is in force")
 	s.Tick(start.Add(5*time.Second + HolderLease))
 	g.Expect(s.Grants()).To(gomega.BeEmpty())
-	g.Expect(s.TakeEffects()).To(gomega.ConsistOf(Ended{Grant: "x"},
+	g.Expect(s.TakeEffects()).To(gomega.ConsistOf(Ended{Grant: grantID(other, "x")},
 		Cancel{Server: "p0", Sequence: d.Sequence}, Cancel{Server: "d0", Sequence: d.Sequence}))
 }
 
@@ -152,11 +160,9 @@
 	g := gomega.NewWithT(t)
 	first, second := newScheduler(1, 4), newScheduler(1, 4)
 	for i := range 4 {
-		d := demand(fmt.Sprint(i), mangomodel.RankUrgent)
-		d.Sequence.Holder = other
-		first.Acquire(start, shard0, d)
+		first.Acquire(start, shard0, demandOf(other, fmt.Sprint(i), mangomodel.RankUrgent))
 	}
-	second.Renew(start, other, first.Grants())
+	second.Adopt(start, first.Grants())
 	late := demand("late", mangomodel.RankUrgent)
 	late.Patience = 100 * time.Millisecond
 	second.Acquire(start, shard0, late)
--- a/core/mangosched/server.go
+++ b/core/mangosched/server.go
@@ -84,7 +84,7 @@
 // takesSuspect reports whether a demand may go to the server: a suspect only
 // if no other one is on probation there.
 func (sv *server) takesSuspect(w *waiter) bool {
-	return !w.suspect || sv.probation == ""
+	return !w.suspect || sv.probation == mangomodel.GrantID{}
 }
 
 func (sv *server) stepTime() time.Duration {
--- a/core/mangosched/suspect_test.go
+++ b/core/mangosched/suspect_test.go
@@ -22,7 +22,7 @@
 	s.Acquire(start, shard0, d)
 	failed := s.Grants()[0].Decode
 	boot(s, start, failed, "one")
-	s.Release(start, "x", mangomodel.Usage{Failed: failed})
+	s.Release(start, grantID(self, "x"), mangomodel.Usage{Failed: failed})
 	s.Unreachable(start.Add(time.Second), failed, true)
 	g.Expect(s.Suspicions(start.Add(time.Second))).To(gomega.HaveLen(1))
 }
@@ -32,7 +32,7 @@
 	s := newScheduler(1, 4)
 	boot(s, start, "d0", "one")
 	s.Acquire(start, shard0, demand("x", mangomodel.RankBasic))
-	s.Release(start, "x", mangomodel.Usage{Failed: "d0"})
+	s.Release(start, grantID(self, "x"), mangomodel.Usage{Failed: "d0"})
 	g.Expect(s.suspect.suspected(start, mangomodel.FingerprintOf("w", "x"))).To(gomega.BeTrue(), "until the server reports")
 	boot(s, start.Add(time.Second), "d0", "one")
 	g.Expect(s.suspect.suspected(start.Add(time.Second), mangomodel.FingerprintOf("w", "x"))).To(gomega.BeFalse())
--- a/mangolaned/mangopeer/message.go
+++ b/mangolaned/mangopeer/message.go
@@ -17,6 +17,7 @@
 	methodAcquire = "Command.Acquire"
 	methodRelease = "Command.Release"
 	methodRenew   = "Command.Renew"
+	methodAdopt   = "Command.Adopt"
 	methodReach   = "Query.Reach"
 	methodChanges = "Query.Changes"
 	methodCatalog = "Query.Catalog"
@@ -61,9 +62,18 @@
 	Forwarded bool
 }
 
-// RenewArgs lists the grants of a holder.
+// RenewArgs names the grants of a holder.
 type RenewArgs struct {
 	Holder    mangomodel.Holder
+	Lists     []mangomodel.ShardGrants
+	Forwarded bool
+}
+
+// RenewReply names the grants that the scheduler does not know.
+type RenewReply struct{ Unknown []uint64 }
+
+// AdoptArgs hands over grants that a scheduler does not know.
+type AdoptArgs struct {
 	Grants    []mangomodel.Grant
 	Forwarded bool
 }
--- a/mangolaned/mangopeer/peers.go
+++ b/mangolaned/mangopeer/peers.go
@@ -86,10 +86,17 @@
 	return reply.Documents, err
 }
 
-// Renew renews a holder's grants with their scheduler.
-func (p *Peers) Renew(ctx context.Context, scheduler mangomember.Member, holder mangomodel.Holder, grants []mangomodel.Grant) error {
-	args := RenewArgs{Holder: holder, Grants: grants}
-	return p.control(ctx, scheduler.Address, mangomodel.StepRelease, methodRenew, args, &Empty{})
+// Renew names the grants that a holder holds of a scheduler.
+func (p *Peers) Renew(ctx context.Context, scheduler mangomember.Member, holder mangomodel.Holder, lists []mangomodel.ShardGrants) ([]uint64, error) {
+	var reply RenewReply
+	args := RenewArgs{Holder: holder, Lists: lists}
+	err := p.control(ctx, scheduler.Address, mangomodel.StepRelease, methodRenew, args, &reply)
+	return reply.Unknown, err
+}
+
+// Adopt hands grants to a scheduler that does not know them.
+func (p *Peers) Adopt(ctx context.Context, scheduler mangomember.Member, grants []mangomodel.Grant) error {
+	return p.control(ctx, scheduler.Address, mangomodel.StepRelease, methodAdopt, AdoptArgs{Grants: grants}, &Empty{})
 }
 
 // Acquire asks a daemon for a grant. When the caller gives up, the demand is
--- a/mangolaned/mangopeer/server.go
+++ b/mangolaned/mangopeer/server.go
@@ -133,31 +133,49 @@
 
 // Renew renews a holder's grants. Those of shards that other daemons schedule
 // are passed on, since a holder in another data centre knows contacts only.
-func (c *Command) Renew(args RenewArgs, _ *Empty) error {
+func (c *Command) Renew(args RenewArgs, reply *RenewReply) error {
 	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
 	defer cancel()
-	here, elsewhere := c.split(args)
-	for owner, grants := range elsewhere {
-		to, ok := c.control.Snapshot().Member(owner)
-		if ok {
-			onward := RenewArgs{Holder: args.Holder, Grants: grants, Forwarded: true}
-			// A lost renewal is made up for by the next one.
-			_ = c.peers.control(ctx, to.Address, mangomodel.StepRelease, methodRenew, onward, &Empty{})
+	shardOf := func(l mangomodel.ShardGrants) mangomodel.ShardID { return l.Shard }
+	here, elsewhere := split(c, args.Lists, args.Forwarded, shardOf)
+	for owner, lists := range elsewhere {
+		onward := RenewArgs{Holder: args.Holder, Lists: lists, Forwarded: true}
+		var answer RenewReply
+		// A lost renewal is made up for by the next one.
+		if c.peers.control(ctx, owner, mangomodel.StepRelease, methodRenew, onward, &answer) == nil {
+			reply.Unknown = append(reply.Unknown, answer.Unknown...)
 		}
 	}
-	return c.control.Do(ctx, mangocommand.Renew{Holder: args.Holder, Grants: here})
+	if err := c.control.Do(ctx, mangocommand.Renew{Holder: args.Holder, Lists: here}); err != nil {
+		return err
+	}
+	reply.Unknown = append(reply.Unknown, c.control.Snapshot().Unknown(args.Holder, here)...)
+	return nil
+}
+
+// Adopt takes over grants, or passes them on to the owners of their shards.
+func (c *Command) Adopt(args AdoptArgs, _ *Empty) error {
+	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
+	defer cancel()
+	here, elsewhere := split(c, args.Grants, args.Forwarded, func(g mangomodel.Grant) mangomodel.ShardID { return g.Shard })
+	for owner, grants := range elsewhere {
+		// The next renewal makes up for a loss.
+		_ = c.peers.control(ctx, owner, mangomodel.StepRelease, methodAdopt, AdoptArgs{Grants: grants, Forwarded: true}, &Empty{})
+	}
+	return c.control.Do(ctx, mangocommand.Adopt{Grants: here})
 }
 
-// split groups grants into those scheduled here and those of other owners.
-func (c *Command) split(args RenewArgs) ([]mangomodel.Grant, map[mangomodel.DaemonID][]mangomodel.Grant) {
-	var here []mangomodel.Grant
-	elsewhere := make(map[mangomodel.DaemonID][]mangomodel.Grant)
-	for _, g := range args.Grants {
-		if owner, ok := c.elsewhere(g.Shard, args.Forwarded); ok {
-			elsewhere[owner.Daemon] = append(elsewhere[owner.Daemon], g)
+// split groups items into those of shards scheduled here and those of other
+// owners, by the owners' addresses.
+func split[T any](c *Command, items []T, forwarded bool, shardOf func(T) mangomodel.ShardID) ([]T, map[mangomodel.Address][]T) {
+	var here []T
+	elsewhere := make(map[mangomodel.Address][]T)
+	for _, item := range items {
+		if owner, ok := c.elsewhere(shardOf(item), forwarded); ok {
+			elsewhere[owner.Address] = append(elsewhere[owner.Address], item)
 			continue
 		}
-		here = append(here, g)
+		here = append(here, item)
 	}
 	return here, elsewhere
 }
