Limits for application calls: table writes and service slots

Cause: nothing bounded entries. 600 a second, sent to six daemons, would make 1,200 writes a second in a table service that takes several hundred for everybody; and lookups could fill a plain service and time entries out after they had left, with an unknown outcome.

Change: a daemon starts entries at its share of a budget of table writes (300 a second for all daemons, by data centre and daemon), and holds at most its share of a service's slots, of which lookups take 80%. What is beyond is refused at once, as not run, with a time to retry after.

Ruled out: queueing entries, since a caller who waits and goes away leaves a row behind for nothing.

Before: no limit.

--- a/core/mangocommand/state.go
+++ b/core/mangocommand/state.go
@@ -29,6 +29,7 @@
 	failing   map[mangomodel.ServerID]time.Time
 	busy      map[mangomodel.ShardID]time.Time
 	retries   map[mangomodel.WorkspaceID]*retryBudget
+	calls     *callLimits
 	stopping  bool
 	// waiting holds the replies to demands that are not decided yet.
 	waiting map[mangomodel.GrantID][]mangoloop.Reply
@@ -51,6 +52,7 @@
 		failing:   make(map[mangomodel.ServerID]time.Time),
 		busy:      make(map[mangomodel.ShardID]time.Time),
 		retries:   make(map[mangomodel.WorkspaceID]*retryBudget),
+		calls:     newCallLimits(),
 		waiting:   make(map[mangomodel.GrantID][]mangoloop.Reply),
 		cancels:   cancels,
 		changed:   parts{shards: true, failing: true, members: true},
--- a/core/mangoconfig/derived.go
+++ b/core/mangoconfig/derived.go
@@ -13,6 +13,8 @@
 	shards   map[mangomodel.DataCentreID][]Shard
 	services map[mangomodel.ModelID][]Host
 	offers   map[mangomodel.ModelID][]Offer
+	// dataCentres is the number of data centres with backend servers.
+	dataCentres int
 }
 
 // Offer says how many shards of a model's pool a data centre has.
@@ -38,6 +40,9 @@
 // ids. The list must not be changed.
 func (c *Catalog) Offers(model mangomodel.ModelID) []Offer { return c.derived.offers[model] }
 
+// DataCentres returns the number of data centres with backend servers.
+func (c *Catalog) DataCentres() int { return c.derived.dataCentres }
+
 // derive computes what queries need.
 func (c *Catalog) derive() {
 	c.derived = derived{
@@ -47,13 +52,16 @@
 		offers:   make(map[mangomodel.ModelID][]Offer),
 	}
 	engines := make(map[mangomodel.DataCentreID][]Host)
+	dataCentres := make(map[mangomodel.DataCentreID]bool)
 	for _, h := range c.derived.hosts {
+		dataCentres[h.DataCentre] = true
 		if h.Role == mangomodel.RoleService {
 			c.derived.services[h.Model] = append(c.derived.services[h.Model], h)
 		} else {
 			engines[h.DataCentre] = append(engines[h.DataCentre], h)
 		}
 	}
+	c.derived.dataCentres = len(dataCentres)
 	for dc, hosts := range engines {
 		c.derived.shards[dc] = c.shardsOf(dc, hosts)
 		c.addOffers(hosts[0])
--- a/core/mangoentry/caller.go
+++ b/core/mangoentry/caller.go
@@ -85,14 +85,24 @@
 func (c *Caller) Call(ctx context.Context, req Request) (Response, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeoutOf(req.Call))
 	defer cancel()
-	if !*req.Call.NonIdempotent {
-		return c.repeatable(ctx, req)
-	}
-	if req.Key == "" {
+	entry := *req.Call.NonIdempotent
+	if entry && req.Key == "" {
 		return Response{}, mangomodel.Faultf(mangomodel.StepParse, "", mangomodel.CodeInvalid, mangomodel.RunNot,
 			"call %q is not idempotent and needs an Idempotency-Key", req.Call.Name)
 	}
-	return c.once(ctx, req)
+	if err := c.control.Do(ctx, mangocommand.BeginCall{Service: req.Call.Service, Entry: entry}); err != nil {
+		return Response{}, err
+	}
+	defer c.endCall(ctx, req)
+	if entry {
+		return c.once(ctx, req)
+	}
+	return c.repeatable(ctx, req)
+}
+
+func (c *Caller) endCall(ctx context.Context, req Request) {
+	// Only the control goroutine's end makes this fail.
+	_ = c.control.Do(context.WithoutCancel(ctx), mangocommand.EndCall{Service: req.Call.Service})
 }
 
 // repeatable tries an idempotent call on several servers.
--- a/mangolaned/mangodaemon/daemon.go
+++ b/mangolaned/mangodaemon/daemon.go
@@ -117,6 +117,9 @@
 	for _, w := range d.workers {
 		running.Go(func() { w.Run(workCtx) })
 	}
+	if err := d.control.Do(workCtx, mangocommand.SetTableWrites{PerSecond: d.settings.TableWrites}); err != nil {
+		return err
+	}
 	go d.servePeers(listener)
 	go d.front.Serve()
 	go d.admin.Serve()
--- a/mangolaned/mangoproof/entry_test.go
+++ b/mangolaned/mangoproof/entry_test.go
@@ -14,6 +14,7 @@
 	"github.com/onsi/gomega"
 	"pgregory.net/rapid"
 
+	"mangolane/core/mangocommand"
 	"mangolane/core/mangoconfig"
 	"mangolane/core/mangoentry"
 	"mangolane/core/mangomodel"
@@ -185,6 +186,59 @@
 		g.Expect(mangomodel.HasCode(err, mangomodel.CodeInvalid)).To(gomega.BeTrue())
 	}))
 
+	ginkgo.It("takes no more of the table service than the budget, and is refused as not run beyond it", bubble(func(ctx context.Context, g *gomega.WithT) {
+		c := newCluster(ctx, g, threeZones)
+		before := c.store.View().Writes
+		const seconds = 20
+		var told claims
+		var running sync.WaitGroup
+		for i := range 600 * seconds {
+			running.Go(func() {
+				op := fmt.Sprint("pump ", i)
+				_, err := c.nodes[i%len(c.nodes)].call(ctx, "dispense", mangomodel.IdempotencyKey(op), op)
+				told.add(err)
+			})
+			time.Sleep(time.Second / 600)
+		}
+		running.Wait()
+		time.Sleep(settle)
+		writes := c.store.View().Writes - before
+		ginkgo.GinkgoWriter.Printf("600 entries a second: %d done, %d refused, %.0f writes a second\n", told.done, told.notRun, float64(writes)/seconds)
+		g.Expect(writes).To(gomega.BeNumerically("<=", (seconds+1)*mangocommand.DefaultTableWrites))
+		g.Expect(writes).To(gomega.BeNumerically(">=", seconds*mangocommand.DefaultTableWrites*9/10), "the budget is used")
+		g.Expect(told.other).To(gomega.BeZero())
+		ran := 0
+		for _, n := range c.record.Counts().All() {
+			g.Expect(n).To(gomega.Equal(1))
+			ran++
+		}
+		g.Expect(ran).To(gomega.Equal(told.done))
+	}))
+
+	ginkgo.It("finds a slot while lookups flood the service", bubble(func(ctx context.Context, g *gomega.WithT) {
+		c := newCluster(ctx, g, oneZone)
+		g.Expect(c.record.Inject(ctx, mangoservice.Faults{Delay: duration(time.Second)})).To(gomega.Succeed())
+		var lookups, entries claims
+		var running sync.WaitGroup
+		for i := range 200 {
+			running.Go(func() {
+				_, err := c.nodes[i%2].call(ctx, "history", "", fmt.Sprint("pump ", i))
+				lookups.add(err)
+			})
+			if i%50 == 0 {
+				running.Go(func() {
+					_, err := c.nodes[i%2].call(ctx, "dispense", mangomodel.IdempotencyKey(fmt.Sprint(i)), fmt.Sprint("pump ", i))
+					entries.add(err)
+				})
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+		running.Wait()
+		g.Expect(lookups.notRun).To(gomega.BeNumerically(">", 0))
+		g.Expect(lookups.other).To(gomega.BeZero())
+		g.Expect(entries.done).To(gomega.Equal(4))
+	}))
+
 	ginkgo.It("can be sent again after it was refused as not run", bubble(func(ctx context.Context, g *gomega.WithT) {
 		c := newCluster(ctx, g, oneZone)
 		g.Expect(c.record.Inject(ctx, mangoservice.Faults{Down: true})).To(gomega.Succeed())
--- a/mangolaned/mangosettings/settings.go
+++ b/mangolaned/mangosettings/settings.go
@@ -25,6 +25,7 @@
 	"go.uber.org/zap/zapcore"
 
 	"mangolane/core/mangoagent"
+	"mangolane/core/mangocommand"
 	"mangolane/core/mangoconfig"
 	"mangolane/core/mangomodel"
 )
@@ -60,6 +61,9 @@
 	RenewInterval    mangomodel.Duration `json:",omitempty"`
 	FollowInterval   mangomodel.Duration `json:",omitempty"`
 	HostListInterval mangomodel.Duration `json:",omitempty"`
+	// TableWrites is how many writes a second all daemons together make in
+	// the table service for entries.
+	TableWrites float64 `json:",omitempty"`
 	// TraceSpans is how many finished spans are kept.
 	TraceSpans int `json:",omitempty"`
 	// LogLevel is debug, info, warn or error.
@@ -105,6 +109,7 @@
 	fill(&s.RenewInterval, mangomodel.Duration(mangoagent.DefaultRenewInterval))
 	fill(&s.FollowInterval, mangomodel.Duration(mangoagent.DefaultFollowInterval))
 	fill(&s.HostListInterval, mangomodel.Duration(mangoagent.DefaultHostListInterval))
+	fill(&s.TableWrites, mangocommand.DefaultTableWrites)
 	fill(&s.TraceSpans, defaultTraceSpans)
 	fill(&s.LogLevel, defaultLogLevel)
 	fill(&s.RandomSeed, 1)
@@ -135,8 +140,8 @@
 			return invalid("an interval must be at least %v", shortestPause)
 		}
 	}
-	if s.DrainTimeout <= 0 || s.MaxBody <= 0 || s.MaxTokens <= 0 || s.TraceSpans <= 0 {
-		return invalid("DrainTimeout, MaxBody, MaxTokens and TraceSpans must be positive")
+	if s.DrainTimeout <= 0 || s.MaxBody <= 0 || s.MaxTokens <= 0 || s.TraceSpans <= 0 || s.TableWrites <= 0 {
+		return invalid("DrainTimeout, MaxBody, MaxTokens, TableWrites and TraceSpans must be positive")
 	}
 	if _, err := zapcore.ParseLevel(s.LogLevel); err != nil {
 		return invalid("LogLevel: %v", err)
