--- a/core/mangoagent/poller.go
+++ b/core/mangoagent/poller.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
 	"mangolane/core/mangocommand"
 	"mangolane/core/mangoconfig"
 	"mangolane/core/mangomodel"
+	"mangolane/core/mangoquery"
 	"mangolane/core/mangosched"
 )
 
@@ -21,6 +23,9 @@
 	// DefaultHostListInterval is the pause between two reads of the list of
 	// hosts.
 	DefaultHostListInterval = time.Second
+	// staleReadings is the number of intervals after which any daemon reads
+	// the list, in case the one that does so for the data centre cannot.
+	staleReadings = 5
 )
 
 // Poller reads the reports of the servers that the daemon schedules.
@@ -110,7 +115,16 @@
 }
 
 // Run reads the list until ctx ends.
-func (h *HostWatcher) Run(ctx context.Context) { every(ctx, h.interval, h.read) }
+func (h *HostWatcher) Run(ctx context.Context) { every(ctx, h.interval, h.poll) }
+
+// poll reads the list if this daemon does so for its data centre, or if no
+// news of it has come for a while.
+func (h *HostWatcher) poll(ctx context.Context) {
+	snap := h.control.Snapshot()
+	if snap.Does(mangoquery.TaskHostList) || time.Since(snap.Reading.At) > staleReadings*h.interval {
+		h.read(ctx)
+	}
+}
 
 func (h *HostWatcher) read(ctx context.Context) {
 	readCtx, cancel := context.WithTimeout(ctx, fetchTimeout)
@@ -121,5 +135,6 @@
 		return
 	}
 	// Only the control goroutine's end makes this fail.
-	_ = h.control.Do(ctx, mangocommand.SetLeaving{Servers: leaving})
+	slices.Sort(leaving)
+	_ = h.control.Do(ctx, mangocommand.SetLeaving{Reading: mangoquery.HostReading{At: time.Now(), Leaving: leaving}})
 }
--- a/core/mangoagent/port.go
+++ b/core/mangoagent/port.go
@@ -23,6 +23,8 @@
 	Suspicions []mangomodel.Suspicion
 	// Revision is the configuration in force at the sender.
 	Revision mangomodel.Revision
+	// Hosts is the sender's newest reading of the platform's host list.
+	Hosts mangoquery.HostReading
 }
 
 // Probes reaches other daemons to learn whether they are alive.
--- a/core/mangoagent/prober.go
+++ b/core/mangoagent/prober.go
@@ -191,6 +191,7 @@
 	snap := control.Snapshot()
 	return News{
 		Members: snap.Updates(to), Suspicions: snap.TravellingSuspicions(), Revision: snap.Catalog.Revision(),
+		Hosts: snap.Reading,
 	}
 }
 
@@ -203,8 +204,13 @@
 		}
 		follower.Hint(news.Members[0], news.Revision)
 	}
-	if len(news.Suspicions) == 0 {
+	if len(news.Suspicions) > 0 {
+		if err := control.Do(ctx, mangocommand.MergeSuspicions{Suspicions: news.Suspicions}); err != nil {
+			return err
+		}
+	}
+	if !news.Hosts.At.After(control.Snapshot().Reading.At) {
 		return nil
 	}
-	return control.Do(ctx, mangocommand.MergeSuspicions{Suspicions: news.Suspicions})
+	return control.Do(ctx, mangocommand.SetLeaving{Reading: news.Hosts})
 }
--- a/core/mangocommand/cluster.go
+++ b/core/mangocommand/cluster.go
@@ -1,13 +1,13 @@
 package mangocommand
 
 import (
-	"maps"
 	"slices"
 	"time"
 
 	"mangolane/core/mangoconfig"
 	"mangolane/core/mangomember"
 	"mangolane/core/mangomodel"
+	"mangolane/core/mangoquery"
 )
 
 // rememberedChanges is how many applied changes are kept for other daemons.
@@ -130,20 +130,19 @@
 }
 
 // SetLeaving replaces the set of servers that the platform's host list shows
-// as leaving.
-type SetLeaving struct{ Servers []mangomodel.ServerID }
+// as leaving, unless a newer reading of the list is known.
+type SetLeaving struct{ Reading mangoquery.HostReading }
 
 // Apply implements [mangoloop.Command].
 func (c SetLeaving) Apply(s *state, now time.Time) error {
-	leaving := make(map[mangomodel.ServerID]bool, len(c.Servers))
-	for _, id := range c.Servers {
-		leaving[id] = true
-	}
-	if maps.Equal(leaving, s.leaving) {
+	if !c.Reading.At.After(s.reading.At) {
 		return nil
 	}
-	s.leaving = leaving
-	s.configure(now)
+	changed := !slices.Equal(c.Reading.Leaving, s.reading.Leaving)
+	s.reading = c.Reading
+	if changed {
+		s.configure(now)
+	}
 	return nil
 }
 
--- a/core/mangocommand/state.go
+++ b/core/mangocommand/state.go
@@ -25,7 +25,7 @@
 	scheduler *mangosched.Scheduler
 	grants    mangoquery.Index[mangomodel.GrantID, mangomodel.Grant]
 	holdings  mangoquery.Index[mangomodel.GrantID, mangoquery.Holding]
-	leaving   map[mangomodel.ServerID]bool
+	reading   mangoquery.HostReading
 	failing   map[mangomodel.ServerID]time.Time
 	busy      map[mangomodel.ShardID]time.Time
 	retries   map[mangomodel.WorkspaceID]*retryBudget
@@ -67,7 +67,7 @@
 	for i := range shards {
 		shards[i].Servers = slices.Clone(shards[i].Servers)
 		for j, host := range shards[i].Servers {
-			if s.leaving[mangomodel.ServerID(host.ID)] {
+			if s.reading.Shows(mangomodel.ServerID(host.ID)) {
 				shards[i].Servers[j].State = mangomodel.ServerLeaving
 			}
 		}
@@ -156,7 +156,7 @@
 	next.Grants = s.grants
 	next.Holdings = s.holdings
 	next.Stopping = s.stopping
-	next.Leaving = s.leaving
+	next.Reading = s.reading
 	if s.changed.members {
 		next.Members = s.members.Members()
 		next.Rings = mangoquery.RingsOf(next.Self, next.Members)
--- a/core/mangoquery/bench_test.go
+++ b/core/mangoquery/bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"testing"
 	"time"
 
@@ -110,3 +111,39 @@
 		})
 	}
 }
+
+// BenchmarkMemory reports the heap that the catalog and the members of a
+// fleet take in a daemon.
+func BenchmarkMemory(b *testing.B) {
+	for name, f := range fleets {
+		b.Run(name, func(b *testing.B) {
+			var before, after runtime.MemStats
+			var snap *mangoquery.Snapshot
+			for b.Loop() {
+				snap = nil
+				runtime.GC()
+				runtime.ReadMemStats(&before)
+				snap = snapshotOf(b, f)
+				runtime.GC()
+				runtime.ReadMemStats(&after)
+			}
+			b.ReportMetric(float64(after.HeapAlloc)-float64(before.HeapAlloc), "heap-bytes")
+			runtime.KeepAlive(snap)
+		})
+	}
+}
+
+// BenchmarkApply measures the applying of one change of configuration.
+func BenchmarkApply(b *testing.B) {
+	for name, f := range fleets {
+		b.Run(name, func(b *testing.B) {
+			catalog := snapshotOf(b, f).Catalog
+			pool := mangoconfig.DefaultPool("m0")
+			for b.Loop() {
+				if _, err := catalog.Apply(mangoconfig.Change{ID: "x", Pool: &pool}); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
--- a/core/mangoquery/placement.go
+++ b/core/mangoquery/placement.go
@@ -91,7 +91,7 @@
 }
 
 func (s *Snapshot) takesWork(h mangoconfig.Host) bool {
-	return h.State == mangomodel.ServerLive && !s.Leaving[mangomodel.ServerID(h.ID)]
+	return h.State == mangomodel.ServerLive && !s.Reading.Shows(mangomodel.ServerID(h.ID))
 }
 
 // failed is 1 for a server whose call failed lately.
--- a/core/mangoquery/snapshot.go
+++ b/core/mangoquery/snapshot.go
@@ -1,6 +1,7 @@
 package mangoquery
 
 import (
+	"slices"
 	"time"
 
 	"mangolane/core/mangoconfig"
@@ -23,6 +24,20 @@
 	Waiting [mangomodel.Ranks]int
 }
 
+// HostReading is what a reading of the platform's host list showed.
+type HostReading struct {
+	// At is when the list was read, by the reader's clock.
+	At time.Time
+	// Leaving are the backend servers that are leaving, in order.
+	Leaving []mangomodel.ServerID
+}
+
+// Shows reports whether a server is leaving.
+func (r HostReading) Shows(id mangomodel.ServerID) bool {
+	_, found := slices.BinarySearch(r.Leaving, id)
+	return found
+}
+
 // Snapshot is a daemon's control state at one instant. Its fields are not
 // changed after it was published.
 type Snapshot struct {
@@ -41,8 +56,8 @@
 	Grants Index[mangomodel.GrantID, mangomodel.Grant]
 	// Holdings are the grants that this daemon's requests hold.
 	Holdings Index[mangomodel.GrantID, Holding]
-	// Leaving are the servers that the platform's host list shows as leaving.
-	Leaving map[mangomodel.ServerID]bool
+	// Reading is the newest known reading of the platform's host list.
+	Reading HostReading
 	// Failing is when a call to a server last failed.
 	Failing map[mangomodel.ServerID]time.Time
 	// Busy is until when a shard is not asked again after a refusal.
