Scheduler: predict decode steps and keep TPOT targets in mixed fleets

Cause: the scheduler ignored the TPOT target. In a fleet with two of four decode servers 2.2 times slower, 116 of 364 urgent requests were late at a load of 7 a second: they ran on slow servers that step at over 31 ms.

Change: each server has a line fitted to its measured steps over the number of sequences. A demand goes only where one more sequence keeps its own target and those of the grants aboard; basic work takes the slowest server that will do. The model fades towards an ordinary server, so that one without work for its past slowness is tried again.

Ruled out: the mean step alone, which says nothing of one more sequence; refusing at once when all models are too slow, since models without new samples would then never be corrected.

Also mended, from the race detector: a probe, a renewal and a catalog that timed out returned a reply that a late answer may still be written into.

--- a/core/mangomodel/grant.go
+++ b/core/mangomodel/grant.go
@@ -39,6 +39,8 @@
 	Pieces    Pieces
 	// Fingerprint identifies the request's content across resends.
 	Fingerprint Fingerprint
+	// TPOT is the target of the time between tokens.
+	TPOT time.Duration
 	// Expected is the predicted time to the first token.
 	Expected time.Duration
 }
--- a/core/mangoroute/attempt.go
+++ b/core/mangoroute/attempt.go
@@ -19,6 +19,8 @@
 	// progressTimeout is how long a stream may deliver nothing before its
 	// connection counts as silent.
 	progressTimeout = 2 * time.Second
+	// measuredTokens is how many tokens make a step time worth reporting.
+	measuredTokens = 8
 	// maxResumes bounds the new connections to the same decode server.
 	maxResumes = 2
 )
@@ -112,7 +114,7 @@
 		}
 	}
 	end(err)
-	if a.tokens > 1 {
+	if a.tokens >= measuredTokens {
 		a.usage.StepTime = time.Since(a.began) / time.Duration(a.tokens)
 	}
 	if err != nil && !mangomodel.HasCode(err, mangomodel.CodeCancelled) {
--- a/core/mangosched/placement.go
+++ b/core/mangosched/placement.go
@@ -25,7 +25,7 @@
 	if decode == nil || prefill == nil {
 		return placement{}, false
 	}
-	expected := done.Sub(now) + sh.transferTime(w.demand.Prompt) + decode.stepTime()
+	expected := done.Sub(now) + sh.transferTime(w.demand.Prompt) + decode.step.at(decode.occupied()+1)
 	return placement{prefill: prefill, decode: decode, prefillDone: done, expected: expected}, true
 }
 
@@ -43,22 +43,33 @@
 	return time.Duration(size / float64(sh.pool.LinkRate) * float64(time.Second))
 }
 
-// bestDecode returns the least occupied decode server with room. Servers that
-// failed the request before are used only if there are no others.
+// bestDecode returns a decode server with room that would keep the targets of
+// the demand and of the grants aboard: for urgent work the least occupied one,
+// for basic work the least occupied one of the slowest that will do, so that
+// fast servers are left to urgent work. Servers that failed the request before
+// are used only if there are no others.
 func (sh *shard) bestDecode(w *waiter) *server {
 	need := mangomodel.PiecesFor(w.demand.Prompt+w.demand.MaxTokens, sh.pool.PieceTokens)
 	var best *server
 	for _, sv := range sh.choices(w, mangomodel.RoleDecode) {
-		if !sv.fits(need) || !sv.takesSuspect(w) {
+		if !sv.fits(need) || !sv.takesSuspect(w) || !sv.meets(w.demand) {
 			continue
 		}
-		if best == nil || sv.occupancy() < best.occupancy() {
+		if best == nil || sv.betterThan(best, w.demand.Rank) {
 			best = sv
 		}
 	}
 	return best
 }
 
+// betterThan compares two servers that will do for a demand of a rank.
+func (sv *server) betterThan(other *server, rank mangomodel.Rank) bool {
+	if rank == mangomodel.RankBasic && sv.slowerThan(other) != other.slowerThan(sv) {
+		return sv.slowerThan(other)
+	}
+	return sv.occupancy() < other.occupancy()
+}
+
 // bestPrefill returns the prefill server that would finish first, and when.
 func (sh *shard) bestPrefill(now time.Time, w *waiter) (*server, time.Time) {
 	var best *server
--- a/core/mangosched/report.go
+++ b/core/mangosched/report.go
@@ -29,6 +29,7 @@
 	sv.boot = load.Boot
 	sv.down = false
 	sv.draining = load.Draining
+	sv.step.fade()
 	unclaimed := s.unclaimed(load)
 	sv.foreign = len(unclaimed)
 	s.sweep(now, load.Server, unclaimed)
@@ -86,7 +87,7 @@
 		sv.rate.add(float64(u.PrefillTokens) / u.PrefillTime.Seconds())
 	}
 	if sv, ok := s.servers[h.grant.Decode]; ok && u.StepTime > 0 {
-		sv.step.add(u.StepTime.Seconds())
+		sv.step.add(float64(h.boarded+sv.occupied())/2, u.StepTime)
 	}
 	if sv, ok := s.servers[u.Failed]; ok {
 		// Until the next report says otherwise, so that retries do not run
--- a/core/mangosched/scheduler.go
+++ b/core/mangosched/scheduler.go
@@ -70,6 +70,8 @@
 	shard *shard
 	// probationEnds is when a suspect's probation ends; zero for others.
 	probationEnds time.Time
+	// boarded is how many sequences the decode server had with this one.
+	boarded int
 	// preemptions is how often the request was preempted before.
 	preemptions int
 }
@@ -362,8 +364,8 @@
 	s.effects = append(s.effects, Given{Grant: h.grant})
 	h.shard.used[h.grant.Rank]++
 	if sv, ok := s.servers[h.grant.Decode]; ok {
-		sv.used++
-		sv.pieces += h.grant.Pieces
+		sv.board(h.grant)
+		h.boarded = sv.occupied()
 	}
 }
 
@@ -374,8 +376,7 @@
 	s.effects = append(s.effects, Ended{Grant: h.grant.ID})
 	h.shard.used[h.grant.Rank]--
 	if sv, ok := s.servers[h.grant.Decode]; ok {
-		sv.used = max(0, sv.used-1)
-		sv.pieces = max(0, sv.pieces-h.grant.Pieces)
+		sv.leave(h.grant)
 	}
 	s.clearProbation(h)
 }
@@ -411,7 +412,7 @@
 	d := w.demand
 	g := mangomodel.Grant{
 		ID: d.Grant, Shard: sh.id, Sequence: d.Sequence, Workspace: d.Workspace, Rank: d.Rank,
-		Prefill: p.prefill.id, Decode: p.decode.id, Fingerprint: d.Fingerprint,
+		Prefill: p.prefill.id, Decode: p.decode.id, Fingerprint: d.Fingerprint, TPOT: d.TPOT,
 		Pieces: mangomodel.PiecesFor(d.Prompt+d.MaxTokens, sh.pool.PieceTokens), Expected: p.expected,
 	}
 	p.prefill.busyUntil = p.prefillDone
--- a/core/mangosched/server.go
+++ b/core/mangosched/server.go
@@ -18,8 +18,6 @@
 	prefixDiscount = 0.7
 	// initialPrefillRate is assumed when a host announces no rate.
 	initialPrefillRate mangomodel.TokensPerSecond = 20000
-	// initialStep is the assumed time between tokens.
-	initialStep = 20 * time.Millisecond
 	// averageGain is the weight of a new sample in a moving average.
 	averageGain = 0.2
 )
@@ -42,8 +40,10 @@
 	// busyUntil is when the prefills granted so far are predicted to end.
 	busyUntil time.Time
 	rate      average
-	step      average
-	resident  *lru.Cache[mangomodel.PrefixHash, struct{}]
+	step      stepModel
+	// tpots counts the grants aboard by their TPOT targets.
+	tpots    map[time.Duration]int
+	resident *lru.Cache[mangomodel.PrefixHash, struct{}]
 	// probation is the one grant aboard that is on probation, if any.
 	probation mangomodel.GrantID
 	crash     crashRecord
@@ -60,7 +60,7 @@
 	}
 	return &server{
 		id: id, host: host, resident: resident,
-		rate: newAverage(float64(rate)), step: newAverage(initialStep.Seconds()),
+		rate: newAverage(float64(rate)), step: newStepModel(), tpots: make(map[time.Duration]int),
 	}
 }
 
@@ -87,8 +87,19 @@
 	return !w.suspect || sv.probation == mangomodel.GrantID{}
 }
 
-func (sv *server) stepTime() time.Duration {
-	return time.Duration(sv.step.value * float64(time.Second))
+// board counts a grant against the server, and leave gives it back.
+func (sv *server) board(g mangomodel.Grant) {
+	sv.used++
+	sv.pieces += g.Pieces
+	sv.tpots[g.TPOT]++
+}
+
+func (sv *server) leave(g mangomodel.Grant) {
+	sv.used = max(0, sv.used-1)
+	sv.pieces = max(0, sv.pieces-g.Pieces)
+	if sv.tpots[g.TPOT]--; sv.tpots[g.TPOT] <= 0 {
+		delete(sv.tpots, g.TPOT)
+	}
 }
 
 // prefillFinish predicts when a prompt's prefill would end on the server.
--- /dev/null
+++ b/core/mangosched/step_test.go
@@ -0,0 +1,97 @@
+package mangosched
+
+import (
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"mangolane/core/mangoconfig"
+	"mangolane/core/mangomodel"
+)
+
+func TestStepModelLearnsALine(t *testing.T) {
+	tests := []struct {
+		name        string
+		base, slope time.Duration
+	}{
+		{"ordinary", 10 * time.Millisecond, time.Millisecond},
+		{"slow", 40 * time.Millisecond, 3 * time.Millisecond},
+		{"flat", 15 * time.Millisecond, 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			m := newStepModel()
+			for i := range 200 {
+				n := 1 + i%20
+				m.add(float64(n), tt.base+time.Duration(n)*tt.slope)
+			}
+			for _, n := range []int{1, 10, 20} {
+				want := tt.base + time.Duration(n)*tt.slope
+				g.Expect(m.at(n)).To(gomega.BeNumerically("~", want, want/10), "n = %d", n)
+			}
+		})
+	}
+}
+
+func TestSlowServerGetsNoWorkThatItWouldMakeLate(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := newScheduler(2, 20)
+	for range 50 {
+		for n := 1; n <= 20; n++ {
+			s.servers["d0"].step.add(float64(n), 40*time.Millisecond)
+		}
+	}
+	urgent := demand("urgent", mangomodel.RankUrgent)
+	urgent.TPOT = 31 * time.Millisecond
+	basic := demand("basic", mangomodel.RankBasic)
+	basic.TPOT = 60 * time.Millisecond
+	s.Acquire(start, shard0, urgent)
+	s.Acquire(start, shard0, basic)
+	placed := make(map[mangomodel.Rank]mangomodel.ServerID)
+	for _, grant := range s.Grants() {
+		placed[grant.Rank] = grant.Decode
+	}
+	g.Expect(placed).To(gomega.Equal(map[mangomodel.Rank]mangomodel.ServerID{
+		mangomodel.RankUrgent: "d1", mangomodel.RankBasic: "d0",
+	}))
+}
+
+func TestGrantsAboardKeepTheirTarget(t *testing.T) {
+	g := gomega.NewWithT(t)
+	sv := newServer("d", mangoconfig.Host{Slots: 20, Pieces: 100})
+	for range 20 {
+		for n := 1; n <= 20; n++ {
+			sv.step.add(float64(n), time.Duration(10+2*n)*time.Millisecond)
+		}
+	}
+	tight := mangomodel.Grant{TPOT: 31 * time.Millisecond, Pieces: 1}
+	for range 9 {
+		sv.board(tight)
+	}
+	loose := mangomodel.Demand{TPOT: 60 * time.Millisecond}
+	g.Expect(sv.meets(loose)).To(gomega.BeFalse(), "a tenth sequence would step at 30 ms")
+	for range 9 {
+		sv.leave(tight)
+		sv.board(mangomodel.Grant{TPOT: 60 * time.Millisecond, Pieces: 1})
+	}
+	g.Expect(sv.meets(loose)).To(gomega.BeTrue())
+}
+
+func TestPastSlownessIsForgiven(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := newScheduler(1, 20)
+	for range 200 {
+		s.servers["d0"].step.add(10, 200*time.Millisecond)
+	}
+	d := demand("x", mangomodel.RankUrgent)
+	d.TPOT = 31 * time.Millisecond
+	g.Expect(s.servers["d0"].meets(d)).To(gomega.BeFalse())
+	now := start
+	for range 2400 {
+		now = now.Add(500 * time.Millisecond)
+		boot(s, now, "d0", "one")
+	}
+	g.Expect(s.servers["d0"].meets(d)).To(gomega.BeTrue(), "after 20 minutes without work")
+}
--- a/mangolaned/mangopeer/connection.go
+++ b/mangolaned/mangopeer/connection.go
@@ -44,7 +44,8 @@
 }
 
 // call makes one call. When ctx ends first, the connection is closed if it
-// is due to answer at once.
+// is due to answer at once. After an error the reply must not be touched, since
+// a late answer may still be written into it.
 func (c *connections) call(ctx context.Context, to endpoint, step mangomodel.Step, method string, args, reply any) error {
 	client, err := c.get(ctx, to)
 	if err != nil {
--- a/mangolaned/mangopeer/message.go
+++ b/mangolaned/mangopeer/message.go
@@ -62,7 +62,8 @@
 	d.Sequence.Holder = d.Grant.Holder
 	return mangomodel.Grant{
 		ID: d.Grant, Shard: args.Shard, Sequence: d.Sequence, Workspace: d.Workspace, Rank: d.Rank,
-		Prefill: r.Prefill, Decode: r.Decode, Pieces: r.Pieces, Fingerprint: d.Fingerprint, Expected: r.Expected,
+		Prefill: r.Prefill, Decode: r.Decode, Pieces: r.Pieces, Fingerprint: d.Fingerprint,
+		TPOT: d.TPOT, Expected: r.Expected,
 	}
 }
 
--- a/mangolaned/mangopeer/peers.go
+++ b/mangolaned/mangopeer/peers.go
@@ -48,8 +48,9 @@
 	err := p.control(ctx, to.Address, mangomodel.StepProbe, methodProbe, ProbeArgs{News: news}, &reply)
 	if err != nil {
 		p.connections.dropAll(to.Address)
+		return mangoagent.News{}, err
 	}
-	return reply.News, err
+	return reply.News, nil
 }
 
 // Notify exchanges news outside of the probing.
@@ -86,16 +87,20 @@
 // Catalog returns all documents in force at a daemon.
 func (p *Peers) Catalog(ctx context.Context, from mangomember.Member) (mangoconfig.Documents, error) {
 	var reply CatalogReply
-	err := p.control(ctx, from.Address, mangomodel.StepConfigure, methodCatalog, Empty{}, &reply)
-	return reply.Documents, err
+	if err := p.control(ctx, from.Address, mangomodel.StepConfigure, methodCatalog, Empty{}, &reply); err != nil {
+		return mangoconfig.Documents{}, err
+	}
+	return reply.Documents, nil
 }
 
 // Renew names the grants that a holder holds of a scheduler.
 func (p *Peers) Renew(ctx context.Context, scheduler mangomember.Member, holder mangomodel.Holder, lists []mangomodel.ShardGrants) ([]uint64, error) {
 	var reply RenewReply
 	args := RenewArgs{Holder: holder, Lists: lists}
-	err := p.control(ctx, scheduler.Address, mangomodel.StepRelease, methodRenew, args, &reply)
-	return reply.Unknown, err
+	if err := p.control(ctx, scheduler.Address, mangomodel.StepRelease, methodRenew, args, &reply); err != nil {
+		return nil, err
+	}
+	return reply.Unknown, nil
 }
 
 // Adopt hands grants to a scheduler that does not know them.
--- a/mangolaned/mangoproof/cluster_test.go
+++ b/mangolaned/mangoproof/cluster_test.go
@@ -5,6 +5,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -64,10 +65,14 @@
 	at      map[mangomodel.Address]*mangoengine.Engine
 	nodes   []*node
 	profile mangoengine.Profile
-	pool    mangoconfig.Pool
-	targets [mangomodel.Ranks]mangoconfig.Targets
-	seeds   []mangomodel.Address
-	lives   int
+	// slow is by which factor the decode servers named in slowServers are
+	// slower than the profile.
+	slow        float64
+	slowServers []string
+	pool        mangoconfig.Pool
+	targets     [mangomodel.Ranks]mangoconfig.Targets
+	seeds       []mangomodel.Address
+	lives       int
 }
 
 // clusterOption changes a cluster before it starts.
@@ -77,6 +82,10 @@
 
 func withPreempt() clusterOption { return func(c *cluster) { c.pool.Preempt = true } }
 
+func withSlow(factor float64, servers ...string) clusterOption {
+	return func(c *cluster) { c.slow, c.slowServers = factor, servers }
+}
+
 func withTargets(t [mangomodel.Ranks]mangoconfig.Targets) clusterOption {
 	return func(c *cluster) { c.targets = t }
 }
@@ -160,7 +169,7 @@
 	if role == mangomodel.RoleService {
 		host.Model = service
 	} else {
-		e := mangoengine.New(mangomodel.ServerID(id), c.profile)
+		e := mangoengine.New(mangomodel.ServerID(id), c.profileOf(id))
 		go e.Run(c.ctx)
 		c.engines[mangomodel.ServerID(id)] = e
 		c.at[host.Address] = e
@@ -168,6 +177,16 @@
 	c.publish(mangoconfig.Change{Host: &host})
 }
 
+// profileOf returns the speed of a server.
+func (c *cluster) profileOf(id string) mangoengine.Profile {
+	p := c.profile
+	if slices.Contains(c.slowServers, id) {
+		p.StepBase = time.Duration(c.slow * float64(p.StepBase))
+		p.StepPerSequence = time.Duration(c.slow * float64(p.StepPerSequence))
+	}
+	return p
+}
+
 // publish has a change accepted through the store.
 func (c *cluster) publish(change mangoconfig.Change) mangomodel.Revision {
 	c.lives++
--- a/mangolaned/mangoproof/flood_test.go
+++ b/mangolaned/mangoproof/flood_test.go
@@ -74,8 +74,9 @@
 		}
 		for end := time.Now().Add(p.length); time.Now().Before(end); i++ {
 			time.Sleep(time.Duration(rng.ExpFloat64() / p.rates[rank] * float64(time.Second)))
+			to := routers[i%len(routers)]
 			a := &answer{prompt: promptOf(2*i+int(rank), 200+mangomodel.Tokens(rng.Int64N(400))), want: tokens}
-			running.Go(func() { a.err = routers[i%len(routers)].Generate(ctx, c.request(rank, a), a) })
+			running.Go(func() { a.err = to.Generate(ctx, c.request(rank, a), a) })
 		}
 	}
 }
@@ -272,6 +273,17 @@
 		})
 	}
 
+	ginkgo.It("leaves fast servers to urgent work in a fleet of mixed age", bubble(func(ctx context.Context, g *gomega.WithT) {
+		mixed := []zone{{"east-a", "lakes-east", 2, 1, 4}}
+		c := newCluster(ctx, g, mixed, withSlow(2.2, "east-a-d0", "east-a-d1"))
+		routers, observers := c.ours()
+		o := c.load(ctx, []phase{{2 * minute, [2]float64{3, 4}}}, floodTokens, routers, observers)
+		ginkgo.GinkgoWriter.Printf("mixed fleet: %v\n", o)
+		urgent, basic := o.ranks[mangomodel.RankUrgent], o.ranks[mangomodel.RankBasic]
+		g.Expect(urgent.onTime).To(gomega.BeNumerically(">=", 95*urgent.sent/100), "%v", o)
+		g.Expect(basic.onTime).To(gomega.BeNumerically(">=", 95*basic.sent/100), "%v", o)
+	}))
+
 	ginkgo.It("of urgent work takes slots from basic work, whose answers stay whole", bubble(func(ctx context.Context, g *gomega.WithT) {
 		c := newCluster(ctx, g, oneZone, withPreempt())
 		var basic, urgent []*answer
