--- a/core/mangoconfig/catalog.go
+++ b/core/mangoconfig/catalog.go
@@ -138,6 +138,9 @@
 func (c *Catalog) put(change Change) error {
 	switch {
 	case change.Template != nil:
+		if err := checkCalls(string(change.Template.ID), change.Template.Settings.Calls); err != nil {
+			return err
+		}
 		return putDocument(c.templates, change.Template.ID, *change.Template, change, c.revision)
 	case change.Workspace != nil:
 		return putDocument(c.workspaces, change.Workspace.ID, *change.Workspace, change, c.revision)
--- a/core/mangoconfig/decode.go
+++ b/core/mangoconfig/decode.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"regexp"
 
 	"mangolane/core/mangomodel"
 )
@@ -18,7 +19,7 @@
 	dec := json.NewDecoder(bytes.NewReader(data))
 	dec.DisallowUnknownFields()
 	if err := dec.Decode(&v); err != nil {
-		return v, invalid("%s: %v", position(data, offsetOf(err, dec)), err)
+		return v, invalid("%s: %v", position(data, offsetOf(data, err, dec)), err)
 	}
 	if _, err := dec.Token(); !errors.Is(err, io.EOF) {
 		return v, invalid("%s: more than one document", position(data, dec.InputOffset()))
@@ -26,8 +27,17 @@
 	return v, nil
 }
 
+// unknownField matches the decoder's error for a field that does not exist,
+// which carries no offset.
+var unknownField = regexp.MustCompile(`unknown field ("[^"]*")`)
+
 // offsetOf returns the byte offset at which err arose.
-func offsetOf(err error, dec *json.Decoder) int64 {
+func offsetOf(data []byte, err error, dec *json.Decoder) int64 {
+	if m := unknownField.FindStringSubmatch(err.Error()); m != nil {
+		if i := bytes.Index(data, []byte(m[1])); i >= 0 {
+			return int64(i) + 1
+		}
+	}
 	var syntax *json.SyntaxError
 	if errors.As(err, &syntax) {
 		return syntax.Offset
--- a/core/mangoconfig/effective.go
+++ b/core/mangoconfig/effective.go
@@ -104,29 +104,34 @@
 			return invalid("workspace %q: %s targets must be positive", e.ID, mangomodel.Rank(rank))
 		}
 	}
-	seen := make(map[mangomodel.CallName]bool, len(e.Calls))
-	for _, c := range e.Calls {
-		if err := checkCall(e.ID, c); err != nil {
+	return checkCalls(string(e.ID), e.Calls)
+}
+
+// checkCalls checks the calls of a document with an id.
+func checkCalls(id string, calls []Call) error {
+	seen := make(map[mangomodel.CallName]bool, len(calls))
+	for _, c := range calls {
+		if err := checkCall(id, c); err != nil {
 			return err
 		}
 		if seen[c.Name] {
-			return invalid("workspace %q: call %q is given twice", e.ID, c.Name)
+			return invalid("%q: call %q is given twice", id, c.Name)
 		}
 		seen[c.Name] = true
 	}
 	return nil
 }
 
-func checkCall(id mangomodel.WorkspaceID, c Call) error {
+func checkCall(id string, c Call) error {
 	switch {
 	case c.Name == "" || c.Service == "":
-		return invalid("workspace %q: a call needs a Name and a Service", id)
+		return invalid("%q: a call needs a Name and a Service", id)
 	case !strings.HasPrefix(c.Path, "/"):
-		return invalid("workspace %q: call %q: Path must start with /", id, c.Name)
+		return invalid("%q: call %q: Path must start with /", id, c.Name)
 	case c.NonIdempotent == nil:
-		return invalid("workspace %q: call %q: NonIdempotent must be given", id, c.Name)
+		return invalid("%q: call %q: NonIdempotent must be given", id, c.Name)
 	case c.Timeout < 0:
-		return invalid("workspace %q: call %q: Timeout is negative", id, c.Name)
+		return invalid("%q: call %q: Timeout is negative", id, c.Name)
 	}
 	return nil
 }
