--- a/core/mangoconfig/catalog.go
+++ b/core/mangoconfig/catalog.go
@@ -41,10 +41,14 @@
 
 // Pool returns the scheduling parameters of a model's pool, or the defaults.
 func (c *Catalog) Pool(model mangomodel.ModelID) Pool {
-	if p, ok := c.pools[model]; ok {
-		return p.Value
+	p, ok := c.pools[model]
+	if !ok {
+		return DefaultPool(model)
 	}
-	return DefaultPool(model)
+	if p.Value.ShardServers == 0 {
+		p.Value.ShardServers = defaultShardServers
+	}
+	return p.Value
 }
 
 // Host returns the announcement of a host.
--- a/core/mangoconfig/document.go
+++ b/core/mangoconfig/document.go
@@ -84,6 +84,10 @@
 	// above its floor. The basic request goes on when a slot is free. It
 	// serves more urgent work in bursts and finishes less basic work in time.
 	Preempt bool `json:",omitzero"`
+	// ShardServers is how many decode servers one scheduler looks after; zero
+	// means 8. Fewer spread the scheduling over more daemons, more let a
+	// burst use more slots.
+	ShardServers int `json:",omitzero"`
 	// PieceTokens is how many tokens one piece of KV memory holds.
 	PieceTokens mangomodel.Tokens
 	// KVBytesPerToken is the size of one token's KV cache.
--- a/core/mangoconfig/effective.go
+++ b/core/mangoconfig/effective.go
@@ -51,6 +51,7 @@
 		Model:           model,
 		BasicFloor:      0.1,
 		UrgentReserve:   0.2,
+		ShardServers:    defaultShardServers,
 		PieceTokens:     2000,
 		KVBytesPerToken: 128 << 10,
 		LinkRate:        10 << 30,
@@ -159,6 +160,8 @@
 	switch {
 	case p.BasicFloor < 0 || p.UrgentReserve < 0 || p.BasicFloor+p.UrgentReserve >= 1:
 		return invalid("pool %q: BasicFloor and UrgentReserve must add up to less than 1", p.Model)
+	case p.ShardServers < 0:
+		return invalid("pool %q: ShardServers is negative", p.Model)
 	case p.PieceTokens <= 0 || p.KVBytesPerToken <= 0 || p.LinkRate <= 0:
 		return invalid("pool %q: PieceTokens, KVBytesPerToken and LinkRate must be positive", p.Model)
 	}
--- a/core/mangomodel/prompt.go
+++ b/core/mangomodel/prompt.go
@@ -41,12 +41,13 @@
 	return hashes
 }
 
-// FirstPrefix returns the first hash, or zero when there is none.
-func FirstPrefix(hashes []PrefixHash) PrefixHash {
-	if len(hashes) == 0 {
-		return 0
+// AffinityOf returns a hash that chooses the shard of a request: requests with
+// a common first prefix meet, and those too short for one are spread.
+func AffinityOf(prefixes []PrefixHash, f Fingerprint) uint64 {
+	if len(prefixes) == 0 {
+		return uint64(f)
 	}
-	return hashes[0]
+	return uint64(prefixes[0])
 }
 
 // FingerprintOf hashes the content of a request, so that resends of it are
--- a/core/mangoquery/placement.go
+++ b/core/mangoquery/placement.go
@@ -55,12 +55,11 @@
 
 // ShardsFor returns the shards that can serve a model, best first: those of
 // the own data centre, then of the own region, then of other regions. Within
-// a data centre the request's first prefix chooses the first shard, so that
-// requests with a common prefix meet.
-func (s *Snapshot) ShardsFor(model mangomodel.ModelID, prefix mangomodel.PrefixHash) []mangomodel.ShardID {
+// a data centre the affinity chooses the first shard.
+func (s *Snapshot) ShardsFor(model mangomodel.ModelID, affinity uint64) []mangomodel.ShardID {
 	var shards []mangomodel.ShardID
 	for _, offer := range s.nearestFirst(s.Catalog.Offers(model)) {
-		first := int(uint64(prefix) % uint64(offer.Shards))
+		first := int(affinity % uint64(offer.Shards))
 		for i := range offer.Shards {
 			index := (first + i) % offer.Shards
 			shards = append(shards, mangomodel.ShardID{DataCentre: offer.DataCentre, Model: model, Index: index})
--- a/core/mangoroute/lease.go
+++ b/core/mangoroute/lease.go
@@ -37,7 +37,8 @@
 func (g *Generator) acquireAny(ctx context.Context, r *run) (lease, error) {
 	snap := g.control.Snapshot()
 	prefixes := mangomodel.PrefixHashes(r.request.Prompt)
-	shards := snap.ShardsFor(r.request.Model, mangomodel.FirstPrefix(prefixes))
+	fingerprint := mangomodel.FingerprintOf(r.request.Workspace.ID, r.request.Prompt)
+	shards := snap.ShardsFor(r.request.Model, mangomodel.AffinityOf(prefixes, fingerprint))
 	if len(shards) == 0 {
 		return lease{}, mangomodel.Faultf(mangomodel.StepAdmission, mangomodel.PeerName(r.request.Model),
 			mangomodel.CodeUnavailable, mangomodel.RunNot, "no engine offers the model")
--- a/mangolaned/mangoproof/cluster_test.go
+++ b/mangolaned/mangoproof/cluster_test.go
@@ -82,6 +82,10 @@
 
 func withPreempt() clusterOption { return func(c *cluster) { c.pool.Preempt = true } }
 
+func withShardServers(n int) clusterOption {
+	return func(c *cluster) { c.pool.ShardServers = n }
+}
+
 func withSlow(factor float64, servers ...string) clusterOption {
 	return func(c *cluster) { c.slow, c.slowServers = factor, servers }
 }
