Proof that a pool in two shards serves what one serves

Cause: the spread of short prompts had a trial and no check.

Change: a spec with shards of four decode servers at 0.9 of capacity, bound by the users' 95 in 100. Ruled out: a unit test of the hash, which would not see an imbalance that admission makes.

--- a/mangolaned/mangoproof/flood_test.go
+++ b/mangolaned/mangoproof/flood_test.go
@@ -304,3 +304,17 @@
 		}
 	}))
 })
+
+var _ = ginkgo.Describe("a pool in several shards", func() {
+	ginkgo.It("serves below its capacity what one shard serves, with shards of four", bubble(func(ctx context.Context, g *gomega.WithT) {
+		c := newCluster(ctx, g, []zone{{"east-a", "lakes-east", 4, 4, 8}}, withShardServers(4))
+		g.Expect(c.nodes[0].control.Snapshot().Catalog.Shards("east-a")).To(gomega.HaveLen(2))
+		routers, observers := c.ours()
+		const rate = 0.9 * 4 * capacity / mangomodel.Ranks
+		o := c.load(ctx, []phase{{minute, [2]float64{rate, rate}}}, floodTokens, routers, observers)
+		ginkgo.GinkgoWriter.Printf("two shards: %v\n", o)
+		for rank, s := range o.ranks {
+			g.Expect(s.onTime).To(gomega.BeNumerically(">=", 95*s.sent/100), "%s: %v", mangomodel.Rank(rank), o)
+		}
+	}))
+})
