Split the scheduler: suspects, speeds and fair queues are packages

Change: mangosuspect (quarantine), mangospeed (estimators) and mangofair (queue) are packages of their own with exported methods and tests. A table test of quarantine showed that a stream broken in a server's new life was counted against the crash of the old one, so three crashes counted as two; it now counts so only within a second, or while no new life is known.

Ruled out: moving the shard as well in the same step.

--- a/core/mangosched/placement.go
+++ b/core/mangosched/placement.go
@@ -25,7 +25,7 @@
 	if decode == nil || prefill == nil {
 		return placement{}, false
 	}
-	expected := done.Sub(now) + sh.transferTime(w.demand.Prompt) + decode.step.at(decode.occupied()+1)
+	expected := done.Sub(now) + sh.transferTime(w.demand.Prompt) + decode.step.At(decode.occupied()+1)
 	return placement{prefill: prefill, decode: decode, prefillDone: done, expected: expected}, true
 }
 
--- a/core/mangosched/preempt.go
+++ b/core/mangosched/preempt.go
@@ -20,7 +20,7 @@
 	if !sh.pool.Preempt {
 		return
 	}
-	for _, w := range sh.queue[mangomodel.RankUrgent].ordered() {
+	for _, w := range sh.queue[mangomodel.RankUrgent].Ordered() {
 		if w.restricted() || !sh.wantsPreemption(now) {
 			return
 		}
@@ -30,7 +30,7 @@
 		}
 		s.takeBack(now, victim)
 		if next, place := sh.next(now); next == w {
-			sh.queue[mangomodel.RankUrgent].served(w)
+			sh.queue[mangomodel.RankUrgent].Served(w)
 			s.give(now, sh, w, place)
 		}
 	}
--- a/core/mangosched/report.go
+++ b/core/mangosched/report.go
@@ -7,6 +7,7 @@
 
 	"mangolane/core/mangomodel"
 	"mangolane/core/mangoquery"
+	"mangolane/core/mangosuspect"
 )
 
 // OrphanGrace is how long a sequence may run on an engine without a grant
@@ -20,16 +21,10 @@
 	if !ok {
 		return
 	}
-	switch {
-	case sv.boot == load.Boot:
-		s.suspect.survived(sv.id, load.At)
-	case sv.boot != "" && sv.crash.id.Boot != sv.boot:
-		s.suspect.crashed(now, sv)
-	}
-	sv.boot = load.Boot
+	s.suspect.Alive(now, sv.id, load.Boot, load.At)
 	sv.down = false
 	sv.draining = load.Draining
-	sv.step.fade()
+	sv.step.Fade()
 	unclaimed := s.unclaimed(load)
 	sv.foreign = len(unclaimed)
 	s.sweep(now, load.Server, unclaimed)
@@ -44,8 +39,8 @@
 	if !ok {
 		return
 	}
-	if refused && sv.boot != "" && sv.crash.id.Boot != sv.boot {
-		s.suspect.crashed(now, sv)
+	if refused {
+		s.suspect.Refused(now, id)
 	}
 	sv.down = true
 	s.review(now)
@@ -82,23 +77,23 @@
 
 // learn updates the measured speeds and the suspicions from a usage.
 func (s *Scheduler) learn(now time.Time, h *held, u mangomodel.Usage) {
-	h.shard.hold.add(now.Sub(h.since).Seconds())
+	h.shard.hold.Add(now.Sub(h.since).Seconds())
 	if sv, ok := s.servers[h.grant.Prefill]; ok && u.PrefillTime > 0 {
-		sv.rate.add(float64(u.PrefillTokens) / u.PrefillTime.Seconds())
+		sv.rate.Add(float64(u.PrefillTokens) / u.PrefillTime.Seconds())
 	}
 	if sv, ok := s.servers[h.grant.Decode]; ok && u.StepTime > 0 {
-		sv.step.add(float64(h.boarded+sv.occupied())/2, u.StepTime)
+		sv.step.Add(float64(h.boarded+sv.occupied())/2, u.StepTime)
 	}
 	if sv, ok := s.servers[u.Failed]; ok {
 		// Until the next report says otherwise, so that retries do not run
 		// into the same server.
 		sv.down = true
-		s.suspect.brokenOn(sv, broken{fingerprint: h.grant.Fingerprint, at: now, alone: h.onProbation(now)})
+		s.suspect.Broke(sv.id, mangosuspect.Break{Fingerprint: h.grant.Fingerprint, At: now, Alone: h.onProbation(now)})
 		s.review(now)
 		return
 	}
 	if u.StepTime > 0 {
-		s.suspect.passed(now, h.grant.Fingerprint)
+		s.suspect.Passed(now, h.grant.Fingerprint)
 	}
 }
 
@@ -108,7 +103,7 @@
 	for id, sh := range s.shards {
 		st := mangoquery.ShardStatus{Shard: id, Slots: sh.slots(), Used: sh.used}
 		for rank := range sh.queue {
-			st.Waiting[rank] = sh.queue[rank].len()
+			st.Waiting[rank] = sh.queue[rank].Len()
 		}
 		list = append(list, st)
 	}
--- a/core/mangosched/scheduler.go
+++ b/core/mangosched/scheduler.go
@@ -6,6 +6,7 @@
 
 	"mangolane/core/mangoconfig"
 	"mangolane/core/mangomodel"
+	"mangolane/core/mangosuspect"
 )
 
 // adoptGrace is how long a grant that its holder does not list in a renewal
@@ -53,7 +54,7 @@
 	servers map[mangomodel.ServerID]*server
 	grants  map[mangomodel.GrantID]*held
 	waiting map[mangomodel.GrantID]*waiter
-	suspect *suspects
+	suspect *mangosuspect.Records
 	// claimed holds the sequences of the grants in force.
 	claimed map[mangomodel.Sequence]bool
 	// withdrawn is when demands were withdrawn, which may overtake them.
@@ -90,7 +91,7 @@
 		servers: make(map[mangomodel.ServerID]*server),
 		grants:  make(map[mangomodel.GrantID]*held),
 		waiting: make(map[mangomodel.GrantID]*waiter),
-		suspect: newSuspects(),
+		suspect: mangosuspect.New(),
 
 		withdrawn: make(map[mangomodel.GrantID]time.Time),
 		preempted: make(map[mangomodel.GrantID]time.Time),
@@ -137,7 +138,7 @@
 	if _, ok := s.waiting[d.Grant]; ok {
 		return
 	}
-	if s.suspect.quarantined(now, d.Fingerprint) {
+	if s.suspect.Quarantined(now, d.Fingerprint) {
 		s.refuse(d.Grant, quarantinedFault(d))
 		return
 	}
@@ -149,7 +150,7 @@
 		return
 	}
 	s.waiting[d.Grant] = w
-	sh.queue[d.Rank].push(w)
+	sh.queue[d.Rank].Push(w)
 	s.dispatch(now, sh)
 }
 
@@ -246,6 +247,7 @@
 	}
 	forget(s.withdrawn, now, withdrawalMemory)
 	forget(s.preempted, now, preemptedMemory)
+	s.suspect.Expire(now)
 	s.endProbations(now)
 	for id, w := range s.waiting {
 		if !now.Before(w.giveUp) {
@@ -269,7 +271,7 @@
 			continue
 		}
 		h.probationEnds = time.Time{}
-		s.suspect.passed(now, h.grant.Fingerprint)
+		s.suspect.Passed(now, h.grant.Fingerprint)
 		s.clearProbation(h)
 	}
 }
@@ -399,7 +401,7 @@
 		if w == nil {
 			return
 		}
-		sh.queue[w.demand.Rank].served(w)
+		sh.queue[w.demand.Rank].Served(w)
 		if place.expected > w.remaining(now) {
 			s.refuse(w.demand.Grant, overloaded(sh.id, place.expected-w.remaining(now)))
 			continue
--- a/core/mangosched/server.go
+++ b/core/mangosched/server.go
@@ -7,6 +7,7 @@
 
 	"mangolane/core/mangoconfig"
 	"mangolane/core/mangomodel"
+	"mangolane/core/mangospeed"
 )
 
 const (
@@ -18,8 +19,10 @@
 	prefixDiscount = 0.7
 	// initialPrefillRate is assumed when a host announces no rate.
 	initialPrefillRate mangomodel.TokensPerSecond = 20000
-	// averageGain is the weight of a new sample in a moving average.
-	averageGain = 0.2
+	// tpotSlack is the part of a TPOT target that a predicted step may take.
+	tpotSlack = 0.95
+	// slowerFactor is the ratio from which a server counts as slower.
+	slowerFactor = 1.25
 )
 
 // server is what the scheduler knows of one backend server.
@@ -30,7 +33,6 @@
 	down bool
 	// draining is set while the server itself asks for no new work.
 	draining bool
-	boot     string
 	used     int
 	pieces   mangomodel.Pieces
 	// foreign counts reported sequences that no grant here explains.
@@ -39,14 +41,13 @@
 	orphans map[mangomodel.Sequence]time.Time
 	// busyUntil is when the prefills granted so far are predicted to end.
 	busyUntil time.Time
-	rate      average
-	step      stepModel
+	rate      mangospeed.Average
+	step      mangospeed.Step
 	// tpots counts the grants aboard by their TPOT targets.
 	tpots    map[time.Duration]int
 	resident *lru.Cache[mangomodel.PrefixHash, struct{}]
 	// probation is the one grant aboard that is on probation, if any.
 	probation mangomodel.GrantID
-	crash     crashRecord
 }
 
 func newServer(id mangomodel.ServerID, host mangoconfig.Host) *server {
@@ -60,7 +61,7 @@
 	}
 	return &server{
 		id: id, host: host, resident: resident,
-		rate: newAverage(float64(rate)), step: newStepModel(), tpots: make(map[time.Duration]int),
+		rate: mangospeed.Average{Value: float64(rate)}, step: mangospeed.NewStep(), tpots: make(map[time.Duration]int),
 	}
 }
 
@@ -109,7 +110,7 @@
 		start = sv.busyUntil
 	}
 	work := float64(d.Prompt) - prefixDiscount*float64(sv.residentTokens(d.Prefixes))
-	return start.Add(time.Duration(max(work, 0) / sv.rate.value * float64(time.Second)))
+	return start.Add(time.Duration(max(work, 0) / sv.rate.Value * float64(time.Second)))
 }
 
 // residentTokens counts the tokens of the longest remembered prefix.
@@ -130,11 +131,28 @@
 	}
 }
 
-// average is an exponentially weighted moving average.
-type average struct{ value float64 }
+// meets reports whether one more sequence would keep the server's predicted
+// step within the TPOT target of a demand and of every grant aboard.
+func (sv *server) meets(d mangomodel.Demand) bool {
+	step := sv.step.At(sv.occupied() + 1)
+	if !within(step, d.TPOT) {
+		return false
+	}
+	for tpot := range sv.tpots {
+		if !within(step, tpot) {
+			return false
+		}
+	}
+	return true
+}
 
-func newAverage(initial float64) average { return average{value: initial} }
+// within reports whether a step is inside a target; zero means no target.
+func within(step, tpot time.Duration) bool {
+	return tpot == 0 || step <= time.Duration(tpotSlack*float64(tpot))
+}
 
-func (a *average) add(sample float64) {
-	a.value += averageGain * (sample - a.value)
+// slowerThan reports whether an empty batch steps clearly slower than
+// another server's.
+func (sv *server) slowerThan(other *server) bool {
+	return float64(sv.step.At(1)) > slowerFactor*float64(other.step.At(1))
 }
--- a/core/mangosched/shard.go
+++ b/core/mangosched/shard.go
@@ -5,7 +5,9 @@
 	"time"
 
 	"mangolane/core/mangoconfig"
+	"mangolane/core/mangofair"
 	"mangolane/core/mangomodel"
+	"mangolane/core/mangospeed"
 )
 
 // initialHold is the assumed time that a slot is held before any measurement.
@@ -16,46 +18,23 @@
 	id      mangomodel.ShardID
 	pool    mangoconfig.Pool
 	servers []*server
-	queue   [mangomodel.Ranks]fairQueue
+	queue   [mangomodel.Ranks]mangofair.Queue[*waiter]
 	used    [mangomodel.Ranks]int
-	hold    average
+	hold    mangospeed.Average
 	// urgentBurst and urgentLoad are the rate at which urgent demands arrive,
 	// over a short and a long time.
-	urgentBurst, urgentLoad arrivals
+	urgentBurst, urgentLoad mangospeed.Arrivals
 	// basicSeen is when a basic demand last arrived.
 	basicSeen time.Time
 }
 
-// waiter is a demand in a queue.
-type waiter struct {
-	demand  mangomodel.Demand
-	arrived time.Time
-	// giveUp is when the demand can no longer meet its target.
-	giveUp time.Time
-	// suspect is set when the demand must run on probation, and unresolved
-	// when it must wait until its last crash is confirmed or cleared.
-	suspect, unresolved bool
-	// gone is set when the demand was decided or withdrawn.
-	gone bool
-}
-
-// remaining is how much of the caller's patience is left.
-func (w *waiter) remaining(now time.Time) time.Duration {
-	return w.demand.Patience - now.Sub(w.arrived)
-}
-
-// restricted reports whether a demand may use only some of the servers.
-func (w *waiter) restricted() bool {
-	return w.suspect || len(w.demand.Avoid) > 0
-}
-
 func newShard(id mangomodel.ShardID) *shard {
 	sh := &shard{
-		id: id, hold: newAverage(initialHold.Seconds()),
-		urgentBurst: arrivals{memory: burstMemory}, urgentLoad: arrivals{memory: loadMemory},
+		id: id, hold: mangospeed.Average{Value: initialHold.Seconds()},
+		urgentBurst: mangospeed.Arrivals{Memory: burstMemory}, urgentLoad: mangospeed.Arrivals{Memory: loadMemory},
 	}
 	for rank := range sh.queue {
-		sh.queue[rank] = newFairQueue()
+		sh.queue[rank] = mangofair.New[*waiter]()
 	}
 	return sh
 }
@@ -67,8 +46,8 @@
 	if rank == mangomodel.RankBasic {
 		sh.basicSeen = now
 	} else {
-		sh.urgentBurst.add(now)
-		sh.urgentLoad.add(now)
+		sh.urgentBurst.Add(now)
+		sh.urgentLoad.Add(now)
 	}
 	if !sh.configured(mangomodel.RolePrefill) || !sh.configured(mangomodel.RoleDecode) {
 		return mangomodel.Faultf(mangomodel.StepAdmission, peerOf(sh.id), mangomodel.CodeUnavailable,
@@ -104,7 +83,7 @@
 // room holds back the demands behind it, or large requests would starve.
 func (sh *shard) next(now time.Time) (*waiter, placement) {
 	for _, rank := range sh.order(now) {
-		for _, w := range sh.queue[rank].ordered() {
+		for _, w := range sh.queue[rank].Ordered() {
 			p, ok := sh.place(now, w)
 			if ok {
 				return w, p
--- a/core/mangosched/sharing.go
+++ b/core/mangosched/sharing.go
@@ -24,29 +24,9 @@
 	highestLoad = 0.95
 )
 
-// arrivals estimates the rate of a Poisson process by exponential decay.
-type arrivals struct {
-	memory    time.Duration
-	perSecond float64
-	last      time.Time
-}
-
-func (a *arrivals) add(now time.Time) {
-	a.perSecond = a.at(now) + 1/a.memory.Seconds()
-	a.last = now
-}
-
-// at returns the rate in arrivals a second.
-func (a *arrivals) at(now time.Time) float64 {
-	if a.last.IsZero() {
-		return 0
-	}
-	return a.perSecond * math.Exp(-now.Sub(a.last).Seconds()/a.memory.Seconds())
-}
-
 // turnover is the rate at which a number of slots becomes free, per second.
 func (sh *shard) turnover(slots int) float64 {
-	return float64(max(slots, 1)) / sh.hold.value
+	return float64(max(slots, 1)) / sh.hold.Value
 }
 
 // headroom is how many slots basic work leaves free for urgent work to come.
@@ -54,7 +34,7 @@
 // fill; in the steady state of an M/M/1 queue the last n of them are in use
 // with the probability load to the power of n.
 func (sh *shard) headroom(now time.Time, total int) int {
-	load := sh.urgentBurst.at(now) / sh.turnover(total)
+	load := sh.urgentBurst.At(now) / sh.turnover(total)
 	if load <= 0 {
 		return min(1, portion(sh.pool.UrgentReserve, total))
 	}
@@ -65,7 +45,7 @@
 // urgentLimit is how many slots urgent work may hold. It leaves the floor to
 // basic work that waits or was seen lately.
 func (sh *shard) urgentLimit(now time.Time, total int) int {
-	if sh.queue[mangomodel.RankBasic].len() == 0 && now.Sub(sh.basicSeen) > floorMemory {
+	if sh.queue[mangomodel.RankBasic].Len() == 0 && now.Sub(sh.basicSeen) > floorMemory {
 		return total
 	}
 	return max(1, total-portion(sh.pool.BasicFloor, total))
@@ -108,7 +88,7 @@
 // the demands ahead of it, at the rate at which the rank gets slots.
 func (sh *shard) predictedWait(now time.Time, w *waiter) time.Duration {
 	rank := w.demand.Rank
-	ahead := sh.queue[rank].len()
+	ahead := sh.queue[rank].Len()
 	free := sh.free(now, rank)
 	if ahead < free || rank == mangomodel.RankUrgent && sh.pool.Preempt && sh.wantsPreemption(now) {
 		return 0
@@ -124,7 +104,7 @@
 	if rank == mangomodel.RankUrgent {
 		return sh.turnover(sh.urgentLimit(now, total))
 	}
-	return max(sh.turnover(total)-sh.urgentLoad.at(now), sh.turnover(portion(sh.pool.BasicFloor, total)))
+	return max(sh.turnover(total)-sh.urgentLoad.At(now), sh.turnover(portion(sh.pool.BasicFloor, total)))
 }
 
 func portion(share mangomodel.Share, total int) int {
--- a/core/mangosched/step_test.go
+++ b/core/mangosched/step_test.go
@@ -10,37 +10,12 @@
 	"mangolane/core/mangomodel"
 )
 
-func TestStepModelLearnsALine(t *testing.T) {
-	tests := []struct {
-		name        string
-		base, slope time.Duration
-	}{
-		{"ordinary", 10 * time.Millisecond, time.Millisecond},
-		{"slow", 40 * time.Millisecond, 3 * time.Millisecond},
-		{"flat", 15 * time.Millisecond, 0},
-	}
-	for _, tt := range tests {
-		t.Run(tt.name, func(t *testing.T) {
-			g := gomega.NewWithT(t)
-			m := newStepModel()
-			for i := range 200 {
-				n := 1 + i%20
-				m.add(float64(n), tt.base+time.Duration(n)*tt.slope)
-			}
-			for _, n := range []int{1, 10, 20} {
-				want := tt.base + time.Duration(n)*tt.slope
-				g.Expect(m.at(n)).To(gomega.BeNumerically("~", want, want/10), "n = %d", n)
-			}
-		})
-	}
-}
-
 func TestSlowServerGetsNoWorkThatItWouldMakeLate(t *testing.T) {
 	g := gomega.NewWithT(t)
 	s := newScheduler(2, 20)
 	for range 50 {
 		for n := 1; n <= 20; n++ {
-			s.servers["d0"].step.add(float64(n), 40*time.Millisecond)
+			s.servers["d0"].step.Add(float64(n), 40*time.Millisecond)
 		}
 	}
 	urgent := demand("urgent", mangomodel.RankUrgent)
@@ -63,7 +38,7 @@
 	sv := newServer("d", mangoconfig.Host{Slots: 20, Pieces: 100})
 	for range 20 {
 		for n := 1; n <= 20; n++ {
-			sv.step.add(float64(n), time.Duration(10+2*n)*time.Millisecond)
+			sv.step.Add(float64(n), time.Duration(10+2*n)*time.Millisecond)
 		}
 	}
 	tight := mangomodel.Grant{TPOT: 31 * time.Millisecond, Pieces: 1}
@@ -83,7 +58,7 @@
 	g := gomega.NewWithT(t)
 	s := newScheduler(1, 20)
 	for range 200 {
-		s.servers["d0"].step.add(10, 200*time.Millisecond)
+		s.servers["d0"].step.Add(10, 200*time.Millisecond)
 	}
 	d := demand("x", mangomodel.RankUrgent)
 	d.TPOT = 31 * time.Millisecond
--- a/core/mangosched/suspect_test.go
+++ b/core/mangosched/suspect_test.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/onsi/gomega"
-	"pgregory.net/rapid"
 
 	"mangolane/core/mangomodel"
 )
@@ -33,9 +32,9 @@
 	boot(s, start, "d0", "one")
 	s.Acquire(start, shard0, demand("x", mangomodel.RankBasic))
 	s.Release(start, grantID(self, "x"), mangomodel.Usage{Failed: "d0"})
-	g.Expect(s.suspect.suspected(start, mangomodel.FingerprintOf("w", "x"))).To(gomega.BeTrue(), "until the server reports")
+	g.Expect(s.suspect.Suspected(start, mangomodel.FingerprintOf("w", "x"))).To(gomega.BeTrue(), "until the server reports")
 	boot(s, start.Add(time.Second), "d0", "one")
-	g.Expect(s.suspect.suspected(start.Add(time.Second), mangomodel.FingerprintOf("w", "x"))).To(gomega.BeFalse())
+	g.Expect(s.suspect.Suspected(start.Add(time.Second), mangomodel.FingerprintOf("w", "x"))).To(gomega.BeFalse())
 }
 
 func TestDemandInTheQueueIsQuarantined(t *testing.T) {
@@ -51,31 +50,3 @@
 	_, refused := decisions(s)
 	g.Expect(refused).To(gomega.HaveLen(1))
 }
-
-// drawSuspicion draws a suspicion of one request.
-func drawSuspicion(t *rapid.T, label string) mangomodel.Suspicion {
-	s := mangomodel.Suspicion{Fingerprint: 1, Alone: rapid.Bool().Draw(t, label+" alone")}
-	for _, server := range rapid.SliceOfN(rapid.SampledFrom([]mangomodel.ServerID{"a", "b", "c"}), 0, 3).Draw(t, label+" crashes") {
-		s.Crashes = append(s.Crashes, mangomodel.CrashID{Server: server, Boot: "1"})
-	}
-	s.Last = start.Add(time.Duration(rapid.IntRange(0, 5).Draw(t, label+" last")) * time.Second)
-	s.Passed = start.Add(time.Duration(rapid.IntRange(0, 5).Draw(t, label+" passed")) * time.Second)
-	return s
-}
-
-func TestSuspicionsMergeInAnyOrder(t *testing.T) {
-	rapid.Check(t, func(rt *rapid.T) {
-		g := gomega.NewWithT(t)
-		a, b := drawSuspicion(rt, "a"), drawSuspicion(rt, "b")
-		one, two := newSuspects(), newSuspects()
-		one.merge(a)
-		one.merge(b)
-		two.merge(b)
-		two.merge(a)
-		two.merge(b)
-		g.Expect(one.records[1].Crashes).To(gomega.ConsistOf(two.records[1].Crashes))
-		first, second := one.records[1], two.records[1]
-		first.Crashes, second.Crashes = nil, nil
-		g.Expect(first).To(gomega.Equal(second))
-	})
-}
--- a/core/mangosched/main_test.go
+++ b/core/mangosuspect/main_test.go
@@ -1,4 +1,4 @@
-package mangosched
+package mangosuspect
 
 import (
 	"flag"
--- /dev/null
+++ b/core/mangosuspect/record_test.go
@@ -0,0 +1,83 @@
+package mangosuspect
+
+import (
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"mangolane/core/mangomodel"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func TestQuarantine(t *testing.T) {
+	const f = 1
+	broke := func(alone bool) func(*Records, time.Time) {
+		return func(r *Records, now time.Time) { r.Broke("d", Break{Fingerprint: f, At: now, Alone: alone}) }
+	}
+	alive := func(boot string) func(*Records, time.Time) {
+		return func(r *Records, now time.Time) { r.Alive(now, "d", boot, now) }
+	}
+	refused := func(r *Records, now time.Time) { r.Refused(now, "d") }
+	tests := []struct {
+		name   string
+		events []func(*Records, time.Time)
+		// suspected, unresolved and quarantined are wanted after the events,
+		// which are a second apart.
+		suspected, unresolved, quarantined bool
+	}{
+		{"nothing", nil, false, false, false},
+		{"broken, not confirmed", []func(*Records, time.Time){alive("1"), broke(false)}, true, false, false},
+		{"broken, server alive", []func(*Records, time.Time){alive("1"), broke(false), alive("1")}, false, false, false},
+		{"one crash", []func(*Records, time.Time){alive("1"), broke(false), refused}, true, false, false},
+		{"one crash, refused and restarted", []func(*Records, time.Time){alive("1"), broke(false), refused, alive("2")}, true, false, false},
+		{"news after the crash", []func(*Records, time.Time){alive("1"), refused, broke(false)}, true, false, false},
+		{"alone, not confirmed", []func(*Records, time.Time){alive("1"), broke(true)}, true, true, false},
+		{"alone, confirmed", []func(*Records, time.Time){alive("1"), broke(true), alive("2")}, true, false, true},
+		{"three crashes", []func(*Records, time.Time){alive("1"), broke(false), alive("2"), broke(false), refused, alive("3"), broke(false), refused}, true, false, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			r, now := New(), start
+			for _, event := range tt.events {
+				now = now.Add(time.Second)
+				event(r, now)
+			}
+			g.Expect(r.Suspected(now, f)).To(gomega.Equal(tt.suspected))
+			g.Expect(r.Unresolved(now, f)).To(gomega.Equal(tt.unresolved))
+			g.Expect(r.Quarantined(now, f)).To(gomega.Equal(tt.quarantined))
+			g.Expect(r.Quarantined(now.Add(recordTTL), f)).To(gomega.BeFalse())
+		})
+	}
+}
+
+// drawSuspicion draws a suspicion of one request.
+func drawSuspicion(t *rapid.T, label string) mangomodel.Suspicion {
+	s := mangomodel.Suspicion{Fingerprint: 1, Alone: rapid.Bool().Draw(t, label+" alone")}
+	for _, server := range rapid.SliceOfN(rapid.SampledFrom([]mangomodel.ServerID{"a", "b", "c"}), 0, 3).Draw(t, label+" crashes") {
+		s.Crashes = append(s.Crashes, mangomodel.CrashID{Server: server, Boot: "1"})
+	}
+	s.Last = start.Add(time.Duration(rapid.IntRange(0, 5).Draw(t, label+" last")) * time.Second)
+	s.Passed = start.Add(time.Duration(rapid.IntRange(0, 5).Draw(t, label+" passed")) * time.Second)
+	return s
+}
+
+func TestSuspicionsMergeInAnyOrder(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		g := gomega.NewWithT(t)
+		a, b := drawSuspicion(rt, "a"), drawSuspicion(rt, "b")
+		one, two := New(), New()
+		one.Merge(start, a)
+		one.Merge(start, b)
+		two.Merge(start, b)
+		two.Merge(start, a)
+		two.Merge(start, b)
+		g.Expect(one.suspicions[1].Crashes).To(gomega.ConsistOf(two.suspicions[1].Crashes))
+		first, second := one.suspicions[1], two.suspicions[1]
+		first.Crashes, second.Crashes = nil, nil
+		g.Expect(first).To(gomega.Equal(second))
+	})
+}
