Split the scheduler further: a shard's decisions are a package

Change: mangoshard holds what is decided within a shard (admission, ranks, placement, servers), mangosched the grants, leases and preemption.

Ruled out: an interface between the two, since nothing else would implement it.

--- a/core/mangomodel/id.go
+++ b/core/mangomodel/id.go
@@ -38,8 +38,6 @@
 	Incarnation uint64
 	// RequestID is unique among all requests of all daemons.
 	RequestID string
-	// CallerID is the identifier that a caller gave its request, if any.
-	CallerID string
 	// Attempt numbers the attempts of one request from 1.
 	Attempt uint32
 	// IdempotencyKey is the identifier of an operation. It is the same in
--- a/core/mangoquery/import_test.go
+++ b/core/mangoquery/import_test.go
@@ -45,6 +45,7 @@
 		{"mangoquery", []string{"mangocommand", "mangosched", "mangoloop", "mangoagent", "mangoroute", "mangoentry"}, "queries know no commands"},
 		{"mangocommand", []string{"mangowire", "mangorest", "mangoagent", "mangoroute", "mangoentry"}, "commands know no adapter and no traffic"},
 		{"mangosched", []string{"mangocommand", "mangowire", "mangorest", "mangoloop"}, "decisions know no encoding"},
+		{"mangoshard", []string{"mangosched", "mangocommand", "mangowire", "mangorest", "mangoloop"}, "decisions know no encoding"},
 		{"mangomember", []string{"mangocommand", "mangowire", "mangorest", "mangoloop"}, "decisions know no encoding"},
 		{"mangoroute", []string{"mangowire", "mangorest"}, "decisions know no encoding"},
 		{"mangoentry", []string{"mangowire", "mangorest"}, "decisions know no encoding"},
--- a/core/mangosched/preempt.go
+++ b/core/mangosched/preempt.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"mangolane/core/mangomodel"
+	"mangolane/core/mangoshard"
 )
 
 const (
@@ -16,12 +17,12 @@
 
 // preempt makes room for urgent demands that wait and find no slot, by ending
 // basic grants above the floor.
-func (s *Scheduler) preempt(now time.Time, sh *shard) {
-	if !sh.pool.Preempt {
+func (s *Scheduler) preempt(now time.Time, sh *mangoshard.Shard) {
+	if !sh.Pool.Preempt {
 		return
 	}
-	for _, w := range sh.queue[mangomodel.RankUrgent].Ordered() {
-		if w.restricted() || !sh.wantsPreemption(now) {
+	for _, w := range sh.Queue[mangomodel.RankUrgent].Ordered() {
+		if w.Restricted() || !sh.WantsPreemption(now) {
 			return
 		}
 		victim := s.victim(now, sh, w)
@@ -29,34 +30,25 @@
 			return
 		}
 		s.takeBack(now, victim)
-		if next, place := sh.next(now); next == w {
-			sh.queue[mangomodel.RankUrgent].Served(w)
+		if next, place := sh.Next(now); next == w {
+			sh.Queue[mangomodel.RankUrgent].Served(w)
 			s.give(now, sh, w, place)
 		}
 	}
 }
 
-// wantsPreemption reports whether urgent work lacks a slot that basic work
-// above its floor holds.
-func (sh *shard) wantsPreemption(now time.Time) bool {
-	total := sh.slots()
-	return sh.free(now, mangomodel.RankUrgent) <= 0 &&
-		sh.used[mangomodel.RankUrgent] < sh.urgentLimit(now, total) &&
-		sh.used[mangomodel.RankBasic] > portion(sh.pool.BasicFloor, total)
-}
-
 // victim returns the basic grant to end for a demand: the youngest one, whose
 // request has the least to prefill again, on a server that would then have
 // room.
-func (s *Scheduler) victim(now time.Time, sh *shard, w *waiter) *held {
-	need := mangomodel.PiecesFor(w.demand.Prompt+w.demand.MaxTokens, sh.pool.PieceTokens)
+func (s *Scheduler) victim(now time.Time, sh *mangoshard.Shard, w *mangoshard.Waiter) *held {
+	need := mangomodel.PiecesFor(w.Demand.Prompt+w.Demand.MaxTokens, sh.Pool.PieceTokens)
 	var best *held
 	for _, h := range s.grants {
 		if h.shard != sh || h.grant.Rank != mangomodel.RankBasic || h.preemptions >= preemptTimes || h.onProbation(now) {
 			continue
 		}
 		sv, ok := s.servers[h.grant.Decode]
-		if !ok || !sv.usable() || sv.pieces-h.grant.Pieces+need > sv.host.Pieces {
+		if !ok || !sv.Usable() || sv.Pieces-h.grant.Pieces+need > sv.Host.Pieces {
 			continue
 		}
 		if best == nil || h.youngerThan(best) {
--- a/core/mangosched/preempt_test.go
+++ b/core/mangosched/preempt_test.go
@@ -12,7 +12,7 @@
 func TestPreemptedGrantStaysEnded(t *testing.T) {
 	g := gomega.NewWithT(t)
 	s := newScheduler(1, 10)
-	s.shards[shard0].pool.Preempt = true
+	s.shards[shard0].Pool.Preempt = true
 	for i := range 10 {
 		s.Acquire(start, shard0, demandOf(other, fmt.Sprint("b", i), mangomodel.RankBasic))
 	}
--- a/core/mangosched/report.go
+++ b/core/mangosched/report.go
@@ -21,12 +21,12 @@
 	if !ok {
 		return
 	}
-	s.suspect.Alive(now, sv.id, load.Boot, load.At)
-	sv.down = false
-	sv.draining = load.Draining
-	sv.step.Fade()
+	s.suspect.Alive(now, sv.ID, load.Boot, load.At)
+	sv.Down = false
+	sv.Draining = load.Draining
+	sv.Step.Fade()
 	unclaimed := s.unclaimed(load)
-	sv.foreign = len(unclaimed)
+	sv.Foreign = len(unclaimed)
 	s.sweep(now, load.Server, unclaimed)
 	s.review(now)
 	s.dispatchAll(now)
@@ -42,7 +42,7 @@
 	if refused {
 		s.suspect.Refused(now, id)
 	}
-	sv.down = true
+	sv.Down = true
 	s.review(now)
 }
 
@@ -63,7 +63,7 @@
 	sv := s.servers[id]
 	orphans := make(map[mangomodel.Sequence]time.Time, len(unclaimed))
 	for _, seq := range unclaimed {
-		first, seen := sv.orphans[seq]
+		first, seen := sv.Orphans[seq]
 		if !seen {
 			first = now
 		}
@@ -72,23 +72,23 @@
 			s.effects = append(s.effects, Cancel{Server: id, Sequence: seq})
 		}
 	}
-	sv.orphans = orphans
+	sv.Orphans = orphans
 }
 
 // learn updates the measured speeds and the suspicions from a usage.
 func (s *Scheduler) learn(now time.Time, h *held, u mangomodel.Usage) {
-	h.shard.hold.Add(now.Sub(h.since).Seconds())
+	h.shard.Hold.Add(now.Sub(h.since).Seconds())
 	if sv, ok := s.servers[h.grant.Prefill]; ok && u.PrefillTime > 0 {
-		sv.rate.Add(float64(u.PrefillTokens) / u.PrefillTime.Seconds())
+		sv.Rate.Add(float64(u.PrefillTokens) / u.PrefillTime.Seconds())
 	}
 	if sv, ok := s.servers[h.grant.Decode]; ok && u.StepTime > 0 {
-		sv.step.Add(float64(h.boarded+sv.occupied())/2, u.StepTime)
+		sv.Step.Add(float64(h.boarded+sv.Occupied())/2, u.StepTime)
 	}
 	if sv, ok := s.servers[u.Failed]; ok {
 		// Until the next report says otherwise, so that retries do not run
 		// into the same server.
-		sv.down = true
-		s.suspect.Broke(sv.id, mangosuspect.Break{Fingerprint: h.grant.Fingerprint, At: now, Alone: h.onProbation(now)})
+		sv.Down = true
+		s.suspect.Broke(sv.ID, mangosuspect.Break{Fingerprint: h.grant.Fingerprint, At: now, Alone: h.onProbation(now)})
 		s.review(now)
 		return
 	}
@@ -101,9 +101,9 @@
 func (s *Scheduler) Status() []mangoquery.ShardStatus {
 	list := make([]mangoquery.ShardStatus, 0, len(s.shards))
 	for id, sh := range s.shards {
-		st := mangoquery.ShardStatus{Shard: id, Slots: sh.slots(), Used: sh.used}
-		for rank := range sh.queue {
-			st.Waiting[rank] = sh.queue[rank].Len()
+		st := mangoquery.ShardStatus{Shard: id, Slots: sh.Slots(), Used: sh.Used}
+		for rank := range sh.Queue {
+			st.Waiting[rank] = sh.Queue[rank].Len()
 		}
 		list = append(list, st)
 	}
--- a/core/mangosched/scheduler.go
+++ b/core/mangosched/scheduler.go
@@ -6,19 +6,13 @@
 
 	"mangolane/core/mangoconfig"
 	"mangolane/core/mangomodel"
+	"mangolane/core/mangoshard"
 	"mangolane/core/mangosuspect"
 )
 
-// adoptGrace is how long a grant that its holder does not list in a renewal
-// is kept, since the renewal may have been composed before the grant.
-const adoptGrace = 5 * time.Second
-
 // withdrawalMemory is how long a withdrawal is remembered.
 const withdrawalMemory = 10 * time.Second
 
-// HolderLease is how long a holder's grants last without a renewal.
-const HolderLease = 6 * time.Second
-
 // Effect is something that the owner of a Scheduler must carry out.
 type Effect interface{ effect() }
 
@@ -50,10 +44,10 @@
 	// self is the daemon's own life, whose grants need no renewal.
 	self    mangomodel.Holder
 	holders map[mangomodel.Holder]time.Time
-	shards  map[mangomodel.ShardID]*shard
-	servers map[mangomodel.ServerID]*server
+	shards  map[mangomodel.ShardID]*mangoshard.Shard
+	servers map[mangomodel.ServerID]*mangoshard.Server
 	grants  map[mangomodel.GrantID]*held
-	waiting map[mangomodel.GrantID]*waiter
+	waiting map[mangomodel.GrantID]*mangoshard.Waiter
 	suspect *mangosuspect.Records
 	// claimed holds the sequences of the grants in force.
 	claimed map[mangomodel.Sequence]bool
@@ -68,7 +62,7 @@
 type held struct {
 	grant mangomodel.Grant
 	since time.Time
-	shard *shard
+	shard *mangoshard.Shard
 	// probationEnds is when a suspect's probation ends; zero for others.
 	probationEnds time.Time
 	// boarded is how many sequences the decode server had with this one.
@@ -87,10 +81,10 @@
 		self:    self,
 		holders: make(map[mangomodel.Holder]time.Time),
 		claimed: make(map[mangomodel.Sequence]bool),
-		shards:  make(map[mangomodel.ShardID]*shard),
-		servers: make(map[mangomodel.ServerID]*server),
+		shards:  make(map[mangomodel.ShardID]*mangoshard.Shard),
+		servers: make(map[mangomodel.ServerID]*mangoshard.Server),
 		grants:  make(map[mangomodel.GrantID]*held),
-		waiting: make(map[mangomodel.GrantID]*waiter),
+		waiting: make(map[mangomodel.GrantID]*mangoshard.Waiter),
 		suspect: mangosuspect.New(),
 
 		withdrawn: make(map[mangomodel.GrantID]time.Time),
@@ -103,18 +97,18 @@
 func (s *Scheduler) Configure(now time.Time, shards []mangoconfig.Shard) {
 	known := make(map[mangomodel.ServerID]bool)
 	for _, sh := range s.shards {
-		sh.servers = nil
+		sh.Servers = nil
 	}
 	for _, cfg := range shards {
 		sh := s.shard(cfg.ID)
-		sh.pool = cfg.Pool
+		sh.Pool = cfg.Pool
 		for _, host := range cfg.Servers {
 			id := mangomodel.ServerID(host.ID)
 			known[id] = true
-			sh.servers = append(sh.servers, s.configureServer(id, host))
+			sh.Servers = append(sh.Servers, s.configureServer(id, host))
 		}
 	}
-	maps.DeleteFunc(s.servers, func(id mangomodel.ServerID, _ *server) bool { return !known[id] })
+	maps.DeleteFunc(s.servers, func(id mangomodel.ServerID, _ *mangoshard.Server) bool { return !known[id] })
 	s.dispatchAll(now)
 }
 
@@ -125,13 +119,13 @@
 		return
 	}
 	if _, ok := s.withdrawn[d.Grant]; ok {
-		s.refuse(d.Grant, mangomodel.Faultf(mangomodel.StepAdmission, peerOf(id),
+		s.refuse(d.Grant, mangomodel.Faultf(mangomodel.StepAdmission, mangoshard.PeerOf(id),
 			mangomodel.CodeCancelled, mangomodel.RunNot, "the demand was withdrawn before it arrived"))
 		return
 	}
 	sh, ok := s.shards[id]
-	if !ok || len(sh.servers) == 0 {
-		s.refuse(d.Grant, mangomodel.Faultf(mangomodel.StepAdmission, peerOf(id),
+	if !ok || len(sh.Servers) == 0 {
+		s.refuse(d.Grant, mangomodel.Faultf(mangomodel.StepAdmission, mangoshard.PeerOf(id),
 			mangomodel.CodeUnavailable, mangomodel.RunNot, "no server of the shard is configured"))
 		return
 	}
@@ -143,14 +137,14 @@
 		return
 	}
 	s.holders[d.Sequence.Holder] = now
-	w := &waiter{demand: d, arrived: now}
+	w := &mangoshard.Waiter{Demand: d, Arrived: now}
 	s.inspect(now, w)
-	if err := sh.admit(now, w); err != nil {
+	if err := sh.Admit(now, w); err != nil {
 		s.refuse(d.Grant, err)
 		return
 	}
 	s.waiting[d.Grant] = w
-	sh.queue[d.Rank].Push(w)
+	sh.Queue[d.Rank].Push(w)
 	s.dispatch(now, sh)
 }
 
@@ -160,7 +154,7 @@
 func (s *Scheduler) Withdraw(now time.Time, id mangomodel.GrantID) {
 	s.withdrawn[id] = now
 	if w, ok := s.waiting[id]; ok {
-		w.gone = true
+		w.Left = true
 		delete(s.waiting, id)
 		return
 	}
@@ -188,55 +182,6 @@
 	return nil
 }
 
-// Renew records that a holder is alive and which grants it holds. Grants of
-// the holder that it no longer lists are ended.
-func (s *Scheduler) Renew(now time.Time, holder mangomodel.Holder, lists []mangomodel.ShardGrants) {
-	s.holders[holder] = now
-	listed := make(map[uint64]bool)
-	for _, list := range lists {
-		for _, n := range list.Numbers {
-			listed[n] = true
-		}
-	}
-	for id, h := range s.grants {
-		if id.Holder == holder && !listed[id.Number] && now.Sub(h.since) > adoptGrace {
-			s.end(h)
-		}
-	}
-	s.dispatchAll(now)
-}
-
-// Adopt takes over grants that another scheduler gave, such as those of a
-// predecessor.
-func (s *Scheduler) Adopt(now time.Time, grants []mangomodel.Grant) {
-	for _, g := range grants {
-		s.holders[g.ID.Holder] = now
-		s.adopt(now, g)
-	}
-}
-
-// HolderLost ends every grant of a daemon life that is over and cancels its
-// sequences on the engines.
-func (s *Scheduler) HolderLost(now time.Time, holder mangomodel.Holder) {
-	delete(s.holders, holder)
-	for _, h := range s.grants {
-		if h.grant.ID.Holder != holder {
-			continue
-		}
-		s.effects = append(s.effects,
-			Cancel{Server: h.grant.Prefill, Sequence: h.grant.Sequence},
-			Cancel{Server: h.grant.Decode, Sequence: h.grant.Sequence})
-		s.end(h)
-	}
-	for id, w := range s.waiting {
-		if id.Holder == holder {
-			w.gone = true
-			delete(s.waiting, id)
-		}
-	}
-	s.dispatchAll(now)
-}
-
 // Tick refuses the demands that can no longer meet their targets and ends the
 // grants of holders whose lease has lapsed.
 func (s *Scheduler) Tick(now time.Time) {
@@ -250,8 +195,8 @@
 	s.suspect.Expire(now)
 	s.endProbations(now)
 	for id, w := range s.waiting {
-		if !now.Before(w.giveUp) {
-			w.gone = true
+		if !now.Before(w.GiveUp) {
+			w.Left = true
 			s.refuse(id, mangomodel.Faultf(mangomodel.StepAdmission, "",
 				mangomodel.CodeOverloaded, mangomodel.RunNot, "no server became free within the latency target"))
 		}
@@ -279,8 +224,8 @@
 // clearProbation lets other suspects onto the servers of a grant.
 func (s *Scheduler) clearProbation(h *held) {
 	for _, id := range []mangomodel.ServerID{h.grant.Prefill, h.grant.Decode} {
-		if sv, ok := s.servers[id]; ok && sv.probation == h.grant.ID {
-			sv.probation = mangomodel.GrantID{}
+		if sv, ok := s.servers[id]; ok && sv.Probation == h.grant.ID {
+			sv.Probation = mangomodel.GrantID{}
 		}
 	}
 }
@@ -294,7 +239,7 @@
 		}
 	}
 	for _, w := range s.waiting {
-		earlier(w.giveUp)
+		earlier(w.GiveUp)
 	}
 	for _, h := range s.grants {
 		if !h.probationEnds.IsZero() {
@@ -325,22 +270,22 @@
 	return grants
 }
 
-func (s *Scheduler) shard(id mangomodel.ShardID) *shard {
+func (s *Scheduler) shard(id mangomodel.ShardID) *mangoshard.Shard {
 	sh, ok := s.shards[id]
 	if !ok {
-		sh = newShard(id)
+		sh = mangoshard.New(id)
 		s.shards[id] = sh
 	}
 	return sh
 }
 
-func (s *Scheduler) configureServer(id mangomodel.ServerID, host mangoconfig.Host) *server {
+func (s *Scheduler) configureServer(id mangomodel.ServerID, host mangoconfig.Host) *mangoshard.Server {
 	sv, ok := s.servers[id]
 	if !ok {
-		sv = newServer(id, host)
+		sv = mangoshard.NewServer(id, host)
 		s.servers[id] = sv
 	}
-	sv.host = host
+	sv.Host = host
 	return sv
 }
 
@@ -349,25 +294,15 @@
 	s.effects = append(s.effects, Decided{Grant: id, Err: err})
 }
 
-func (s *Scheduler) adopt(now time.Time, g mangomodel.Grant) {
-	if _, ok := s.preempted[g.ID]; ok {
-		return
-	}
-	if _, ok := s.grants[g.ID]; ok {
-		return
-	}
-	s.take(&held{grant: g, since: now, shard: s.shard(g.Shard)})
-}
-
 // take counts a grant against its shard and its decode server.
 func (s *Scheduler) take(h *held) {
 	s.grants[h.grant.ID] = h
 	s.claimed[h.grant.Sequence] = true
 	s.effects = append(s.effects, Given{Grant: h.grant})
-	h.shard.used[h.grant.Rank]++
+	h.shard.Used[h.grant.Rank]++
 	if sv, ok := s.servers[h.grant.Decode]; ok {
-		sv.board(h.grant)
-		h.boarded = sv.occupied()
+		sv.Board(h.grant)
+		h.boarded = sv.Occupied()
 	}
 }
 
@@ -376,9 +311,9 @@
 	delete(s.grants, h.grant.ID)
 	delete(s.claimed, h.grant.Sequence)
 	s.effects = append(s.effects, Ended{Grant: h.grant.ID})
-	h.shard.used[h.grant.Rank]--
+	h.shard.Used[h.grant.Rank]--
 	if sv, ok := s.servers[h.grant.Decode]; ok {
-		sv.leave(h.grant)
+		sv.Leave(h.grant)
 	}
 	s.clearProbation(h)
 }
@@ -390,55 +325,44 @@
 }
 
 // dispatch grants waiting demands of a shard while there is room.
-func (s *Scheduler) dispatch(now time.Time, sh *shard) {
+func (s *Scheduler) dispatch(now time.Time, sh *mangoshard.Shard) {
 	s.fill(now, sh)
 	s.preempt(now, sh)
 }
 
-func (s *Scheduler) fill(now time.Time, sh *shard) {
+func (s *Scheduler) fill(now time.Time, sh *mangoshard.Shard) {
 	for {
-		w, place := sh.next(now)
+		w, place := sh.Next(now)
 		if w == nil {
 			return
 		}
-		sh.queue[w.demand.Rank].Served(w)
-		if place.expected > w.remaining(now) {
-			s.refuse(w.demand.Grant, overloaded(sh.id, place.expected-w.remaining(now)))
+		sh.Queue[w.Demand.Rank].Served(w)
+		if place.Expected > w.Remaining(now) {
+			s.refuse(w.Demand.Grant, mangoshard.Overloaded(sh.ID, place.Expected-w.Remaining(now)))
 			continue
 		}
 		s.give(now, sh, w, place)
 	}
 }
 
-func (s *Scheduler) give(now time.Time, sh *shard, w *waiter, p placement) {
-	d := w.demand
+func (s *Scheduler) give(now time.Time, sh *mangoshard.Shard, w *mangoshard.Waiter, p mangoshard.Placement) {
+	d := w.Demand
 	g := mangomodel.Grant{
-		ID: d.Grant, Shard: sh.id, Sequence: d.Sequence, Workspace: d.Workspace, Rank: d.Rank,
-		Prefill: p.prefill.id, Decode: p.decode.id, Fingerprint: d.Fingerprint, TPOT: d.TPOT,
-		Pieces: mangomodel.PiecesFor(d.Prompt+d.MaxTokens, sh.pool.PieceTokens), Expected: p.expected,
+		ID: d.Grant, Shard: sh.ID, Sequence: d.Sequence, Workspace: d.Workspace, Rank: d.Rank,
+		Prefill: p.Prefill.ID, Decode: p.Decode.ID, Fingerprint: d.Fingerprint, TPOT: d.TPOT,
+		Pieces: mangomodel.PiecesFor(d.Prompt+d.MaxTokens, sh.Pool.PieceTokens), Expected: p.Expected,
 	}
-	p.prefill.busyUntil = p.prefillDone
-	p.prefill.remember(d.Prefixes)
+	p.Prefill.BusyUntil = p.PrefillDone
+	p.Prefill.Remember(d.Prefixes)
 	h := &held{grant: g, since: now, shard: sh}
 	if d.Resumed {
 		h.preemptions = preemptTimes
 	}
-	if w.suspect {
-		p.prefill.probation, p.decode.probation = d.Grant, d.Grant
-		h.probationEnds = now.Add(p.expected + probationTime)
+	if w.Suspect {
+		p.Prefill.Probation, p.Decode.Probation = d.Grant, d.Grant
+		h.probationEnds = now.Add(p.Expected + probationTime)
 	}
 	delete(s.waiting, d.Grant)
 	s.take(h)
 	s.effects = append(s.effects, Decided{Grant: d.Grant})
 }
-
-func peerOf(id mangomodel.ShardID) mangomodel.PeerName {
-	return mangomodel.PeerName(id.String())
-}
-
-func overloaded(id mangomodel.ShardID, after time.Duration) error {
-	f := mangomodel.Faultf(mangomodel.StepAdmission, peerOf(id), mangomodel.CodeOverloaded, mangomodel.RunNot,
-		"the latency target cannot be met now")
-	f.RetryAfter = max(after, time.Millisecond)
-	return f
-}
--- a/core/mangosched/step_test.go
+++ b/core/mangosched/step_test.go
@@ -6,7 +6,6 @@
 
 	"github.com/onsi/gomega"
 
-	"mangolane/core/mangoconfig"
 	"mangolane/core/mangomodel"
 )
 
@@ -15,7 +14,7 @@
 	s := newScheduler(2, 20)
 	for range 50 {
 		for n := 1; n <= 20; n++ {
-			s.servers["d0"].step.Add(float64(n), 40*time.Millisecond)
+			s.servers["d0"].Step.Add(float64(n), 40*time.Millisecond)
 		}
 	}
 	urgent := demand("urgent", mangomodel.RankUrgent)
@@ -33,40 +32,19 @@
 	}))
 }
 
-func TestGrantsAboardKeepTheirTarget(t *testing.T) {
-	g := gomega.NewWithT(t)
-	sv := newServer("d", mangoconfig.Host{Slots: 20, Pieces: 100})
-	for range 20 {
-		for n := 1; n <= 20; n++ {
-			sv.step.Add(float64(n), time.Duration(10+2*n)*time.Millisecond)
-		}
-	}
-	tight := mangomodel.Grant{TPOT: 31 * time.Millisecond, Pieces: 1}
-	for range 9 {
-		sv.board(tight)
-	}
-	loose := mangomodel.Demand{TPOT: 60 * time.Millisecond}
-	g.Expect(sv.meets(loose)).To(gomega.BeFalse(), "a tenth sequence would step at 30 ms")
-	for range 9 {
-		sv.leave(tight)
-		sv.board(mangomodel.Grant{TPOT: 60 * time.Millisecond, Pieces: 1})
-	}
-	g.Expect(sv.meets(loose)).To(gomega.BeTrue())
-}
-
 func TestPastSlownessIsForgiven(t *testing.T) {
 	g := gomega.NewWithT(t)
 	s := newScheduler(1, 20)
 	for range 200 {
-		s.servers["d0"].step.Add(10, 200*time.Millisecond)
+		s.servers["d0"].Step.Add(10, 200*time.Millisecond)
 	}
 	d := demand("x", mangomodel.RankUrgent)
 	d.TPOT = 31 * time.Millisecond
-	g.Expect(s.servers["d0"].meets(d)).To(gomega.BeFalse())
+	g.Expect(s.servers["d0"].Meets(d)).To(gomega.BeFalse())
 	now := start
 	for range 2400 {
 		now = now.Add(500 * time.Millisecond)
 		boot(s, now, "d0", "one")
 	}
-	g.Expect(s.servers["d0"].meets(d)).To(gomega.BeTrue(), "after 20 minutes without work")
+	g.Expect(s.servers["d0"].Meets(d)).To(gomega.BeTrue(), "after 20 minutes without work")
 }
--- a/core/mangosched/suspect.go
+++ b/core/mangosched/suspect.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"mangolane/core/mangomodel"
+	"mangolane/core/mangoshard"
 )
 
 // probationTime is how long a suspect decodes apart from other suspects. A
@@ -28,17 +29,17 @@
 func (s *Scheduler) review(now time.Time) {
 	for id, w := range s.waiting {
 		s.inspect(now, w)
-		if s.suspect.Quarantined(now, w.demand.Fingerprint) {
-			w.gone = true
-			s.refuse(id, quarantinedFault(w.demand))
+		if s.suspect.Quarantined(now, w.Demand.Fingerprint) {
+			w.Left = true
+			s.refuse(id, quarantinedFault(w.Demand))
 		}
 	}
 }
 
 // inspect sets what the suspicions say of a demand.
-func (s *Scheduler) inspect(now time.Time, w *waiter) {
-	w.suspect = s.suspect.Suspected(now, w.demand.Fingerprint)
-	w.unresolved = s.suspect.Unresolved(now, w.demand.Fingerprint)
+func (s *Scheduler) inspect(now time.Time, w *mangoshard.Waiter) {
+	w.Suspect = s.suspect.Suspected(now, w.Demand.Fingerprint)
+	w.Unresolved = s.suspect.Unresolved(now, w.Demand.Fingerprint)
 }
 
 func quarantinedFault(d mangomodel.Demand) error {
--- /dev/null
+++ b/core/mangoshard/doc.go
@@ -0,0 +1,17 @@
+// Package mangoshard decides within one shard: which demands are admitted, in
+// which order they are served and on which servers they run.
+//
+// A [Shard] predicts whether a demand can meet its latency target before it
+// queues, shares decode slots between the ranks, and chooses the pair of
+// servers with the earliest predicted first token among those that keep the
+// TPOT targets of all that they run. It counts what its owner, package
+// mangosched, tells it and keeps no grants of its own.
+//
+// # Usage
+//
+//	sh := mangoshard.New(id)
+//	w := &mangoshard.Waiter{Demand: d, Arrived: now}
+//	if err := sh.Admit(now, w); err != nil { ... }
+//	sh.Queue[d.Rank].Push(w)
+//	if w, place := sh.Next(now); w != nil { ... }
+package mangoshard
--- a/core/mangosched/placement.go
+++ b/core/mangoshard/placement.go
@@ -1,4 +1,4 @@
-package mangosched
+package mangoshard
 
 import (
 	"slices"
@@ -7,40 +7,42 @@
 	"mangolane/core/mangomodel"
 )
 
-// placement is a pair of servers for a demand.
-type placement struct {
-	prefill, decode *server
-	prefillDone     time.Time
-	expected        time.Duration
+// Placement is a pair of servers for a demand.
+type Placement struct {
+	Prefill, Decode *Server
+	// PrefillDone is when the prefill is predicted to end, and Expected the
+	// predicted time to the first token.
+	PrefillDone time.Time
+	Expected    time.Duration
 }
 
-// place chooses the pair of servers with the earliest predicted first token.
+// Place chooses the pair of servers with the earliest predicted first token.
 // It fails when no decode server has room.
-func (sh *shard) place(now time.Time, w *waiter) (placement, bool) {
-	if w.unresolved {
-		return placement{}, false
+func (sh *Shard) Place(now time.Time, w *Waiter) (Placement, bool) {
+	if w.Unresolved {
+		return Placement{}, false
 	}
 	decode := sh.bestDecode(w)
 	prefill, done := sh.bestPrefill(now, w)
 	if decode == nil || prefill == nil {
-		return placement{}, false
+		return Placement{}, false
 	}
-	expected := done.Sub(now) + sh.transferTime(w.demand.Prompt) + decode.step.At(decode.occupied()+1)
-	return placement{prefill: prefill, decode: decode, prefillDone: done, expected: expected}, true
+	expected := done.Sub(now) + sh.transferTime(w.Demand.Prompt) + decode.Step.At(decode.Occupied()+1)
+	return Placement{Prefill: prefill, Decode: decode, PrefillDone: done, Expected: expected}, true
 }
 
 // serviceTime predicts the time to the first token were a slot free now.
-func (sh *shard) serviceTime(now time.Time, w *waiter) (time.Duration, bool) {
+func (sh *Shard) serviceTime(now time.Time, w *Waiter) (time.Duration, bool) {
 	prefill, done := sh.bestPrefill(now, w)
-	if prefill == nil || sh.slots() == 0 {
+	if prefill == nil || sh.Slots() == 0 {
 		return 0, false
 	}
-	return done.Sub(now) + sh.transferTime(w.demand.Prompt), true
+	return done.Sub(now) + sh.transferTime(w.Demand.Prompt), true
 }
 
-func (sh *shard) transferTime(prompt mangomodel.Tokens) time.Duration {
-	size := float64(prompt) * float64(sh.pool.KVBytesPerToken)
-	return time.Duration(size / float64(sh.pool.LinkRate) * float64(time.Second))
+func (sh *Shard) transferTime(prompt mangomodel.Tokens) time.Duration {
+	size := float64(prompt) * float64(sh.Pool.KVBytesPerToken)
+	return time.Duration(size / float64(sh.Pool.LinkRate) * float64(time.Second))
 }
 
 // bestDecode returns a decode server with room that would keep the targets of
@@ -48,14 +50,14 @@
 // for basic work the least occupied one of the slowest that will do, so that
 // fast servers are left to urgent work. Servers that failed the request before
 // are used only if there are no others.
-func (sh *shard) bestDecode(w *waiter) *server {
-	need := mangomodel.PiecesFor(w.demand.Prompt+w.demand.MaxTokens, sh.pool.PieceTokens)
-	var best *server
+func (sh *Shard) bestDecode(w *Waiter) *Server {
+	need := mangomodel.PiecesFor(w.Demand.Prompt+w.Demand.MaxTokens, sh.Pool.PieceTokens)
+	var best *Server
 	for _, sv := range sh.choices(w, mangomodel.RoleDecode) {
-		if !sv.fits(need) || !sv.takesSuspect(w) || !sv.meets(w.demand) {
+		if !sv.fits(need) || !sv.takesSuspect(w) || !sv.Meets(w.Demand) {
 			continue
 		}
-		if best == nil || sv.betterThan(best, w.demand.Rank) {
+		if best == nil || sv.betterThan(best, w.Demand.Rank) {
 			best = sv
 		}
 	}
@@ -63,7 +65,7 @@
 }
 
 // betterThan compares two servers that will do for a demand of a rank.
-func (sv *server) betterThan(other *server, rank mangomodel.Rank) bool {
+func (sv *Server) betterThan(other *Server, rank mangomodel.Rank) bool {
 	if rank == mangomodel.RankBasic && sv.slowerThan(other) != other.slowerThan(sv) {
 		return sv.slowerThan(other)
 	}
@@ -71,14 +73,14 @@
 }
 
 // bestPrefill returns the prefill server that would finish first, and when.
-func (sh *shard) bestPrefill(now time.Time, w *waiter) (*server, time.Time) {
-	var best *server
+func (sh *Shard) bestPrefill(now time.Time, w *Waiter) (*Server, time.Time) {
+	var best *Server
 	var done time.Time
 	for _, sv := range sh.choices(w, mangomodel.RolePrefill) {
 		if !sv.takesSuspect(w) {
 			continue
 		}
-		finish := sv.prefillFinish(now, w.demand)
+		finish := sv.prefillFinish(now, w.Demand)
 		if best == nil || finish.Before(done) {
 			best, done = sv, finish
 		}
@@ -88,12 +90,12 @@
 
 // choices returns the servers of a role that take new work, without those to
 // avoid unless there are no others.
-func (sh *shard) choices(w *waiter, role mangomodel.Role) []*server {
-	var preferred, avoided []*server
-	for _, sv := range sh.servers {
+func (sh *Shard) choices(w *Waiter, role mangomodel.Role) []*Server {
+	var preferred, avoided []*Server
+	for _, sv := range sh.Servers {
 		switch {
-		case sv.host.Role != role || !sv.usable():
-		case slices.Contains(w.demand.Avoid, sv.id):
+		case sv.Host.Role != role || !sv.Usable():
+		case slices.Contains(w.Demand.Avoid, sv.ID):
 			avoided = append(avoided, sv)
 		default:
 			preferred = append(preferred, sv)
--- /dev/null
+++ b/core/mangoshard/server_test.go
@@ -0,0 +1,32 @@
+package mangoshard
+
+import (
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"mangolane/core/mangoconfig"
+	"mangolane/core/mangomodel"
+)
+
+func TestGrantsAboardKeepTheirTarget(t *testing.T) {
+	g := gomega.NewWithT(t)
+	sv := NewServer("d", mangoconfig.Host{Slots: 20, Pieces: 100})
+	for range 20 {
+		for n := 1; n <= 20; n++ {
+			sv.Step.Add(float64(n), time.Duration(10+2*n)*time.Millisecond)
+		}
+	}
+	tight := mangomodel.Grant{TPOT: 31 * time.Millisecond, Pieces: 1}
+	for range 9 {
+		sv.Board(tight)
+	}
+	loose := mangomodel.Demand{TPOT: 60 * time.Millisecond}
+	g.Expect(sv.Meets(loose)).To(gomega.BeFalse(), "a tenth sequence would step at 30 ms")
+	for range 9 {
+		sv.Leave(tight)
+		sv.Board(mangomodel.Grant{TPOT: 60 * time.Millisecond, Pieces: 1})
+	}
+	g.Expect(sv.Meets(loose)).To(gomega.BeTrue())
+}
--- a/core/mangosched/sharing.go
+++ b/core/mangoshard/sharing.go
@@ -1,4 +1,4 @@
-package mangosched
+package mangoshard
 
 import (
 	"math"
@@ -25,59 +25,59 @@
 )
 
 // turnover is the rate at which a number of slots becomes free, per second.
-func (sh *shard) turnover(slots int) float64 {
-	return float64(max(slots, 1)) / sh.hold.Value
+func (sh *Shard) turnover(slots int) float64 {
+	return float64(max(slots, 1)) / sh.Hold.Value
 }
 
 // headroom is how many slots basic work leaves free for urgent work to come.
 // The free slots are a queue that urgent arrivals empty and ended requests
 // fill; in the steady state of an M/M/1 queue the last n of them are in use
 // with the probability load to the power of n.
-func (sh *shard) headroom(now time.Time, total int) int {
+func (sh *Shard) headroom(now time.Time, total int) int {
 	load := sh.urgentBurst.At(now) / sh.turnover(total)
 	if load <= 0 {
-		return min(1, portion(sh.pool.UrgentReserve, total))
+		return min(1, Portion(sh.Pool.UrgentReserve, total))
 	}
 	need := math.Log(emptyHeadroom) / math.Log(min(load, highestLoad))
-	return min(int(math.Ceil(need)), portion(sh.pool.UrgentReserve, total))
+	return min(int(math.Ceil(need)), Portion(sh.Pool.UrgentReserve, total))
 }
 
-// urgentLimit is how many slots urgent work may hold. It leaves the floor to
+// UrgentLimit is how many slots urgent work may hold. It leaves the floor to
 // basic work that waits or was seen lately.
-func (sh *shard) urgentLimit(now time.Time, total int) int {
-	if sh.queue[mangomodel.RankBasic].Len() == 0 && now.Sub(sh.basicSeen) > floorMemory {
+func (sh *Shard) UrgentLimit(now time.Time, total int) int {
+	if sh.Queue[mangomodel.RankBasic].Len() == 0 && now.Sub(sh.basicSeen) > floorMemory {
 		return total
 	}
-	return max(1, total-portion(sh.pool.BasicFloor, total))
+	return max(1, total-Portion(sh.Pool.BasicFloor, total))
 }
 
-// free is how many slots a rank may still take.
-func (sh *shard) free(now time.Time, rank mangomodel.Rank) int {
-	total := sh.slots()
+// Free is how many slots a rank may still take.
+func (sh *Shard) Free(now time.Time, rank mangomodel.Rank) int {
+	total := sh.Slots()
 	unused := total - sh.usedSlots()
 	if rank == mangomodel.RankUrgent {
-		return min(unused, sh.urgentLimit(now, total)-sh.used[rank])
+		return min(unused, sh.UrgentLimit(now, total)-sh.Used[rank])
 	}
 	return max(min(unused, sh.belowFloor(total)), unused-sh.headroom(now, total))
 }
 
 // belowFloor is how many slots basic work lacks of its floor.
-func (sh *shard) belowFloor(total int) int {
-	return max(0, portion(sh.pool.BasicFloor, total)-sh.used[mangomodel.RankBasic])
+func (sh *Shard) belowFloor(total int) int {
+	return max(0, Portion(sh.Pool.BasicFloor, total)-sh.Used[mangomodel.RankBasic])
 }
 
 // order returns the ranks that may take a slot, in the order in which they
 // are served. Basic work below its floor goes first, then urgent work, then
 // the rest of basic work.
-func (sh *shard) order(now time.Time) []mangomodel.Rank {
+func (sh *Shard) order(now time.Time) []mangomodel.Rank {
 	const urgent, basic = mangomodel.RankUrgent, mangomodel.RankBasic
 	first, second := urgent, basic
-	if sh.belowFloor(sh.slots()) > 0 {
+	if sh.belowFloor(sh.Slots()) > 0 {
 		first, second = basic, urgent
 	}
 	var order []mangomodel.Rank
 	for _, rank := range []mangomodel.Rank{first, second} {
-		if sh.free(now, rank) > 0 {
+		if sh.Free(now, rank) > 0 {
 			order = append(order, rank)
 		}
 	}
@@ -86,11 +86,11 @@
 
 // predictedWait estimates how long a new demand of a rank waits for a slot:
 // the demands ahead of it, at the rate at which the rank gets slots.
-func (sh *shard) predictedWait(now time.Time, w *waiter) time.Duration {
-	rank := w.demand.Rank
-	ahead := sh.queue[rank].Len()
-	free := sh.free(now, rank)
-	if ahead < free || rank == mangomodel.RankUrgent && sh.pool.Preempt && sh.wantsPreemption(now) {
+func (sh *Shard) predictedWait(now time.Time, w *Waiter) time.Duration {
+	rank := w.Demand.Rank
+	ahead := sh.Queue[rank].Len()
+	free := sh.Free(now, rank)
+	if ahead < free || rank == mangomodel.RankUrgent && sh.Pool.Preempt && sh.WantsPreemption(now) {
 		return 0
 	}
 	wait := float64(ahead-free+1) / sh.serviceRate(now, rank)
@@ -99,14 +99,24 @@
 
 // serviceRate is the rate at which a rank gets slots while both ranks wait,
 // per second. Basic work gets what urgent work leaves, at least its floor.
-func (sh *shard) serviceRate(now time.Time, rank mangomodel.Rank) float64 {
-	total := sh.slots()
+func (sh *Shard) serviceRate(now time.Time, rank mangomodel.Rank) float64 {
+	total := sh.Slots()
 	if rank == mangomodel.RankUrgent {
-		return sh.turnover(sh.urgentLimit(now, total))
+		return sh.turnover(sh.UrgentLimit(now, total))
 	}
-	return max(sh.turnover(total)-sh.urgentLoad.At(now), sh.turnover(portion(sh.pool.BasicFloor, total)))
+	return max(sh.turnover(total)-sh.urgentLoad.At(now), sh.turnover(Portion(sh.Pool.BasicFloor, total)))
 }
 
-func portion(share mangomodel.Share, total int) int {
+// Portion is how many of a number of slots a share is, rounded up.
+func Portion(share mangomodel.Share, total int) int {
 	return int(math.Ceil(float64(share) * float64(total)))
 }
+
+// WantsPreemption reports whether urgent work lacks a slot that basic work
+// above its floor holds.
+func (sh *Shard) WantsPreemption(now time.Time) bool {
+	total := sh.Slots()
+	return sh.Free(now, mangomodel.RankUrgent) <= 0 &&
+		sh.Used[mangomodel.RankUrgent] < sh.UrgentLimit(now, total) &&
+		sh.Used[mangomodel.RankBasic] > Portion(sh.Pool.BasicFloor, total)
+}
--- /dev/null
+++ b/core/mangoshard/waiter.go
@@ -0,0 +1,51 @@
+package mangoshard
+
+import (
+	"time"
+
+	"mangolane/core/mangofair"
+	"mangolane/core/mangomodel"
+)
+
+// Waiter is a demand in a queue.
+type Waiter struct {
+	Demand  mangomodel.Demand
+	Arrived time.Time
+	// GiveUp is when the demand can no longer meet its target.
+	GiveUp time.Time
+	// Suspect is set when the demand must run on probation, and Unresolved
+	// when it must wait until its last crash is confirmed or cleared.
+	Suspect, Unresolved bool
+	// Left is set when the demand was decided or withdrawn.
+	Left bool
+}
+
+// Remaining is how much of the caller's patience is left.
+func (w *Waiter) Remaining(now time.Time) time.Duration {
+	return w.Demand.Patience - now.Sub(w.Arrived)
+}
+
+// Restricted reports whether a demand may use only some of the servers.
+func (w *Waiter) Restricted() bool {
+	return w.Suspect || len(w.Demand.Avoid) > 0
+}
+
+// Workspace implements [mangofair.Demand].
+func (w *Waiter) Workspace() mangomodel.WorkspaceID { return w.Demand.Workspace }
+
+// Cost implements [mangofair.Demand]. It is the number of tokens.
+func (w *Waiter) Cost() float64 { return float64(w.Demand.Prompt + w.Demand.MaxTokens) }
+
+// Weight implements [mangofair.Demand].
+func (w *Waiter) Weight() int { return w.Demand.Weight }
+
+// First implements [mangofair.Demand].
+func (w *Waiter) First() bool { return w.Demand.Resumed }
+
+// Gone implements [mangofair.Demand].
+func (w *Waiter) Gone() bool { return w.Left }
+
+// Arrival implements [mangofair.Demand].
+func (w *Waiter) Arrival() mangofair.Arrival {
+	return mangofair.Arrival{Nanoseconds: w.Arrived.UnixNano(), Grant: w.Demand.Grant}
+}
--- a/core/mangowire/caller.go
+++ b/core/mangowire/caller.go
@@ -24,8 +24,6 @@
 	HeaderKey = "Authorization"
 	// HeaderIdempotency carries the idempotency key of a call.
 	HeaderIdempotency = "Idempotency-Key"
-	// HeaderRequest carries the caller's own id of a request.
-	HeaderRequest = "X-Request-Id"
 	// HeaderRetryAfter carries whole seconds.
 	HeaderRetryAfter = "Retry-After"
 )
--- a/mangolaned/mangoproof/cluster_test.go
+++ b/mangolaned/mangoproof/cluster_test.go
@@ -78,8 +78,6 @@
 // clusterOption changes a cluster before it starts.
 type clusterOption func(*cluster)
 
-func withProfile(p mangoengine.Profile) clusterOption { return func(c *cluster) { c.profile = p } }
-
 func withPreempt() clusterOption { return func(c *cluster) { c.pool.Preempt = true } }
 
 func withShardServers(n int) clusterOption {
@@ -90,10 +88,6 @@
 	return func(c *cluster) { c.slow, c.slowServers = factor, servers }
 }
 
-func withTargets(t [mangomodel.Ranks]mangoconfig.Targets) clusterOption {
-	return func(c *cluster) { c.targets = t }
-}
-
 // newCluster starts a cluster and waits until its configuration is in force.
 // It ends with ctx.
 func newCluster(ctx context.Context, g *gomega.WithT, zones []zone, opts ...clusterOption) *cluster {
