An owner that could not be reached is passed over for two seconds

Cause: after the death of a shard's owner, requests of the other daemon ran late or were refused for 2.3 s (urgent, 10 a second): each one waited anew for the silent owner, until the membership moved the shard.

Change: a daemon notes that it could not reach a scheduler and schedules the shard by itself for 2 s; a call that waits for a grant checks its owner every 150 ms instead of 300. A spec kills the owner under load.

Ruled out: declaring the owner dead on a traffic failure, which would move its shard for everybody.

--- a/core/mangocommand/retry.go
+++ b/core/mangocommand/retry.go
@@ -59,3 +59,14 @@
 	s.changed.failing = true
 	return nil
 }
+
+// NoteSilent notes that a daemon could not be reached as a scheduler, so that
+// the next requests do not wait for it as well.
+type NoteSilent struct{ Daemon mangomodel.DaemonID }
+
+// Apply implements [mangoloop.Command].
+func (c NoteSilent) Apply(s *state, now time.Time) error {
+	s.silent[c.Daemon] = now
+	s.changed.failing = true
+	return nil
+}
--- a/core/mangocommand/state.go
+++ b/core/mangocommand/state.go
@@ -28,6 +28,7 @@
 	reading   mangoquery.HostReading
 	failing   map[mangomodel.ServerID]time.Time
 	busy      map[mangomodel.ShardID]time.Time
+	silent    map[mangomodel.DaemonID]time.Time
 	retries   map[mangomodel.WorkspaceID]*retryBudget
 	calls     *callLimits
 	stopping  bool
@@ -51,6 +52,7 @@
 		scheduler: mangosched.New(self.Holder()),
 		failing:   make(map[mangomodel.ServerID]time.Time),
 		busy:      make(map[mangomodel.ShardID]time.Time),
+		silent:    make(map[mangomodel.DaemonID]time.Time),
 		retries:   make(map[mangomodel.WorkspaceID]*retryBudget),
 		calls:     newCallLimits(),
 		waiting:   make(map[mangomodel.GrantID][]mangoloop.Reply),
@@ -97,6 +99,7 @@
 // forget drops what no longer matters to any decision.
 func (s *state) forget(now time.Time) {
 	maps.DeleteFunc(s.failing, func(_ mangomodel.ServerID, at time.Time) bool { return now.Sub(at) > memory })
+	maps.DeleteFunc(s.silent, func(_ mangomodel.DaemonID, at time.Time) bool { return now.Sub(at) > memory })
 	maps.DeleteFunc(s.busy, func(_ mangomodel.ShardID, until time.Time) bool { return now.After(until) })
 	maps.DeleteFunc(s.retries, func(_ mangomodel.WorkspaceID, b *retryBudget) bool { return b.idle(now) })
 	s.changed.failing = true
@@ -169,6 +172,7 @@
 	if s.changed.failing {
 		next.Failing = maps.Clone(s.failing)
 		next.Busy = maps.Clone(s.busy)
+		next.Silent = maps.Clone(s.silent)
 	}
 	s.changed = parts{}
 	return next
--- a/core/mangoquery/placement.go
+++ b/core/mangoquery/placement.go
@@ -13,7 +13,7 @@
 	"mangolane/core/mangomodel"
 )
 
-// failureMemory is how long a server whose call failed is avoided.
+// failureMemory is how long a server or a daemon whose call failed is avoided.
 const failureMemory = 2 * time.Second
 
 // Task is work that one daemon of a data centre does for all of them.
@@ -36,6 +36,12 @@
 	return s.lookup(s.Rings.schedulers, shard.String())
 }
 
+// IsSilent reports whether a daemon could lately not be reached as a scheduler.
+func (s *Snapshot) IsSilent(now time.Time, id mangomodel.DaemonID) bool {
+	at, ok := s.Silent[id]
+	return ok && now.Sub(at) < failureMemory
+}
+
 // Does reports whether this daemon does a task for its data centre.
 func (s *Snapshot) Does(task Task) bool {
 	m, ok := s.lookup(s.Rings.schedulers, string(task))
--- a/core/mangoquery/snapshot.go
+++ b/core/mangoquery/snapshot.go
@@ -62,6 +62,8 @@
 	Failing map[mangomodel.ServerID]time.Time
 	// Busy is until when a shard is not asked again after a refusal.
 	Busy map[mangomodel.ShardID]time.Time
+	// Silent is when a daemon could last not be reached as a scheduler.
+	Silent map[mangomodel.DaemonID]time.Time
 	// Suspicions are the requests that were aboard crashes.
 	Suspicions []mangomodel.Suspicion
 	Shards     []ShardStatus
--- a/core/mangoroute/lease.go
+++ b/core/mangoroute/lease.go
@@ -88,7 +88,7 @@
 	snap := g.control.Snapshot()
 	demand := g.demand(r, prefixes)
 	owner, ok := snap.Owner(shard)
-	if ok && owner.Daemon != snap.Self.Daemon {
+	if ok && owner.Daemon != snap.Self.Daemon && !snap.IsSilent(time.Now(), owner.Daemon) {
 		grant, err := g.schedulers.Acquire(ctx, owner, shard, demand)
 		if err == nil {
 			return g.hold(ctx, lease{grant: grant, owner: owner})
@@ -96,6 +96,9 @@
 		if ctx.Err() != nil || decided(err) {
 			return lease{}, err
 		}
+		if err := g.control.Do(ctx, mangocommand.NoteSilent{Daemon: owner.Daemon}); err != nil {
+			return lease{}, err
+		}
 	}
 	if shard.DataCentre != snap.Self.DataCentre {
 		return lease{}, mangomodel.Faultf(mangomodel.StepAdmission, mangomodel.PeerName(shard.String()),
--- a/mangolaned/mangopeer/peers.go
+++ b/mangolaned/mangopeer/peers.go
@@ -18,8 +18,8 @@
 	acquireSlack = 500 * time.Millisecond
 	// watchInterval is the pause between two checks of a daemon that a call
 	// waits for, and pingTimeout bounds a check.
-	watchInterval = 300 * time.Millisecond
-	pingTimeout   = 300 * time.Millisecond
+	watchInterval = 150 * time.Millisecond
+	pingTimeout   = 200 * time.Millisecond
 	// releaseTimeout bounds the giving back of a grant.
 	releaseTimeout = 2 * time.Second
 )
--- a/mangolaned/mangoproof/caller_test.go
+++ b/mangolaned/mangoproof/caller_test.go
@@ -46,6 +46,11 @@
 	return !a.disorder && strings.HasPrefix(mangoengine.Answer(a.prompt, a.want), a.text.String())
 }
 
+// refused reports whether the caller was told that its request has not run.
+func (a *answer) refused() bool {
+	return a.err != nil && mangomodel.AsFault(a.err, mangomodel.StepRespond).Run == mangomodel.RunNot
+}
+
 // generate sends one request to a daemon and waits for its end.
 func (n *node) generate(ctx context.Context, rank mangomodel.Rank, prompt string, tokens mangomodel.Tokens) *answer {
 	a := &answer{prompt: prompt, want: tokens}
--- a/mangolaned/mangoproof/partition_test.go
+++ b/mangolaned/mangoproof/partition_test.go
@@ -117,3 +117,44 @@
 		ginkgo.Entry("second daemon", 1),
 	)
 })
+
+var _ = ginkgo.Describe("the death of a daemon", func() {
+	ginkgo.DescribeTable("costs the requests of the others no answer, and urgent ones their target for a few seconds at most",
+		func(victim int) {
+			bubble(func(ctx context.Context, g *gomega.WithT) {
+				c := newCluster(ctx, g, oneZone)
+				survivor := c.nodes[1-victim]
+				const interval = 100 * time.Millisecond
+				answers := make([]*answer, 200)
+				var running sync.WaitGroup
+				died := time.Time{}
+				lastLate := time.Time{}
+				var mu sync.Mutex
+				for i := range answers {
+					running.Go(func() {
+						sent := time.Now()
+						answers[i] = survivor.generate(ctx, mangomodel.RankUrgent, promptOf(i, 300), 20)
+						mu.Lock()
+						defer mu.Unlock()
+						if answers[i].refused() || answers[i].took > time.Second {
+							lastLate = sent
+						}
+					})
+					if i == len(answers)/2 {
+						died = time.Now()
+						c.nodes[victim].crash()
+					}
+					time.Sleep(interval)
+				}
+				running.Wait()
+				for i, a := range answers {
+					g.Expect(a.whole() || a.refused()).To(gomega.BeTrue(), "request %d: %v", i, a.err)
+				}
+				ginkgo.GinkgoWriter.Printf("last late request %v after the death\n", lastLate.Sub(died))
+				g.Expect(lastLate.Sub(died)).To(gomega.BeNumerically("<", settle))
+			})()
+		},
+		ginkgo.Entry("first daemon", 0),
+		ginkgo.Entry("second daemon", 1),
+	)
+})
