Admission: a free slot elsewhere before a queue nearby

Cause: with all callers at one of three data centres, at 0.8 of the capacity of all three, 45 of 575 urgent and 175 of 577 basic requests were refused: they queued at the nearest shard until their patience was used up and had none left for the others.

Change: a request first asks, near to far, for a slot that is free now, and only then queues at the nearest shard. At most two near shards are asked, so that far ones have a turn; shards that refused are left alone as before. A free slot elsewhere also comes before a preempted one.

Ruled out: dividing the patience between shards, which would give up near slots that free up in time.

--- a/core/mangomodel/grant.go
+++ b/core/mangomodel/grant.go
@@ -17,6 +17,8 @@
 	Patience time.Duration
 	// TPOT is the target of the time between tokens.
 	TPOT time.Duration
+	// Immediate asks for a slot that is free now, and for a refusal else.
+	Immediate bool
 	// Resumed marks what is left of a request that was granted before. It is
 	// served before other demands of its rank and not refused for load.
 	Resumed bool
--- a/core/mangoroute/lease.go
+++ b/core/mangoroute/lease.go
@@ -13,8 +13,10 @@
 )
 
 const (
-	// maxShards bounds how many shards are asked for one attempt.
-	maxShards = 3
+	// maxShards bounds how many shards are asked for one attempt, and
+	// nearShards how many of them are in the own data centre.
+	maxShards  = 4
+	nearShards = 2
 	// retryPatience is how long a retry may wait for a server.
 	retryPatience = 20 * time.Second
 )
@@ -34,6 +36,8 @@
 	return l, err
 }
 
+// acquireAny first asks for a slot that is free now, near shards before far
+// ones, and then queues at the nearest one.
 func (g *Generator) acquireAny(ctx context.Context, r *run) (lease, error) {
 	snap := g.control.Snapshot()
 	prefixes := mangomodel.PrefixHashes(r.request.Prompt)
@@ -43,32 +47,43 @@
 		return lease{}, mangomodel.Faultf(mangomodel.StepAdmission, mangomodel.PeerName(r.request.Model),
 			mangomodel.CodeUnavailable, mangomodel.RunNot, "no engine offers the model")
 	}
-	var firstErr error
-	for _, shard := range candidates(snap, shards) {
-		l, err := g.acquireFrom(ctx, r, shard, prefixes)
-		if err == nil {
-			return l, nil
-		}
-		if firstErr == nil {
-			firstErr = err
-		}
-		if ctx.Err() != nil || !mangomodel.HasCode(err, mangomodel.CodeOverloaded) && !mangomodel.HasCode(err, mangomodel.CodeUnavailable) {
-			return lease{}, err
+	asked := candidates(snap, shards)
+	if len(asked) > 1 {
+		for _, shard := range asked {
+			l, err := g.acquireFrom(ctx, r, shard, prefixes, true)
+			if err == nil || ctx.Err() != nil || !worthAsking(err) {
+				return l, err
+			}
+			g.noteBusy(ctx, shard, err)
 		}
-		g.noteBusy(ctx, shard, err)
 	}
-	return lease{}, firstErr
+	return g.acquireFrom(ctx, r, asked[0], prefixes, false)
 }
 
-// candidates returns the shards to ask. The nearest is always asked; the
-// others only if they have not refused lately.
+// worthAsking reports whether another shard may decide differently.
+func worthAsking(err error) bool {
+	return mangomodel.HasCode(err, mangomodel.CodeOverloaded) || mangomodel.HasCode(err, mangomodel.CodeUnavailable)
+}
+
+// candidates returns the shards to ask: the nearest one, and a few others that
+// have not refused lately, no more than nearShards of them near, so that far
+// ones are asked as well.
 func candidates(snap *mangoquery.Snapshot, shards []mangomodel.ShardID) []mangomodel.ShardID {
 	now := time.Now()
 	chosen := slices.Clone(shards[:1])
+	near := 1
 	for _, s := range shards[1:] {
-		if len(chosen) < maxShards && !now.Before(snap.Busy[s]) {
-			chosen = append(chosen, s)
+		if len(chosen) == maxShards {
+			break
+		}
+		local := s.DataCentre == snap.Self.DataCentre
+		if now.Before(snap.Busy[s]) || local && near == nearShards {
+			continue
+		}
+		if local {
+			near++
 		}
+		chosen = append(chosen, s)
 	}
 	return chosen
 }
@@ -84,9 +99,10 @@
 // acquireFrom asks the owner of one shard. When the owner of a near shard
 // cannot be asked, this daemon schedules the request itself: two schedulers
 // of one shard are harmless, since engines enforce their own limits.
-func (g *Generator) acquireFrom(ctx context.Context, r *run, shard mangomodel.ShardID, prefixes []mangomodel.PrefixHash) (lease, error) {
+func (g *Generator) acquireFrom(ctx context.Context, r *run, shard mangomodel.ShardID, prefixes []mangomodel.PrefixHash, immediate bool) (lease, error) {
 	snap := g.control.Snapshot()
 	demand := g.demand(r, prefixes)
+	demand.Immediate = immediate
 	owner, ok := snap.Owner(shard)
 	if ok && owner.Daemon != snap.Self.Daemon && !snap.IsSilent(time.Now(), owner.Daemon) {
 		grant, err := g.schedulers.Acquire(ctx, owner, shard, demand)
--- a/core/mangoshard/shard.go
+++ b/core/mangoshard/shard.go
@@ -10,8 +10,14 @@
 	"mangolane/core/mangospeed"
 )
 
-// initialHold is the assumed time that a slot is held before any measurement.
-const initialHold = 5 * time.Second
+const (
+	// initialHold is the assumed time that a slot is held before any
+	// measurement.
+	initialHold = 5 * time.Second
+	// immediateWait is how long a demand for a free slot waits when no server
+	// will do at once.
+	immediateWait = 20 * time.Millisecond
+)
 
 // Shard is one shard's queues and counts.
 type Shard struct {
@@ -68,13 +74,26 @@
 		return nil
 	}
 	wait := sh.predictedWait(now, w)
+	if w.Demand.Immediate && wait > 0 {
+		return Overloaded(sh.ID, wait)
+	}
 	if wait+service > w.Demand.Patience {
 		return Overloaded(sh.ID, wait+service-w.Demand.Patience)
 	}
 	w.GiveUp = now.Add(w.Demand.Patience - service)
+	if w.Demand.Immediate {
+		w.GiveUp = earliest(w.GiveUp, now.Add(immediateWait))
+	}
 	return nil
 }
 
+func earliest(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
 // configured reports whether a server of a role takes new work when it is up.
 func (sh *Shard) configured(role mangomodel.Role) bool {
 	return slices.ContainsFunc(sh.Servers, func(sv *Server) bool {
--- a/core/mangoshard/sharing.go
+++ b/core/mangoshard/sharing.go
@@ -90,7 +90,11 @@
 	rank := w.Demand.Rank
 	ahead := sh.Queue[rank].Len()
 	free := sh.Free(now, rank)
-	if ahead < free || rank == mangomodel.RankUrgent && sh.Pool.Preempt && sh.WantsPreemption(now) {
+	if ahead < free {
+		return 0
+	}
+	// Another shard's free slot comes before a preempted one.
+	if rank == mangomodel.RankUrgent && !w.Demand.Immediate && sh.Pool.Preempt && sh.WantsPreemption(now) {
 		return 0
 	}
 	wait := float64(ahead-free+1) / sh.serviceRate(now, rank)
--- a/mangolaned/mangoproof/flood_test.go
+++ b/mangolaned/mangoproof/flood_test.go
@@ -318,3 +318,21 @@
 		}
 	}))
 })
+
+var _ = ginkgo.Describe("a flood in one data centre", func() {
+	ginkgo.It("is served by the others up to their capacity", bubble(func(ctx context.Context, g *gomega.WithT) {
+		c := newCluster(ctx, g, threeZones)
+		var routers []router
+		var observers []*observer
+		for _, n := range c.inZone("east-a") {
+			routers = append(routers, n.generator)
+			observers = append(observers, n.observer)
+		}
+		const rate = 0.8 * 3 * capacity / mangomodel.Ranks
+		o := c.load(ctx, []phase{{minute, [2]float64{rate, rate}}}, floodTokens, routers, observers)
+		ginkgo.GinkgoWriter.Printf("one of three data centres: %v\n", o)
+		for rank, s := range o.ranks {
+			g.Expect(s.onTime).To(gomega.BeNumerically(">=", 95*s.sent/100), "%s: %v", mangomodel.Rank(rank), o)
+		}
+	}))
+})
