Process tests listen outside the range of outgoing connections

The tests took ports by listening on port 0 and closing again; until the process listens, an outgoing connection of any other test may get the port. The processes' logs were not kept, so this is the likely cause and not a shown one; they are shown on failure now.

Ruled out: the packages that failed to build in the same run, which were being edited.

Change: ports from 21000 up, checked and used once.

--- a/mangolaned/mangobackend/service_test.go
+++ b/mangolaned/mangobackend/service_test.go
@@ -82,11 +82,6 @@
 
 func TestSendTellsWhetherTheCallMayHaveRun(t *testing.T) {
 	mangorest.Quiet()
-	closed, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	closed.Close()
 	mute, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -97,7 +92,7 @@
 		addr string
 		want mangomodel.Run
 	}{
-		{"nothing listens", closed.Addr().String(), mangomodel.RunNot},
+		{"nothing listens", "127.0.0.1:1", mangomodel.RunNot},
 		{"nothing answers", mute.Addr().String(), mangomodel.RunUnknown},
 	}
 	for _, tt := range tests {
--- a/mangolaned/mangoprocess/site_test.go
+++ b/mangolaned/mangoprocess/site_test.go
@@ -69,12 +69,32 @@
 	return s
 }
 
-// freeAddress returns a loopback address that nothing listens on.
+const (
+	// firstPort and lastPort bound the ports that the processes listen on.
+	// They lie below the range that the system gives to outgoing connections,
+	// which could otherwise take a port before its process listens.
+	firstPort = 21000
+	lastPort  = 31000
+)
+
+// nextPort is the next port to try. The tests of this package run one after
+// the other.
+var nextPort = firstPort
+
+// freeAddress returns a loopback address that nothing listens on and that was
+// not returned before.
 func freeAddress(g *gomega.WithT) mangomodel.Address {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	g.Expect(err).NotTo(gomega.HaveOccurred())
-	defer l.Close()
-	return mangomodel.Address(l.Addr().String())
+	for ; nextPort < lastPort; nextPort++ {
+		addr := fmt.Sprintf("127.0.0.1:%d", nextPort)
+		l, err := net.Listen("tcp", addr)
+		if err == nil {
+			l.Close()
+			nextPort++
+			return mangomodel.Address(addr)
+		}
+	}
+	g.Expect(nextPort).To(gomega.BeNumerically("<", lastPort), "no port is free")
+	return ""
 }
 
 func (s *site) stand(name string, args ...string) {
@@ -100,17 +120,24 @@
 
 func (s *site) start(name, program string, args ...string) {
 	cmd := exec.Command(filepath.Join(s.dir, program), args...)
-	if testing.Verbose() {
-		cmd.Stderr = os.Stderr
-	}
+	log, err := os.Create(filepath.Join(s.dir, name+".log"))
+	s.g.Expect(err).NotTo(gomega.HaveOccurred())
+	cmd.Stdout, cmd.Stderr = log, log
 	s.g.Expect(cmd.Start()).To(gomega.Succeed())
+	log.Close()
 	s.processes[name] = cmd
 }
 
+// end ends all processes and shows what they logged if the test has failed.
 func (s *site) end() {
-	for _, p := range s.processes {
+	for name, p := range s.processes {
 		_ = p.Process.Kill()
 		_ = p.Wait()
+		if !s.t.Failed() {
+			continue
+		}
+		log, err := os.ReadFile(filepath.Join(s.dir, name+".log"))
+		s.t.Logf("%s logged (%v):\n%s", name, err, log)
 	}
 }
 
