A server that vanishes silently no longer holds requests or grants

Cause: a spec that cuts a decode server off without refusing connections did not end: opening a stream over a connection that has gone silent waited without bound, since only the chunks after it had a time limit. Reading the code for it showed a second fault: cancelling on such a server used up the time of the release as well, so the grant stayed held and renewed for good.

Change: opening a stream is bounded like progress, by cancelling the stream's context; a server given up so counts as slow, not as crashed. Cancels go to both engines at once, for at most a second, and the release has time of its own. The renewer's two ways are written as one.

Ruled out: a header time-out of the HTTP transport, which prefill and import, whose answers come late by design, would run into.

--- a/core/mangoagent/renewer.go
+++ b/core/mangoagent/renewer.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"mangolane/core/mangocommand"
+	"mangolane/core/mangomember"
 	"mangolane/core/mangomodel"
 	"mangolane/core/mangoquery"
 )
@@ -65,24 +66,26 @@
 func (r *Renewer) renew(ctx context.Context, snap *mangoquery.Snapshot, h mangoquery.SchedulerHoldings) {
 	ctx, cancel := context.WithTimeout(ctx, renewTimeout)
 	defer cancel()
-	holder, lists := snap.Self.Holder(), h.Lists()
-	local := h.Scheduler.Daemon == snap.Self.Daemon
-	var unknown []uint64
-	var err error
-	if local {
-		err = r.control.Do(ctx, mangocommand.Renew{Holder: holder, Lists: lists})
-		unknown = r.control.Snapshot().Unknown(holder, lists)
-	} else {
-		unknown, err = r.renewals.Renew(ctx, h.Scheduler, holder, lists)
+	renew, adopt := r.renewals.Renew, r.renewals.Adopt
+	if h.Scheduler.Daemon == snap.Self.Daemon {
+		renew, adopt = r.renewHere, r.adoptHere
 	}
+	unknown, err := renew(ctx, h.Scheduler, snap.Self.Holder(), h.Lists())
 	if err != nil || len(unknown) == 0 {
 		return
 	}
 	grants := slices.DeleteFunc(h.Grants, func(g mangomodel.Grant) bool { return !slices.Contains(unknown, g.ID.Number) })
-	if local {
-		err = r.control.Do(ctx, mangocommand.Adopt{Grants: grants})
-	} else {
-		err = r.renewals.Adopt(ctx, h.Scheduler, grants)
-	}
-	_ = err // the next renewal tries again
+	// The next renewal tries again.
+	_ = adopt(ctx, h.Scheduler, grants)
+}
+
+// renewHere renews grants with this daemon's own scheduler.
+func (r *Renewer) renewHere(ctx context.Context, _ mangomember.Member, holder mangomodel.Holder, lists []mangomodel.ShardGrants) ([]uint64, error) {
+	err := r.control.Do(ctx, mangocommand.Renew{Holder: holder, Lists: lists})
+	return r.control.Snapshot().Unknown(holder, lists), err
+}
+
+// adoptHere hands grants to this daemon's own scheduler.
+func (r *Renewer) adoptHere(ctx context.Context, _ mangomember.Member, grants []mangomodel.Grant) error {
+	return r.control.Do(ctx, mangocommand.Adopt{Grants: grants})
 }
--- a/core/mangoroute/attempt.go
+++ b/core/mangoroute/attempt.go
@@ -126,7 +126,9 @@
 // stream passes on the chunks of one connection.
 func (g *Generator) stream(ctx context.Context, a *attempt, server mangoconfig.Host) error {
 	r := a.run
-	s, err := g.engines.Decode(ctx, server, DecodeOrder{
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	s, err := g.open(ctx, cancel, server, DecodeOrder{
 		Sequence: a.lease.grant.Sequence, Rank: r.request.Rank, MaxTokens: r.request.MaxTokens, Offset: r.next,
 	})
 	if err != nil {
@@ -145,6 +147,18 @@
 	return nil
 }
 
+// open opens a stream. A server that does not answer within progressTimeout is
+// given up by cancelling the stream's context, which else outlives the opening.
+func (g *Generator) open(ctx context.Context, cancel func(), server mangoconfig.Host, order DecodeOrder) (Stream, error) {
+	timer := time.AfterFunc(progressTimeout, cancel)
+	s, err := g.engines.Decode(ctx, server, order)
+	if timer.Stop() || err == nil {
+		return s, err
+	}
+	return nil, mangomodel.Faultf(mangomodel.StepDecode, mangomodel.PeerName(server.ID), mangomodel.CodeUnavailable,
+		mangomodel.RunUnknown, "no answer within %v: %w", progressTimeout, context.DeadlineExceeded)
+}
+
 // accept passes a chunk on if it is the next one of this attempt. A chunk of
 // another request or attempt, or one that was passed on already, is dropped.
 func (a *attempt) accept(c Chunk) error {
--- a/core/mangoroute/generator.go
+++ b/core/mangoroute/generator.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -14,8 +15,10 @@
 const (
 	// maxAttempts bounds the attempts of one request.
 	maxAttempts = 4
-	// cleanupTimeout bounds what is done after a request has ended.
+	// cleanupTimeout bounds the release of a grant after an attempt.
 	cleanupTimeout = 5 * time.Second
+	// cancelTimeout bounds the cancelling of a sequence.
+	cancelTimeout = time.Second
 )
 
 // Generator serves generation requests.
@@ -143,28 +146,34 @@
 	return nil
 }
 
-// settle gives the grant back and frees the engines. It runs to its end even
-// when the caller is gone, and returns what became of the release.
+// settle frees the engines and gives the grant back. It runs to its end even
+// when the caller is gone, and returns what became of the release. A server that
+// does not answer takes no time from the release.
 func (g *Generator) settle(ctx context.Context, a *attempt, err error) error {
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), cleanupTimeout)
-	defer cancel()
+	ctx = context.WithoutCancel(ctx)
 	if a.prefilled && !a.decoded {
 		g.observer.PrefillWasted(a.usage.PrefillTokens)
 	}
 	if err != nil {
-		g.cancelSequence(ctx, a)
+		g.cancelSequence(ctx, a.lease.grant)
 	}
+	ctx, cancel := context.WithTimeout(ctx, cleanupTimeout)
+	defer cancel()
 	return g.release(ctx, a.lease, a.usage)
 }
 
 // cancelSequence frees the memory of a failed attempt on both engines.
-func (g *Generator) cancelSequence(ctx context.Context, a *attempt) {
-	for _, id := range []mangomodel.ServerID{a.lease.grant.Prefill, a.lease.grant.Decode} {
+func (g *Generator) cancelSequence(ctx context.Context, grant mangomodel.Grant) {
+	ctx, stop := context.WithTimeout(ctx, cancelTimeout)
+	defer stop()
+	var running sync.WaitGroup
+	for _, id := range []mangomodel.ServerID{grant.Prefill, grant.Decode} {
 		if server, ok := g.control.Snapshot().Server(id); ok {
 			// A failed cancel is made up for by the scheduler's sweep.
-			_ = g.engines.Cancel(ctx, server, a.lease.grant.Sequence)
+			running.Go(func() { _ = g.engines.Cancel(ctx, server, grant.Sequence) })
 		}
 	}
+	running.Wait()
 }
 
 // refusal is an error of admission, after which the request is not retried.
--- a/mangolaned/mangoproof/crash_test.go
+++ b/mangolaned/mangoproof/crash_test.go
@@ -66,4 +66,25 @@
 			g.Expect(n.control.Snapshot().Suspicions).To(gomega.BeEmpty())
 		}
 	}))
+
+	ginkgo.It("is found to be innocent when its server only vanished, and no grant is left behind", bubble(func(ctx context.Context, g *gomega.WithT) {
+		c := newCluster(ctx, g, oneZone)
+		go func() {
+			time.Sleep(time.Second)
+			for _, n := range c.nodes {
+				c.net.set(n.place, "east-a-d0", true)
+			}
+			_ = c.engines["east-a-d0"].Silence(ctx)
+		}()
+		for i, a := range c.generateMany(ctx, 20, 100*time.Millisecond, mangomodel.RankBasic, 100) {
+			g.Expect(a.err).NotTo(gomega.HaveOccurred(), "request %d", i)
+			g.Expect(a.whole()).To(gomega.BeTrue())
+			g.Expect(a.took).To(gomega.BeNumerically("<", notForever))
+		}
+		time.Sleep(2 * settle)
+		for _, n := range c.nodes {
+			g.Expect(n.control.Snapshot().Holdings.Len()).To(gomega.BeZero(), "%s", n.place)
+			g.Expect(n.control.Snapshot().Grants.Len()).To(gomega.BeZero(), "%s", n.place)
+		}
+	}))
 })
