Grants on a leaving server take no slots from the others

Cause, found by reading: a shard counted its grants by rank over all servers but its slots only over those that take new work. While a server with many requests leaves, the count exceeds what the other servers allow, and urgent work was held back although they had free slots.

Change: ranks are counted on each server, and a shard adds up those that take new work. The test failed first (no grant while the other server had 10 free slots) and passes now.

Ruled out: counting the leaving server's slots as well, which would promise slots that cannot be had.

--- a/core/mangosched/report.go
+++ b/core/mangosched/report.go
@@ -101,7 +101,7 @@
 func (s *Scheduler) Status() []mangoquery.ShardStatus {
 	list := make([]mangoquery.ShardStatus, 0, len(s.shards))
 	for id, sh := range s.shards {
-		st := mangoquery.ShardStatus{Shard: id, Slots: sh.Slots(), Used: sh.Used}
+		st := mangoquery.ShardStatus{Shard: id, Slots: sh.Slots(), Used: sh.Used()}
 		for rank := range sh.Queue {
 			st.Waiting[rank] = sh.Queue[rank].Len()
 		}
--- a/core/mangosched/scheduler.go
+++ b/core/mangosched/scheduler.go
@@ -294,12 +294,11 @@
 	s.effects = append(s.effects, Decided{Grant: id, Err: err})
 }
 
-// take counts a grant against its shard and its decode server.
+// take counts a grant against its decode server.
 func (s *Scheduler) take(h *held) {
 	s.grants[h.grant.ID] = h
 	s.claimed[h.grant.Sequence] = true
 	s.effects = append(s.effects, Given{Grant: h.grant})
-	h.shard.Used[h.grant.Rank]++
 	if sv, ok := s.servers[h.grant.Decode]; ok {
 		sv.Board(h.grant)
 		h.boarded = sv.Occupied()
@@ -311,7 +310,6 @@
 	delete(s.grants, h.grant.ID)
 	delete(s.claimed, h.grant.Sequence)
 	s.effects = append(s.effects, Ended{Grant: h.grant.ID})
-	h.shard.Used[h.grant.Rank]--
 	if sv, ok := s.servers[h.grant.Decode]; ok {
 		sv.Leave(h.grant)
 	}
--- a/core/mangosched/scheduler_test.go
+++ b/core/mangosched/scheduler_test.go
@@ -182,3 +182,17 @@
 	s.Report(start.Add(OrphanGrace), mangomodel.Load{Server: "d0", Boot: "1", At: start, Running: []mangomodel.Sequence{orphan}})
 	g.Expect(s.TakeEffects()).To(gomega.ConsistOf(Cancel{Server: "d0", Sequence: orphan}))
 }
+
+func TestGrantsOnALeavingServerTakeNoSlotsOfTheOthers(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := newScheduler(2, 20)
+	for i := range 30 {
+		s.Acquire(start, shard0, demand(fmt.Sprint("u", i), mangomodel.RankUrgent))
+	}
+	s.Acquire(start, shard0, demand("b", mangomodel.RankBasic))
+	decisions(s)
+	s.Report(start, mangomodel.Load{Server: "d0", Boot: "1", At: start, Draining: true})
+	s.Acquire(start, shard0, demand("late", mangomodel.RankUrgent))
+	granted, _ := decisions(s)
+	g.Expect(granted).To(gomega.HaveLen(1), "the other server has free slots")
+}
--- a/core/mangoshard/server.go
+++ b/core/mangoshard/server.go
@@ -48,6 +48,8 @@
 	Step mangospeed.Step
 	// Probation is the one grant aboard that is on probation, if any.
 	Probation mangomodel.GrantID
+	// ranks counts the grants aboard by their ranks.
+	ranks [mangomodel.Ranks]int
 	// tpots counts the grants aboard by their TPOT targets.
 	tpots    map[time.Duration]int
 	resident *lru.Cache[mangomodel.PrefixHash, struct{}]
@@ -95,12 +97,14 @@
 // Board counts a grant against the server, and Leave gives it back.
 func (sv *Server) Board(g mangomodel.Grant) {
 	sv.Used++
+	sv.ranks[g.Rank]++
 	sv.Pieces += g.Pieces
 	sv.tpots[g.TPOT]++
 }
 
 func (sv *Server) Leave(g mangomodel.Grant) {
 	sv.Used = max(0, sv.Used-1)
+	sv.ranks[g.Rank] = max(0, sv.ranks[g.Rank]-1)
 	sv.Pieces = max(0, sv.Pieces-g.Pieces)
 	if sv.tpots[g.TPOT]--; sv.tpots[g.TPOT] <= 0 {
 		delete(sv.tpots, g.TPOT)
--- a/core/mangoshard/shard.go
+++ b/core/mangoshard/shard.go
@@ -26,8 +26,6 @@
 	Servers []*Server
 	// Queue holds the demands that wait, by rank.
 	Queue [mangomodel.Ranks]mangofair.Queue[*Waiter]
-	// Used counts the grants in force, by rank.
-	Used [mangomodel.Ranks]int
 	// Hold is how long a slot is held, in seconds.
 	Hold mangospeed.Average
 	// urgentBurst and urgentLoad are the rate at which urgent demands arrive,
@@ -130,6 +128,21 @@
 	return n
 }
 
+// Used counts the grants on servers that take new work, by rank. Those on a
+// server that leaves take no slot from the others.
+func (sh *Shard) Used() [mangomodel.Ranks]int {
+	var used [mangomodel.Ranks]int
+	for _, sv := range sh.Servers {
+		if sv.Host.Role != mangomodel.RoleDecode || !sv.Usable() {
+			continue
+		}
+		for rank, n := range sv.ranks {
+			used[rank] += n
+		}
+	}
+	return used
+}
+
 // usedSlots is the number of occupied slots on servers that take new work.
 func (sh *Shard) usedSlots() int {
 	n := 0
--- a/core/mangoshard/sharing.go
+++ b/core/mangoshard/sharing.go
@@ -56,14 +56,14 @@
 	total := sh.Slots()
 	unused := total - sh.usedSlots()
 	if rank == mangomodel.RankUrgent {
-		return min(unused, sh.UrgentLimit(now, total)-sh.Used[rank])
+		return min(unused, sh.UrgentLimit(now, total)-sh.Used()[rank])
 	}
 	return max(min(unused, sh.belowFloor(total)), unused-sh.headroom(now, total))
 }
 
 // belowFloor is how many slots basic work lacks of its floor.
 func (sh *Shard) belowFloor(total int) int {
-	return max(0, Portion(sh.Pool.BasicFloor, total)-sh.Used[mangomodel.RankBasic])
+	return max(0, Portion(sh.Pool.BasicFloor, total)-sh.Used()[mangomodel.RankBasic])
 }
 
 // order returns the ranks that may take a slot, in the order in which they
@@ -120,7 +120,8 @@
 // above its floor holds.
 func (sh *Shard) WantsPreemption(now time.Time) bool {
 	total := sh.Slots()
+	used := sh.Used()
 	return sh.Free(now, mangomodel.RankUrgent) <= 0 &&
-		sh.Used[mangomodel.RankUrgent] < sh.UrgentLimit(now, total) &&
-		sh.Used[mangomodel.RankBasic] > Portion(sh.Pool.BasicFloor, total)
+		used[mangomodel.RankUrgent] < sh.UrgentLimit(now, total) &&
+		used[mangomodel.RankBasic] > Portion(sh.Pool.BasicFloor, total)
 }
