--- a/mangolaned/mangoproof/configuration_test.go
+++ b/mangolaned/mangoproof/configuration_test.go
@@ -186,17 +186,7 @@
 // publishAll has several publishers create the same pool and returns what each
 // was told.
 func publishAll(ctx context.Context, store *mangostore.Store, script []int, writers int) []error {
-	var mu sync.Mutex
-	next := func() int {
-		mu.Lock()
-		defer mu.Unlock()
-		if len(script) == 0 {
-			return 0
-		}
-		step := script[0]
-		script = script[1:]
-		return step
-	}
+	next := stepsOf(script)
 	told := make([]error, writers)
 	var running sync.WaitGroup
 	for i := range writers {
--- a/mangolaned/mangoproof/entry_test.go
+++ b/mangolaned/mangoproof/entry_test.go
@@ -260,6 +260,22 @@
 
 var errScript = errors.New("as scripted")
 
+// stepsOf returns a function that returns the steps of a script one after the
+// other, and 0 after its end.
+func stepsOf(script []int) func() int {
+	var mu sync.Mutex
+	return func() int {
+		mu.Lock()
+		defer mu.Unlock()
+		if len(script) == 0 {
+			return 0
+		}
+		step := script[0]
+		script = script[1:]
+		return step
+	}
+}
+
 func (f flakyTable) Get(ctx context.Context, key mangomodel.TableKey) (mangomodel.Row, error) {
 	if f.script() == 1 {
 		return mangomodel.Row{}, mangomodel.NewFault(mangomodel.StepReserve, "table", mangomodel.CodeUnavailable, mangomodel.RunNot, errScript)
@@ -312,16 +328,7 @@
 // them may send the call.
 func race(ctx context.Context, store *mangostore.Store, script []int, writers int) int {
 	var mu sync.Mutex
-	next := func() int {
-		mu.Lock()
-		defer mu.Unlock()
-		if len(script) == 0 {
-			return 0
-		}
-		step := script[0]
-		script = script[1:]
-		return step
-	}
+	next := stepsOf(script)
 	sent := 0
 	var running sync.WaitGroup
 	for i := range writers {
