A grant that its own holder adopted ends with the request

The survivor held a grant of the dead scheduler, had adopted it when the shard moved to it, and released it towards the dead daemon. The copy at its own scheduler was left to renewals, of which the last one fell within the grace for new grants; and the own holder has no lease to lapse.

Change: dropping a grant that another scheduler gave also withdraws it from the own scheduler, and a grant that this daemon no longer holds is not adopted. The unit test of both fails without the change.

Ruled out: a lease for the own holder, which would end grants of a daemon whose renewer is late.

--- a/core/mangocommand/catalog_test.go
+++ b/core/mangocommand/catalog_test.go
@@ -9,6 +9,7 @@
 	"mangolane/core/mangoconfig"
 	"mangolane/core/mangomember"
 	"mangolane/core/mangomodel"
+	"mangolane/core/mangoquery"
 )
 
 func newTestState() *state {
@@ -55,3 +56,21 @@
 		})
 	}
 }
+
+func TestAdoptedGrantEndsWithItsRequest(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := newTestState()
+	id := mangomodel.GrantID{Holder: s.members.Self().Holder(), Number: 1}
+	grant := mangomodel.Grant{ID: id, Shard: mangomodel.ShardID{DataCentre: "dc", Model: "m"}}
+	apply := func(commands ...Command) {
+		for _, c := range commands {
+			g.Expect(c.Apply(s, time.Now())).To(gomega.Succeed())
+		}
+	}
+	apply(Hold{mangoquery.Holding{Grant: grant, Scheduler: "dead"}}, Adopt{[]mangomodel.Grant{grant}})
+	g.Expect(s.scheduler.Grants()).To(gomega.HaveLen(1))
+	apply(Drop{Grant: id})
+	g.Expect(s.scheduler.Grants()).To(gomega.BeEmpty(), "the scheduler that gave it is dead")
+	apply(Adopt{[]mangomodel.Grant{grant}})
+	g.Expect(s.scheduler.Grants()).To(gomega.BeEmpty(), "a late renewal does not bring it back")
+}
--- a/core/mangocommand/grant.go
+++ b/core/mangocommand/grant.go
@@ -1,6 +1,7 @@
 package mangocommand
 
 import (
+	"slices"
 	"time"
 
 	"mangolane/core/mangoloop"
@@ -64,16 +65,23 @@
 	return nil
 }
 
-// Adopt takes over grants that another scheduler gave.
+// Adopt takes over grants that another scheduler gave. A grant that this
+// daemon itself no longer holds is left out, since nothing would end it.
 type Adopt struct{ Grants []mangomodel.Grant }
 
 // Apply implements [mangoloop.Command].
 func (c Adopt) Apply(s *state, now time.Time) error {
-	s.scheduler.Adopt(now, c.Grants)
+	s.scheduler.Adopt(now, slices.DeleteFunc(slices.Clone(c.Grants), s.dropped))
 	s.changed.shards = true
 	return nil
 }
 
+// dropped reports whether a grant was held by this daemon and no longer is.
+func (s *state) dropped(g mangomodel.Grant) bool {
+	_, held := s.holdings.Get(g.ID)
+	return g.ID.Holder == s.members.Self().Holder() && !held
+}
+
 // Hold notes a grant that a request of this daemon holds, so that it is
 // renewed with its scheduler.
 type Hold struct{ Holding mangoquery.Holding }
@@ -84,11 +92,17 @@
 	return nil
 }
 
-// Drop notes that a request no longer holds a grant.
+// Drop notes that a request no longer holds a grant. A copy that this daemon's
+// scheduler has adopted from the one that gave it ends as well.
 type Drop struct{ Grant mangomodel.GrantID }
 
 // Apply implements [mangoloop.Command].
-func (c Drop) Apply(s *state, _ time.Time) error {
+func (c Drop) Apply(s *state, now time.Time) error {
+	held, ok := s.holdings.Get(c.Grant)
 	s.holdings = s.holdings.Without(c.Grant)
+	if ok && held.Scheduler != s.members.Self().Daemon {
+		s.scheduler.Withdraw(now, c.Grant)
+		s.changed.shards = true
+	}
 	return nil
 }
