--- /dev/null
+++ b/core/mangofleet/admission.go
@@ -0,0 +1,175 @@
+package mangofleet
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"mangolane/core/mangoloop"
+	"mangolane/core/mangomodel"
+	"mangolane/core/mangotraffic"
+)
+
+const (
+	// queueInterval is how often waiting demands are tried again when nothing
+	// else happens; loads of other daemons become known at this pace.
+	queueInterval = 20 * time.Millisecond
+	// maxQueue bounds the waiting demands of one daemon. At a few hundred
+	// bytes each they take under a megabyte.
+	maxQueue = 2000
+)
+
+// Acquire asks for servers. It is answered with nil once they are granted,
+// and with a fault that says "not run" when the demand's patience ends.
+type Acquire struct {
+	Lease  LeaseID
+	Demand Demand
+}
+
+// Await keeps the reply until the demand is decided.
+func (c Acquire) Await(s *state, r mangoloop.Reply) {
+	s.queue = append(s.queue, &waiter{lease: c.Lease, demand: c.Demand, reply: r})
+}
+
+// Apply queues the demand and serves it if possible.
+func (c Acquire) Apply(s *state, now time.Time) error {
+	if _, ok := s.service(c.Demand.Service); !ok {
+		s.withdraw(c.Lease)
+		return refused(mangomodel.CodeUnavailable, "service %s is not configured", c.Demand.Service)
+	}
+	if len(s.queue) > maxQueue {
+		s.withdraw(c.Lease)
+		return refused(mangomodel.CodeOverloaded, "%d demands wait already", maxQueue)
+	}
+	s.serveQueue(now)
+	return nil
+}
+
+// Release gives a lease back, or withdraws its demand.
+type Release struct{ Lease LeaseID }
+
+// Apply applies the command.
+func (c Release) Apply(s *state, now time.Time) error {
+	s.withdraw(c.Lease)
+	s.release(c.Lease)
+	s.serveQueue(now)
+	return nil
+}
+
+// PrefillDone says that a lease's prefill server has finished its part.
+type PrefillDone struct{ Lease LeaseID }
+
+// Apply applies the command.
+func (c PrefillDone) Apply(s *state, now time.Time) error {
+	if l, ok := s.leases[c.Lease]; ok {
+		s.releasePrefill(l)
+		s.serveQueue(now)
+	}
+	return nil
+}
+
+func (s *state) withdraw(id LeaseID) {
+	s.queue = slices.DeleteFunc(s.queue, func(w *waiter) bool { return w.lease == id })
+}
+
+func (s *state) release(id LeaseID) {
+	l, ok := s.leases[id]
+	if !ok {
+		return
+	}
+	s.releasePrefill(l)
+	if m, ok := s.servers[l.server]; ok {
+		m.running = max(m.running-1, 0)
+		m.memory = max(m.memory-s.memoryOf(&l.demand), 0)
+	}
+	delete(s.leases, id)
+	s.granted = s.granted.Without(id)
+	s.loadChanged = true
+}
+
+func (s *state) releasePrefill(l *lease) {
+	if m, ok := s.servers[l.prefill]; ok {
+		m.prefills = max(m.prefills-l.demand.Generation.Prompt, 0)
+	}
+	l.prefill = ""
+	s.loadChanged = true
+}
+
+// memoryOf returns the KV memory that a demand takes at its decode server.
+func (s *state) memoryOf(d *Demand) mangomodel.Tokens {
+	service, ok := s.service(d.Service)
+	if !ok || service.Engine == nil || d.Generation == nil {
+		return 0
+	}
+	return memory(d.Generation, service.Engine)
+}
+
+// serveQueue grants what can be granted, in order, and refuses what has
+// waited too long. A service that has no room for one demand is not tried for
+// those behind it that are no more urgent.
+func (s *state) serveQueue(now time.Time) {
+	if len(s.queue) == 0 {
+		return
+	}
+	slices.SortStableFunc(s.queue, func(a, b *waiter) int { return compareDemands(&a.demand, &b.demand, now) })
+	blocked := make(map[mangotraffic.ServiceName]bool)
+	kept := s.queue[:0]
+	for _, w := range s.queue {
+		switch {
+		case !blocked[w.demand.Service] && s.grant(w, now):
+			w.reply.Answer(nil)
+		case !now.Before(w.demand.Patience):
+			w.reply.Answer(refused(mangomodel.CodeOverloaded, "no server of %s had room for %v",
+				w.demand.Service, now.Sub(w.demand.Since).Round(time.Millisecond)))
+		default:
+			blocked[w.demand.Service] = blocked[w.demand.Service] || len(w.demand.Avoid) == 0
+			kept = append(kept, w)
+		}
+	}
+	clear(s.queue[len(kept):])
+	s.queue = kept
+}
+
+// compareDemands orders demands that can still be on time before those that
+// cannot, then by priority, then by age.
+func compareDemands(a, b *Demand, now time.Time) int {
+	return cmp.Or(
+		cmp.Compare(lateness(a, now), lateness(b, now)),
+		cmp.Compare(a.Priority, b.Priority),
+		a.Since.Compare(b.Since),
+	)
+}
+
+// lateness is 0 for a demand that can still meet its target and 1 for others.
+func lateness(d *Demand, now time.Time) int {
+	if now.After(d.OnTimeUntil) {
+		return 1
+	}
+	return 0
+}
+
+// grant leases the best servers for a demand, if there are any.
+func (s *state) grant(w *waiter, now time.Time) bool {
+	place, ok := s.place(&w.demand, uint64(w.lease), now)
+	if !ok {
+		return false
+	}
+	l := &lease{demand: w.demand, server: place.server.server.ID}
+	granted := Lease{Server: place.server.server, Waited: now.Sub(w.demand.Since)}
+	place.server.running++
+	place.server.memory += s.memoryOf(&w.demand)
+	if place.prefill != nil {
+		l.prefill = place.prefill.server.ID
+		place.prefill.prefills += w.demand.Generation.Prompt
+		server := place.prefill.server
+		granted.Prefill = &server
+	}
+	s.leases[w.lease] = l
+	s.granted = s.granted.With(w.lease, granted)
+	s.loadChanged = true
+	return true
+}
+
+func refused(code mangomodel.Code, format string, args ...any) error {
+	return mangomodel.Faultf(mangomodel.StepAdmission, "", code, mangomodel.RunNot, format, args...)
+}
--- /dev/null
+++ b/core/mangofollow/follow.go
@@ -0,0 +1,178 @@
+// Package mangofollow keeps the routing and the list of servers of a fleet
+// current by following the platform's records.
+//
+// Each record is read whole once and then followed by long reads. When the
+// history is lost, or the cursor is not known any more, it is read whole again.
+// While the platform cannot be reached the fleet keeps what it has.
+//
+// # Usage
+//
+//	f := mangofollow.New(fleet, source, observer)
+//	go f.Run(ctx)
+package mangofollow
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"mangolane/core/mangofleet"
+	"mangolane/core/mangomodel"
+	"mangolane/core/mangotraffic"
+)
+
+const (
+	// longRead is how long a read waits for news. A connection that has gone
+	// silent is noticed after it and readSlack, within the time in which a
+	// change has to be in force.
+	longRead = 1500 * time.Millisecond
+	// readSlack is added to a read's own wait before it is given up.
+	readSlack = 700 * time.Millisecond
+	// firstPause and longestPause bound the pause after failed reads.
+	firstPause   = 100 * time.Millisecond
+	longestPause = 800 * time.Millisecond
+	// outageMemory is how long after a failed read entries may still vanish
+	// because of the outage: three missed heartbeats and the time in which
+	// live servers are listed again.
+	outageMemory = 6 * time.Second
+)
+
+// ErrHistoryLost is returned by a Source that no longer knows a cursor.
+var ErrHistoryLost = errors.New("the history after the cursor is lost")
+
+// Cursor is a position in a record's history; zero is before all of it.
+type Cursor uint64
+
+// Source reads records. With a zero cursor it reads the whole record at once;
+// else it waits for changes after the cursor, at most for wait.
+type Source interface {
+	// Routing returns nil if nothing has changed.
+	Routing(ctx context.Context, after Cursor, wait time.Duration) (*mangotraffic.Routing, Cursor, error)
+	Servers(ctx context.Context, after Cursor, wait time.Duration) ([]mangotraffic.ServerChange, Cursor, error)
+}
+
+// Fleet takes the commands of a Follower.
+type Fleet interface {
+	Do(ctx context.Context, cmd mangofleet.Command) error
+}
+
+// Record is one of the followed records.
+type Record string
+
+const (
+	// RecordRouting is the configuration.
+	RecordRouting Record = "Routing"
+	// RecordServers is the list of servers.
+	RecordServers Record = "Servers"
+)
+
+// Observer is told about the platform and the records.
+type Observer interface {
+	// Lost and Regained tell when reads of a record start and stop to fail.
+	Lost(r Record, err error)
+	Regained(r Record, after time.Duration)
+	// RoutingChanged and ServersChanged tell what was read.
+	RoutingChanged(rev mangomodel.Revision, err error)
+	ServersChanged(cmd mangofleet.ChangeServers)
+}
+
+// Follower follows a Source.
+type Follower struct {
+	fleet    Fleet
+	source   Source
+	observer Observer
+}
+
+// New returns a Follower.
+func New(fleet Fleet, source Source, observer Observer) *Follower {
+	return &Follower{fleet: fleet, source: source, observer: observer}
+}
+
+// Run follows until ctx ends.
+func (f *Follower) Run(ctx context.Context) {
+	var running sync.WaitGroup
+	running.Go(func() { f.follow(ctx, RecordRouting, f.readRouting) })
+	running.Go(func() { f.follow(ctx, RecordServers, f.readServers) })
+	running.Wait()
+}
+
+// read is one read of a record. afterOutage is set when reads have failed not
+// long ago.
+type read func(ctx context.Context, after Cursor, afterOutage bool) (Cursor, error)
+
+func (f *Follower) follow(ctx context.Context, record Record, next read) {
+	var (
+		cursor   Cursor
+		failedAt time.Time
+		lostAt   time.Time
+		pause    = firstPause
+	)
+	for ctx.Err() == nil {
+		outage := !failedAt.IsZero() && time.Since(failedAt) < outageMemory
+		to, err := f.bounded(ctx, cursor, outage, next)
+		if err == nil {
+			if !lostAt.IsZero() {
+				f.observer.Regained(record, time.Since(lostAt))
+			}
+			cursor, lostAt, pause = to, time.Time{}, firstPause
+			continue
+		}
+		if errors.Is(err, ErrHistoryLost) {
+			cursor = 0
+			continue
+		}
+		if ctx.Err() != nil {
+			return
+		}
+		failedAt = time.Now()
+		if lostAt.IsZero() {
+			lostAt = failedAt
+			f.observer.Lost(record, err)
+		}
+		sleep(ctx, pause)
+		pause = min(2*pause, longestPause)
+	}
+}
+
+func (f *Follower) bounded(ctx context.Context, after Cursor, outage bool, next read) (Cursor, error) {
+	ctx, cancel := context.WithTimeout(ctx, longRead+readSlack)
+	defer cancel()
+	return next(ctx, after, outage)
+}
+
+func (f *Follower) readRouting(ctx context.Context, after Cursor, _ bool) (Cursor, error) {
+	routing, to, err := f.source.Routing(ctx, after, longRead)
+	if err != nil || routing == nil {
+		return to, err
+	}
+	err = f.fleet.Do(ctx, mangofleet.InstallRouting{Routing: routing})
+	f.observer.RoutingChanged(routing.Revision, err)
+	if mangomodel.HasCode(err, mangomodel.CodeConflict) {
+		// A newer revision is in force; the record will catch up.
+		err = nil
+	}
+	return to, err
+}
+
+func (f *Follower) readServers(ctx context.Context, after Cursor, afterOutage bool) (Cursor, error) {
+	changes, to, err := f.source.Servers(ctx, after, longRead)
+	if err != nil {
+		return to, err
+	}
+	cmd := mangofleet.ChangeServers{Changes: changes, Full: after == 0, AfterOutage: afterOutage}
+	if len(changes) > 0 || cmd.Full {
+		f.observer.ServersChanged(cmd)
+	}
+	return to, f.fleet.Do(ctx, cmd)
+}
+
+// sleep waits until d has passed or ctx ends.
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- a/core/mangomodel/code_string.go
+++ b/core/mangomodel/code_string.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _CodeName = "InvalidUnauthorisedNotFoundOverloadedUnavailableConflictInProgressQuarantinedUnknownOutcomeCancelledPreemptedBackend"
+const _CodeName = "InvalidUnauthorisedNotFoundOverloadedUnavailableConflictInProgressQuarantinedUnknownOutcomeCancelledPreemptedBackendTimeoutTooLarge"
 
-var _CodeIndex = [...]uint8{0, 7, 19, 27, 37, 48, 56, 66, 77, 91, 100, 109, 116}
+var _CodeIndex = [...]uint8{0, 7, 19, 27, 37, 48, 56, 66, 77, 91, 100, 109, 116, 123, 131}
 
-const _CodeLowerName = "invalidunauthorisednotfoundoverloadedunavailableconflictinprogressquarantinedunknownoutcomecancelledpreemptedbackend"
+const _CodeLowerName = "invalidunauthorisednotfoundoverloadedunavailableconflictinprogressquarantinedunknownoutcomecancelledpreemptedbackendtimeouttoolarge"
 
 func (i Code) String() string {
 	if i < 0 || i >= Code(len(_CodeIndex)-1) {
@@ -36,9 +36,11 @@
 	_ = x[CodeCancelled-(9)]
 	_ = x[CodePreempted-(10)]
 	_ = x[CodeBackend-(11)]
+	_ = x[CodeTimeout-(12)]
+	_ = x[CodeTooLarge-(13)]
 }
 
-var _CodeValues = []Code{CodeInvalid, CodeUnauthorised, CodeNotFound, CodeOverloaded, CodeUnavailable, CodeConflict, CodeInProgress, CodeQuarantined, CodeUnknownOutcome, CodeCancelled, CodePreempted, CodeBackend}
+var _CodeValues = []Code{CodeInvalid, CodeUnauthorised, CodeNotFound, CodeOverloaded, CodeUnavailable, CodeConflict, CodeInProgress, CodeQuarantined, CodeUnknownOutcome, CodeCancelled, CodePreempted, CodeBackend, CodeTimeout, CodeTooLarge}
 
 var _CodeNameToValueMap = map[string]Code{
 	_CodeName[0:7]:     CodeInvalid,
@@ -53,6 +55,8 @@
 	_CodeName[91:100]:  CodeCancelled,
 	_CodeName[100:109]: CodePreempted,
 	_CodeName[109:116]: CodeBackend,
+	_CodeName[116:123]: CodeTimeout,
+	_CodeName[123:131]: CodeTooLarge,
 }
 
 var _CodeLowerNameToValueMap = map[string]Code{
@@ -68,6 +72,8 @@
 	_CodeLowerName[91:100]:  CodeCancelled,
 	_CodeLowerName[100:109]: CodePreempted,
 	_CodeLowerName[109:116]: CodeBackend,
+	_CodeLowerName[116:123]: CodeTimeout,
+	_CodeLowerName[123:131]: CodeTooLarge,
 }
 
 var _CodeNames = []string{
@@ -83,6 +89,8 @@
 	_CodeName[91:100],
 	_CodeName[100:109],
 	_CodeName[109:116],
+	_CodeName[116:123],
+	_CodeName[123:131],
 }
 
 // CodeString retrieves an enum value from the enum constants string name.
--- a/core/mangomodel/enum.go
+++ b/core/mangomodel/enum.go
@@ -96,6 +96,10 @@
 	CodePreempted
 	// CodeBackend means that the backend server reported a failure.
 	CodeBackend
+	// CodeTimeout means that the time for the work has ended.
+	CodeTimeout
+	// CodeTooLarge means that the input exceeds a limit.
+	CodeTooLarge
 )
 
 // Run says whether the work of a failed request may have run.
--- /dev/null
+++ b/core/mangorelay/relay.go
@@ -0,0 +1,222 @@
+package mangorelay
+
+import (
+	"context"
+	"errors"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"mangolane/core/mangofleet"
+	"mangolane/core/mangomodel"
+	"mangolane/core/mangotraffic"
+)
+
+// Relay takes calls to servers.
+type Relay struct {
+	fleet    Fleet
+	servers  Servers
+	observer Observer
+	tracer   Tracer
+	leases   atomic.Uint64
+}
+
+// Option configures a Relay.
+type Option func(*Relay)
+
+// WithObserver sets who is told what happens to calls.
+func WithObserver(o Observer) Option { return func(r *Relay) { r.observer = o } }
+
+// WithTracer sets where spans go.
+func WithTracer(t Tracer) Option { return func(r *Relay) { r.tracer = t } }
+
+// New returns a Relay.
+func New(fleet Fleet, servers Servers, opts ...Option) *Relay {
+	r := &Relay{fleet: fleet, servers: servers, observer: silent{}, tracer: untraced{}}
+	for _, opt := range opts {
+		opt(r)
+	}
+	return r
+}
+
+// unknownOutput is the expected number of events of a generation whose client
+// gave none.
+const unknownOutput mangomodel.Tokens = 128
+
+// errClientGone is the cause of a call's end when its client has left.
+var errClientGone = errors.New("the client is gone")
+
+// errTimeout is the cause of a call's end when its time is over.
+var errTimeout = errors.New("the call's time is over")
+
+// Serve takes a call to a server and its answer to the sink. It returns nil
+// once the whole answer was passed on. A fault with RunNot is a promise that
+// no server has run the call or will run it.
+func (r *Relay) Serve(ctx context.Context, call *mangotraffic.Call, sink Sink) error {
+	view := r.fleet.View()
+	j := &job{relay: r, call: call, sink: sink, result: Result{Call: call}}
+	err := j.route(view)
+	if err == nil {
+		err = j.serve(ctx)
+	}
+	j.result.Err = err
+	j.result.Took = time.Since(call.Arrived)
+	r.observer.Finished(j.result)
+	return err
+}
+
+// job is one call on its way.
+type job struct {
+	relay   *Relay
+	call    *mangotraffic.Call
+	sink    Sink
+	picked  *mangotraffic.Route
+	service *mangotraffic.Service
+	// runs counts the servers that may have run the call.
+	runs int
+	// attempts counts the leases.
+	attempts mangomodel.Attempt
+	// sent is set once a server that accepts calls may have got this one.
+	sent  bool
+	avoid []mangomodel.ServerID
+	// begun is set once the sink has the head.
+	begun  bool
+	last   mangotraffic.EventID
+	lastAt time.Time
+	result Result
+}
+
+// route finds the call's route and service.
+func (j *job) route(view *mangofleet.View) error {
+	if view.Routing == nil {
+		return notRun(mangomodel.CodeUnavailable, "no configuration was read yet")
+	}
+	j.result.Revision = view.Routing.Revision
+	path, _, _ := strings.Cut(j.call.Target, "?")
+	route, ok := view.Routing.Match(j.call.Host, path)
+	if !ok {
+		return notRun(mangomodel.CodeNotFound, "no route for %s%s", j.call.Host, path)
+	}
+	name := route.Pick(uint64(j.call.Fingerprint))
+	service, ok := view.Routing.Service(name)
+	if !ok {
+		return notRun(mangomodel.CodeUnavailable, "route %s: service %s is not configured", route.Name, name)
+	}
+	j.picked, j.service, j.result.Route = route, service, route
+	j.last = j.call.After
+	if service.Engine != nil && j.call.Generation == nil {
+		j.call.Generation = &mangotraffic.Generation{Prompt: mangomodel.Tokens(len(j.call.Body)), MaxOutput: unknownOutput}
+	}
+	return nil
+}
+
+// serve bounds the call's time and serves it.
+func (j *job) serve(ctx context.Context) error {
+	end := j.call.Deadline
+	if t := j.call.Arrived.Add(j.picked.Timeout); j.picked.Timeout > 0 && t.Before(end) {
+		end = t
+	}
+	j.call.Deadline = end
+	ctx, cancel := context.WithDeadlineCause(ctx, end, errTimeout)
+	defer cancel()
+	if err := j.relay.fleet.Do(ctx, mangofleet.Enter{Service: j.service.Name, Call: j.call.Fingerprint}); err != nil {
+		return j.fail(ctx, err)
+	}
+	if j.service.Engine != nil {
+		return j.fail(ctx, j.stream(ctx))
+	}
+	return j.fail(ctx, j.plain(ctx))
+}
+
+// fail makes the final fault of an error: what may have run is never called
+// "not run", and an ended time or a client that left goes before what it
+// caused.
+func (j *job) fail(ctx context.Context, err error) error {
+	if err == nil {
+		return nil
+	}
+	f := *mangomodel.AsFault(err, mangomodel.StepCall)
+	if ctx.Err() != nil {
+		f.Code = mangomodel.CodeCancelled
+		if errors.Is(context.Cause(ctx), errTimeout) {
+			f.Code = mangomodel.CodeTimeout
+		}
+	}
+	f.Run = mangomodel.RunNot
+	if j.runs > 0 {
+		f.Run = mangomodel.RunUnknown
+	}
+	return &f
+}
+
+// acquire waits for servers. The returned function gives them back.
+func (j *job) acquire(ctx context.Context, d mangofleet.Demand) (mangofleet.Lease, mangofleet.LeaseID, func(), error) {
+	id := mangofleet.LeaseID(j.relay.leases.Add(1))
+	if err := j.relay.fleet.Do(ctx, mangofleet.Acquire{Lease: id, Demand: d}); err != nil {
+		return mangofleet.Lease{}, id, func() {}, err
+	}
+	j.attempts++
+	j.result.Attempts = j.attempts
+	release := func() { j.tell(mangofleet.Release{Lease: id}) }
+	lease, ok := j.relay.fleet.View().Lease(id)
+	if !ok {
+		release()
+		return mangofleet.Lease{}, id, func() {}, notRun(mangomodel.CodeUnavailable, "lease %d is missing", id)
+	}
+	return lease, id, release, nil
+}
+
+// tell applies a command that cannot fail but by the end of the process.
+func (j *job) tell(cmd mangofleet.Command) {
+	_ = j.relay.fleet.Do(context.Background(), cmd)
+}
+
+// observe tells the fleet what an exchange showed.
+func (j *job) observe(server mangomodel.ServerID, saw mangofleet.Observation) {
+	j.tell(mangofleet.Observe{Server: server, Saw: saw})
+}
+
+// retry takes a repeat from the budget.
+func (j *job) retry(ctx context.Context) error {
+	return j.relay.fleet.Do(ctx, mangofleet.TakeRetry{Service: j.service.Name})
+}
+
+// exchanged reports one exchange.
+func (j *job) exchanged(phase Phase, server mangotraffic.Server, lease mangofleet.Lease, began time.Time, err error) {
+	view := j.relay.fleet.View()
+	j.relay.observer.Exchanged(Exchange{
+		Call: j.call, Route: j.picked, Server: server, Phase: phase, Attempt: j.attempts,
+		Waited: lease.Waited, Took: time.Since(began), ListAge: time.Since(view.ListRead), Err: err,
+	})
+}
+
+// begin hands the head to the sink.
+func (j *job) begin(h Head) error {
+	j.begun = true
+	j.result.Status = h.Status
+	j.result.First = time.Since(j.call.Arrived)
+	j.lastAt = time.Now()
+	return clientFault(j.sink.Begin(h))
+}
+
+func clientFault(err error) error {
+	if err == nil {
+		return nil
+	}
+	return mangomodel.NewFault(mangomodel.StepRespond, "client", mangomodel.CodeCancelled, mangomodel.RunUnknown, errors.Join(errClientGone, err))
+}
+
+func notRun(code mangomodel.Code, format string, args ...any) error {
+	return mangomodel.Faultf(mangomodel.StepAdmission, "", code, mangomodel.RunNot, format, args...)
+}
+
+type silent struct{}
+
+func (silent) Exchanged(Exchange) {}
+func (silent) Finished(Result)    {}
+
+type untraced struct{}
+
+func (untraced) Start(ctx context.Context, _ mangomodel.Step, _ mangomodel.PeerName) (context.Context, func(error)) {
+	return ctx, func(error) {}
+}
--- a/core/mangorest/client.go
+++ b/core/mangorest/client.go
@@ -46,6 +46,17 @@
 	return func(t *http.Transport) { t.DisableKeepAlives = true }
 }
 
+// WithDialTimeout bounds the making of a connection; the default is two
+// seconds.
+func WithDialTimeout(d time.Duration) ClientOption {
+	return func(t *http.Transport) { t.DialContext = (&net.Dialer{Timeout: d}).DialContext }
+}
+
+// WithoutCompression keeps the transport from asking for encoded bodies.
+func WithoutCompression() ClientOption {
+	return func(t *http.Transport) { t.DisableCompression = true }
+}
+
 // NewClient returns a client of the peer at an IP number and port.
 func NewClient(peer mangomodel.PeerName, addr mangomodel.Address, opts ...ClientOption) *Client {
 	transport := &http.Transport{
@@ -84,10 +95,15 @@
 	for name, values := range header {
 		req.Header[name] = values
 	}
+	return c.Send(step, c.peer, req)
+}
+
+// Send sends a request that the caller has built, to the host of its URL.
+func (c *Client) Send(step mangomodel.Step, peer mangomodel.PeerName, req *http.Request) (*http.Response, error) {
 	resp, err := c.service.DoRequest(req)
 	if err != nil {
 		c.transport.CloseIdleConnections()
-		return nil, mangomodel.NewFault(step, c.peer, mangomodel.CodeUnavailable, runOf(err), err)
+		return nil, mangomodel.NewFault(step, peer, mangomodel.CodeUnavailable, runOf(err), err)
 	}
 	return resp, nil
 }
--- a/core/mangorest/server.go
+++ b/core/mangorest/server.go
@@ -92,6 +92,29 @@
 	return &Server{rest: server, started: make(chan struct{})}, nil
 }
 
+// NewProxyServer returns a server that hands every request to one handler as
+// it came: no middleware touches it, whatever its method and path.
+func NewProxyServer(name string, addr mangomodel.Address, handler http.Handler) (*Server, error) {
+	s, err := NewServer(name, addr, nil)
+	if err != nil {
+		return nil, err
+	}
+	rest.WithRouter(everything{handler})(s.rest)
+	return s, nil
+}
+
+// everything is a router with a single destination.
+type everything struct{ http.Handler }
+
+// Handle ignores routes, of which a proxy server has none.
+func (everything) Handle(string, string, http.Handler) error { return nil }
+
+// SetNotFoundHandler does nothing: every path is found.
+func (everything) SetNotFoundHandler(http.Handler) {}
+
+// SetNotAllowedHandler does nothing: every method is allowed.
+func (everything) SetNotAllowedHandler(http.Handler) {}
+
 // Serve serves until Shutdown. It must be called once, on a goroutine of its
 // own, which does not return after a Shutdown.
 func (s *Server) Serve() {
--- /dev/null
+++ b/core/mangotraffic/call.go
@@ -0,0 +1,69 @@
+package mangotraffic
+
+import (
+	"time"
+
+	"mangolane/core/mangomodel"
+)
+
+// EventID numbers the events of a stream.
+type EventID int64
+
+// HeaderFields are the fields of a message that pass through unchanged.
+type HeaderFields map[string][]string
+
+// Call is one request of a client.
+type Call struct {
+	// ID is the client's own; each of its attempts has another one. It may be
+	// empty.
+	ID     mangomodel.RequestID
+	Method string
+	// Target is the path with its query as the client sent it.
+	Target string
+	Host   HostName
+	Header HeaderFields
+	Body   []byte
+	// Arrived is when the call was read.
+	Arrived time.Time
+	// Deadline is when the client stops waiting.
+	Deadline time.Time
+	// Generation is set for calls that carry a prompt.
+	Generation *Generation
+	// After is the last event that the client holds of an earlier stream.
+	After EventID
+	// Fingerprint is the same for all resends of a call by its client.
+	Fingerprint mangomodel.Fingerprint
+}
+
+// Generation describes the work of a generation request.
+type Generation struct {
+	Prompt mangomodel.Tokens
+	// MaxOutput bounds the generated events.
+	MaxOutput mangomodel.Tokens
+}
+
+// KVSource is a KV cache that a server fetches before it generates.
+type KVSource struct {
+	Server mangomodel.Address
+	Handle HandleID
+}
+
+// Identifiers that engines make.
+type (
+	// HandleID names a prefilled KV cache at the engine that holds it.
+	HandleID string
+	// ReservationID names a reserved slot and its memory at one engine.
+	ReservationID string
+)
+
+// Event is one event of a stream with the bytes that carry it.
+type Event struct {
+	ID  EventID
+	Raw []byte
+}
+
+// LoadReport is what a server says of its load.
+type LoadReport struct {
+	Running, Waiting int
+	Slots            mangomodel.Slots
+}
--- /dev/null
+++ b/core/mangotraffic/routing.go
@@ -0,0 +1,97 @@
+package mangotraffic
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+
+	"mangolane/core/mangomodel"
+)
+
+// Routing is one immutable revision of the routes and services.
+type Routing struct {
+	Revision mangomodel.Revision
+	Limits   Limits
+
+	// byHost holds each host's routes, longest prefix first.
+	byHost   map[HostName][]*Route
+	services map[ServiceName]*Service
+}
+
+// NewRouting checks the routes against the services. A route that names an
+// unknown service, or has no target, fails the whole revision.
+func NewRouting(rev mangomodel.Revision, routes []Route, services []Service, limits Limits) (*Routing, error) {
+	r := &Routing{
+		Revision: rev, Limits: limits,
+		byHost:   make(map[HostName][]*Route),
+		services: make(map[ServiceName]*Service, len(services)),
+	}
+	for i := range services {
+		r.services[services[i].Name] = &services[i]
+	}
+	for i := range routes {
+		if err := r.add(&routes[i]); err != nil {
+			return nil, err
+		}
+	}
+	for _, list := range r.byHost {
+		slices.SortStableFunc(list, func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
+	}
+	return r, nil
+}
+
+func (r *Routing) add(route *Route) error {
+	if !strings.HasPrefix(string(route.Prefix), "/") || !strings.HasSuffix(string(route.Prefix), "/") {
+		return invalid("route %s: prefix %q must begin and end with a slash", route.Name, route.Prefix)
+	}
+	if len(route.Targets) == 0 {
+		return invalid("route %s: no service", route.Name)
+	}
+	for _, t := range route.Targets {
+		if _, ok := r.services[t.Service]; !ok {
+			return invalid("route %s: unknown service %q", route.Name, t.Service)
+		}
+	}
+	r.byHost[route.Host] = append(r.byHost[route.Host], route)
+	return nil
+}
+
+// Match returns the route of a host with the longest prefix of the path.
+func (r *Routing) Match(host HostName, path string) (*Route, bool) {
+	for _, route := range r.byHost[host] {
+		if strings.HasPrefix(path, string(route.Prefix)) {
+			return route, true
+		}
+	}
+	return nil, false
+}
+
+// Service returns a service by its name.
+func (r *Routing) Service(name ServiceName) (*Service, bool) {
+	s, ok := r.services[name]
+	return s, ok
+}
+
+// Pick returns the target that a call's hash selects by weight. The same hash
+// always selects the same target of a route.
+func (r *Route) Pick(hash uint64) ServiceName {
+	total := 0
+	for _, t := range r.Targets {
+		total += max(t.Weight, 0)
+	}
+	if total == 0 {
+		return r.Targets[0].Service
+	}
+	left := int(hash % uint64(total))
+	for _, t := range r.Targets {
+		left -= max(t.Weight, 0)
+		if left < 0 {
+			return t.Service
+		}
+	}
+	return r.Targets[0].Service
+}
+
+func invalid(format string, args ...any) error {
+	return mangomodel.Faultf(mangomodel.StepConfigure, "", mangomodel.CodeInvalid, mangomodel.RunNot, format, args...)
+}
--- a/core/mangowire/fault.go
+++ b/core/mangowire/fault.go
@@ -52,8 +52,10 @@
 		return http.StatusConflict
 	case mangomodel.CodeQuarantined:
 		return http.StatusUnprocessableEntity
-	case mangomodel.CodeUnknownOutcome:
+	case mangomodel.CodeUnknownOutcome, mangomodel.CodeTimeout:
 		return http.StatusGatewayTimeout
+	case mangomodel.CodeTooLarge:
+		return http.StatusRequestEntityTooLarge
 	default:
 		return http.StatusBadGateway
 	}
--- /dev/null
+++ b/mangolaned/mangogateway/gateway.go
@@ -0,0 +1,110 @@
+// Package mangogateway runs a daemon that routes calls for a platform, from
+// its start to its graceful shutdown. What is particular to a platform comes
+// in through interfaces and handlers.
+//
+// # Usage
+//
+//	g := mangogateway.New(settings, logger, source, servers)
+//	err := g.Run(ctx, frontHandler, readyRoute) // serves until ctx ends, then drains
+package mangogateway
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/zeromicro/go-zero/rest"
+	"go.uber.org/zap"
+
+	"mangolane/core/mangofleet"
+	"mangolane/core/mangofollow"
+	"mangolane/core/mangomodel"
+	"mangolane/core/mangorelay"
+	"mangolane/core/mangorest"
+	"mangolane/mangolaned/mangosettings"
+)
+
+const (
+	// rotationTime is how long after the start of a shutdown the balancer may
+	// still send connections: it asks every second and wants two misses.
+	rotationTime = 2500 * time.Millisecond
+	// exitMargin is kept between the end of the drain and the end of the grace
+	// period.
+	exitMargin = 300 * time.Millisecond
+)
+
+// Gateway is one daemon.
+type Gateway struct {
+	settings mangosettings.Gateway
+	logger   *zap.Logger
+	fleet    *mangofleet.Fleet
+	relay    *mangorelay.Relay
+	follower *mangofollow.Follower
+	metrics  *metrics
+}
+
+// New puts a gateway together. Nothing runs yet.
+func New(s mangosettings.Gateway, logger *zap.Logger, source mangofollow.Source, servers mangorelay.Servers) *Gateway {
+	fleet := mangofleet.New(mangofleet.Self{Daemon: s.Daemon, DataCentre: s.DataCentre, Regions: s.Regions}, s.Retries(1))
+	m := newMetrics()
+	o := observer{logger: logger, metrics: m}
+	return &Gateway{
+		settings: s, logger: logger, fleet: fleet, metrics: m,
+		relay:    mangorelay.New(fleet, servers, mangorelay.WithObserver(o)),
+		follower: mangofollow.New(fleet, source, o),
+	}
+}
+
+// Fleet returns the control state.
+func (g *Gateway) Fleet() *mangofleet.Fleet { return g.fleet }
+
+// Relay returns what serves calls.
+func (g *Gateway) Relay() *mangorelay.Relay { return g.relay }
+
+// Run serves until ctx ends, then drains and returns.
+func (g *Gateway) Run(ctx context.Context, front http.Handler, ready rest.Route) error {
+	frontServer, err := mangorest.NewProxyServer("front", g.settings.Front, front)
+	if err != nil {
+		return err
+	}
+	readyServer, err := mangorest.NewServer("readiness", g.settings.Readiness, []rest.Route{ready})
+	if err != nil {
+		return err
+	}
+	metricsServer, err := mangorest.NewServer("metrics", g.settings.Metrics, []rest.Route{g.metrics.route()})
+	if err != nil {
+		return err
+	}
+	workCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	var running sync.WaitGroup
+	running.Go(func() { g.fleet.Run(workCtx) })
+	running.Go(func() { g.follower.Run(workCtx) })
+	for _, s := range []*mangorest.Server{frontServer, readyServer, metricsServer} {
+		go s.Serve()
+	}
+	g.logger.Info("started", zap.String("Daemon", string(g.settings.Daemon)), zap.String("Front", string(g.settings.Front)))
+	<-ctx.Done()
+	err = g.drain(workCtx, frontServer)
+	cancel()
+	running.Wait()
+	return err
+}
+
+// drain takes the daemon out of the balancer's rotation and lets the calls
+// under way end.
+func (g *Gateway) drain(ctx context.Context, front *mangorest.Server) error {
+	began := time.Now()
+	g.logger.Info("draining", zap.Int("Leases", g.fleet.View().Leases))
+	if err := g.fleet.Do(ctx, mangofleet.Drain{}); err != nil {
+		return err
+	}
+	time.Sleep(min(rotationTime, g.settings.GracePeriod.Std()/2))
+	ctx, cancel := context.WithDeadline(ctx, began.Add(g.settings.GracePeriod.Std()-exitMargin))
+	defer cancel()
+	if err := front.Shutdown(ctx); err != nil {
+		return mangomodel.NewFault(mangomodel.StepRespond, "client", mangomodel.CodeTimeout, mangomodel.RunUnknown, err)
+	}
+	g.logger.Info("drained", zap.Duration("Duration", time.Since(began)))
+	return nil
+}
--- /dev/null
+++ b/mangolaned/mangogateway/metrics.go
@@ -0,0 +1,77 @@
+package mangogateway
+
+import (
+	"net/http"
+
+	gometrics "github.com/rcrowley/go-metrics"
+	"github.com/zeromicro/go-zero/rest"
+
+	"mangolane/core/mangomodel"
+	"mangolane/core/mangorelay"
+)
+
+const (
+	// pathMetrics is where the metrics are served.
+	pathMetrics = "/metrics"
+	// sampleSize and sampleAlpha shape the decaying samples of latencies.
+	sampleSize  = 256
+	sampleAlpha = 0.015
+)
+
+// metrics counts calls and exchanges.
+type metrics struct{ registry gometrics.Registry }
+
+func newMetrics() *metrics { return &metrics{registry: gometrics.NewRegistry()} }
+
+func (m *metrics) route() rest.Route {
+	return rest.Route{Method: http.MethodGet, Path: pathMetrics, Handler: func(w http.ResponseWriter, _ *http.Request) {
+		gometrics.WriteOnce(m.registry, w)
+	}}
+}
+
+func (m *metrics) exchanged(e mangorelay.Exchange) {
+	name := "Exchanges." + e.Phase.String()
+	if e.Err != nil {
+		m.count(name+".Failed."+mangomodel.AsFault(e.Err, mangomodel.StepCall).Code.String(), 1)
+		return
+	}
+	m.count(name+".Done", 1)
+	m.sample(name+".Microseconds", e.Took.Microseconds())
+}
+
+func (m *metrics) finished(r mangorelay.Result) {
+	kind := "NoRoute"
+	if r.Route != nil {
+		kind = r.Route.Kind.String()
+	}
+	m.count("Calls."+kind+"."+outcome(r), 1)
+	if r.First > 0 {
+		m.sample("Calls."+kind+".FirstMicroseconds", r.First.Microseconds())
+	}
+}
+
+func outcome(r mangorelay.Result) string {
+	switch {
+	case r.OnTime():
+		return "OnTime"
+	case r.Err == nil:
+		return "Late"
+	case mangomodel.HasCode(r.Err, mangomodel.CodeCancelled):
+		return "Cancelled"
+	case mangomodel.AsFault(r.Err, mangomodel.StepCall).Run == mangomodel.RunNot:
+		return "Refused"
+	default:
+		return "Failed"
+	}
+}
+
+func (m *metrics) count(name string, n int64) {
+	gometrics.GetOrRegisterCounter(name, m.registry).Inc(n)
+}
+
+func (m *metrics) sample(name string, v int64) {
+	h := m.registry.GetOrRegister(name, func() gometrics.Histogram {
+		return gometrics.NewHistogram(gometrics.NewExpDecaySample(sampleSize, sampleAlpha))
+	})
+	h.(gometrics.Histogram).Update(v)
+}
--- /dev/null
+++ b/mangolaned/mangogateway/observe.go
@@ -0,0 +1,102 @@
+package mangogateway
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	"mangolane/core/mangofleet"
+	"mangolane/core/mangofollow"
+	"mangolane/core/mangomodel"
+	"mangolane/core/mangorelay"
+	"mangolane/core/mangotraffic"
+	"mangolane/mangolaned/mangolog"
+)
+
+// observer logs and counts what happens.
+type observer struct {
+	logger  *zap.Logger
+	metrics *metrics
+}
+
+// Exchanged logs one exchange with a server.
+func (o observer) Exchanged(e mangorelay.Exchange) {
+	o.metrics.exchanged(e)
+	fields := []zap.Field{
+		zap.String("Request", string(e.Call.ID)), zap.Stringer("Phase", e.Phase),
+		zap.String("Server", string(e.Server.ID)), zap.Uint32("Attempt", uint32(e.Attempt)),
+		zap.Duration("Waited", e.Waited), zap.Duration("Took", e.Took), zap.Duration("ListAge", e.ListAge),
+	}
+	if e.Err != nil {
+		o.logger.Info("exchange failed", append(fields, mangolog.Fault(e.Err)...)...)
+		return
+	}
+	o.logger.Debug("exchange", fields...)
+}
+
+// Finished logs the outcome of a call.
+func (o observer) Finished(r mangorelay.Result) {
+	o.metrics.finished(r)
+	fields := []zap.Field{
+		zap.String("Request", string(r.Call.ID)), zap.Uint64("Revision", uint64(r.Revision)),
+		zap.Int("Status", r.Status), zap.Uint32("Attempts", uint32(r.Attempts)),
+		zap.Duration("First", r.First), zap.Duration("Took", r.Took), zap.Bool("OnTime", r.OnTime()),
+	}
+	if r.Route != nil {
+		fields = append(fields, zap.String("Route", string(r.Route.Name)))
+	}
+	if r.Events > 0 {
+		fields = append(fields, zap.Int("Events", r.Events), zap.Duration("LongestPause", r.LongestPause))
+	}
+	if r.Err != nil {
+		fields = append(fields, mangolog.Fault(r.Err)...)
+	}
+	o.logger.Info("call finished", fields...)
+}
+
+// Lost logs that a record cannot be read any more.
+func (o observer) Lost(r mangofollow.Record, err error) {
+	o.metrics.count("Platform.Lost", 1)
+	o.logger.Warn("platform lost", append(mangolog.Fault(err), zap.String("Record", string(r)))...)
+}
+
+// Regained logs that a record can be read again.
+func (o observer) Regained(r mangofollow.Record, after time.Duration) {
+	o.logger.Info("platform regained", zap.String("Record", string(r)), zap.Duration("After", after))
+}
+
+// RoutingChanged logs a configuration that was read.
+func (o observer) RoutingChanged(rev mangomodel.Revision, err error) {
+	fields := []zap.Field{zap.Uint64("Revision", uint64(rev))}
+	if err != nil {
+		o.logger.Warn("configuration not applied", append(fields, mangolog.Fault(err)...)...)
+		return
+	}
+	o.logger.Info("configuration in force", fields...)
+}
+
+// ServersChanged logs changes of the list of servers.
+func (o observer) ServersChanged(c mangofleet.ChangeServers) {
+	for _, change := range c.Changes {
+		o.logger.Info("server listed", zap.Object("Server", listing(change)), zap.Bool("Full", c.Full), zap.Bool("AfterOutage", c.AfterOutage))
+	}
+}
+
+// listing writes a change of the list as one object.
+type listing mangotraffic.ServerChange
+
+// MarshalLogObject writes the entry, or that there is none.
+func (l listing) MarshalLogObject(enc zapcore.ObjectEncoder) error {
+	enc.AddString("ID", string(l.ID))
+	if l.Server == nil {
+		enc.AddBool("Gone", true)
+		return nil
+	}
+	enc.AddString("Service", string(l.Server.Service))
+	enc.AddString("Address", string(l.Server.Address))
+	enc.AddString("DataCentre", string(l.Server.DataCentre))
+	enc.AddString("Stage", l.Server.Stage.String())
+	enc.AddString("State", l.Server.State.String())
+	return nil
+}
--- /dev/null
+++ b/mangolaned/mangosettings/gateway.go
@@ -0,0 +1,104 @@
+package mangosettings
+
+import (
+	"net/netip"
+	"time"
+
+	"go.uber.org/zap/zapcore"
+
+	"mangolane/core/mangobudget"
+	"mangolane/core/mangoconfig"
+	"mangolane/core/mangomodel"
+)
+
+// Gateway are the settings of a daemon that routes calls for a platform.
+// Fields after RetryWindow are optional.
+type Gateway struct {
+	Daemon     mangomodel.DaemonID
+	DataCentre mangomodel.DataCentreID
+	// Regions says which region each data centre is in.
+	Regions map[mangomodel.DataCentreID]mangomodel.RegionID
+	// Front, Readiness, Peer and Metrics are the addresses to listen on for
+	// clients, for the platform's balancer, for other daemons and for metrics.
+	Front, Readiness, Peer, Metrics mangomodel.Address
+	// Platform is the address of the platform's store.
+	Platform mangomodel.Address
+	// GracePeriod is the time between SIGTERM and the end of the process.
+	GracePeriod mangomodel.Duration
+	// RetryRatio, RetryFixed and RetryWindow bound the calls that all daemons
+	// together send to a second server of one service.
+	RetryRatio  mangomodel.Share
+	RetryFixed  float64
+	RetryWindow mangomodel.Duration
+
+	// MemoryLimit is what the process may take, in bytes; zero sets none.
+	MemoryLimit mangomodel.Bytes `json:",omitempty"`
+	// LogLevel is debug, info, warn or error.
+	LogLevel string `json:",omitempty"`
+	// LogRate is how many log lines a second are written at most.
+	LogRate int `json:",omitempty"`
+}
+
+// defaultLogRate bounds the log of one daemon, in lines a second: five lines
+// for each of the users' peak of 20 calls a second and daemon, with room for a
+// burst of ten times as many.
+const defaultLogRate = 1000
+
+// ReadGateway reads, completes and checks a gateway's settings in a file.
+func ReadGateway(path string) (Gateway, error) {
+	data, err := readFile(path)
+	if err != nil {
+		return Gateway{}, err
+	}
+	return ParseGateway(data)
+}
+
+// ParseGateway completes and checks the settings in a document.
+func ParseGateway(data []byte) (Gateway, error) {
+	s, err := mangoconfig.Decode[Gateway](data)
+	if err != nil {
+		return s, err
+	}
+	fill(&s.LogLevel, defaultLogLevel)
+	fill(&s.LogRate, defaultLogRate)
+	return s, s.check()
+}
+
+func (s *Gateway) check() error {
+	if s.Daemon == "" || s.DataCentre == "" {
+		return invalid("Daemon and DataCentre are needed")
+	}
+	if s.Regions[s.DataCentre] == "" {
+		return invalid("Regions does not name the region of %s", s.DataCentre)
+	}
+	addrs := []struct {
+		name string
+		addr mangomodel.Address
+	}{{"Front", s.Front}, {"Readiness", s.Readiness}, {"Peer", s.Peer}, {"Metrics", s.Metrics}, {"Platform", s.Platform}}
+	for _, a := range addrs {
+		if _, err := netip.ParseAddrPort(string(a.addr)); err != nil {
+			return invalid("%s must be an IP number with a port: %v", a.name, err)
+		}
+	}
+	if s.GracePeriod.Std() < time.Second {
+		return invalid("GracePeriod must be at least a second")
+	}
+	if s.RetryRatio < 0 || s.RetryRatio > 1 || s.RetryFixed < 0 || s.RetryWindow.Std() < time.Second {
+		return invalid("RetryRatio must be between 0 and 1, RetryFixed at least 0, RetryWindow at least a second")
+	}
+	if s.MemoryLimit < 0 || s.LogRate < 1 {
+		return invalid("MemoryLimit must be at least 0 and LogRate at least 1")
+	}
+	if _, err := zapcore.ParseLevel(s.LogLevel); err != nil {
+		return invalid("LogLevel: %v", err)
+	}
+	return nil
+}
+
+// Retries returns the retry budget of a service at one of n daemons, which
+// share the fixed number.
+func (s *Gateway) Retries(n int) mangobudget.Limits {
+	return mangobudget.Limits{
+		Ratio: float64(s.RetryRatio), Fixed: s.RetryFixed / float64(max(n, 1)), Window: s.RetryWindow.Std(),
+	}
+}
--- a/mangolaned/mangosettings/settings.go
+++ b/mangolaned/mangosettings/settings.go
@@ -82,12 +82,20 @@
 
 // Read reads, completes and checks the settings in a file.
 func Read(path string) (Settings, error) {
+	data, err := readFile(path)
+	if err != nil {
+		return Settings{}, err
+	}
+	return Parse(data)
+}
+
+func readFile(path string) ([]byte, error) {
 	data, err := os.ReadFile(path)
 	if err != nil {
-		return Settings{}, mangomodel.NewFault(mangomodel.StepParse, mangomodel.PeerName(path),
+		return nil, mangomodel.NewFault(mangomodel.StepParse, mangomodel.PeerName(path),
 			mangomodel.CodeInvalid, mangomodel.RunNot, err)
 	}
-	return Parse(data)
+	return data, nil
 }
 
 // Parse completes and checks the settings in a document.
