--- a/core/mangofleet/admission.go
+++ b/core/mangofleet/admission.go
@@ -80,7 +80,7 @@
 	s.releasePrefill(l)
 	if m, ok := s.servers[l.server]; ok {
 		m.running = max(m.running-1, 0)
-		m.memory = max(m.memory-s.memoryOf(&l.demand), 0)
+		m.memory = max(m.memory-memoryOf(&l.demand), 0)
 	}
 	delete(s.leases, id)
 	s.granted = s.granted.Without(id)
@@ -96,12 +96,11 @@
 }
 
 // memoryOf returns the KV memory that a demand takes at its decode server.
-func (s *state) memoryOf(d *Demand) mangomodel.Tokens {
-	service, ok := s.service(d.Service)
-	if !ok || service.Engine == nil || d.Generation == nil {
+func memoryOf(d *Demand) mangomodel.Tokens {
+	if d.Generation == nil {
 		return 0
 	}
-	return memory(d.Generation, service.Engine)
+	return d.Generation.Memory()
 }
 
 // serveQueue grants what can be granted, in order, and refuses what has
@@ -157,7 +156,7 @@
 	l := &lease{demand: w.demand, server: place.server.server.ID}
 	granted := Lease{Server: place.server.server, Waited: now.Sub(w.demand.Since)}
 	place.server.running++
-	place.server.memory += s.memoryOf(&w.demand)
+	place.server.memory += memoryOf(&w.demand)
 	if place.prefill != nil {
 		l.prefill = place.prefill.server.ID
 		place.prefill.prefills += w.demand.Generation.Prompt
--- a/core/mangofleet/demand.go
+++ b/core/mangofleet/demand.go
@@ -43,8 +43,3 @@
 	// Waited is how long the demand was queued.
 	Waited time.Duration
 }
-
-// memory returns the KV memory that a generation needs in the end.
-func memory(g *mangotraffic.Generation, e *mangotraffic.Engine) mangomodel.Tokens {
-	return g.Prompt + g.MaxOutput*max(e.TokensPerEvent, 1)
-}
--- a/core/mangofleet/placement.go
+++ b/core/mangofleet/placement.go
@@ -113,7 +113,7 @@
 			used += p.load.Memory
 		}
 	}
-	return used+memory(d.Generation, service.Engine) <= service.Engine.KVTokens
+	return used+d.Generation.Memory() <= service.Engine.KVTokens
 }
 
 // prefillCost is the predicted wait, with the time of a transfer that crosses
--- a/core/mangorelay/plain.go
+++ b/core/mangorelay/plain.go
@@ -172,4 +172,3 @@
 	}
 	return f
 }
-
--- a/core/mangorelay/relay.go
+++ b/core/mangorelay/relay.go
@@ -39,9 +39,8 @@
 	return r
 }
 
-// unknownOutput is the expected number of events of a generation whose client
-// gave none.
-const unknownOutput mangomodel.Tokens = 128
+// unknownOutput is assumed for a generation whose client gave no bound.
+const unknownOutput mangomodel.Tokens = 4096
 
 // errClientGone is the cause of a call's end when its client has left.
 var errClientGone = errors.New("the client is gone")
--- a/core/mangorelay/stream.go
+++ b/core/mangorelay/stream.go
@@ -102,7 +102,7 @@
 	began := time.Now()
 	lifetime := min(reservationLifetime, j.service.Engine.MaxReservation)
 	ctx, end := j.relay.tracer.Start(ctx, mangomodel.StepAdmission, mangomodel.PeerName(lease.Server.ID))
-	id, err := j.relay.servers.Reserve(ctx, lease.Server, j.memory(), lifetime)
+	id, err := j.relay.servers.Reserve(ctx, lease.Server, j.call.Generation.Memory(), lifetime)
 	end(err)
 	j.exchanged(PhaseReserve, lease.Server, lease, began, err)
 	if err == nil {
@@ -123,11 +123,6 @@
 	return "", f
 }
 
-func (j *job) memory() mangomodel.Tokens {
-	g := j.call.Generation
-	return g.Prompt + g.MaxOutput*max(j.service.Engine.TokensPerEvent, 1)
-}
-
 // prefill has the prompt's KV cache computed.
 func (j *job) prefill(ctx context.Context, lease mangofleet.Lease) (mangotraffic.KVSource, error) {
 	began := time.Now()
--- a/core/mangotraffic/call.go
+++ b/core/mangotraffic/call.go
@@ -38,8 +38,30 @@
 // Generation describes the work of a generation request.
 type Generation struct {
 	Prompt mangomodel.Tokens
-	// MaxOutput bounds the generated events.
+	// MaxOutput bounds the generated tokens.
 	MaxOutput mangomodel.Tokens
+	// OutputHint is the client's estimate of the generated tokens, often far
+	// off; zero when there is none.
+	OutputHint mangomodel.Tokens
+}
+
+const (
+	// usualOutput is the share of MaxOutput that is expected without a hint.
+	usualOutput = 0.5
+	// meanProgress is the share of its output that a running generation has
+	// made on average, and so keeps in memory.
+	meanProgress = 0.5
+)
+
+// Memory returns the KV memory that a generation takes on average while it
+// runs. Generations that run together are at different points, so that the sum
+// of their means is what a server needs for them.
+func (g *Generation) Memory() mangomodel.Tokens {
+	output := float64(g.MaxOutput) * usualOutput
+	if g.OutputHint > 0 {
+		output = float64(min(g.OutputHint, g.MaxOutput))
+	}
+	return g.Prompt + mangomodel.Tokens(output*meanProgress)
 }
 
 // KVSource is a KV cache that a server fetches before it generates.
--- a/mangolaned/mangolog/log.go
+++ b/mangolaned/mangolog/log.go
@@ -49,7 +49,7 @@
 	f := mangomodel.AsFault(err, mangomodel.StepRespond)
 	return []zap.Field{
 		zap.Stringer("Step", f.Step), zap.String("Peer", string(f.Peer)),
-		zap.Stringer("Code", f.Code), zap.Stringer("Run", f.Run), zap.Error(f.Err),
+		zap.Stringer("Code", f.Code), zap.Stringer("Run", f.Run), zap.String("Cause", f.Err.Error()),
 	}
 }
 
