--- /dev/null
+++ b/core/mangobroker/news.go
@@ -0,0 +1,230 @@
+package mangobroker
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"mangolane/core/mangofleet"
+	"mangolane/core/mangomodel"
+	"mangolane/core/mangotraffic"
+)
+
+const (
+	// exchangeTimeout is when a daemon counts as silent. Daemons of another
+	// region are 24 ms away there and back, and a host may stall for 100 ms
+	// when its share of the processor is used up.
+	exchangeTimeout = 300 * time.Millisecond
+	// seedInterval is how often an address that no live daemon has is tried.
+	seedInterval = time.Second
+)
+
+// News is what daemons tell each other.
+type News struct {
+	From mangofleet.Member
+	// Leases are those of the sender at the receiver's services.
+	Leases []mangofleet.Progress
+	// Members are the daemons that the sender knows.
+	Members []mangofleet.Sighting
+	Crashes []mangofleet.Crash
+	// Revision is the sender's configuration; Routing is set for a receiver
+	// that is behind.
+	Revision mangomodel.Revision
+	Routing  *mangotraffic.Document
+	// NoList is set when the sender has never read the list of servers;
+	// Servers answers that.
+	NoList  bool
+	Servers []mangotraffic.Server
+}
+
+// Run exchanges news until ctx ends.
+func (b *Broker) Run(ctx context.Context) {
+	var running sync.WaitGroup
+	running.Go(func() { b.renew(ctx) })
+	running.Go(func() { b.join(ctx) })
+	running.Wait()
+}
+
+// renew exchanges news with all schedulers.
+func (b *Broker) renew(ctx context.Context) {
+	ticker := time.NewTicker(mangofleet.RenewInterval)
+	defer ticker.Stop()
+	last := make(map[mangotraffic.ServiceName]mangomodel.DaemonID)
+	for {
+		targets := make(map[mangomodel.DaemonID]mangofleet.Member)
+		for _, name := range b.fleet.View().EngineServices() {
+			m := b.scheduler(name)
+			targets[m.Holder.Daemon] = m
+			if last[name] != m.Holder.Daemon {
+				last[name] = m.Holder.Daemon
+				b.log.SchedulerChanged(name, m.Holder.Daemon)
+			}
+		}
+		var exchanges sync.WaitGroup
+		for _, m := range targets {
+			exchanges.Go(func() { b.renewAt(ctx, m) })
+		}
+		exchanges.Wait()
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (b *Broker) renewAt(ctx context.Context, m mangofleet.Member) {
+	if m.Holder == b.self.Holder {
+		b.tell(mangofleet.Renew{Holder: b.self.Holder, Leases: b.progress()})
+		return
+	}
+	if err := b.exchange(ctx, m.Address, b.progress()); err != nil && ctx.Err() == nil {
+		b.lose(m, err)
+	}
+}
+
+// exchange sends news and takes in the answer.
+func (b *Broker) exchange(ctx context.Context, at mangomodel.Address, leases []mangofleet.Progress) error {
+	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
+	defer cancel()
+	news := b.Compose(News{})
+	news.Leases = leases
+	answer, err := b.peers.Exchange(ctx, at, news)
+	if err != nil {
+		return err
+	}
+	return b.take(ctx, answer)
+}
+
+// join looks for daemons that no exchange reaches: the seeds, and those that
+// have gone silent, which may be behind a partition that has healed.
+func (b *Broker) join(ctx context.Context) {
+	ticker := time.NewTicker(seedInterval)
+	defer ticker.Stop()
+	lost := make(map[mangomodel.Address]bool)
+	for {
+		for _, addr := range b.unheard() {
+			err := b.exchange(ctx, addr, nil)
+			if err != nil && !lost[addr] && ctx.Err() == nil {
+				b.log.PeerLost(addr, err)
+			}
+			if err == nil && lost[addr] {
+				b.log.PeerRegained(addr)
+			}
+			lost[addr] = err != nil
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// unheard returns the addresses to look at.
+func (b *Broker) unheard() []mangomodel.Address {
+	list := slices.Clone(b.seeds)
+	heard := map[mangomodel.Address]bool{b.self.Address: true}
+	for _, s := range b.fleet.View().Members {
+		if s.Age < seedInterval {
+			heard[s.Member.Address] = true
+		} else {
+			list = append(list, s.Member.Address)
+		}
+	}
+	slices.Sort(list)
+	return slices.DeleteFunc(slices.Compact(list), func(a mangomodel.Address) bool { return heard[a] })
+}
+
+// progress returns what this daemon holds.
+func (b *Broker) progress() []mangofleet.Progress {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	list := make([]mangofleet.Progress, 0, len(b.held))
+	for g := range maps.Values(b.held) {
+		p := mangofleet.Progress{
+			Number: g.ID.Number, Server: g.Lease.Server.ID, Service: g.demand.Service,
+			Generation: *g.demand.Generation, Made: mangomodel.Tokens(g.made.Load()),
+		}
+		if !g.prefilled.Load() {
+			p.Prefill = g.Lease.Prefill.ID
+		}
+		list = append(list, p)
+	}
+	return list
+}
+
+// Compose returns this daemon's news for a daemon whose news are known.
+func (b *Broker) Compose(to News) News {
+	view := b.fleet.View()
+	news := News{From: b.self, Members: view.Members, Crashes: view.Crashes(), NoList: view.ListRead.IsZero()}
+	news.From.Draining = view.Draining
+	if view.Routing != nil {
+		news.Revision = view.Routing.Revision
+		if to.From.Holder.Daemon != "" && to.Revision < news.Revision {
+			news.Routing = view.Routing.Document()
+		}
+	}
+	if to.NoList && !news.NoList {
+		news.Servers = view.Listed
+	}
+	return news
+}
+
+// Receive takes in another daemon's news and answers them.
+func (b *Broker) Receive(ctx context.Context, news News) (News, error) {
+	if err := b.take(ctx, news); err != nil {
+		return News{}, err
+	}
+	if err := b.fleet.Do(ctx, mangofleet.Renew{Holder: news.From.Holder, Leases: news.Leases}); err != nil {
+		return News{}, err
+	}
+	return b.Compose(news), nil
+}
+
+// take applies news.
+func (b *Broker) take(ctx context.Context, news News) error {
+	sightings := append([]mangofleet.Sighting{{Member: news.From}}, news.Members...)
+	if err := b.fleet.Do(ctx, mangofleet.Hear{Sightings: sightings}); err != nil {
+		return err
+	}
+	if len(news.Crashes) > 0 {
+		cmd := mangofleet.LearnCrashes{From: news.From.Holder.Daemon, Crashes: news.Crashes}
+		if err := b.fleet.Do(ctx, cmd); err != nil {
+			return err
+		}
+	}
+	if len(news.Servers) > 0 && b.fleet.View().ListRead.IsZero() {
+		if err := b.fleet.Do(ctx, listOf(news.Servers)); err != nil {
+			return err
+		}
+	}
+	return b.takeRouting(ctx, news)
+}
+
+func listOf(servers []mangotraffic.Server) mangofleet.ChangeServers {
+	cmd := mangofleet.ChangeServers{Full: true}
+	for i := range servers {
+		cmd.Changes = append(cmd.Changes, mangotraffic.ServerChange{ID: servers[i].ID, Server: &servers[i]})
+	}
+	return cmd
+}
+
+func (b *Broker) takeRouting(ctx context.Context, news News) error {
+	view := b.fleet.View()
+	if news.Routing == nil || view.Routing != nil && view.Routing.Revision >= news.Routing.Revision {
+		return nil
+	}
+	routing, err := news.Routing.Routing()
+	if err != nil {
+		return err
+	}
+	err = b.fleet.Do(ctx, mangofleet.InstallRouting{Routing: routing})
+	if mangomodel.HasCode(err, mangomodel.CodeConflict) {
+		// A newer one came meanwhile.
+		return nil
+	}
+	return err
+}
--- a/core/mangofleet/admission.go
+++ b/core/mangofleet/admission.go
@@ -12,7 +12,7 @@
 
 const (
 	// queueInterval is how often waiting demands are tried again when nothing
-	// else happens; loads of other daemons become known at this pace.
+	// else happens: generations end and grow meanwhile.
 	queueInterval = 20 * time.Millisecond
 	// maxQueue bounds the waiting demands of one daemon. At a few hundred
 	// bytes each they take under a megabyte.
@@ -28,7 +28,11 @@
 
 // Await keeps the reply until the demand is decided.
 func (c Acquire) Await(s *state, r mangoloop.Reply) {
-	s.queue = append(s.queue, &waiter{lease: c.Lease, demand: c.Demand, reply: r})
+	now := time.Now()
+	s.queue = append(s.queue, &waiter{
+		lease: c.Lease, demand: c.Demand, reply: r, since: now.Add(-c.Demand.Age),
+		onTimeUntil: now.Add(c.Demand.OnTimeFor), patience: now.Add(c.Demand.Patience),
+	})
 }
 
 // Apply queues the demand and serves it if possible.
@@ -56,18 +60,6 @@
 	return nil
 }
 
-// PrefillDone says that a lease's prefill server has finished its part.
-type PrefillDone struct{ Lease LeaseID }
-
-// Apply applies the command.
-func (c PrefillDone) Apply(s *state, now time.Time) error {
-	if l, ok := s.leases[c.Lease]; ok {
-		s.releasePrefill(l)
-		s.serveQueue(now)
-	}
-	return nil
-}
-
 func (s *state) withdraw(id LeaseID) {
 	s.queue = slices.DeleteFunc(s.queue, func(w *waiter) bool { return w.lease == id })
 }
@@ -77,49 +69,38 @@
 	if !ok {
 		return
 	}
-	s.releasePrefill(l)
-	if m, ok := s.servers[l.server]; ok {
-		m.running = max(m.running-1, 0)
-		m.memory = max(m.memory-memoryOf(&l.demand), 0)
+	s.releasePrefill(id, l)
+	if b, ok := s.backends[l.server]; ok {
+		delete(b.runs, id)
 	}
 	delete(s.leases, id)
 	s.granted = s.granted.Without(id)
-	s.loadChanged = true
 }
 
-func (s *state) releasePrefill(l *lease) {
-	if m, ok := s.servers[l.prefill]; ok {
-		m.prefills = max(m.prefills-l.demand.Generation.Prompt, 0)
+func (s *state) releasePrefill(id LeaseID, l *lease) {
+	if b, ok := s.backends[l.prefill]; ok {
+		delete(b.prefills, id)
 	}
 	l.prefill = ""
-	s.loadChanged = true
-}
-
-// memoryOf returns the KV memory that a demand takes at its decode server.
-func memoryOf(d *Demand) mangomodel.Tokens {
-	if d.Generation == nil {
-		return 0
-	}
-	return d.Generation.Memory()
 }
 
 // serveQueue grants what can be granted, in order, and refuses what has
 // waited too long. A service that has no room for one demand is not tried for
-// those behind it that are no more urgent.
+// those behind it.
 func (s *state) serveQueue(now time.Time) {
 	if len(s.queue) == 0 {
 		return
 	}
-	slices.SortStableFunc(s.queue, func(a, b *waiter) int { return compareDemands(&a.demand, &b.demand, now) })
+	slices.SortStableFunc(s.queue, func(a, b *waiter) int { return compareWaiters(a, b, now) })
 	blocked := make(map[mangotraffic.ServiceName]bool)
 	kept := s.queue[:0]
 	for _, w := range s.queue {
 		switch {
 		case !blocked[w.demand.Service] && s.grant(w, now):
 			w.reply.Answer(nil)
-		case !now.Before(w.demand.Patience):
+		case !now.Before(w.patience):
 			w.reply.Answer(refused(mangomodel.CodeOverloaded, "no server of %s had room for %v",
-				w.demand.Service, now.Sub(w.demand.Since).Round(time.Millisecond)))
+				w.demand.Service, now.Sub(w.since).Round(time.Millisecond)))
 		default:
 			blocked[w.demand.Service] = blocked[w.demand.Service] || len(w.demand.Avoid) == 0
 			kept = append(kept, w)
@@ -129,19 +110,19 @@
 	s.queue = kept
 }
 
-// compareDemands orders demands that can still be on time before those that
+// compareWaiters orders demands that can still be on time before those that
 // cannot, then by priority, then by age.
-func compareDemands(a, b *Demand, now time.Time) int {
+func compareWaiters(a, b *waiter, now time.Time) int {
 	return cmp.Or(
-		cmp.Compare(lateness(a, now), lateness(b, now)),
-		cmp.Compare(a.Priority, b.Priority),
-		a.Since.Compare(b.Since),
+		cmp.Compare(a.lateness(now), b.lateness(now)),
+		cmp.Compare(a.demand.Priority, b.demand.Priority),
+		a.since.Compare(b.since),
 	)
 }
 
 // lateness is 0 for a demand that can still meet its target and 1 for others.
-func lateness(d *Demand, now time.Time) int {
-	if now.After(d.OnTimeUntil) {
+func (w *waiter) lateness(now time.Time) int {
+	if now.After(w.onTimeUntil) {
 		return 1
 	}
 	return 0
@@ -149,23 +130,21 @@
 
 // grant leases the best servers for a demand, if there are any.
 func (s *state) grant(w *waiter, now time.Time) bool {
-	place, ok := s.place(&w.demand, uint64(w.lease), now)
+	place, ok := s.place(w, now)
 	if !ok {
 		return false
 	}
-	l := &lease{demand: w.demand, server: place.server.server.ID}
-	granted := Lease{Server: place.server.server, Waited: now.Sub(w.demand.Since)}
-	place.server.running++
-	place.server.memory += memoryOf(&w.demand)
+	l := &lease{demand: w.demand, server: place.server.server.ID, since: now, seen: now}
+	granted := Lease{Server: place.server.server, Waited: now.Sub(w.since)}
+	place.server.runs[w.lease] = l
 	if place.prefill != nil {
 		l.prefill = place.prefill.server.ID
-		place.prefill.prefills += w.demand.Generation.Prompt
+		place.prefill.prefills[w.lease] = l
 		server := place.prefill.server
 		granted.Prefill = &server
 	}
 	s.leases[w.lease] = l
 	s.granted = s.granted.With(w.lease, granted)
-	s.loadChanged = true
 	return true
 }
 
--- /dev/null
+++ b/core/mangofleet/backend.go
@@ -0,0 +1,102 @@
+package mangofleet
+
+import (
+	"time"
+
+	"mangolane/core/mangohealth"
+	"mangolane/core/mangokv"
+	"mangolane/core/mangomodel"
+	"mangolane/core/mangotraffic"
+)
+
+const (
+	// initialPrefillRate is used until a server's own rate was measured. It
+	// is a little below that of the engines on the users' sheets (55 tokens in
+	// a ms).
+	initialPrefillRate mangomodel.TokensPerSecond = 50_000
+	// initialDecodeRate likewise; the sheets' engines make a token in 0.6 to
+	// 0.7 ms.
+	initialDecodeRate mangomodel.TokensPerSecond = 1_450
+	// rateWeight is the weight of a new measurement in a mean rate.
+	rateWeight = 0.2
+)
+
+// backend is one backend server as this daemon believes it to be.
+type backend struct {
+	server mangotraffic.Server
+	// runs are the leases whose call runs here; prefills those whose prompt is
+	// computed here.
+	runs     map[LeaseID]*lease
+	prefills map[LeaseID]*lease
+	// others is what the server last said to run besides runs.
+	others   int
+	othersAt time.Time
+	// fullUntil is set when the server had no room although the counts said
+	// so.
+	fullUntil time.Time
+	health    mangohealth.Record
+	// goneAt is when an entry that vanished during an outage of the list
+	// counts as gone.
+	goneAt time.Time
+
+	prefillRate mangomodel.TokensPerSecond
+	decodeRate  mangomodel.TokensPerSecond
+}
+
+func newBackend(server mangotraffic.Server) *backend {
+	return &backend{
+		server: server, runs: make(map[LeaseID]*lease), prefills: make(map[LeaseID]*lease),
+		prefillRate: initialPrefillRate, decodeRate: initialDecodeRate,
+	}
+}
+
+// usable reports whether a server may get new work.
+func (b *backend) usable(now time.Time) bool {
+	return b.server.State == mangotraffic.StateReady && b.health.Usable(now) && !now.Before(b.fullUntil)
+}
+
+// backlog returns the predicted time until the prefills of a server are done.
+func (b *backend) backlog(now time.Time) time.Duration {
+	var tokens mangomodel.Tokens
+	oldest := now
+	for _, l := range b.prefills {
+		tokens += l.demand.Generation.Prompt
+		if l.since.Before(oldest) {
+			oldest = l.since
+		}
+	}
+	left := time.Duration(float64(tokens)/float64(b.prefillRate)*float64(time.Second)) - now.Sub(oldest)
+	return max(left, 0)
+}
+
+// peak returns the memory that the runs of a server and one more will need.
+func (b *backend) peak(g *mangotraffic.Generation, now time.Time) mangomodel.Tokens {
+	runs := make([]mangokv.Run, 0, len(b.runs)+1)
+	for _, l := range b.runs {
+		runs = append(runs, l.run(b.decodeRate, now))
+	}
+	return mangokv.Peak(append(runs, mangokv.Run{Held: g.Prompt, Left: g.Expected(0)}))
+}
+
+// lease is one granted lease.
+type lease struct {
+	demand          Demand
+	server, prefill mangomodel.ServerID
+	// since is when it was granted.
+	since time.Time
+	// made is how many tokens were generated at madeAt.
+	made   mangomodel.Tokens
+	madeAt time.Time
+	// seen is when its holder last named it.
+	seen time.Time
+}
+
+// run returns what the lease's generation holds now and is still to make.
+func (l *lease) run(rate mangomodel.TokensPerSecond, now time.Time) mangokv.Run {
+	made := l.made
+	if l.made > 0 {
+		made += mangomodel.Tokens(now.Sub(l.madeAt).Seconds() * float64(rate))
+	}
+	g := l.demand.Generation
+	return mangokv.Run{Held: g.Prompt + made, Left: max(g.Expected(l.made)-made, 0)}
+}
--- a/core/mangofleet/demand.go
+++ b/core/mangofleet/demand.go
@@ -7,16 +7,15 @@
 	"mangolane/core/mangotraffic"
 )
 
-// LeaseID numbers the leases of one daemon.
-type LeaseID uint64
-
-// Hash spreads ids evenly over small numbers.
-func (id LeaseID) Hash() uint64 { return uint64(id) }
+// LeaseID names a lease by the daemon life that holds it and a number.
+type LeaseID = mangomodel.GrantID
 
 // Demand is what a call needs.
 type Demand struct {
 	Request mangomodel.RequestID
 	Service mangotraffic.ServiceName
+	// Origin is the data centre of the daemon that has the call.
+	Origin mangomodel.DataCentreID
 	// Priority orders demands that are equally late.
 	Priority mangotraffic.Priority
 	// Generation is set when a decode slot is needed, and a prefill server
@@ -24,12 +23,10 @@
 	Generation *mangotraffic.Generation
 	// Prefilled demands need no prefill server.
 	Prefilled bool
-	// Since orders demands of one priority.
-	Since time.Time
-	// OnTimeUntil is the last moment at which a start still meets the target.
-	OnTimeUntil time.Time
-	// Patience is when the demand is refused.
-	Patience time.Time
+	// Age is how long the call has been with its daemon, OnTimeFor how much
+	// longer a start still meets the target, and Patience after how long the
+	// demand is refused. They are durations, since daemons' clocks differ.
+	Age, OnTimeFor, Patience time.Duration
 	// Avoid names servers that have failed this call.
 	Avoid []mangomodel.ServerID
 }
@@ -43,3 +40,14 @@
 	// Waited is how long the demand was queued.
 	Waited time.Duration
 }
+
+// Progress is what a holder knows of a lease.
+type Progress struct {
+	Number uint64
+	// Server runs the call, Prefill computes its prompt until that is done.
+	Server, Prefill mangomodel.ServerID
+	Service         mangotraffic.ServiceName
+	Generation      mangotraffic.Generation
+	// Made is how many tokens were generated so far.
+	Made mangomodel.Tokens
+}
--- a/core/mangofleet/fleet.go
+++ b/core/mangofleet/fleet.go
@@ -14,8 +14,7 @@
 
 // Self is the daemon that owns a fleet.
 type Self struct {
-	Daemon     mangomodel.DaemonID
-	DataCentre mangomodel.DataCentreID
+	Member
 	// Regions says which region each data centre is in.
 	Regions map[mangomodel.DataCentreID]mangomodel.RegionID
 }
@@ -30,10 +29,13 @@
 
 // New returns a fleet without servers. Its view can be read at once; commands
 // are applied while Run runs.
-func New(self Self, limits mangobudget.Limits) *Fleet {
-	return &Fleet{loop: mangoloop.New[*state, View](newState(self, limits))}
+func New(self Self, retries Retries) *Fleet {
+	return &Fleet{loop: mangoloop.New[*state, View](newState(self, retries))}
 }
 
+// Retries returns the retry budget of a service at one of n daemons.
+type Retries func(daemons int) mangobudget.Limits
+
 // Run applies commands until ctx ends.
 func (f *Fleet) Run(ctx context.Context) { f.loop.Run(ctx) }
 
@@ -61,31 +63,44 @@
 	Routing *mangotraffic.Routing
 	// Draining is set once a graceful shutdown has begun.
 	Draining bool
-	// Servers counts the listed servers, Waiting the queued demands and
-	// Leases the granted ones.
-	Servers, Waiting, Leases int
-	// ListRead is when the list of servers was last known to be current.
+	// Waiting counts the queued demands and Leases the granted ones.
+	Waiting, Leases int
+	// ListRead is when the list of servers was last known to be current; zero
+	// if it never was.
 	ListRead time.Time
+	// Listed are the servers of the list.
+	Listed []mangotraffic.Server
+	// Members are the daemons that are believed alive, this one included.
+	Members []Sighting
 
-	leases mangoquery.Index[LeaseID, Lease]
-	load   []ServerLoad
+	schedulers map[mangotraffic.ServiceName][]Member
+	granted    mangoquery.Index[LeaseID, Lease]
+	crashes    []Crash
 }
 
 // Lease returns a granted lease.
-func (v *View) Lease(id LeaseID) (Lease, bool) { return v.leases.Get(id) }
+func (v *View) Lease(id LeaseID) (Lease, bool) { return v.granted.Get(id) }
 
 // Ready reports whether the daemon can route calls and wants more of them.
-func (v *View) Ready() bool { return v.Routing != nil && !v.Draining }
-
-// Load returns what this daemon has running at each server.
-func (v *View) Load() []ServerLoad { return v.load }
-
-// ServerLoad is what one daemon has running at a server.
-type ServerLoad struct {
-	Server  mangomodel.ServerID
-	Running int
-	// Memory is the KV memory that the running generations may take.
-	Memory mangomodel.Tokens
-	// PrefillBacklog is the prompt tokens that wait for the server.
-	PrefillBacklog mangomodel.Tokens
+func (v *View) Ready() bool { return v.Routing != nil && !v.ListRead.IsZero() && !v.Draining }
+
+// Scheduler returns the daemon that grants the slots of a service's engines.
+func (v *View) Scheduler(name mangotraffic.ServiceName) (Member, bool) {
+	list := v.schedulers[name]
+	if len(list) == 0 {
+		return Member{}, false
+	}
+	return list[0], true
 }
+
+// EngineServices returns the services that need a scheduler.
+func (v *View) EngineServices() []mangotraffic.ServiceName {
+	names := make([]mangotraffic.ServiceName, 0, len(v.schedulers))
+	for name := range v.schedulers {
+		names = append(names, name)
+	}
+	return names
+}
+
+// Crashes returns the calls that broke off at servers lately.
+func (v *View) Crashes() []Crash { return v.crashes }
--- a/core/mangofleet/list.go
+++ b/core/mangofleet/list.go
@@ -51,7 +51,7 @@
 		s.list(*change.Server)
 	}
 	if c.Full {
-		for id := range s.servers {
+		for id := range s.backends {
 			if !listed[id] {
 				s.vanish(id, c.AfterOutage, now)
 			}
@@ -63,9 +63,11 @@
 
 // list adds or updates a server. A new life starts without a history.
 func (s *state) list(server mangotraffic.Server) {
-	m, ok := s.servers[server.ID]
+	s.changed.list = true
+	m, ok := s.backends[server.ID]
 	if !ok {
-		s.servers[server.ID] = &member{server: server, peers: make(map[mangomodel.DaemonID]peerLoad)}
+		s.backends[server.ID] = newBackend(server)
+		s.attach(server.ID)
 		return
 	}
 	if !m.server.SameLife(&server) {
@@ -78,7 +80,7 @@
 
 // vanish removes a server, or gives it time to be listed again.
 func (s *state) vanish(id mangomodel.ServerID, afterOutage bool, now time.Time) {
-	m, ok := s.servers[id]
+	m, ok := s.backends[id]
 	if !ok {
 		return
 	}
@@ -92,13 +94,25 @@
 }
 
 func (s *state) remove(id mangomodel.ServerID) {
-	delete(s.servers, id)
-	s.loadChanged = true
+	delete(s.backends, id)
+	s.changed.list = true
+}
+
+// attach finds the leases of a server that was not listed for a while.
+func (s *state) attach(id mangomodel.ServerID) {
+	for lease, l := range s.leases {
+		if l.server == id {
+			s.backends[id].runs[lease] = l
+		}
+		if l.prefill == id {
+			s.backends[id].prefills[lease] = l
+		}
+	}
 }
 
 // expireEntries removes the servers that were not listed again in time.
 func (s *state) expireEntries(now time.Time) {
-	for id, m := range s.servers {
+	for id, m := range s.backends {
 		if !m.goneAt.IsZero() && !now.Before(m.goneAt) {
 			s.remove(id)
 		}
@@ -111,5 +125,6 @@
 // Apply applies the command.
 func (Drain) Apply(s *state, _ time.Time) error {
 	s.draining = true
+	s.changed.members = true
 	return nil
 }
--- a/core/mangofleet/observe.go
+++ b/core/mangofleet/observe.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"mangolane/core/mangobudget"
 	"mangolane/core/mangomodel"
 	"mangolane/core/mangotraffic"
 )
@@ -32,14 +31,19 @@
 type Observe struct {
 	Server mangomodel.ServerID
 	Saw    Observation
+	// Load is what the server said of itself, if anything.
+	Load *mangotraffic.LoadReport
 }
 
 // Apply applies the command.
 func (c Observe) Apply(s *state, now time.Time) error {
-	m, ok := s.servers[c.Server]
+	m, ok := s.backends[c.Server]
 	if !ok {
 		return nil
 	}
+	if c.Load != nil {
+		m.others, m.othersAt = max(c.Load.Running+c.Load.Waiting-len(m.runs), 0), now
+	}
 	switch c.Saw {
 	case ObservedSuccess:
 		m.health = m.health.Succeeded()
@@ -58,46 +62,8 @@
 
 // Apply applies the command.
 func (c TakeRetry) Apply(s *state, now time.Time) error {
-	if !s.budget(c.Service).Take(now) {
+	if !s.budget(c.Service, now).Take(now) {
 		return refused(mangomodel.CodeOverloaded, "the retry budget of %s is used up", c.Service)
 	}
 	return nil
 }
-
-// PeerNews is what another daemon has running.
-type PeerNews struct {
-	Daemon mangomodel.DaemonID
-	Load   []ServerLoad
-	// Crashes are the fingerprints of calls that broke off at their servers.
-	Crashes []Crash
-}
-
-// Apply applies the command.
-func (c PeerNews) Apply(s *state, now time.Time) error {
-	s.daemons[c.Daemon] = now
-	for _, m := range s.servers {
-		delete(m.peers, c.Daemon)
-	}
-	for _, l := range c.Load {
-		if m, ok := s.servers[l.Server]; ok {
-			m.peers[c.Daemon] = peerLoad{load: l, at: now}
-		}
-	}
-	for _, crash := range c.Crashes {
-		s.suspects.learn(c.Daemon, crash, now)
-	}
-	s.serveQueue(now)
-	return nil
-}
-
-// LimitRetries sets the retry budget of each service at this daemon.
-type LimitRetries struct{ Limits mangobudget.Limits }
-
-// Apply applies the command.
-func (c LimitRetries) Apply(s *state, _ time.Time) error {
-	s.limits = c.Limits
-	for _, b := range s.budgets {
-		b.Limit(c.Limits)
-	}
-	return nil
-}
--- a/core/mangofleet/placement.go
+++ b/core/mangofleet/placement.go
@@ -10,9 +10,9 @@
 )
 
 const (
-	// peerLoadAge is how old another daemon's load may be; news come every
-	// 100 ms, and a few may be lost.
-	peerLoadAge = time.Second
+	// othersAge is how old a server's own report of its load may be; it is
+	// out of date after a few calls.
+	othersAge = 300 * time.Millisecond
 	// lateReserve is the share of a server's slots that demands which are
 	// late already leave to those that can still be on time.
 	lateReserve = 0.1
@@ -24,124 +24,93 @@
 	// maxPrefillWait is the longest predicted wait for a prefill server. A
 	// decode slot idles as long.
 	maxPrefillWait = 120 * time.Millisecond
-	// initialPrefillRate, in tokens a second, is used until a server's own
-	// rate was measured. It is that of the slowest engines of the users'
-	// sheets.
-	initialPrefillRate = 50_000.0
+	// transferPenalty is what one step of distance between prefill and decode
+	// server adds to the cost of a prefill server: about half a mean prefill.
+	transferPenalty = 50 * time.Millisecond
+	// memoryShare is the part of a decode server's memory that is planned
+	// with. The rest absorbs generations longer than expected.
+	memoryShare = 0.95
 )
 
 // placement is where a demand would go.
-type placement struct {
-	server  *member
-	prefill *member
-}
+type placement struct{ server, prefill *backend }
 
-// place finds the best servers for a demand. The salt spreads equal choices.
-func (s *state) place(d *Demand, salt uint64, now time.Time) (placement, bool) {
+// place finds the best servers for a demand.
+func (s *state) place(w *waiter, now time.Time) (placement, bool) {
+	d := &w.demand
 	if d.Generation == nil {
-		m := s.best(d, mangotraffic.StageNone, salt, now, func(m *member) (float64, bool) { return s.plainCost(m, now) })
-		return placement{server: m}, m != nil
+		b := s.best(w, mangotraffic.StageNone, now, func(b *backend) (float64, bool) { return s.plainCost(b, d, now) })
+		return placement{server: b}, b != nil
 	}
-	decode := s.best(d, mangotraffic.StageDecode, salt, now, func(m *member) (float64, bool) { return s.decodeCost(m, d, now) })
+	decode := s.best(w, mangotraffic.StageDecode, now, func(b *backend) (float64, bool) { return s.decodeCost(b, w, now) })
 	if decode == nil {
 		return placement{}, false
 	}
 	if d.Prefilled {
 		return placement{server: decode}, true
 	}
-	prefill := s.best(d, mangotraffic.StagePrefill, salt, now, func(m *member) (float64, bool) {
-		return s.prefillCost(m, decode, now)
-	})
+	prefill := s.best(w, mangotraffic.StagePrefill, now, func(b *backend) (float64, bool) { return s.prefillCost(b, decode, now) })
 	return placement{server: decode, prefill: prefill}, prefill != nil
 }
 
-// best returns the usable server of a stage with the least cost.
-func (s *state) best(d *Demand, stage mangotraffic.Stage, salt uint64, now time.Time, cost func(*member) (float64, bool)) *member {
-	var best *member
+// best returns the usable server of a stage with the least cost. Equal choices
+// are spread by the lease's number.
+func (s *state) best(w *waiter, stage mangotraffic.Stage, now time.Time, cost func(*backend) (float64, bool)) *backend {
+	var best *backend
 	least, bestTie := math.Inf(1), uint64(0)
-	for id, m := range s.servers {
-		if m.server.Service != d.Service || m.server.Stage != stage || !m.usable(now) || slices.Contains(d.Avoid, id) {
+	for id, b := range s.backends {
+		if b.server.Service != w.demand.Service || b.server.Stage != stage || !b.usable(now) || slices.Contains(w.demand.Avoid, id) {
 			continue
 		}
-		c, ok := cost(m)
+		c, ok := cost(b)
 		if !ok || c > least {
 			continue
 		}
-		tie := mix(salt, string(id))
+		tie := mix(w.lease.Number, string(id))
 		if c == least && tie < bestTie {
 			continue
 		}
-		best, least, bestTie = m, c, tie
+		best, least, bestTie = b, c, tie
 	}
 	return best
 }
 
-// usable reports whether a server may get new work.
-func (m *member) usable(now time.Time) bool {
-	return m.server.State == mangotraffic.StateReady && m.health.Usable(now) && !now.Before(m.fullUntil)
-}
-
 // plainCost is the load of a plain server and its distance.
-func (s *state) plainCost(m *member, now time.Time) (float64, bool) {
-	used := float64(m.running + m.peerRunning(now))
-	slots := float64(max(m.server.Slots, 1))
-	return used/slots + distanceLoad*float64(s.distance(s.self.DataCentre, m.server.DataCentre)), used < slots*(1+plainQueue)
+func (s *state) plainCost(b *backend, d *Demand, now time.Time) (float64, bool) {
+	used := float64(len(b.runs))
+	if now.Sub(b.othersAt) < othersAge {
+		used += float64(b.others)
+	}
+	slots := float64(max(b.server.Slots, 1))
+	return used/slots + distanceLoad*float64(s.distance(d.Origin, b.server.DataCentre)), used < slots*(1+plainQueue)
 }
 
 // decodeCost prefers near servers, and among those the emptiest.
-func (s *state) decodeCost(m *member, d *Demand, now time.Time) (float64, bool) {
-	slots := float64(m.server.Slots)
-	free := slots - float64(m.running+m.peerRunning(now))
+func (s *state) decodeCost(b *backend, w *waiter, now time.Time) (float64, bool) {
+	slots := float64(b.server.Slots)
+	free := slots - float64(len(b.runs))
 	needed := 1.0
-	if lateness(d, now) > 0 {
+	if w.lateness(now) > 0 {
 		needed += math.Floor(slots * lateReserve)
 	}
-	if free < needed || !s.hasMemory(m, d, now) {
+	service, ok := s.service(w.demand.Service)
+	if !ok || service.Engine == nil || free < needed {
 		return 0, false
 	}
-	return float64(s.distance(s.self.DataCentre, m.server.DataCentre)) + 1 - free/slots, true
-}
-
-func (s *state) hasMemory(m *member, d *Demand, now time.Time) bool {
-	service, ok := s.service(d.Service)
-	if !ok || service.Engine == nil {
-		return false
-	}
-	used := m.memory
-	for _, p := range m.peers {
-		if now.Sub(p.at) < peerLoadAge {
-			used += p.load.Memory
-		}
-	}
-	return used+d.Generation.Memory() <= service.Engine.KVTokens
-}
-
-// prefillCost is the predicted wait, with the time of a transfer that crosses
-// data centres added.
-func (s *state) prefillCost(m, decode *member, now time.Time) (float64, bool) {
-	backlog := m.prefills
-	for _, p := range m.peers {
-		if now.Sub(p.at) < peerLoadAge {
-			backlog += p.load.PrefillBacklog
-		}
+	total := mangomodel.Tokens(memoryShare * float64(service.Engine.KVTokens))
+	peak := b.peak(w.demand.Generation, now)
+	if peak > total && len(b.runs) > 0 {
+		return 0, false
 	}
-	wait := float64(backlog) / initialPrefillRate
-	return wait + transferPenalty.Seconds()*float64(s.distance(decode.server.DataCentre, m.server.DataCentre)),
-		wait <= maxPrefillWait.Seconds()
+	return float64(s.distance(w.demand.Origin, b.server.DataCentre)) + float64(peak)/float64(total), true
 }
 
-// transferPenalty is what one step of distance between prefill and decode
-// server adds to the cost of a prefill server: about half of a mean prefill.
-const transferPenalty = 50 * time.Millisecond
-
-func (m *member) peerRunning(now time.Time) int {
-	n := 0
-	for _, p := range m.peers {
-		if now.Sub(p.at) < peerLoadAge {
-			n += p.load.Running
-		}
-	}
-	return n
+// prefillCost is the predicted wait, with a penalty for a transfer that
+// crosses data centres.
+func (s *state) prefillCost(b, decode *backend, now time.Time) (float64, bool) {
+	wait := b.backlog(now)
+	penalty := transferPenalty * time.Duration(s.distance(decode.server.DataCentre, b.server.DataCentre))
+	return (wait + penalty).Seconds(), wait <= maxPrefillWait
 }
 
 // distance is 0 within a data centre, 1 within a region and 4 between
@@ -157,13 +126,3 @@
 		return betweenRegions
 	}
 }
-
-// mix spreads a salt and an id over the numbers (FNV-1a).
-func mix(salt uint64, id string) uint64 {
-	const offset, prime = 14695981039346656037, 1099511628211
-	h := offset ^ salt*prime
-	for i := range len(id) {
-		h = (h ^ uint64(id[i])) * prime
-	}
-	return h ^ h>>29
-}
--- a/core/mangofleet/state.go
+++ b/core/mangofleet/state.go
@@ -1,51 +1,22 @@
 package mangofleet
 
 import (
-	"cmp"
-	"slices"
+	"maps"
 	"time"
 
 	"mangolane/core/mangobudget"
-	"mangolane/core/mangohealth"
 	"mangolane/core/mangoloop"
 	"mangolane/core/mangomodel"
 	"mangolane/core/mangoquery"
 	"mangolane/core/mangotraffic"
 )
 
-// member is one backend server as this daemon believes it to be.
-type member struct {
-	server mangotraffic.Server
-	// running, memory and prefills are what this daemon uses.
-	running  int
-	memory   mangomodel.Tokens
-	prefills mangomodel.Tokens
-	// peers is what the other daemons use.
-	peers map[mangomodel.DaemonID]peerLoad
-	// fullUntil is set when the server had no room although the counts said
-	// so.
-	fullUntil time.Time
-	health    mangohealth.Record
-	// goneAt is when an entry that vanished during an outage of the list
-	// counts as gone.
-	goneAt time.Time
-}
-
-type peerLoad struct {
-	load ServerLoad
-	at   time.Time
-}
-
-type lease struct {
-	demand  Demand
-	server  mangomodel.ServerID
-	prefill mangomodel.ServerID
-}
-
 type waiter struct {
 	lease  LeaseID
 	demand Demand
-	reply  mangoloop.Reply
+	// since, onTimeUntil and patience are the demand's durations as times.
+	since, onTimeUntil, patience time.Time
+	reply                        mangoloop.Reply
 }
 
 // state is the control state. Only the control goroutine touches it.
@@ -53,53 +24,56 @@
 	self     Self
 	routing  *mangotraffic.Routing
 	draining bool
-	servers  map[mangomodel.ServerID]*member
+	backends map[mangomodel.ServerID]*backend
 	leases   map[LeaseID]*lease
 	granted  mangoquery.Index[LeaseID, Lease]
 	queue    []*waiter
-	limits   mangobudget.Limits
-	daemons  map[mangomodel.DaemonID]time.Time
+	retries  Retries
 	budgets  map[mangotraffic.ServiceName]*mangobudget.Budget
+	peers    map[mangomodel.DaemonID]*peer
 	suspects suspects
 	listRead time.Time
-	// loadChanged says that the published load is out of date.
-	loadChanged bool
+	changed  parts
 }
 
-func newState(self Self, limits mangobudget.Limits) *state {
+// parts marks parts of the published view that are out of date.
+type parts struct{ list, members, crashes bool }
+
+func newState(self Self, retries Retries) *state {
 	return &state{
 		self:     self,
-		servers:  make(map[mangomodel.ServerID]*member),
+		backends: make(map[mangomodel.ServerID]*backend),
 		leases:   make(map[LeaseID]*lease),
-		limits:   limits,
-		daemons:  make(map[mangomodel.DaemonID]time.Time),
+		retries:  retries,
 		budgets:  make(map[mangotraffic.ServiceName]*mangobudget.Budget),
+		peers:    make(map[mangomodel.DaemonID]*peer),
 		suspects: newSuspects(),
+		changed:  parts{list: true, members: true},
 	}
 }
 
-// Tick refuses demands whose patience has ended and serves those that became
-// possible.
+// Tick does what is due.
 func (s *state) Tick(now time.Time) {
 	s.expireEntries(now)
+	s.expireHolders(now)
 	s.serveQueue(now)
 }
 
-// NextDue returns when the queue has to be looked at again.
+// NextDue returns when Tick has to be called again.
 func (s *state) NextDue() (time.Time, bool) {
 	var due time.Time
-	for _, w := range s.queue {
-		due = earliest(due, w.demand.Patience)
+	for _, b := range s.backends {
+		due = earliest(due, b.goneAt)
 	}
-	for _, m := range s.servers {
-		due = earliest(due, m.goneAt)
-		if len(s.queue) > 0 {
-			due = earliest(due, m.fullUntil)
-		}
+	for _, w := range s.queue {
+		due = earliest(due, w.patience)
 	}
 	if len(s.queue) > 0 {
 		due = earliest(due, time.Now().Add(queueInterval))
 	}
+	if len(s.leases) > 0 {
+		due = earliest(due, time.Now().Add(holderTimeout))
+	}
 	return due, !due.IsZero()
 }
 
@@ -112,28 +86,33 @@
 }
 
 // View publishes the state.
-func (s *state) View(last *View, _ time.Time) *View {
+func (s *state) View(last *View, now time.Time) *View {
 	v := &View{
-		Routing: s.routing, Draining: s.draining, Servers: len(s.servers),
-		Waiting: len(s.queue), Leases: len(s.leases), ListRead: s.listRead, leases: s.granted,
+		Routing: s.routing, Draining: s.draining, Waiting: len(s.queue), Leases: len(s.leases),
+		ListRead: s.listRead, granted: s.granted,
+	}
+	if last != nil {
+		v.Listed, v.Members, v.schedulers, v.crashes = last.Listed, last.Members, last.schedulers, last.crashes
+	}
+	if s.changed.list {
+		v.Listed = s.listed()
+	}
+	if s.changed.members || s.changed.list {
+		v.Members = s.sightings(now)
+		v.schedulers = s.schedulers(now)
 	}
-	if last != nil && !s.loadChanged {
-		v.load = last.load
-		return v
+	if s.changed.crashes {
+		v.crashes = s.suspects.list(now)
 	}
-	s.loadChanged = false
-	v.load = s.load()
+	s.changed = parts{}
 	return v
 }
 
-func (s *state) load() []ServerLoad {
-	var list []ServerLoad
-	for id, m := range s.servers {
-		if m.running > 0 || m.prefills > 0 {
-			list = append(list, ServerLoad{Server: id, Running: m.running, Memory: m.memory, PrefillBacklog: m.prefills})
-		}
+func (s *state) listed() []mangotraffic.Server {
+	list := make([]mangotraffic.Server, 0, len(s.backends))
+	for b := range maps.Values(s.backends) {
+		list = append(list, b.server)
 	}
-	slices.SortFunc(list, func(a, b ServerLoad) int { return cmp.Compare(a.Server, b.Server) })
 	return list
 }
 
@@ -145,11 +124,13 @@
 }
 
 // budget returns the retry budget of a service at this daemon.
-func (s *state) budget(name mangotraffic.ServiceName) *mangobudget.Budget {
+func (s *state) budget(name mangotraffic.ServiceName, now time.Time) *mangobudget.Budget {
+	limits := s.retries(s.alive(now))
 	b, ok := s.budgets[name]
 	if !ok {
-		b = mangobudget.New(s.limits)
+		b = mangobudget.New(limits)
 		s.budgets[name] = b
 	}
+	b.Limit(limits)
 	return b
 }
--- a/core/mangofleet/suspect.go
+++ b/core/mangofleet/suspect.go
@@ -15,6 +15,8 @@
 	crashMemory = time.Minute
 	// maxSuspects bounds the remembered calls.
 	maxSuspects = 4096
+	// maxNews bounds the calls that one message names.
+	maxNews = 64
 )
 
 // Crash counts how often a call broke off at the servers that ran it.
@@ -78,12 +80,38 @@
 	return n
 }
 
+// list returns what this daemon has seen of calls that broke off lately.
+func (s suspects) list(now time.Time) []Crash {
+	var list []Crash
+	for call, x := range s {
+		if x.own > 0 && now.Sub(x.last) < crashMemory && len(list) < maxNews {
+			list = append(list, Crash{Call: call, Count: x.own})
+		}
+	}
+	return list
+}
+
+// LearnCrashes takes in what another daemon has seen.
+type LearnCrashes struct {
+	From    mangomodel.DaemonID
+	Crashes []Crash
+}
+
+// Apply applies the command.
+func (c LearnCrashes) Apply(s *state, now time.Time) error {
+	for _, crash := range c.Crashes {
+		s.suspects.learn(c.From, crash, now)
+	}
+	return nil
+}
+
 // CallBroke says that a server broke off while it ran a call.
 type CallBroke struct{ Call mangomodel.Fingerprint }
 
 // Apply applies the command.
 func (c CallBroke) Apply(s *state, now time.Time) error {
 	s.suspects.get(c.Call, now).own++
+	s.changed.crashes = true
 	return nil
 }
 
@@ -96,7 +124,7 @@
 
 // Apply applies the command.
 func (c Enter) Apply(s *state, now time.Time) error {
-	s.budget(c.Service).Called(now)
+	s.budget(c.Service, now).Called(now)
 	if n := s.suspects.crashes(c.Call, now); n >= maxCrashes {
 		return refused(mangomodel.CodeQuarantined, "the call broke %d servers", n)
 	}
--- a/core/mangorelay/phase_string.go
+++ b/core/mangorelay/phase_string.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _PhaseName = "ReservePrefillRun"
+const _PhaseName = "PrefillRun"
 
-var _PhaseIndex = [...]uint8{0, 7, 14, 17}
+var _PhaseIndex = [...]uint8{0, 7, 10}
 
-const _PhaseLowerName = "reserveprefillrun"
+const _PhaseLowerName = "prefillrun"
 
 func (i Phase) String() string {
 	if i < 0 || i >= Phase(len(_PhaseIndex)-1) {
@@ -24,29 +24,25 @@
 // Re-run the stringer command to generate them again.
 func _PhaseNoOp() {
 	var x [1]struct{}
-	_ = x[PhaseReserve-(0)]
-	_ = x[PhasePrefill-(1)]
-	_ = x[PhaseRun-(2)]
+	_ = x[PhasePrefill-(0)]
+	_ = x[PhaseRun-(1)]
 }
 
-var _PhaseValues = []Phase{PhaseReserve, PhasePrefill, PhaseRun}
+var _PhaseValues = []Phase{PhasePrefill, PhaseRun}
 
 var _PhaseNameToValueMap = map[string]Phase{
-	_PhaseName[0:7]:   PhaseReserve,
-	_PhaseName[7:14]:  PhasePrefill,
-	_PhaseName[14:17]: PhaseRun,
+	_PhaseName[0:7]:  PhasePrefill,
+	_PhaseName[7:10]: PhaseRun,
 }
 
 var _PhaseLowerNameToValueMap = map[string]Phase{
-	_PhaseLowerName[0:7]:   PhaseReserve,
-	_PhaseLowerName[7:14]:  PhasePrefill,
-	_PhaseLowerName[14:17]: PhaseRun,
+	_PhaseLowerName[0:7]:  PhasePrefill,
+	_PhaseLowerName[7:10]: PhaseRun,
 }
 
 var _PhaseNames = []string{
 	_PhaseName[0:7],
-	_PhaseName[7:14],
-	_PhaseName[14:17],
+	_PhaseName[7:10],
 }
 
 // PhaseString retrieves an enum value from the enum constants string name.
--- a/core/mangorelay/plain.go
+++ b/core/mangorelay/plain.go
@@ -57,14 +57,12 @@
 func (j *job) tryPlain(ctx context.Context) error {
 	now := time.Now()
 	patience := time.Duration(queuePatience * float64(j.picked.TargetLatency))
-	lease, _, release, err := j.acquire(ctx, mangofleet.Demand{
-		Request: j.call.ID, Service: j.service.Name, Priority: j.picked.Priority,
-		Since: j.call.Arrived, OnTimeUntil: j.call.Arrived.Add(patience), Patience: now.Add(patience), Avoid: j.avoid,
-	})
+	grant, err := j.acquire(ctx, mangofleet.Demand{OnTimeFor: patience, Patience: patience})
 	if err != nil {
 		return err
 	}
-	defer release()
+	defer grant.Release()
+	lease := grant.Lease
 	runCtx, cancel := j.silenceBound(ctx)
 	defer cancel()
 	runCtx, end := j.relay.tracer.Start(runCtx, mangomodel.StepCall, mangomodel.PeerName(lease.Server.ID))
@@ -105,23 +103,23 @@
 		return err
 	}
 	if len(data) == maxBuffered {
-		return j.passRest(ctx, server, answer.Body)
+		return j.passRest(ctx, server, answer)
 	}
-	j.observe(server.ID, mangofleet.ObservedSuccess)
+	j.observe(server.ID, mangofleet.ObservedSuccess, answer.Load)
 	return nil
 }
 
-func (j *job) passRest(ctx context.Context, server mangotraffic.Server, body io.Reader) error {
+func (j *job) passRest(ctx context.Context, server mangotraffic.Server, answer *Answer) error {
 	part := make([]byte, maxBuffered)
 	for {
-		n, err := body.Read(part)
+		n, err := answer.Body.Read(part)
 		if n > 0 {
 			if err := clientFault(j.sink.Write(part[:n])); err != nil {
 				return err
 			}
 		}
 		if errors.Is(err, io.EOF) {
-			j.observe(server.ID, mangofleet.ObservedSuccess)
+			j.observe(server.ID, mangofleet.ObservedSuccess, answer.Load)
 			return nil
 		}
 		if err != nil {
@@ -136,7 +134,7 @@
 	if answer.Moved {
 		saw = mangofleet.ObservedMoved
 	}
-	j.observe(server.ID, saw)
+	j.observe(server.ID, saw, answer.Load)
 	j.avoid = append(j.avoid, server.ID)
 	return mangomodel.Faultf(mangomodel.StepCall, mangomodel.PeerName(server.ID), mangomodel.CodeOverloaded, mangomodel.RunNot,
 		"status %d, not run", answer.Head.Status)
@@ -147,7 +145,7 @@
 	f := mangomodel.AsFault(err, mangomodel.StepCall)
 	j.avoid = append(j.avoid, server.ID)
 	if f.Run == mangomodel.RunNot {
-		j.observe(server.ID, mangofleet.ObservedUnreachable)
+		j.observe(server.ID, mangofleet.ObservedUnreachable, nil)
 		return f
 	}
 	j.runs++
@@ -160,7 +158,7 @@
 	j.avoid = append(j.avoid, server.ID)
 	cause := context.Cause(ctx)
 	if cause == nil || errors.Is(cause, context.DeadlineExceeded) {
-		j.observe(server.ID, mangofleet.ObservedFailure)
+		j.observe(server.ID, mangofleet.ObservedFailure, nil)
 	}
 	if cause == nil {
 		j.tell(mangofleet.CallBroke{Call: j.call.Fingerprint})
--- a/core/mangorelay/port.go
+++ b/core/mangorelay/port.go
@@ -25,6 +25,7 @@
 	"io"
 	"time"
 
+	"mangolane/core/mangobroker"
 	"mangolane/core/mangofleet"
 	"mangolane/core/mangomodel"
 	"mangolane/core/mangotraffic"
@@ -38,6 +39,11 @@
 	View() *mangofleet.View
 }
 
+// Broker finds servers for calls.
+type Broker interface {
+	Acquire(ctx context.Context, d mangofleet.Demand) (*mangobroker.Grant, error)
+}
+
 // Servers makes exchanges with backend servers. A failure is a fault whose Run
 // says whether the call may have run.
 type Servers interface {
@@ -47,18 +53,12 @@
 	Prefill(ctx context.Context, to mangotraffic.Server, call *mangotraffic.Call) (mangotraffic.KVSource, error)
 	// Free drops a KV cache that was not fetched.
 	Free(ctx context.Context, source mangotraffic.KVSource) error
-	// Reserve takes a slot and memory.
-	Reserve(ctx context.Context, at mangotraffic.Server, tokens mangomodel.Tokens, lifetime time.Duration) (mangotraffic.ReservationID, error)
-	// Cancel gives a reservation back.
-	Cancel(ctx context.Context, at mangotraffic.Server, id mangotraffic.ReservationID) error
 }
 
 // RunOptions are what a relay adds to a call.
 type RunOptions struct {
 	// Source is where the KV cache is fetched from.
 	Source *mangotraffic.KVSource
-	// Reservation was taken at the same server.
-	Reservation mangotraffic.ReservationID
 	// After is the last event that was passed on.
 	After mangotraffic.EventID
 	// Stream is set when the answer is read event by event.
@@ -76,6 +76,8 @@
 	Head Head
 	// NotRun is set when the server says that it did not run the call.
 	NotRun bool
+	// Load is what the server says of itself, if anything.
+	Load *mangotraffic.LoadReport
 	// Moved is set when the address belongs to another server now.
 	Moved bool
 	// Body is nil for a stream of events.
@@ -119,10 +121,8 @@
 type Phase int
 
 const (
-	// PhaseReserve takes a slot.
-	PhaseReserve Phase = iota
 	// PhasePrefill computes a KV cache.
-	PhasePrefill
+	PhasePrefill Phase = iota
 	// PhaseRun runs the call.
 	PhaseRun
 )
--- a/core/mangorelay/relay.go
+++ b/core/mangorelay/relay.go
@@ -4,9 +4,9 @@
 	"context"
 	"errors"
 	"strings"
-	"sync/atomic"
 	"time"
 
+	"mangolane/core/mangobroker"
 	"mangolane/core/mangofleet"
 	"mangolane/core/mangomodel"
 	"mangolane/core/mangotraffic"
@@ -15,10 +15,10 @@
 // Relay takes calls to servers.
 type Relay struct {
 	fleet    Fleet
+	broker   Broker
 	servers  Servers
 	observer Observer
 	tracer   Tracer
-	leases   atomic.Uint64
 }
 
 // Option configures a Relay.
@@ -31,8 +31,8 @@
 func WithTracer(t Tracer) Option { return func(r *Relay) { r.tracer = t } }
 
 // New returns a Relay.
-func New(fleet Fleet, servers Servers, opts ...Option) *Relay {
-	r := &Relay{fleet: fleet, servers: servers, observer: silent{}, tracer: untraced{}}
+func New(fleet Fleet, broker Broker, servers Servers, opts ...Option) *Relay {
+	r := &Relay{fleet: fleet, broker: broker, servers: servers, observer: silent{}, tracer: untraced{}}
 	for _, opt := range opts {
 		opt(r)
 	}
@@ -78,6 +78,8 @@
 	// sent is set once a server that accepts calls may have got this one.
 	sent  bool
 	avoid []mangomodel.ServerID
+	// made counts the tokens of the lease in use.
+	made func(mangomodel.Tokens)
 	// begun is set once the sink has the head.
 	begun  bool
 	last   mangotraffic.EventID
@@ -148,21 +150,17 @@
 	return &f
 }
 
-// acquire waits for servers. The returned function gives them back.
-func (j *job) acquire(ctx context.Context, d mangofleet.Demand) (mangofleet.Lease, mangofleet.LeaseID, func(), error) {
-	id := mangofleet.LeaseID(j.relay.leases.Add(1))
-	if err := j.relay.fleet.Do(ctx, mangofleet.Acquire{Lease: id, Demand: d}); err != nil {
-		return mangofleet.Lease{}, id, func() {}, err
+// acquire waits for servers.
+func (j *job) acquire(ctx context.Context, d mangofleet.Demand) (*mangobroker.Grant, error) {
+	d.Request, d.Service, d.Priority, d.Avoid = j.call.ID, j.service.Name, j.picked.Priority, j.avoid
+	d.Age = time.Since(j.call.Arrived)
+	grant, err := j.relay.broker.Acquire(ctx, d)
+	if err != nil {
+		return nil, err
 	}
 	j.attempts++
 	j.result.Attempts = j.attempts
-	release := func() { j.tell(mangofleet.Release{Lease: id}) }
-	lease, ok := j.relay.fleet.View().Lease(id)
-	if !ok {
-		release()
-		return mangofleet.Lease{}, id, func() {}, notRun(mangomodel.CodeUnavailable, "lease %d is missing", id)
-	}
-	return lease, id, release, nil
+	return grant, nil
 }
 
 // tell applies a command that cannot fail but by the end of the process.
@@ -171,8 +169,8 @@
 }
 
 // observe tells the fleet what an exchange showed.
-func (j *job) observe(server mangomodel.ServerID, saw mangofleet.Observation) {
-	j.tell(mangofleet.Observe{Server: server, Saw: saw})
+func (j *job) observe(server mangomodel.ServerID, saw mangofleet.Observation, load *mangotraffic.LoadReport) {
+	j.tell(mangofleet.Observe{Server: server, Saw: saw, Load: load})
 }
 
 // retry takes a repeat from the budget.
--- a/core/mangorelay/stream.go
+++ b/core/mangorelay/stream.go
@@ -6,6 +6,7 @@
 	"io"
 	"time"
 
+	"mangolane/core/mangobroker"
 	"mangolane/core/mangofleet"
 	"mangolane/core/mangomodel"
 	"mangolane/core/mangotraffic"
@@ -18,9 +19,6 @@
 	// streamPatience, in target latencies, is how long a stream may wait for a
 	// start. Clients abandon a stream without an event after four.
 	streamPatience = 3.0
-	// reservationLifetime is long enough for a queued prefill and its
-	// transfer.
-	reservationLifetime = time.Second
 	// firstEventTimeout bounds the wait for the first event after the send. A
 	// transfer that would take over two seconds is not started by an engine.
 	firstEventTimeout = 2 * time.Second
@@ -57,88 +55,56 @@
 func (j *job) needsRetry(error) bool { return j.sent }
 
 func (j *job) tryStream(ctx context.Context) error {
-	lease, id, release, err := j.acquire(ctx, j.streamDemand())
+	grant, err := j.acquire(ctx, j.streamDemand())
 	if err != nil {
 		return err
 	}
-	defer release()
-	reservation, err := j.reserve(ctx, lease)
-	if err != nil {
-		return err
-	}
-	opts := RunOptions{Reservation: reservation, After: j.last, Stream: true}
-	if lease.Prefill != nil {
-		source, err := j.prefill(ctx, lease)
-		j.tell(mangofleet.PrefillDone{Lease: id})
+	defer grant.Release()
+	opts := RunOptions{After: j.last, Stream: true}
+	if grant.Lease.Prefill != nil {
+		source, err := j.prefill(ctx, grant)
 		if err != nil {
-			j.cancel(lease.Server, reservation)
 			return err
 		}
 		opts.Source = &source
 	}
-	return j.generate(ctx, lease, opts)
+	return j.generate(ctx, grant, opts)
 }
 
 // streamDemand asks for a decode slot and a prefill server. A stream that was
 // begun goes first.
 func (j *job) streamDemand() mangofleet.Demand {
-	target := j.picked.TargetLatency
-	d := mangofleet.Demand{
-		Request: j.call.ID, Service: j.service.Name, Priority: j.picked.Priority, Generation: j.call.Generation,
-		Since: j.call.Arrived, Avoid: j.avoid,
-		OnTimeUntil: j.call.Arrived.Add(time.Duration((1 - startShare) * float64(target))),
-		Patience:    j.call.Arrived.Add(time.Duration(streamPatience * float64(target))),
-	}
+	target := float64(j.picked.TargetLatency)
+	age := time.Since(j.call.Arrived)
 	if j.begun {
-		d.Priority = -1
-		d.OnTimeUntil = j.call.Deadline
-		d.Patience = time.Now().Add(defaultStall)
-	}
-	return d
-}
-
-// reserve takes a slot at the decode server.
-func (j *job) reserve(ctx context.Context, lease mangofleet.Lease) (mangotraffic.ReservationID, error) {
-	began := time.Now()
-	lifetime := min(reservationLifetime, j.service.Engine.MaxReservation)
-	ctx, end := j.relay.tracer.Start(ctx, mangomodel.StepAdmission, mangomodel.PeerName(lease.Server.ID))
-	id, err := j.relay.servers.Reserve(ctx, lease.Server, j.call.Generation.Memory(), lifetime)
-	end(err)
-	j.exchanged(PhaseReserve, lease.Server, lease, began, err)
-	if err == nil {
-		return id, nil
-	}
-	f := mangomodel.AsFault(err, mangomodel.StepCall)
-	f.Step, f.Run = mangomodel.StepCall, mangomodel.RunNot
-	if f.Code == mangomodel.CodeOverloaded {
-		j.observe(lease.Server.ID, mangofleet.ObservedFull)
-		// Room at one server says little of the call; only time helps.
-		j.attempts--
-		return "", f
+		return mangofleet.Demand{Generation: j.call.Generation, OnTimeFor: defaultStall, Patience: defaultStall}
 	}
-	j.avoid = append(j.avoid, lease.Server.ID)
-	if ctx.Err() == nil {
-		j.observe(lease.Server.ID, mangofleet.ObservedUnreachable)
+	return mangofleet.Demand{
+		Generation: j.call.Generation,
+		OnTimeFor:  time.Duration((1-startShare)*target) - age,
+		Patience:   time.Duration(streamPatience*target) - age,
 	}
-	return "", f
 }
 
 // prefill has the prompt's KV cache computed.
-func (j *job) prefill(ctx context.Context, lease mangofleet.Lease) (mangotraffic.KVSource, error) {
+func (j *job) prefill(ctx context.Context, grant *mangobroker.Grant) (mangotraffic.KVSource, error) {
 	began := time.Now()
 	j.sent = true
-	ctx, end := j.relay.tracer.Start(ctx, mangomodel.StepPrefill, mangomodel.PeerName(lease.Prefill.ID))
-	source, err := j.relay.servers.Prefill(ctx, *lease.Prefill, j.call)
+	server := *grant.Lease.Prefill
+	ctx, end := j.relay.tracer.Start(ctx, mangomodel.StepPrefill, mangomodel.PeerName(server.ID))
+	source, err := j.relay.servers.Prefill(ctx, server, j.call)
 	end(err)
-	j.exchanged(PhasePrefill, *lease.Prefill, lease, began, err)
+	j.exchanged(PhasePrefill, server, grant.Lease, began, err)
 	if err == nil {
-		j.observe(lease.Prefill.ID, mangofleet.ObservedSuccess)
+		grant.PrefillDone(time.Since(began))
+		j.observe(server.ID, mangofleet.ObservedSuccess, nil)
 		return source, nil
 	}
+	grant.PrefillDone(0)
 	f := mangomodel.AsFault(err, mangomodel.StepPrefill)
-	j.avoid = append(j.avoid, lease.Prefill.ID)
+	j.avoid = append(j.avoid, server.ID)
 	if ctx.Err() == nil {
-		j.observe(lease.Prefill.ID, prefillObservation(f))
+		j.observe(server.ID, prefillObservation(f), nil)
 	}
 	// A prefill is not a run, whatever became of it.
 	f.Run = mangomodel.RunNot
@@ -157,8 +123,10 @@
 }
 
 // generate runs the call at the decode server and passes its events on.
-func (j *job) generate(ctx context.Context, lease mangofleet.Lease, opts RunOptions) error {
+func (j *job) generate(ctx context.Context, grant *mangobroker.Grant, opts RunOptions) error {
 	began := time.Now()
+	lease := grant.Lease
+	j.made = grant.Made
 	runCtx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	stall := time.AfterFunc(firstEventTimeout, func() { cancel(errStalled) })
@@ -173,14 +141,12 @@
 	end(err)
 	j.exchanged(PhaseRun, lease.Server, lease, began, err)
 	if err != nil && j.neverTaken(err) {
-		j.cancel(lease.Server, opts.Reservation)
 		j.free(opts.Source)
 	}
 	return err
 }
 
-// neverTaken reports whether the server took neither the reservation nor the
-// KV cache.
+// neverTaken reports whether the server did not fetch the KV cache.
 func (j *job) neverTaken(err error) bool {
 	return mangomodel.AsFault(err, mangomodel.StepCall).Run == mangomodel.RunNot
 }
@@ -215,7 +181,7 @@
 		event, err := answer.Events.Next()
 		stall.Stop()
 		if errors.Is(err, io.EOF) {
-			j.observe(server.ID, mangofleet.ObservedSuccess)
+			j.observe(server.ID, mangofleet.ObservedSuccess, answer.Load)
 			return j.finish(answer.Head)
 		}
 		if err != nil {
@@ -248,6 +214,9 @@
 	j.result.LongestPause = max(j.result.LongestPause, now.Sub(j.lastAt))
 	j.lastAt = now
 	j.result.Events++
+	if j.service.Engine != nil {
+		j.made(max(j.service.Engine.TokensPerEvent, 1))
+	}
 	j.last = max(j.last, event.ID)
 	return clientFault(j.sink.Write(event.Raw))
 }
@@ -259,21 +228,6 @@
 	return stallFactor * j.picked.MaxPause
 }
 
-// cancel gives a reservation back, in the background.
-func (j *job) cancel(server mangotraffic.Server, id mangotraffic.ReservationID) {
-	if id == "" {
-		return
-	}
-	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), cleanupTimeout)
-		defer cancel()
-		began := time.Now()
-		if err := j.relay.servers.Cancel(ctx, server, id); err != nil {
-			j.exchanged(PhaseReserve, server, mangofleet.Lease{}, began, err)
-		}
-	}()
-}
-
 // free drops a KV cache that was not fetched, in the background.
 func (j *job) free(source *mangotraffic.KVSource) {
 	if source == nil {
--- a/core/mangotraffic/call.go
+++ b/core/mangotraffic/call.go
@@ -45,23 +45,20 @@
 	OutputHint mangomodel.Tokens
 }
 
-const (
-	// usualOutput is the share of MaxOutput that is expected without a hint.
-	usualOutput = 0.5
-	// meanProgress is the share of its output that a running generation has
-	// made on average, and so keeps in memory.
-	meanProgress = 0.5
-)
+// usualOutput is the share of MaxOutput that is expected without a hint.
+const usualOutput = 0.5
 
-// Memory returns the KV memory that a generation takes on average while it
-// runs. Generations that run together are at different points, so that the sum
-// of their means is what a server needs for them.
-func (g *Generation) Memory() mangomodel.Tokens {
-	output := float64(g.MaxOutput) * usualOutput
+// Expected returns the number of tokens that a generation probably makes, when
+// it has made some already.
+func (g *Generation) Expected(made mangomodel.Tokens) mangomodel.Tokens {
+	expected := mangomodel.Tokens(float64(g.MaxOutput) * usualOutput)
 	if g.OutputHint > 0 {
-		output = float64(min(g.OutputHint, g.MaxOutput))
+		expected = g.OutputHint
 	}
-	return g.Prompt + mangomodel.Tokens(output*meanProgress)
+	// One that has outlived the expectation goes on for a while.
+	const goesOn = 5
+	expected = max(expected, made+made/goesOn)
+	return min(expected, max(g.MaxOutput, made))
 }
 
 // KVSource is a KV cache that a server fetches before it generates.
--- a/core/mangotraffic/routing.go
+++ b/core/mangotraffic/routing.go
@@ -13,6 +13,7 @@
 	Revision mangomodel.Revision
 	Limits   Limits
 
+	routes []Route
 	// byHost holds each host's routes, longest prefix first.
 	byHost   map[HostName][]*Route
 	services map[ServiceName]*Service
@@ -22,7 +23,7 @@
 // unknown service, or has no target, fails the whole revision.
 func NewRouting(rev mangomodel.Revision, routes []Route, services []Service, limits Limits) (*Routing, error) {
 	r := &Routing{
-		Revision: rev, Limits: limits,
+		Revision: rev, Limits: limits, routes: routes,
 		byHost:   make(map[HostName][]*Route),
 		services: make(map[ServiceName]*Service, len(services)),
 	}
@@ -95,3 +96,25 @@
 func invalid(format string, args ...any) error {
 	return mangomodel.Faultf(mangomodel.StepConfigure, "", mangomodel.CodeInvalid, mangomodel.RunNot, format, args...)
 }
+
+// Document is a revision as daemons pass it on to each other.
+type Document struct {
+	Revision mangomodel.Revision
+	Routes   []Route
+	Services []Service
+	Limits   Limits
+}
+
+// Document returns the revision's document.
+func (r *Routing) Document() *Document {
+	d := &Document{Revision: r.Revision, Routes: r.routes, Limits: r.Limits}
+	for _, s := range r.services {
+		d.Services = append(d.Services, *s)
+	}
+	return d
+}
+
+// Routing checks the document.
+func (d *Document) Routing() (*Routing, error) {
+	return NewRouting(d.Revision, d.Routes, d.Services, d.Limits)
+}
--- a/mangolaned/mangopeer/connection.go
+++ b/mangolaned/mangoconn/pool.go
@@ -1,4 +1,10 @@
-package mangopeer
+// Package mangoconn keeps net/rpc connections to other daemons.
+//
+// # Usage
+//
+//	pool := mangoconn.New(mangoconn.TCP)
+//	err := pool.Call(ctx, mangoconn.Endpoint{Address: addr}, mangomodel.StepProbe, "Command.Probe", args, &reply)
+package mangoconn
 
 import (
 	"context"
@@ -13,63 +19,69 @@
 // dialTimeout bounds the making of a connection.
 const dialTimeout = time.Second
 
-// lane separates calls that are answered at once from those that may wait for
+// Lane separates calls that are answered at once from those that may wait for
 // a grant, so that neither hides that the other's connection is silent.
-type lane int
+type Lane int
 
 const (
-	laneControl lane = iota
-	laneAdmission
+	// LaneControl is for calls that are answered at once.
+	LaneControl Lane = iota
+	// LaneAdmission is for calls that may wait.
+	LaneAdmission
 )
 
-// endpoint names one connection.
-type endpoint struct {
-	addr mangomodel.Address
-	lane lane
+// Endpoint names one connection.
+type Endpoint struct {
+	Address mangomodel.Address
+	Lane    Lane
 }
 
 // Dial makes a connection to a daemon.
 type Dial func(ctx context.Context, addr mangomodel.Address) (net.Conn, error)
 
-func dialTCP(ctx context.Context, addr mangomodel.Address) (net.Conn, error) {
+// TCP makes a TCP connection.
+func TCP(ctx context.Context, addr mangomodel.Address) (net.Conn, error) {
 	return (&net.Dialer{}).DialContext(ctx, "tcp", string(addr))
 }
 
-// connections holds one connection to each endpoint. It is a connection pool
+// Pool holds one connection to each endpoint. It is a connection pool
 // and holds no control state, so a lock guards it.
-type connections struct {
+type Pool struct {
 	dial Dial
 	mu   sync.Mutex
-	open map[endpoint]*rpc.Client
+	open map[Endpoint]*rpc.Client
 }
 
-// call makes one call. When ctx ends first, the connection is closed if it
+// New returns an empty pool.
+func New(dial Dial) *Pool { return &Pool{dial: dial, open: make(map[Endpoint]*rpc.Client)} }
+
+// Call makes one call. When ctx ends first, the connection is closed if it
 // is due to answer at once. After an error the reply must not be touched, since
 // a late answer may still be written into it.
-func (c *connections) call(ctx context.Context, to endpoint, step mangomodel.Step, method string, args, reply any) error {
+func (c *Pool) Call(ctx context.Context, to Endpoint, step mangomodel.Step, method string, args, reply any) error {
 	client, err := c.get(ctx, to)
 	if err != nil {
-		return unreachable(step, to.addr, mangomodel.RunNot, err)
+		return Unreachable(step, to.Address, mangomodel.RunNot, err)
 	}
 	call := client.Go(method, args, reply, make(chan *rpc.Call, 1))
 	select {
 	case <-call.Done:
 		if call.Error != nil {
 			c.drop(to, client)
-			return unreachable(step, to.addr, mangomodel.RunUnknown, call.Error)
+			return Unreachable(step, to.Address, mangomodel.RunUnknown, call.Error)
 		}
 		return nil
 	case <-ctx.Done():
-		if to.lane == laneControl {
+		if to.Lane == LaneControl {
 			c.drop(to, client)
 		}
-		return unreachable(step, to.addr, mangomodel.RunUnknown, context.Cause(ctx))
+		return Unreachable(step, to.Address, mangomodel.RunUnknown, context.Cause(ctx))
 	}
 }
 
 // get returns the open connection or makes one. Dialling happens without the
 // lock, so that an unreachable peer holds nobody up.
-func (c *connections) get(ctx context.Context, to endpoint) (*rpc.Client, error) {
+func (c *Pool) get(ctx context.Context, to Endpoint) (*rpc.Client, error) {
 	c.mu.Lock()
 	client, ok := c.open[to]
 	c.mu.Unlock()
@@ -78,7 +90,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	conn, err := c.dial(ctx, to.addr)
+	conn, err := c.dial(ctx, to.Address)
 	if err != nil {
 		return nil, err
 	}
@@ -86,7 +98,7 @@
 }
 
 // keep stores a new connection unless another one was stored meanwhile.
-func (c *connections) keep(to endpoint, client *rpc.Client) *rpc.Client {
+func (c *Pool) keep(to Endpoint, client *rpc.Client) *rpc.Client {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if other, ok := c.open[to]; ok {
@@ -98,7 +110,7 @@
 }
 
 // drop closes a connection, which ends all its calls.
-func (c *connections) drop(to endpoint, client *rpc.Client) {
+func (c *Pool) drop(to Endpoint, client *rpc.Client) {
 	c.mu.Lock()
 	if c.open[to] == client {
 		delete(c.open, to)
@@ -107,10 +119,10 @@
 	client.Close()
 }
 
-// dropAll closes all connections to an address.
-func (c *connections) dropAll(addr mangomodel.Address) {
-	for _, l := range []lane{laneControl, laneAdmission} {
-		to := endpoint{addr, l}
+// DropAll closes all connections to an address.
+func (c *Pool) DropAll(addr mangomodel.Address) {
+	for _, l := range []Lane{LaneControl, LaneAdmission} {
+		to := Endpoint{addr, l}
 		c.mu.Lock()
 		client, ok := c.open[to]
 		c.mu.Unlock()
@@ -120,6 +132,7 @@
 	}
 }
 
-func unreachable(step mangomodel.Step, addr mangomodel.Address, run mangomodel.Run, err error) error {
+// Unreachable returns the fault for a daemon that cannot be reached.
+func Unreachable(step mangomodel.Step, addr mangomodel.Address, run mangomodel.Run, err error) error {
 	return mangomodel.NewFault(step, mangomodel.PeerName(addr), mangomodel.CodeUnavailable, run, err)
 }
--- a/mangolaned/mangogateway/gateway.go
+++ b/mangolaned/mangogateway/gateway.go
@@ -10,6 +10,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -17,11 +18,14 @@
 	"github.com/zeromicro/go-zero/rest"
 	"go.uber.org/zap"
 
+	"mangolane/core/mangobroker"
 	"mangolane/core/mangofleet"
 	"mangolane/core/mangofollow"
 	"mangolane/core/mangomodel"
 	"mangolane/core/mangorelay"
 	"mangolane/core/mangorest"
+	"mangolane/mangolaned/mangolog"
+	"mangolane/mangolaned/mangomesh"
 	"mangolane/mangolaned/mangosettings"
 )
 
@@ -39,6 +43,7 @@
 	settings mangosettings.Gateway
 	logger   *zap.Logger
 	fleet    *mangofleet.Fleet
+	broker   *mangobroker.Broker
 	relay    *mangorelay.Relay
 	follower *mangofollow.Follower
 	metrics  *metrics
@@ -46,12 +51,17 @@
 
 // New puts a gateway together. Nothing runs yet.
 func New(s mangosettings.Gateway, logger *zap.Logger, source mangofollow.Source, servers mangorelay.Servers) *Gateway {
-	fleet := mangofleet.New(mangofleet.Self{Daemon: s.Daemon, DataCentre: s.DataCentre, Regions: s.Regions}, s.Retries(1))
+	self := mangofleet.Member{
+		Holder:     mangomodel.Holder{Daemon: s.Daemon, Incarnation: mangomodel.Incarnation(time.Now().UnixNano())},
+		DataCentre: s.DataCentre, Address: s.Peer,
+	}
+	fleet := mangofleet.New(mangofleet.Self{Member: self, Regions: s.Regions}, s.Retries)
 	m := newMetrics()
 	o := observer{logger: logger, metrics: m}
+	broker := mangobroker.New(self, fleet, mangomesh.NewPeers(), mangobroker.WithSeeds(s.Seeds), mangobroker.WithObserver(o))
 	return &Gateway{
-		settings: s, logger: logger, fleet: fleet, metrics: m,
-		relay:    mangorelay.New(fleet, servers, mangorelay.WithObserver(o)),
+		settings: s, logger: logger, fleet: fleet, broker: broker, metrics: m,
+		relay:    mangorelay.New(fleet, broker, servers, mangorelay.WithObserver(o)),
 		follower: mangofollow.New(fleet, source, o),
 	}
 }
@@ -76,10 +86,21 @@
 	if err != nil {
 		return err
 	}
+	peerServer, err := mangomesh.NewServer(g.fleet, g.broker)
+	if err != nil {
+		return err
+	}
+	listener, err := net.Listen("tcp", string(g.settings.Peer))
+	if err != nil {
+		return mangomodel.Errors.Wrap(err)
+	}
+	defer listener.Close()
 	workCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	var running sync.WaitGroup
 	running.Go(func() { g.fleet.Run(workCtx) })
 	running.Go(func() { g.follower.Run(workCtx) })
+	running.Go(func() { g.broker.Run(workCtx) })
+	go g.servePeers(peerServer, listener)
 	for _, s := range []*mangorest.Server{frontServer, readyServer, metricsServer} {
 		go s.Serve()
 	}
@@ -91,6 +112,12 @@
 	return err
 }
 
+func (g *Gateway) servePeers(s *mangomesh.Server, l net.Listener) {
+	if err := s.Serve(l); err != nil {
+		g.logger.Error("peers", mangolog.Fault(err)...)
+	}
+}
+
 // drain takes the daemon out of the balancer's rotation and lets the calls
 // under way end.
 func (g *Gateway) drain(ctx context.Context, front *mangorest.Server) error {
--- a/mangolaned/mangogateway/observe.go
+++ b/mangolaned/mangogateway/observe.go
@@ -100,3 +100,19 @@
 	enc.AddString("State", l.Server.State.String())
 	return nil
 }
+
+// PeerLost logs that another daemon does not answer.
+func (o observer) PeerLost(at mangomodel.Address, err error) {
+	o.metrics.count("Peers.Lost", 1)
+	o.logger.Warn("daemon lost", append(mangolog.Fault(err), zap.String("Address", string(at)))...)
+}
+
+// PeerRegained logs that another daemon answers again.
+func (o observer) PeerRegained(at mangomodel.Address) {
+	o.logger.Info("daemon regained", zap.String("Address", string(at)))
+}
+
+// SchedulerChanged logs who grants the slots of a service.
+func (o observer) SchedulerChanged(service mangotraffic.ServiceName, to mangomodel.DaemonID) {
+	o.logger.Info("scheduler chosen", zap.String("Service", string(service)), zap.String("Scheduler", string(to)))
+}
--- /dev/null
+++ b/mangolaned/mangomesh/server.go
@@ -0,0 +1,99 @@
+package mangomesh
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/rpc"
+	"time"
+
+	"mangolane/core/mangobroker"
+	"mangolane/core/mangofleet"
+	"mangolane/core/mangomodel"
+	"mangolane/core/mangowire"
+)
+
+// commandTimeout bounds a command that is answered at once.
+const commandTimeout = time.Second
+
+// Fleet is the control state of this daemon.
+type Fleet interface {
+	Do(ctx context.Context, cmd mangofleet.Command) error
+	View() *mangofleet.View
+}
+
+// Broker takes in news.
+type Broker interface {
+	Receive(ctx context.Context, news mangobroker.News) (mangobroker.News, error)
+}
+
+// Server serves the calls of other daemons.
+type Server struct{ rpc *rpc.Server }
+
+// NewServer returns a server.
+func NewServer(fleet Fleet, broker Broker) (*Server, error) {
+	s := &Server{rpc: rpc.NewServer()}
+	if err := s.rpc.RegisterName("Command", &Command{fleet, broker}); err != nil {
+		return nil, mangomodel.Errors.Wrap(err)
+	}
+	return s, nil
+}
+
+// Serve serves until the listener is closed.
+func (s *Server) Serve(l net.Listener) error {
+	for {
+		conn, err := l.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return nil
+		}
+		if err != nil {
+			return mangomodel.Errors.Wrap(err)
+		}
+		go s.rpc.ServeConn(conn)
+	}
+}
+
+// Command serves the calls that change the control state.
+type Command struct {
+	fleet  Fleet
+	broker Broker
+}
+
+// Acquire asks this daemon for a lease.
+func (c *Command) Acquire(args AcquireArgs, reply *AcquireReply) error {
+	ctx, cancel := context.WithTimeout(context.Background(), args.Demand.Patience+commandTimeout)
+	defer cancel()
+	err := c.fleet.Do(ctx, mangofleet.Acquire{Lease: args.ID, Demand: args.Demand})
+	if err != nil {
+		body := mangowire.FaultBodyOf(mangomodel.AsFault(err, mangomodel.StepAdmission))
+		reply.Fault = &body
+		return nil
+	}
+	reply.Lease, _ = c.fleet.View().Lease(args.ID)
+	return nil
+}
+
+// Release gives a lease back.
+func (c *Command) Release(id mangofleet.LeaseID, _ *Empty) error {
+	return c.do(mangofleet.Release{Lease: id})
+}
+
+// PrefillDone frees a prefill server.
+func (c *Command) PrefillDone(args PrefillDoneArgs, _ *Empty) error {
+	return c.do(mangofleet.PrefillDone{Lease: args.ID, Took: args.Took})
+}
+
+// Exchange takes in another daemon's news.
+func (c *Command) Exchange(news mangobroker.News, reply *mangobroker.News) error {
+	ctx, cancel := context.WithTimeout(context.Background(), commandTimeout)
+	defer cancel()
+	var err error
+	*reply, err = c.broker.Receive(ctx, news)
+	return err
+}
+
+func (c *Command) do(cmd mangofleet.Command) error {
+	ctx, cancel := context.WithTimeout(context.Background(), commandTimeout)
+	defer cancel()
+	return c.fleet.Do(ctx, cmd)
+}
--- a/mangolaned/mangopeer/bench_test.go
+++ b/mangolaned/mangopeer/bench_test.go
@@ -12,6 +12,7 @@
 	"mangolane/core/mangoconfig"
 	"mangolane/core/mangomember"
 	"mangolane/core/mangomodel"
+	"mangolane/mangolaned/mangoconn"
 )
 
 // countingConn counts the bytes that pass in both directions.
@@ -73,7 +74,7 @@
 	go func() { _ = NewServer(control, peers, follower, noSpans{}).Serve(l) }()
 	bytes := &atomic.Int64{}
 	client := NewPeers(WithDial(func(ctx context.Context, addr mangomodel.Address) (net.Conn, error) {
-		conn, err := dialTCP(ctx, addr)
+		conn, err := mangoconn.TCP(ctx, addr)
 		return countingConn{conn, bytes}, err
 	}))
 	return client, self, bytes
--- a/mangolaned/mangopeer/peers.go
+++ b/mangolaned/mangopeer/peers.go
@@ -2,13 +2,13 @@
 
 import (
 	"context"
-	"net/rpc"
 	"time"
 
 	"mangolane/core/mangoagent"
 	"mangolane/core/mangoconfig"
 	"mangolane/core/mangomember"
 	"mangolane/core/mangomodel"
+	"mangolane/mangolaned/mangoconn"
 	"mangolane/mangolaned/mangotrace"
 )
 
@@ -25,17 +25,17 @@
 )
 
 // Peers makes calls to other daemons.
-type Peers struct{ connections *connections }
+type Peers struct{ connections *mangoconn.Pool }
 
 // Option configures Peers.
 type Option func(*Peers)
 
 // WithDial sets how connections are made; the default is TCP.
-func WithDial(d Dial) Option { return func(p *Peers) { p.connections.dial = d } }
+func WithDial(d mangoconn.Dial) Option { return func(p *Peers) { p.connections = mangoconn.New(d) } }
 
 // NewPeers returns Peers without connections.
 func NewPeers(opts ...Option) *Peers {
-	p := &Peers{connections: &connections{dial: dialTCP, open: make(map[endpoint]*rpc.Client)}}
+	p := &Peers{connections: mangoconn.New(mangoconn.TCP)}
 	for _, opt := range opts {
 		opt(p)
 	}
@@ -47,7 +47,7 @@
 	var reply ProbeReply
 	err := p.control(ctx, to.Address, mangomodel.StepProbe, methodProbe, ProbeArgs{News: news}, &reply)
 	if err != nil {
-		p.connections.dropAll(to.Address)
+		p.connections.DropAll(to.Address)
 		return mangoagent.News{}, err
 	}
 	return reply.News, nil
@@ -121,8 +121,8 @@
 	defer cancel()
 	go p.watch(callCtx, owner)
 	var reply AcquireReply
-	to := endpoint{owner.Address, laneAdmission}
-	if err := p.connections.call(callCtx, to, mangomodel.StepProbe, methodAcquire, args, &reply); err != nil {
+	to := mangoconn.Endpoint{Address: owner.Address, Lane: mangoconn.LaneAdmission}
+	if err := p.connections.Call(callCtx, to, mangomodel.StepProbe, methodAcquire, args, &reply); err != nil {
 		p.withdraw(ctx, owner, args)
 		return mangomodel.Grant{}, err
 	}
@@ -147,7 +147,7 @@
 		err := p.control(pingCtx, owner.Address, mangomodel.StepProbe, methodPing, Empty{}, &Empty{})
 		cancel()
 		if err != nil && ctx.Err() == nil {
-			p.connections.dropAll(owner.Address)
+			p.connections.DropAll(owner.Address)
 			return
 		}
 	}
@@ -181,5 +181,5 @@
 }
 
 func (p *Peers) control(ctx context.Context, addr mangomodel.Address, step mangomodel.Step, method string, args, reply any) error {
-	return p.connections.call(ctx, endpoint{addr, laneControl}, step, method, args, reply)
+	return p.connections.Call(ctx, mangoconn.Endpoint{Address: addr, Lane: mangoconn.LaneControl}, step, method, args, reply)
 }
--- a/mangolaned/mangosettings/gateway.go
+++ b/mangolaned/mangosettings/gateway.go
@@ -31,6 +31,8 @@
 	RetryFixed  float64
 	RetryWindow mangomodel.Duration
 
+	// Seeds are addresses of other daemons to start from.
+	Seeds []mangomodel.Address `json:",omitempty"`
 	// MemoryLimit is what the process may take, in bytes; zero sets none.
 	MemoryLimit mangomodel.Bytes `json:",omitempty"`
 	// LogLevel is debug, info, warn or error.
@@ -80,6 +82,11 @@
 			return invalid("%s must be an IP number with a port: %v", a.name, err)
 		}
 	}
+	for _, a := range s.Seeds {
+		if _, err := netip.ParseAddrPort(string(a)); err != nil {
+			return invalid("Seeds must be IP numbers with ports: %v", err)
+		}
+	}
 	if s.GracePeriod.Std() < time.Second {
 		return invalid("GracePeriod must be at least a second")
 	}
