Each send takes from the retry budget; a KV cache is offered to a second server

Change: budget per send with a quarter left over; what a holder saw travels with its release; settings are read again on SIGHUP and every 2 s; the log never blocks.

--- a/core/mangobroker/broker.go
+++ b/core/mangobroker/broker.go
@@ -30,7 +30,7 @@
 // Unavailable.
 type Peers interface {
 	Acquire(ctx context.Context, at mangofleet.Member, id mangofleet.LeaseID, d mangofleet.Demand) (mangofleet.Lease, error)
-	Release(ctx context.Context, at mangofleet.Member, id mangofleet.LeaseID) error
+	Release(ctx context.Context, at mangofleet.Member, r mangofleet.Release) error
 	PrefillDone(ctx context.Context, at mangofleet.Member, id mangofleet.LeaseID, took time.Duration) error
 	Exchange(ctx context.Context, at mangomodel.Address, news News) (News, error)
 	// Drop ends all calls that wait for a daemon.
@@ -87,6 +87,19 @@
 	demand    mangofleet.Demand
 	made      atomic.Int64
 	prefilled atomic.Bool
+
+	mu   sync.Mutex
+	seen []mangofleet.Observe
+}
+
+// Observe keeps what an exchange showed for whoever granted the lease.
+func (g *Grant) Observe(o mangofleet.Observe) {
+	if g.scheduler.Holder == g.broker.self.Holder {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.seen = append(g.seen, o)
 }
 
 // Made counts generated tokens.
@@ -115,7 +128,10 @@
 		b.tell(mangofleet.Release{Lease: g.ID})
 		return
 	}
-	b.send(func(ctx context.Context) error { return b.peers.Release(ctx, g.scheduler, g.ID) })
+	g.mu.Lock()
+	release := mangofleet.Release{Lease: g.ID, Seen: g.seen}
+	g.mu.Unlock()
+	b.send(func(ctx context.Context) error { return b.peers.Release(ctx, g.scheduler, release) })
 }
 
 // Acquire waits for servers.
--- a/core/mangofleet/admission.go
+++ b/core/mangofleet/admission.go
@@ -50,10 +50,17 @@
 }
 
 // Release gives a lease back, or withdraws its demand.
-type Release struct{ Lease LeaseID }
+type Release struct {
+	Lease LeaseID
+	// Seen is what the holder's exchanges have shown.
+	Seen []Observe
+}
 
 // Apply applies the command.
 func (c Release) Apply(s *state, now time.Time) error {
+	for _, o := range c.Seen {
+		s.observe(o, now)
+	}
 	s.withdraw(c.Lease)
 	s.release(c.Lease)
 	s.serveQueue(now)
--- a/core/mangofleet/observe.go
+++ b/core/mangofleet/observe.go
@@ -37,9 +37,14 @@
 
 // Apply applies the command.
 func (c Observe) Apply(s *state, now time.Time) error {
+	s.observe(c, now)
+	return nil
+}
+
+func (s *state) observe(c Observe, now time.Time) {
 	m, ok := s.backends[c.Server]
 	if !ok {
-		return nil
+		return
 	}
 	if c.Load != nil {
 		m.others, m.othersAt = max(c.Load.Running+c.Load.Waiting-len(m.runs), 0), now
@@ -54,7 +59,6 @@
 	case ObservedFull:
 		m.fullUntil = now.Add(fullPause)
 	}
-	return nil
 }
 
 // TakeRetry takes one repeat from a service's budget, or fails.
--- a/core/mangorelay/plain.go
+++ b/core/mangorelay/plain.go
@@ -36,9 +36,6 @@
 		if !j.mayGoOn(err) {
 			return err
 		}
-		if j.retry(ctx) != nil {
-			return err
-		}
 	}
 }
 
@@ -82,6 +79,9 @@
 
 // exchange sends the call and passes the answer on.
 func (j *job) exchange(ctx context.Context, lease mangofleet.Lease) error {
+	if err := j.spend(ctx, PhaseRun); err != nil {
+		return err
+	}
 	opts := RunOptions{After: j.last, Stream: j.picked.Kind == mangotraffic.KindStreaming}
 	answer, err := j.relay.servers.Run(ctx, lease.Server, j.call, opts)
 	if err != nil {
--- a/core/mangorelay/port.go
+++ b/core/mangorelay/port.go
@@ -127,6 +127,9 @@
 	PhaseRun
 )
 
+// phases is the number of phases.
+const phases = 2
+
 // Exchange is one exchange with a server, for an Observer.
 type Exchange struct {
 	Call   *mangotraffic.Call
--- a/core/mangorelay/relay.go
+++ b/core/mangorelay/relay.go
@@ -75,11 +75,13 @@
 	runs int
 	// attempts counts the leases.
 	attempts mangomodel.Attempt
-	// sent is set once a server that accepts calls may have got this one.
-	sent  bool
+	// sends counts the sends of each phase.
+	sends [phases]int
 	avoid []mangomodel.ServerID
-	// made counts the tokens of the lease in use.
-	made func(mangomodel.Tokens)
+	// source is a KV cache that was computed and not fetched yet.
+	source *prefilled
+	// grant is the lease in use.
+	grant *mangobroker.Grant
 	// begun is set once the sink has the head.
 	begun  bool
 	last   mangotraffic.EventID
@@ -158,6 +160,7 @@
 	if err != nil {
 		return nil, err
 	}
+	j.grant = grant
 	j.attempts++
 	j.result.Attempts = j.attempts
 	return grant, nil
@@ -168,13 +171,20 @@
 	_ = j.relay.fleet.Do(context.Background(), cmd)
 }
 
-// observe tells the fleet what an exchange showed.
+// observe tells the fleet, and whoever granted the lease in use, what an
+// exchange showed.
 func (j *job) observe(server mangomodel.ServerID, saw mangofleet.Observation, load *mangotraffic.LoadReport) {
-	j.tell(mangofleet.Observe{Server: server, Saw: saw, Load: load})
+	o := mangofleet.Observe{Server: server, Saw: saw, Load: load}
+	j.tell(o)
+	j.grant.Observe(o)
 }
 
-// retry takes a repeat from the budget.
-func (j *job) retry(ctx context.Context) error {
+// spend takes a send from the retry budget, except for the first of its phase.
+func (j *job) spend(ctx context.Context, phase Phase) error {
+	j.sends[phase]++
+	if j.sends[phase] == 1 {
+		return nil
+	}
 	return j.relay.fleet.Do(ctx, mangofleet.TakeRetry{Service: j.service.Name})
 }
 
--- a/core/mangorelay/stream.go
+++ b/core/mangorelay/stream.go
@@ -27,6 +27,12 @@
 	stallFactor = 3
 	// defaultStall is used for routes without a longest pause.
 	defaultStall = 2 * time.Second
+	// handleShare is the part of a KV cache's lifetime after which it is not
+	// offered to another server.
+	handleShare = 0.7
+	// maxFetches is how many servers are offered one KV cache. The second one
+	// that cannot fetch it shows that the cache is gone.
+	maxFetches = 2
 	// cleanupTimeout bounds the giving back of what an engine holds.
 	cleanupTimeout = time.Second
 )
@@ -36,6 +42,7 @@
 
 // stream serves a generation.
 func (j *job) stream(ctx context.Context) error {
+	defer j.free()
 	for {
 		err := j.tryStream(ctx)
 		if err == nil || ctx.Err() != nil {
@@ -44,53 +51,81 @@
 		if !j.mayGoOn(err) {
 			return err
 		}
-		if j.needsRetry(err) && j.retry(ctx) != nil {
-			return err
-		}
 	}
 }
 
-// needsRetry reports whether a failed attempt reached a server, so that the
-// next one counts as a repeat.
-func (j *job) needsRetry(error) bool { return j.sent }
+// prefilled is a KV cache that was computed and not fetched yet.
+type prefilled struct {
+	source mangotraffic.KVSource
+	server mangomodel.ServerID
+	until  time.Time
+	// refused counts the servers that did not fetch it.
+	refused int
+}
 
 func (j *job) tryStream(ctx context.Context) error {
+	j.dropOldSource()
 	grant, err := j.acquire(ctx, j.streamDemand())
 	if err != nil {
-		return err
+		return j.withoutSource(err)
 	}
 	defer grant.Release()
-	opts := RunOptions{After: j.last, Stream: true}
 	if grant.Lease.Prefill != nil {
-		source, err := j.prefill(ctx, grant)
-		if err != nil {
+		if err := j.prefill(ctx, grant); err != nil {
 			return err
 		}
-		opts.Source = &source
 	}
-	return j.generate(ctx, grant, opts)
+	return j.generate(ctx, grant)
+}
+
+// dropOldSource gives up a KV cache that will have lapsed, or that several
+// servers could not fetch.
+func (j *job) dropOldSource() {
+	if j.source == nil {
+		return
+	}
+	if time.Now().Before(j.source.until) && j.source.refused < maxFetches {
+		return
+	}
+	j.free()
+}
+
+// withoutSource turns the refusal of a demand for a decode server alone into
+// another attempt from the start.
+func (j *job) withoutSource(err error) error {
+	if j.source == nil || !mangomodel.HasCode(err, mangomodel.CodeOverloaded) {
+		return err
+	}
+	j.free()
+	f := mangomodel.AsFault(err, mangomodel.StepAdmission)
+	f.Step = mangomodel.StepTransfer
+	return f
 }
 
 // streamDemand asks for a decode slot and a prefill server. A stream that was
 // begun goes first.
 func (j *job) streamDemand() mangofleet.Demand {
-	target := float64(j.picked.TargetLatency)
+	d := mangofleet.Demand{Generation: j.call.Generation, Prefilled: j.source != nil}
 	age := time.Since(j.call.Arrived)
+	target := float64(j.picked.TargetLatency)
+	d.OnTimeFor = time.Duration((1-startShare)*target) - age
+	d.Patience = time.Duration(streamPatience*target) - age
 	if j.begun {
-		return mangofleet.Demand{Generation: j.call.Generation, OnTimeFor: defaultStall, Patience: defaultStall}
+		d.OnTimeFor, d.Patience = defaultStall, defaultStall
 	}
-	return mangofleet.Demand{
-		Generation: j.call.Generation,
-		OnTimeFor:  time.Duration((1-startShare)*target) - age,
-		Patience:   time.Duration(streamPatience*target) - age,
+	if j.source != nil {
+		d.Patience = min(d.Patience, time.Until(j.source.until))
 	}
+	return d
 }
 
 // prefill has the prompt's KV cache computed.
-func (j *job) prefill(ctx context.Context, grant *mangobroker.Grant) (mangotraffic.KVSource, error) {
+func (j *job) prefill(ctx context.Context, grant *mangobroker.Grant) error {
 	began := time.Now()
-	j.sent = true
 	server := *grant.Lease.Prefill
+	if err := j.spend(ctx, PhasePrefill); err != nil {
+		return err
+	}
 	ctx, end := j.relay.tracer.Start(ctx, mangomodel.StepPrefill, mangomodel.PeerName(server.ID))
 	source, err := j.relay.servers.Prefill(ctx, server, j.call)
 	end(err)
@@ -98,7 +133,9 @@
 	if err == nil {
 		grant.PrefillDone(time.Since(began))
 		j.observe(server.ID, mangofleet.ObservedSuccess, nil)
-		return source, nil
+		life := time.Duration(handleShare * float64(j.service.Engine.HandleLifetime))
+		j.source = &prefilled{source: source, server: server.ID, until: time.Now().Add(life)}
+		return nil
 	}
 	grant.PrefillDone(0)
 	f := mangomodel.AsFault(err, mangomodel.StepPrefill)
@@ -108,7 +145,7 @@
 	}
 	// A prefill is not a run, whatever became of it.
 	f.Run = mangomodel.RunNot
-	return source, f
+	return f
 }
 
 func prefillObservation(f *mangomodel.Fault) mangofleet.Observation {
@@ -123,32 +160,48 @@
 }
 
 // generate runs the call at the decode server and passes its events on.
-func (j *job) generate(ctx context.Context, grant *mangobroker.Grant, opts RunOptions) error {
+func (j *job) generate(ctx context.Context, grant *mangobroker.Grant) error {
 	began := time.Now()
-	lease := grant.Lease
-	j.made = grant.Made
+	server := grant.Lease.Server
+	if err := j.spend(ctx, PhaseRun); err != nil {
+		j.free()
+		return err
+	}
+	opts := RunOptions{After: j.last, Stream: true}
+	if j.source != nil {
+		opts.Source = &j.source.source
+	}
 	runCtx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	stall := time.AfterFunc(firstEventTimeout, func() { cancel(errStalled) })
 	defer stall.Stop()
-	runCtx, end := j.relay.tracer.Start(runCtx, mangomodel.StepDecode, mangomodel.PeerName(lease.Server.ID))
-	answer, err := j.relay.servers.Run(runCtx, lease.Server, j.call, opts)
+	runCtx, end := j.relay.tracer.Start(runCtx, mangomodel.StepDecode, mangomodel.PeerName(server.ID))
+	answer, err := j.relay.servers.Run(runCtx, server, j.call, opts)
 	if err == nil {
-		err = j.passAnswer(runCtx, lease.Server, answer, stall)
+		err = j.passAnswer(runCtx, server, answer, stall)
 	} else {
-		err = j.sendFailed(runCtx, lease.Server, err)
+		err = j.sendFailed(runCtx, server, err)
 	}
 	end(err)
-	j.exchanged(PhaseRun, lease.Server, lease, began, err)
-	if err != nil && j.neverTaken(err) {
-		j.free(opts.Source)
-	}
+	j.exchanged(PhaseRun, server, grant.Lease, began, err)
+	j.settleSource(err)
 	return err
 }
 
-// neverTaken reports whether the server did not fetch the KV cache.
-func (j *job) neverTaken(err error) bool {
-	return mangomodel.AsFault(err, mangomodel.StepCall).Run == mangomodel.RunNot
+// settleSource keeps a KV cache that was not fetched for another server.
+func (j *job) settleSource(err error) {
+	if j.source == nil {
+		return
+	}
+	if err != nil && mangomodel.AsFault(err, mangomodel.StepCall).Run == mangomodel.RunNot {
+		j.source.refused++
+		if j.source.refused >= maxFetches {
+			j.avoid = append(j.avoid, j.source.server)
+			j.observe(j.source.server, mangofleet.ObservedFailure, nil)
+		}
+		return
+	}
+	j.source = nil
 }
 
 // silenceTimer watches an engine while an event is awaited.
@@ -215,7 +268,7 @@
 	j.lastAt = now
 	j.result.Events++
 	if j.service.Engine != nil {
-		j.made(max(j.service.Engine.TokensPerEvent, 1))
+		j.grant.Made(max(j.service.Engine.TokensPerEvent, 1))
 	}
 	j.last = max(j.last, event.ID)
 	return clientFault(j.sink.Write(event.Raw))
@@ -229,16 +282,18 @@
 }
 
 // free drops a KV cache that was not fetched, in the background.
-func (j *job) free(source *mangotraffic.KVSource) {
-	if source == nil {
+func (j *job) free() {
+	if j.source == nil {
 		return
 	}
+	source, server := j.source.source, j.source.server
+	j.source = nil
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), cleanupTimeout)
 		defer cancel()
 		began := time.Now()
-		if err := j.relay.servers.Free(ctx, *source); err != nil {
-			j.exchanged(PhasePrefill, mangotraffic.Server{Address: source.Server}, mangofleet.Lease{}, began, err)
+		if err := j.relay.servers.Free(ctx, source); err != nil {
+			j.exchanged(PhasePrefill, mangotraffic.Server{ID: server, Address: source.Server}, mangofleet.Lease{}, began, err)
 		}
 	}()
 }
--- a/mangolaned/mangogateway/gateway.go
+++ b/mangolaned/mangogateway/gateway.go
@@ -4,7 +4,7 @@
 //
 // # Usage
 //
-//	g := mangogateway.New(settings, logger, source, servers)
+//	g := mangogateway.New(settings, logger, level, source, servers)
 //	err := g.Run(ctx, frontHandler, readyRoute) // serves until ctx ends, then drains
 package mangogateway
 
@@ -13,12 +13,14 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/zeromicro/go-zero/rest"
 	"go.uber.org/zap"
 
 	"mangolane/core/mangobroker"
+	"mangolane/core/mangobudget"
 	"mangolane/core/mangofleet"
 	"mangolane/core/mangofollow"
 	"mangolane/core/mangomodel"
@@ -41,6 +43,9 @@
 // Gateway is one daemon.
 type Gateway struct {
 	settings mangosettings.Gateway
+	// current are the settings after the last reload.
+	current  *atomic.Pointer[mangosettings.Gateway]
+	level    zap.AtomicLevel
 	logger   *zap.Logger
 	fleet    *mangofleet.Fleet
 	broker   *mangobroker.Broker
@@ -50,17 +55,21 @@
 }
 
 // New puts a gateway together. Nothing runs yet.
-func New(s mangosettings.Gateway, logger *zap.Logger, source mangofollow.Source, servers mangorelay.Servers) *Gateway {
+func New(s mangosettings.Gateway, logger *zap.Logger, level zap.AtomicLevel, source mangofollow.Source, servers mangorelay.Servers) *Gateway {
 	self := mangofleet.Member{
 		Holder:     mangomodel.Holder{Daemon: s.Daemon, Incarnation: mangomodel.Incarnation(time.Now().UnixNano())},
 		DataCentre: s.DataCentre, Address: s.Peer,
 	}
-	fleet := mangofleet.New(mangofleet.Self{Member: self, Regions: s.Regions}, s.Retries)
+	current := &atomic.Pointer[mangosettings.Gateway]{}
+	current.Store(&s)
+	fleet := mangofleet.New(mangofleet.Self{Member: self, Regions: s.Regions}, func(n int) mangobudget.Limits {
+		return current.Load().Retries(n)
+	})
 	m := newMetrics()
 	o := observer{logger: logger, metrics: m}
 	broker := mangobroker.New(self, fleet, mangomesh.NewPeers(), mangobroker.WithSeeds(s.Seeds), mangobroker.WithObserver(o))
 	return &Gateway{
-		settings: s, logger: logger, fleet: fleet, broker: broker, metrics: m,
+		settings: s, current: current, level: level, logger: logger, fleet: fleet, broker: broker, metrics: m,
 		relay:    mangorelay.New(fleet, broker, servers, mangorelay.WithObserver(o)),
 		follower: mangofollow.New(fleet, source, o),
 	}
--- /dev/null
+++ b/mangolaned/mangogateway/reload.go
@@ -0,0 +1,59 @@
+package mangogateway
+
+import (
+	"context"
+	"os"
+	"reflect"
+	"time"
+
+	"go.uber.org/zap"
+
+	"mangolane/mangolaned/mangolog"
+	"mangolane/mangolaned/mangosettings"
+)
+
+// reloadInterval is how often the settings are read without a signal.
+const reloadInterval = 2 * time.Second
+
+// Reload reads the settings again at each signal and from time to time, until
+// ctx ends. Settings that are wrong are reported, and the old ones stay.
+func (g *Gateway) Reload(ctx context.Context, path string, signals <-chan os.Signal) {
+	ticker := time.NewTicker(reloadInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-signals:
+			g.logger.Info("reload asked for")
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+		g.reload(path)
+	}
+}
+
+func (g *Gateway) reload(path string) {
+	next, err := mangosettings.ReadGateway(path)
+	if err != nil {
+		g.logger.Error("settings not reloaded", mangolog.Fault(err)...)
+		return
+	}
+	if reflect.DeepEqual(next, *g.current.Load()) {
+		return
+	}
+	if err := g.level.UnmarshalText([]byte(next.LogLevel)); err != nil {
+		g.logger.Error("settings not reloaded", mangolog.Fault(err)...)
+		return
+	}
+	g.current.Store(&next)
+	g.logger.Info("settings reloaded", zap.Bool("NeedsRestart", !sameAddresses(next, g.settings)))
+}
+
+// sameAddresses reports whether all settings that are read only at the start
+// are as they were.
+func sameAddresses(a, b mangosettings.Gateway) bool {
+	return a.Front == b.Front && a.Readiness == b.Readiness && a.Peer == b.Peer && a.Metrics == b.Metrics &&
+		a.Platform == b.Platform && a.DataCentre == b.DataCentre && a.Daemon == b.Daemon &&
+		reflect.DeepEqual(a.Seeds, b.Seeds) && reflect.DeepEqual(a.Regions, b.Regions) &&
+		a.MemoryLimit == b.MemoryLimit && a.LogRate == b.LogRate
+}
--- a/mangolaned/mangolog/log.go
+++ b/mangolaned/mangolog/log.go
@@ -9,6 +9,8 @@
 
 import (
 	"fmt"
+	"io"
+	"os"
 
 	"github.com/zeromicro/go-zero/core/logx"
 	"go.uber.org/zap"
@@ -23,24 +25,34 @@
 	if err != nil {
 		return nil, mangomodel.Errors.Wrap(err)
 	}
-	cfg := zap.NewProductionConfig()
-	cfg.Level = lvl
-	cfg.Sampling = nil
-	cfg.DisableStacktrace = true
-	cfg.EncoderConfig.TimeKey = "Time"
-	cfg.EncoderConfig.LevelKey = "Level"
-	cfg.EncoderConfig.MessageKey = "Message"
-	cfg.EncoderConfig.CallerKey = "Caller"
-	cfg.EncoderConfig.EncodeTime = zapcore.RFC3339NanoTimeEncoder
-	logger, err := cfg.Build()
-	if err != nil {
-		return nil, mangomodel.Errors.Wrap(err)
-	}
+	return install(zap.New(zapcore.NewCore(encoder(), zapcore.Lock(os.Stderr), lvl), zap.AddCaller()))
+}
+
+// NewBounded returns a logger that writes to w without ever making its callers
+// wait. Lines beyond a rate, in lines a second, and lines that w is too slow
+// for are counted and dropped; the count is logged. The level can be changed.
+func NewBounded(w io.Writer, level zap.AtomicLevel, rate int) (*zap.Logger, error) {
+	out := newWriter(w, rate)
+	return install(zap.New(zapcore.NewCore(encoder(), out, level), zap.AddCaller()))
+}
+
+func encoder() zapcore.Encoder {
+	cfg := zap.NewProductionEncoderConfig()
+	cfg.TimeKey = "Time"
+	cfg.LevelKey = "Level"
+	cfg.MessageKey = "Message"
+	cfg.CallerKey = "Caller"
+	cfg.EncodeTime = zapcore.RFC3339NanoTimeEncoder
+	return zapcore.NewJSONEncoder(cfg)
+}
+
+// install sends go-zero's lines to a logger.
+func install(logger *zap.Logger) (*zap.Logger, error) {
 	// Only the first set-up counts, and a later one would replace the writer.
 	if err := logx.SetUp(logx.LogConf{Mode: "console", Encoding: "json", Level: "severe"}); err != nil {
 		return nil, mangomodel.Errors.Wrap(err)
 	}
-	logx.SetWriter(writer{logger.WithOptions(zap.AddCallerSkip(3))})
+	logx.SetWriter(zeroWriter{logger.WithOptions(zap.AddCallerSkip(3))})
 	return logger, nil
 }
 
@@ -53,15 +65,15 @@
 	}
 }
 
-// writer passes go-zero's lines to zap.
-type writer struct{ logger *zap.Logger }
+// zeroWriter passes go-zero's lines to zap.
+type zeroWriter struct{ logger *zap.Logger }
 
-func (w writer) Alert(v any)                     { w.logger.Error(fmt.Sprint(v)) }
-func (w writer) Close() error                    { return nil }
-func (w writer) Debug(v any, _ ...logx.LogField) { w.logger.Debug(fmt.Sprint(v)) }
-func (w writer) Error(v any, _ ...logx.LogField) { w.logger.Error(fmt.Sprint(v)) }
-func (w writer) Info(v any, _ ...logx.LogField)  { w.logger.Debug(fmt.Sprint(v)) }
-func (w writer) Severe(v any)                    { w.logger.Error(fmt.Sprint(v)) }
-func (w writer) Slow(v any, _ ...logx.LogField)  { w.logger.Debug(fmt.Sprint(v)) }
-func (w writer) Stack(v any)                     { w.logger.Error(fmt.Sprint(v)) }
-func (w writer) Stat(v any, _ ...logx.LogField)  { w.logger.Debug(fmt.Sprint(v)) }
+func (w zeroWriter) Alert(v any)                     { w.logger.Error(fmt.Sprint(v)) }
+func (w zeroWriter) Close() error                    { return nil }
+func (w zeroWriter) Debug(v any, _ ...logx.LogField) { w.logger.Debug(fmt.Sprint(v)) }
+func (w zeroWriter) Error(v any, _ ...logx.LogField) { w.logger.Error(fmt.Sprint(v)) }
+func (w zeroWriter) Info(v any, _ ...logx.LogField)  { w.logger.Debug(fmt.Sprint(v)) }
+func (w zeroWriter) Severe(v any)                    { w.logger.Error(fmt.Sprint(v)) }
+func (w zeroWriter) Slow(v any, _ ...logx.LogField)  { w.logger.Debug(fmt.Sprint(v)) }
+func (w zeroWriter) Stack(v any)                     { w.logger.Error(fmt.Sprint(v)) }
+func (w zeroWriter) Stat(v any, _ ...logx.LogField)  { w.logger.Debug(fmt.Sprint(v)) }
--- a/mangolaned/mangomesh/peers.go
+++ b/mangolaned/mangomesh/peers.go
@@ -77,8 +77,8 @@
 }
 
 // Release gives a lease back.
-func (p *Peers) Release(ctx context.Context, at mangofleet.Member, id mangofleet.LeaseID) error {
-	return p.control(ctx, at.Address, mangomodel.StepRelease, methodRelease, id, &Empty{})
+func (p *Peers) Release(ctx context.Context, at mangofleet.Member, r mangofleet.Release) error {
+	return p.control(ctx, at.Address, mangomodel.StepRelease, methodRelease, r, &Empty{})
 }
 
 // PrefillDone tells that a lease's prefill server is free again.
--- a/mangolaned/mangomesh/server.go
+++ b/mangolaned/mangomesh/server.go
@@ -74,8 +74,8 @@
 }
 
 // Release gives a lease back.
-func (c *Command) Release(id mangofleet.LeaseID, _ *Empty) error {
-	return c.do(mangofleet.Release{Lease: id})
+func (c *Command) Release(r mangofleet.Release, _ *Empty) error {
+	return c.do(r)
 }
 
 // PrefillDone frees a prefill server.
--- a/mangolaned/mangosettings/gateway.go
+++ b/mangolaned/mangosettings/gateway.go
@@ -102,10 +102,17 @@
 	return nil
 }
 
+// retryShare is the part of the platform's retry allowance that is used. The
+// rest covers daemons that restart with an unused budget or see fewer daemons
+// than there are.
+const retryShare = 0.75
+
 // Retries returns the retry budget of a service at one of n daemons, which
 // share the fixed number.
 func (s *Gateway) Retries(n int) mangobudget.Limits {
 	return mangobudget.Limits{
-		Ratio: float64(s.RetryRatio), Fixed: s.RetryFixed / float64(max(n, 1)), Window: s.RetryWindow.Std(),
+		Ratio:  retryShare * float64(s.RetryRatio),
+		Fixed:  retryShare * s.RetryFixed / float64(max(n, 1)),
+		Window: s.RetryWindow.Std(),
 	}
 }
