Retry budget counted by the scheduler; split schedulers mended

(2) From 21.3 to 29.3 s two daemons scheduled, 203 prompts were refused by full engines: a call to a cut-off daemon blocked in its write under the lock of the net/rpc client, and a connection of an ended life counted as a failure of the new one. Change: the scheduler counts usage of all and hands out allowances with renewals; writes between daemons are bounded, closed connections are replaced once; a stale daemon schedules only if all are stale, and each daemon checks its own list before a send; a new scheduler waits 300 ms for renewals.

--- a/core/mangobroker/news.go
+++ b/core/mangobroker/news.go
@@ -17,6 +17,8 @@
 	// region are 24 ms away there and back, and a host may stall for 100 ms
 	// when its share of the processor is used up.
 	exchangeTimeout = 300 * time.Millisecond
+	// changeInterval is how often a daemon looks for a new scheduler.
+	changeInterval = 50 * time.Millisecond
 	// seedInterval is how often an address that no live daemon has is tried.
 	seedInterval = time.Second
 )
@@ -26,6 +28,10 @@
 	From mangofleet.Member
 	// Leases are those of the sender at the receiver's services.
 	Leases []mangofleet.Progress
+	// Usages is what the sender has used of the retry budgets. An answer's
+	// Allowances is what the other daemon may use next.
+	Usages     mangofleet.Usages
+	Allowances mangofleet.Allowances
 	// Members are the daemons that the sender knows.
 	Members []mangofleet.Sighting
 	Crashes []mangofleet.Crash
@@ -37,6 +43,8 @@
 	// Servers answers that.
 	NoList  bool
 	Servers []mangotraffic.Server
+	// ListAge is the age of Servers.
+	ListAge time.Duration
 }
 
 // Run exchanges news until ctx ends.
@@ -47,26 +55,22 @@
 	running.Wait()
 }
 
-// renew exchanges news with all schedulers.
+// renew exchanges news with all schedulers, at once with a new one.
 func (b *Broker) renew(ctx context.Context) {
-	ticker := time.NewTicker(mangofleet.RenewInterval)
+	ticker := time.NewTicker(changeInterval)
 	defer ticker.Stop()
 	last := make(map[mangotraffic.ServiceName]mangomodel.DaemonID)
+	var renewed time.Time
 	for {
-		targets := make(map[mangomodel.DaemonID]mangofleet.Member)
-		for _, name := range b.fleet.View().EngineServices() {
-			m := b.scheduler(name)
-			targets[m.Holder.Daemon] = m
-			if last[name] != m.Holder.Daemon {
-				last[name] = m.Holder.Daemon
-				b.log.SchedulerChanged(name, m.Holder.Daemon)
+		targets, changed := b.schedulers(last)
+		if changed || time.Since(renewed) >= mangofleet.RenewInterval-changeInterval/2 {
+			renewed = time.Now()
+			var exchanges sync.WaitGroup
+			for _, m := range targets {
+				exchanges.Go(func() { b.renewAt(ctx, m) })
 			}
+			exchanges.Wait()
 		}
-		var exchanges sync.WaitGroup
-		for _, m := range targets {
-			exchanges.Go(func() { b.renewAt(ctx, m) })
-		}
-		exchanges.Wait()
 		select {
 		case <-ticker.C:
 		case <-ctx.Done():
@@ -75,9 +79,24 @@
 	}
 }
 
+// schedulers returns the schedulers of all services, and whether one is new.
+func (b *Broker) schedulers(last map[mangotraffic.ServiceName]mangomodel.DaemonID) (map[mangomodel.DaemonID]mangofleet.Member, bool) {
+	targets, changed := make(map[mangomodel.DaemonID]mangofleet.Member), false
+	for _, name := range b.fleet.View().Services() {
+		m := b.scheduler(name)
+		targets[m.Holder.Daemon] = m
+		if last[name] != m.Holder.Daemon {
+			last[name], changed = m.Holder.Daemon, true
+			b.log.SchedulerChanged(name, m.Holder.Daemon)
+		}
+	}
+	return targets, changed
+}
+
 func (b *Broker) renewAt(ctx context.Context, m mangofleet.Member) {
 	if m.Holder == b.self.Holder {
 		b.tell(mangofleet.Renew{Holder: b.self.Holder, Leases: b.progress()})
+		b.tell(mangofleet.Allow{Allowances: b.fleet.View().Allowances})
 		return
 	}
 	if err := b.exchange(ctx, m.Address, b.progress()); err != nil && ctx.Err() == nil {
@@ -95,6 +114,9 @@
 	if err != nil {
 		return err
 	}
+	if len(leases) > 0 || answer.Allowances != nil {
+		b.tell(mangofleet.Allow{Allowances: answer.Allowances})
+	}
 	return b.take(ctx, answer)
 }
 
@@ -105,8 +127,7 @@
 	defer ticker.Stop()
 	lost := make(map[mangomodel.Address]bool)
 	for {
-		for _, addr := range b.unheard() {
-			err := b.exchange(ctx, addr, nil)
+		for addr, err := range b.visit(ctx, b.unheard()) {
 			if err != nil && !lost[addr] && ctx.Err() == nil {
 				b.log.PeerLost(addr, err)
 			}
@@ -123,6 +144,25 @@
 	}
 }
 
+// visit exchanges news with all addresses at once.
+func (b *Broker) visit(ctx context.Context, addrs []mangomodel.Address) map[mangomodel.Address]error {
+	var (
+		running sync.WaitGroup
+		mu      sync.Mutex
+		errs    = make(map[mangomodel.Address]error, len(addrs))
+	)
+	for _, addr := range addrs {
+		running.Go(func() {
+			err := b.exchange(ctx, addr, b.progress())
+			mu.Lock()
+			defer mu.Unlock()
+			errs[addr] = err
+		})
+	}
+	running.Wait()
+	return errs
+}
+
 // unheard returns the addresses to look at.
 func (b *Broker) unheard() []mangomodel.Address {
 	list := slices.Clone(b.seeds)
@@ -159,8 +199,8 @@
 // Compose returns this daemon's news for a daemon whose news are known.
 func (b *Broker) Compose(to News) News {
 	view := b.fleet.View()
-	news := News{From: b.self, Members: view.Members, Crashes: view.Crashes(), NoList: view.ListRead.IsZero()}
-	news.From.Draining = view.Draining
+	news := News{From: b.self, Usages: view.Usages, Members: view.Members, Crashes: view.Crashes(), NoList: view.ListRead.IsZero()}
+	news.From.Draining, news.From.Stale = view.Draining, view.Stale(time.Now())
 	if view.Routing != nil {
 		news.Revision = view.Routing.Revision
 		if to.From.Holder.Daemon != "" && to.Revision < news.Revision {
@@ -168,7 +208,8 @@
 		}
 	}
 	if to.NoList && !news.NoList {
-		news.Servers = view.Listed
+		news.Servers = slices.Collect(maps.Values(view.Listed))
+		news.ListAge = time.Since(view.ListRead)
 	}
 	return news
 }
@@ -178,10 +219,12 @@
 	if err := b.take(ctx, news); err != nil {
 		return News{}, err
 	}
-	if err := b.fleet.Do(ctx, mangofleet.Renew{Holder: news.From.Holder, Leases: news.Leases}); err != nil {
+	if err := b.fleet.Do(ctx, mangofleet.Renew{Holder: news.From.Holder, Leases: news.Leases, Usages: news.Usages}); err != nil {
 		return News{}, err
 	}
-	return b.Compose(news), nil
+	answer := b.Compose(news)
+	answer.Allowances = b.fleet.View().Allowances
+	return answer, nil
 }
 
 // take applies news.
@@ -197,17 +240,18 @@
 		}
 	}
 	if len(news.Servers) > 0 && b.fleet.View().ListRead.IsZero() {
-		if err := b.fleet.Do(ctx, listOf(news.Servers)); err != nil {
+		if err := b.fleet.Do(ctx, listOf(news)); err != nil {
 			return err
 		}
 	}
 	return b.takeRouting(ctx, news)
 }
 
-func listOf(servers []mangotraffic.Server) mangofleet.ChangeServers {
-	cmd := mangofleet.ChangeServers{Full: true}
-	for i := range servers {
-		cmd.Changes = append(cmd.Changes, mangotraffic.ServerChange{ID: servers[i].ID, Server: &servers[i]})
+func listOf(news News) mangofleet.ChangeServers {
+	cmd := mangofleet.ChangeServers{Full: true, Age: news.ListAge}
+	for i := range news.Servers {
+		server := &news.Servers[i]
+		cmd.Changes = append(cmd.Changes, mangotraffic.ServerChange{ID: server.ID, Server: server})
 	}
 	return cmd
 }
--- a/core/mangobudget/budget.go
+++ b/core/mangobudget/budget.go
@@ -1,14 +1,16 @@
 // Package mangobudget bounds how many calls are sent to a second server.
 //
 // A service may get a share of its calls, and a fixed number besides, as
-// repeats within a window. All daemons share the allowance without asking each
-// other: each one uses its own calls and an equal part of the fixed number.
+// repeats within a window, from all daemons together. A daemon that counts for
+// all of them gives each an [Allowance] for the next moments. A daemon that
+// cannot reach it uses its own calls and an equal part of the fixed number.
 //
 // # Usage
 //
 //	b := mangobudget.New(mangobudget.Limits{Ratio: 0.2, Fixed: 10, Window: 10 * time.Second})
 //	b.Called(now)
-//	if b.Take(now) { ... }
+//	if b.Take(now, daemons) { ... }
+//	n := mangobudget.Left(limits, usages) / daemons
 package mangobudget
 
 import "time"
@@ -17,11 +19,11 @@
 // the window's end.
 const slices = 20
 
-// Limits are the allowance of one service at one daemon.
+// Limits are the allowance of one service.
 type Limits struct {
 	// Ratio is the share of the calls.
 	Ratio float64
-	// Fixed is a number of repeats besides.
+	// Fixed is a number of repeats besides, for all daemons together.
 	Fixed float64
 	// Window is the span that both hold for.
 	Window time.Duration
@@ -35,6 +37,9 @@
 	parts  [slices]part
 	// newest numbers the newest part since the zero time.
 	newest int64
+	// allowed repeats may be taken until allowedUntil.
+	allowed      int
+	allowedUntil time.Time
 }
 
 // New returns an unused budget.
@@ -51,26 +56,56 @@
 // Called counts a client's call.
 func (b *Budget) Called(now time.Time) { b.at(now).calls++ }
 
-// Take counts a repeat if the limits allow one.
-func (b *Budget) Take(now time.Time) bool {
+// Allow sets how many repeats may be taken until a time, besides which the
+// daemon's own part does not count.
+func (b *Budget) Allow(repeats int, until time.Time) { b.allowed, b.allowedUntil = repeats, until }
+
+// Take counts a repeat if the allowance, or this daemon's part of the limits,
+// permits one.
+func (b *Budget) Take(now time.Time, daemons int) bool {
 	p := b.at(now)
-	calls, repeats := b.sums()
-	if float64(repeats)+1 > b.limits.Ratio*float64(calls)+b.limits.Fixed {
+	if now.Before(b.allowedUntil) {
+		if b.allowed <= 0 {
+			return false
+		}
+		b.allowed--
+		p.repeats++
+		return true
+	}
+	u := b.sums()
+	if float64(u.Repeats)+1 > b.limits.Ratio*float64(u.Calls)+b.limits.Fixed/float64(max(daemons, 1)) {
 		return false
 	}
 	p.repeats++
 	return true
 }
 
-// Count counts a repeat that was not asked for before.
-func (b *Budget) Count(now time.Time) { b.at(now).repeats++ }
+// Usage is what one daemon has used within a window.
+type Usage struct{ Calls, Repeats int }
+
+// Usage returns what was used within the window.
+func (b *Budget) Usage(now time.Time) Usage {
+	b.at(now)
+	return b.sums()
+}
+
+// Left returns how many repeats the limits leave to all daemons together.
+func Left(l Limits, usages []Usage) int {
+	var sum Usage
+	for _, u := range usages {
+		sum.Calls += u.Calls
+		sum.Repeats += u.Repeats
+	}
+	return max(int(l.Ratio*float64(sum.Calls)+l.Fixed)-sum.Repeats, 0)
+}
 
-func (b *Budget) sums() (calls, repeats int) {
+func (b *Budget) sums() Usage {
+	var u Usage
 	for _, p := range b.parts {
-		calls += p.calls
-		repeats += p.repeats
+		u.Calls += p.calls
+		u.Repeats += p.repeats
 	}
-	return calls, repeats
+	return u
 }
 
 // at returns the part of a time and clears those that the window has left.
--- a/core/mangofleet/admission.go
+++ b/core/mangofleet/admission.go
@@ -142,7 +142,10 @@
 		return false
 	}
 	l := &lease{demand: w.demand, server: place.server.server.ID, since: now, seen: now}
-	granted := Lease{Server: place.server.server, Waited: now.Sub(w.since)}
+	granted := Lease{
+		Server: place.server.server, Waited: now.Sub(w.since),
+		Scheduler: s.self.Holder.Daemon, Running: len(place.server.runs), Peak: place.peak,
+	}
 	place.server.runs[w.lease] = l
 	if place.prefill != nil {
 		l.prefill = place.prefill.server.ID
--- a/core/mangofleet/fleet.go
+++ b/core/mangofleet/fleet.go
@@ -17,6 +17,8 @@
 	Member
 	// Regions says which region each data centre is in.
 	Regions map[mangomodel.DataCentreID]mangomodel.RegionID
+	// LeastDaemons is how many daemons there are at least.
+	LeastDaemons int
 }
 
 // Command is a change of the fleet.
@@ -33,8 +35,8 @@
 	return &Fleet{loop: mangoloop.New[*state, View](newState(self, retries))}
 }
 
-// Retries returns the retry budget of a service at one of n daemons.
-type Retries func(daemons int) mangobudget.Limits
+// Retries returns the retry budget of a service.
+type Retries func() mangobudget.Limits
 
 // Run applies commands until ctx ends.
 func (f *Fleet) Run(ctx context.Context) { f.loop.Run(ctx) }
@@ -69,9 +71,13 @@
 	// if it never was.
 	ListRead time.Time
 	// Listed are the servers of the list.
-	Listed []mangotraffic.Server
+	Listed map[mangomodel.ServerID]mangotraffic.Server
 	// Members are the daemons that are believed alive, this one included.
 	Members []Sighting
+	// Usages is what this daemon has used of the retry budgets, and Allowances
+	// what each daemon may use next, by what this one knows.
+	Usages     Usages
+	Allowances Allowances
 
 	schedulers map[mangotraffic.ServiceName][]Member
 	granted    mangoquery.Index[LeaseID, Lease]
@@ -84,6 +90,19 @@
 // Ready reports whether the daemon can route calls and wants more of them.
 func (v *View) Ready() bool { return v.Routing != nil && !v.ListRead.IsZero() && !v.Draining }
 
+// MayUse reports whether this daemon's own list allows new work at a server.
+// A scheduler's list may be older. Without a list every server is allowed.
+func (v *View) MayUse(id mangomodel.ServerID) bool {
+	if v.ListRead.IsZero() {
+		return true
+	}
+	server, ok := v.Listed[id]
+	return ok && server.State == mangotraffic.StateReady
+}
+
+// Stale reports whether the list of servers may be out of date.
+func (v *View) Stale(now time.Time) bool { return now.Sub(v.ListRead) > freshTime }
+
 // Scheduler returns the daemon that grants the slots of a service's engines.
 func (v *View) Scheduler(name mangotraffic.ServiceName) (Member, bool) {
 	list := v.schedulers[name]
@@ -93,8 +112,8 @@
 	return list[0], true
 }
 
-// EngineServices returns the services that need a scheduler.
-func (v *View) EngineServices() []mangotraffic.ServiceName {
+// Services returns the services that have a scheduler.
+func (v *View) Services() []mangotraffic.ServiceName {
 	names := make([]mangotraffic.ServiceName, 0, len(v.schedulers))
 	for name := range v.schedulers {
 		names = append(names, name)
--- a/core/mangofleet/list.go
+++ b/core/mangofleet/list.go
@@ -36,11 +36,13 @@
 	// AfterOutage is set when entries may have lapsed because the list could
 	// not be written.
 	AfterOutage bool
+	// Age is how old the changes are.
+	Age time.Duration
 }
 
 // Apply applies the command.
 func (c ChangeServers) Apply(s *state, now time.Time) error {
-	s.listRead = now
+	s.listRead = now.Add(-c.Age)
 	listed := make(map[mangomodel.ServerID]bool, len(c.Changes))
 	for _, change := range c.Changes {
 		listed[change.ID] = true
@@ -125,6 +127,6 @@
 // Apply applies the command.
 func (Drain) Apply(s *state, _ time.Time) error {
 	s.draining = true
-	s.changed.members = true
+	s.changed.members = changedNow
 	return nil
 }
--- a/core/mangofleet/member.go
+++ b/core/mangofleet/member.go
@@ -14,6 +14,9 @@
 	// daemon is heard by the schedulers each RenewInterval, and by the others
 	// through their answers.
 	aliveTime = 2 * time.Second
+	// freshTime is how old a list of servers may be: a long read that ended
+	// without news and the time for one that did not.
+	freshTime = 2500 * time.Millisecond
 	// failedTime is how long a daemon that did not answer is passed over.
 	failedTime = time.Second
 	// forgetTime is how long a daemon that is gone stays known.
@@ -26,8 +29,9 @@
 	DataCentre mangomodel.DataCentreID
 	// Address is where it serves other daemons.
 	Address mangomodel.Address
-	// Draining members schedule nothing.
-	Draining bool
+	// Draining members schedule nothing, and Stale ones, whose list of servers
+	// may be out of date, only if all are.
+	Draining, Stale bool
 }
 
 // Sighting is a member with the time since it was last heard.
@@ -60,7 +64,7 @@
 func (c PeerFailed) Apply(s *state, now time.Time) error {
 	if p, ok := s.peers[c.Daemon]; ok {
 		p.failedUntil = now.Add(failedTime)
-		s.changed.members = true
+		s.changed.members = changedNow
 	}
 	return nil
 }
@@ -75,6 +79,7 @@
 	if !ok {
 		p = &peer{}
 		s.peers[id] = p
+		s.changed.members = changedNow
 	}
 	if x.Member.Holder.Incarnation < p.member.Holder.Incarnation {
 		return
@@ -85,14 +90,12 @@
 	if heard.After(p.heard) {
 		p.heard, p.member = heard, x.Member
 	}
-	s.changed.members = true
+	s.changed.members = max(s.changed.members, changedSoon)
 }
 
 // sightings returns this daemon and those that may be alive.
 func (s *state) sightings(now time.Time) []Sighting {
-	self := s.self.Member
-	self.Draining = s.draining
-	list := []Sighting{{Member: self}}
+	list := []Sighting{{Member: s.me(now)}}
 	for id, p := range s.peers {
 		age := now.Sub(p.heard)
 		if age > forgetTime {
@@ -104,28 +107,14 @@
 	return list
 }
 
-// alive returns how many daemons are believed alive.
-func (s *state) alive(now time.Time) int {
-	n := 1
-	for _, p := range s.peers {
-		if now.Sub(p.heard) < aliveTime {
-			n++
-		}
-	}
-	return n
-}
-
-// schedulers returns for each service with engines the daemons that may
-// schedule it, best first. Daemons in the region with most of its servers go
+// schedulers returns for each service the daemons that may schedule it and
+// count its retries, best first. Daemons in the region with most of its servers go
 // first, since most grants are asked for there; rendezvous hashing spreads
 // services over them.
 func (s *state) schedulers(now time.Time) map[mangotraffic.ServiceName][]Member {
 	candidates := s.candidates(now)
 	weights := make(map[mangotraffic.ServiceName]map[mangomodel.RegionID]int)
 	for _, b := range s.backends {
-		if b.server.Stage == mangotraffic.StageNone {
-			continue
-		}
 		if weights[b.server.Service] == nil {
 			weights[b.server.Service] = make(map[mangomodel.RegionID]int)
 		}
@@ -147,19 +136,30 @@
 
 // candidates returns the daemons that may schedule, this one included.
 func (s *state) candidates(now time.Time) []Member {
-	self := s.self.Member
-	self.Draining = s.draining
-	list := []Member{self}
+	list := []Member{s.me(now)}
 	for _, p := range s.peers {
 		if now.Sub(p.heard) < aliveTime && !now.Before(p.failedUntil) {
 			list = append(list, p.member)
 		}
 	}
-	staying := slices.DeleteFunc(slices.Clone(list), func(m Member) bool { return m.Draining })
-	if len(staying) == 0 {
+	list = unless(list, func(m Member) bool { return m.Draining })
+	return unless(list, func(m Member) bool { return m.Stale })
+}
+
+// unless returns the members without those that are worse, if any are left.
+func unless(list []Member, worse func(Member) bool) []Member {
+	better := slices.DeleteFunc(slices.Clone(list), worse)
+	if len(better) == 0 {
 		return list
 	}
-	return staying
+	return better
+}
+
+// me returns this daemon as the others see it.
+func (s *state) me(now time.Time) Member {
+	m := s.self.Member
+	m.Draining, m.Stale = s.draining, now.Sub(s.listRead) > freshTime
+	return m
 }
 
 // mix spreads a salt and an id over the numbers (FNV-1a).
--- a/core/mangofleet/observe.go
+++ b/core/mangofleet/observe.go
@@ -58,16 +58,6 @@
 		m.health = m.health.Unreachable(now)
 	case ObservedFull:
 		m.fullUntil = now.Add(fullPause)
+		m.others, m.othersAt = max(int(m.server.Slots)-len(m.runs), 1), now
 	}
 }
-
-// TakeRetry takes one repeat from a service's budget, or fails.
-type TakeRetry struct{ Service mangotraffic.ServiceName }
-
-// Apply applies the command.
-func (c TakeRetry) Apply(s *state, now time.Time) error {
-	if !s.budget(c.Service, now).Take(now) {
-		return refused(mangomodel.CodeOverloaded, "the retry budget of %s is used up", c.Service)
-	}
-	return nil
-}
--- a/core/mangofleet/placement.go
+++ b/core/mangofleet/placement.go
@@ -10,9 +10,16 @@
 )
 
 const (
-	// othersAge is how old a server's own report of its load may be; it is
-	// out of date after a few calls.
+	// othersAge is how old a plain server's own report of its load may be; it
+	// is out of date after a few calls.
 	othersAge = 300 * time.Millisecond
+	// ghostTime is how long an engine that had less room than was known keeps
+	// what it runs besides. Generations whose answers were lost go on for some
+	// seconds; a shorter time only costs another refusal.
+	ghostTime = time.Second
+	// takeoverTime is how long a new scheduler waits for the renewals of those
+	// who hold leases: a renewal interval and a round trip between regions.
+	takeoverTime = 300 * time.Millisecond
 	// lateReserve is the share of a server's slots that demands which are
 	// late already leave to those that can still be on time.
 	lateReserve = 0.1
@@ -33,7 +40,11 @@
 )
 
 // placement is where a demand would go.
-type placement struct{ server, prefill *backend }
+type placement struct {
+	server, prefill *backend
+	// peak is the memory predicted for the decode server.
+	peak mangomodel.Tokens
+}
 
 // place finds the best servers for a demand.
 func (s *state) place(w *waiter, now time.Time) (placement, bool) {
@@ -42,15 +53,19 @@
 		b := s.best(w, mangotraffic.StageNone, now, func(b *backend) (float64, bool) { return s.plainCost(b, d, now) })
 		return placement{server: b}, b != nil
 	}
+	if now.Sub(s.actingSince) < takeoverTime && len(s.peers) > 0 {
+		return placement{}, false
+	}
 	decode := s.best(w, mangotraffic.StageDecode, now, func(b *backend) (float64, bool) { return s.decodeCost(b, w, now) })
 	if decode == nil {
 		return placement{}, false
 	}
+	peak := decode.peak(d.Generation, now)
 	if d.Prefilled {
-		return placement{server: decode}, true
+		return placement{server: decode, peak: peak}, true
 	}
 	prefill := s.best(w, mangotraffic.StagePrefill, now, func(b *backend) (float64, bool) { return s.prefillCost(b, decode, now) })
-	return placement{server: decode, prefill: prefill}, prefill != nil
+	return placement{server: decode, prefill: prefill, peak: peak}, prefill != nil
 }
 
 // best returns the usable server of a stage with the least cost. Equal choices
@@ -89,6 +104,9 @@
 func (s *state) decodeCost(b *backend, w *waiter, now time.Time) (float64, bool) {
 	slots := float64(b.server.Slots)
 	free := slots - float64(len(b.runs))
+	if now.Sub(b.othersAt) < ghostTime {
+		free -= float64(b.others)
+	}
 	needed := 1.0
 	if w.lateness(now) > 0 {
 		needed += math.Floor(slots * lateReserve)
--- a/core/mangofleet/renew.go
+++ b/core/mangofleet/renew.go
@@ -22,10 +22,16 @@
 type Renew struct {
 	Holder mangomodel.Holder
 	Leases []Progress
+	// Usages is what the holder has used of the retry budgets.
+	Usages Usages
 }
 
 // Apply applies the command.
 func (c Renew) Apply(s *state, now time.Time) error {
+	if now.Sub(s.actedAt) > holderTimeout {
+		s.actingSince = now
+	}
+	s.actedAt = now
 	named := make(map[LeaseID]bool, len(c.Leases))
 	for _, p := range c.Leases {
 		id := LeaseID{Holder: c.Holder, Number: p.Number}
@@ -38,6 +44,10 @@
 		}
 	}
 	s.dropOldLives(c.Holder)
+	if c.Holder != s.self.Holder {
+		s.usages[c.Holder] = peerUsage{usages: c.Usages, at: now}
+	}
+	s.changed.usage = true
 	s.serveQueue(now)
 	return nil
 }
--- /dev/null
+++ b/core/mangofleet/retry.go
@@ -0,0 +1,97 @@
+package mangofleet
+
+import (
+	"time"
+
+	"mangolane/core/mangobudget"
+	"mangolane/core/mangomodel"
+	"mangolane/core/mangotraffic"
+)
+
+// allowanceTime is how long an allowance holds: some missed renewals.
+const allowanceTime = time.Second
+
+// Usages is what a daemon has used of each service's retry budget.
+type Usages map[mangotraffic.ServiceName]mangobudget.Usage
+
+// Allowances is how many repeats a daemon may make until the next renewal.
+type Allowances map[mangotraffic.ServiceName]int
+
+type peerUsage struct {
+	usages Usages
+	at     time.Time
+}
+
+// Allow sets how many repeats this daemon may make until the next renewal.
+type Allow struct{ Allowances Allowances }
+
+// Apply applies the command.
+func (c Allow) Apply(s *state, now time.Time) error {
+	for name, n := range c.Allowances {
+		s.budget(name).Allow(n, now.Add(allowanceTime))
+	}
+	return nil
+}
+
+// TakeRetry takes one repeat from a service's budget, or fails.
+type TakeRetry struct{ Service mangotraffic.ServiceName }
+
+// Apply applies the command.
+func (c TakeRetry) Apply(s *state, now time.Time) error {
+	if !s.budget(c.Service).Take(now, s.daemons()) {
+		return refused(mangomodel.CodeOverloaded, "the retry budget of %s is used up", c.Service)
+	}
+	return nil
+}
+
+// budget returns the retry budget of a service at this daemon.
+func (s *state) budget(name mangotraffic.ServiceName) *mangobudget.Budget {
+	limits := s.retries()
+	b, ok := s.budgets[name]
+	if !ok {
+		b = mangobudget.New(limits)
+		s.budgets[name] = b
+	}
+	b.Limit(limits)
+	return b
+}
+
+// daemons returns how many daemons share the budgets. All known ones count,
+// since one that is silent may still use its part.
+func (s *state) daemons() int { return max(1+len(s.peers), s.self.LeastDaemons) }
+
+// usage returns what this daemon has used.
+func (s *state) usage(now time.Time) Usages {
+	u := make(Usages, len(s.budgets))
+	for name, b := range s.budgets {
+		u[name] = b.Usage(now)
+	}
+	return u
+}
+
+// allowances returns what each daemon may use until the next renewal, by what
+// all have used. Lives that have ended count for a window. A scheduler that
+// took over within a window does not know what ended lives used before, so the
+// fixed number grows with its time.
+func (s *state) allowances(now time.Time) Allowances {
+	limits := s.retries()
+	limits.Fixed *= min(now.Sub(s.actingSince).Seconds()/limits.Window.Seconds(), 1)
+	lists := make(map[mangotraffic.ServiceName][]mangobudget.Usage)
+	for name, u := range s.usage(now) {
+		lists[name] = append(lists[name], u)
+	}
+	for holder, p := range s.usages {
+		if now.Sub(p.at) > limits.Window {
+			delete(s.usages, holder)
+			continue
+		}
+		for name, u := range p.usages {
+			lists[name] = append(lists[name], u)
+		}
+	}
+	allowances := make(Allowances, len(lists))
+	for name, list := range lists {
+		allowances[name] = mangobudget.Left(limits, list) / s.daemons()
+	}
+	return allowances
+}
--- a/core/mangofleet/state.go
+++ b/core/mangofleet/state.go
@@ -1,7 +1,6 @@
 package mangofleet
 
 import (
-	"maps"
 	"time"
 
 	"mangolane/core/mangobudget"
@@ -30,14 +29,37 @@
 	queue    []*waiter
 	retries  Retries
 	budgets  map[mangotraffic.ServiceName]*mangobudget.Budget
+	// usages is what the other daemon lives have used of the budgets.
+	usages   map[mangomodel.Holder]peerUsage
 	peers    map[mangomodel.DaemonID]*peer
 	suspects suspects
 	listRead time.Time
 	changed  parts
+	// actedAt is when a renewal last came, and actingSince when the first came
+	// after a time without: this daemon became a scheduler then.
+	actedAt, actingSince time.Time
+	// membersAt is when the members were published.
+	membersAt time.Time
 }
 
 // parts marks parts of the published view that are out of date.
-type parts struct{ list, members, crashes bool }
+type parts struct {
+	list, crashes, usage bool
+	members              change
+}
+
+// change is how soon a part has to be published again.
+type change int
+
+const (
+	unchanged change = iota
+	changedSoon
+	changedNow
+)
+
+// membersInterval is how often the ages of members are published: often
+// against aliveTime, seldom against the exchanges of a large fleet.
+const membersInterval = 100 * time.Millisecond
 
 func newState(self Self, retries Retries) *state {
 	return &state{
@@ -46,9 +68,10 @@
 		leases:   make(map[LeaseID]*lease),
 		retries:  retries,
 		budgets:  make(map[mangotraffic.ServiceName]*mangobudget.Budget),
+		usages:   make(map[mangomodel.Holder]peerUsage),
 		peers:    make(map[mangomodel.DaemonID]*peer),
 		suspects: newSuspects(),
-		changed:  parts{list: true, members: true},
+		changed:  parts{list: true, members: changedNow},
 	}
 }
 
@@ -93,25 +116,30 @@
 	}
 	if last != nil {
 		v.Listed, v.Members, v.schedulers, v.crashes = last.Listed, last.Members, last.schedulers, last.crashes
+		v.Usages, v.Allowances = last.Usages, last.Allowances
 	}
 	if s.changed.list {
 		v.Listed = s.listed()
-	}
-	if s.changed.members || s.changed.list {
-		v.Members = s.sightings(now)
-		v.schedulers = s.schedulers(now)
+		s.changed.members = changedNow
 	}
 	if s.changed.crashes {
 		v.crashes = s.suspects.list(now)
 	}
-	s.changed = parts{}
+	if s.changed.usage {
+		v.Usages, v.Allowances = s.usage(now), s.allowances(now)
+	}
+	s.changed.list, s.changed.crashes, s.changed.usage = false, false, false
+	if s.changed.members == changedNow || s.changed.members == changedSoon && now.Sub(s.membersAt) >= membersInterval {
+		v.Members, v.schedulers = s.sightings(now), s.schedulers(now)
+		s.changed.members, s.membersAt = unchanged, now
+	}
 	return v
 }
 
-func (s *state) listed() []mangotraffic.Server {
-	list := make([]mangotraffic.Server, 0, len(s.backends))
-	for b := range maps.Values(s.backends) {
-		list = append(list, b.server)
+func (s *state) listed() map[mangomodel.ServerID]mangotraffic.Server {
+	list := make(map[mangomodel.ServerID]mangotraffic.Server, len(s.backends))
+	for id, b := range s.backends {
+		list[id] = b.server
 	}
 	return list
 }
@@ -122,15 +150,3 @@
 	}
 	return s.routing.Service(name)
 }
-
-// budget returns the retry budget of a service at this daemon.
-func (s *state) budget(name mangotraffic.ServiceName, now time.Time) *mangobudget.Budget {
-	limits := s.retries(s.alive(now))
-	b, ok := s.budgets[name]
-	if !ok {
-		b = mangobudget.New(limits)
-		s.budgets[name] = b
-	}
-	b.Limit(limits)
-	return b
-}
--- a/core/mangofleet/suspect.go
+++ b/core/mangofleet/suspect.go
@@ -124,7 +124,8 @@
 
 // Apply applies the command.
 func (c Enter) Apply(s *state, now time.Time) error {
-	s.budget(c.Service, now).Called(now)
+	s.budget(c.Service).Called(now)
+	s.changed.usage = true
 	if n := s.suspects.crashes(c.Call, now); n >= maxCrashes {
 		return refused(mangomodel.CodeQuarantined, "the call broke %d servers", n)
 	}
--- a/core/mangorelay/port.go
+++ b/core/mangorelay/port.go
@@ -138,8 +138,8 @@
 	Phase  Phase
 	// Attempt counts the call's leases from 1.
 	Attempt mangomodel.Attempt
-	// Waited is how long the call was queued for the lease.
-	Waited time.Duration
+	// Lease is what the scheduler granted, and by which inputs.
+	Lease mangofleet.Lease
 	// Took is the time to the answer's head.
 	Took time.Duration
 	// ListAge is the age of the list of servers that was used.
--- a/core/mangorelay/relay.go
+++ b/core/mangorelay/relay.go
@@ -166,6 +166,16 @@
 	return grant, nil
 }
 
+// mayUse fails for a server that this daemon's own list does not allow.
+func (j *job) mayUse(id mangomodel.ServerID) error {
+	if j.relay.fleet.View().MayUse(id) {
+		return nil
+	}
+	j.avoid = append(j.avoid, id)
+	return mangomodel.Faultf(mangomodel.StepCall, mangomodel.PeerName(id), mangomodel.CodeUnavailable, mangomodel.RunNot,
+		"the server is leaving or gone")
+}
+
 // tell applies a command that cannot fail but by the end of the process.
 func (j *job) tell(cmd mangofleet.Command) {
 	_ = j.relay.fleet.Do(context.Background(), cmd)
@@ -193,7 +203,7 @@
 	view := j.relay.fleet.View()
 	j.relay.observer.Exchanged(Exchange{
 		Call: j.call, Route: j.picked, Server: server, Phase: phase, Attempt: j.attempts,
-		Waited: lease.Waited, Took: time.Since(began), ListAge: time.Since(view.ListRead), Err: err,
+		Lease: lease, Took: time.Since(began), ListAge: time.Since(view.ListRead), Err: err,
 	})
 }
 
--- a/core/mangorelay/stream.go
+++ b/core/mangorelay/stream.go
@@ -123,6 +123,9 @@
 func (j *job) prefill(ctx context.Context, grant *mangobroker.Grant) error {
 	began := time.Now()
 	server := *grant.Lease.Prefill
+	if err := j.mayUse(server.ID); err != nil {
+		return err
+	}
 	if err := j.spend(ctx, PhasePrefill); err != nil {
 		return err
 	}
@@ -163,6 +166,9 @@
 func (j *job) generate(ctx context.Context, grant *mangobroker.Grant) error {
 	began := time.Now()
 	server := grant.Lease.Server
+	if err := j.mayUse(server.ID); err != nil {
+		return err
+	}
 	if err := j.spend(ctx, PhaseRun); err != nil {
 		j.free()
 		return err
--- a/mangolaned/mangoconn/pool.go
+++ b/mangolaned/mangoconn/pool.go
@@ -8,6 +8,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/rpc"
 	"sync"
@@ -59,11 +60,10 @@
 // is due to answer at once. After an error the reply must not be touched, since
 // a late answer may still be written into it.
 func (c *Pool) Call(ctx context.Context, to Endpoint, step mangomodel.Step, method string, args, reply any) error {
-	client, err := c.get(ctx, to)
+	client, call, err := c.start(ctx, to, method, args, reply)
 	if err != nil {
 		return Unreachable(step, to.Address, mangomodel.RunNot, err)
 	}
-	call := client.Go(method, args, reply, make(chan *rpc.Call, 1))
 	select {
 	case <-call.Done:
 		if call.Error != nil {
@@ -79,6 +79,28 @@
 	}
 }
 
+// start sends a call. A connection that was closed before the call, as by a
+// daemon that has started again, is replaced once.
+func (c *Pool) start(ctx context.Context, to Endpoint, method string, args, reply any) (*rpc.Client, *rpc.Call, error) {
+	for again := false; ; again = true {
+		client, err := c.get(ctx, to)
+		if err != nil {
+			return nil, nil, err
+		}
+		call := client.Go(method, args, reply, make(chan *rpc.Call, 1))
+		select {
+		case <-call.Done:
+			if errors.Is(call.Error, rpc.ErrShutdown) && !again {
+				c.drop(to, client)
+				continue
+			}
+			call.Done <- call
+		default:
+		}
+		return client, call, nil
+	}
+}
+
 // get returns the open connection or makes one. Dialling happens without the
 // lock, so that an unreachable peer holds nobody up.
 func (c *Pool) get(ctx context.Context, to Endpoint) (*rpc.Client, error) {
@@ -94,7 +116,24 @@
 	if err != nil {
 		return nil, err
 	}
-	return c.keep(to, rpc.NewClient(conn)), nil
+	return c.keep(to, rpc.NewClient(Bounded(conn))), nil
+}
+
+// writeTimeout bounds one write. A peer that reads nothing for so long is
+// unreachable, and the writer holds up all others of its connection.
+const writeTimeout = 500 * time.Millisecond
+
+// Bounded returns the connection with a bound on each write.
+func Bounded(conn net.Conn) net.Conn { return boundedConn{conn} }
+
+type boundedConn struct{ net.Conn }
+
+// Write writes p or fails in time.
+func (c boundedConn) Write(p []byte) (int, error) {
+	if err := c.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+		return 0, err
+	}
+	return c.Conn.Write(p)
 }
 
 // keep stores a new connection unless another one was stored meanwhile.
--- a/mangolaned/mangogateway/gateway.go
+++ b/mangolaned/mangogateway/gateway.go
@@ -60,10 +60,11 @@
 		Holder:     mangomodel.Holder{Daemon: s.Daemon, Incarnation: mangomodel.Incarnation(time.Now().UnixNano())},
 		DataCentre: s.DataCentre, Address: s.Peer,
 	}
+	started := time.Now()
 	current := &atomic.Pointer[mangosettings.Gateway]{}
 	current.Store(&s)
-	fleet := mangofleet.New(mangofleet.Self{Member: self, Regions: s.Regions}, func(n int) mangobudget.Limits {
-		return current.Load().Retries(n)
+	fleet := mangofleet.New(mangofleet.Self{Member: self, Regions: s.Regions, LeastDaemons: len(s.Seeds)}, func() mangobudget.Limits {
+		return current.Load().Retries(time.Since(started))
 	})
 	m := newMetrics()
 	o := observer{logger: logger, metrics: m}
--- a/mangolaned/mangomesh/server.go
+++ b/mangolaned/mangomesh/server.go
@@ -11,6 +11,7 @@
 	"mangolane/core/mangofleet"
 	"mangolane/core/mangomodel"
 	"mangolane/core/mangowire"
+	"mangolane/mangolaned/mangoconn"
 )
 
 // commandTimeout bounds a command that is answered at once.
@@ -49,7 +50,7 @@
 		if err != nil {
 			return mangomodel.Errors.Wrap(err)
 		}
-		go s.rpc.ServeConn(conn)
+		go s.rpc.ServeConn(mangoconn.Bounded(conn))
 	}
 }
 
--- a/mangolaned/mangopeer/server.go
+++ b/mangolaned/mangopeer/server.go
@@ -13,6 +13,7 @@
 	"mangolane/core/mangomodel"
 	"mangolane/core/mangoquery"
 	"mangolane/core/mangowire"
+	"mangolane/mangolaned/mangoconn"
 	"mangolane/mangolaned/mangotrace"
 )
 
@@ -52,7 +53,7 @@
 		if err != nil {
 			return mangomodel.Errors.Wrap(err)
 		}
-		go s.rpc.ServeConn(conn)
+		go s.rpc.ServeConn(mangoconn.Bounded(conn))
 	}
 }
 
--- a/mangolaned/mangosettings/gateway.go
+++ b/mangolaned/mangosettings/gateway.go
@@ -105,14 +105,16 @@
 // retryShare is the part of the platform's retry allowance that is used. The
 // rest covers daemons that restart with an unused budget or see fewer daemons
 // than there are.
-const retryShare = 0.75
+const retryShare = 0.8
 
-// Retries returns the retry budget of a service at one of n daemons, which
-// share the fixed number.
-func (s *Gateway) Retries(n int) mangobudget.Limits {
+// Retries returns the retry budget of a service. A daemon that started a while
+// ago uses the part of a window that it has been up for, since it does not know
+// what was used before.
+func (s *Gateway) Retries(up time.Duration) mangobudget.Limits {
+	part := min(up.Seconds()/s.RetryWindow.Std().Seconds(), 1)
 	return mangobudget.Limits{
 		Ratio:  retryShare * float64(s.RetryRatio),
-		Fixed:  retryShare * s.RetryFixed / float64(max(n, 1)),
+		Fixed:  retryShare * part * s.RetryFixed,
 		Window: s.RetryWindow.Std(),
 	}
 }
