--- a/core/mangofleet/placement.go
+++ b/core/mangofleet/placement.go
@@ -36,7 +36,7 @@
 	transferPenalty = 50 * time.Millisecond
 	// memoryShare is the part of a decode server's memory that is planned
 	// with. The rest absorbs generations longer than expected.
-	memoryShare = 0.95
+	memoryShare = 0.9
 )
 
 // placement is where a demand would go.
--- a/core/mangotraffic/call.go
+++ b/core/mangotraffic/call.go
@@ -53,7 +53,7 @@
 func (g *Generation) Expected(made mangomodel.Tokens) mangomodel.Tokens {
 	expected := mangomodel.Tokens(float64(g.MaxOutput) * usualOutput)
 	if g.OutputHint > 0 {
-		expected = g.OutputHint
+		expected = (expected + g.OutputHint) / 2
 	}
 	// One that has outlived the expectation goes on for a while.
 	const goesOn = 5
