Engines are asked what they run; lapsed KV caches are told from full engines

Sends that reached nobody were taken from the retry budget. Change: the scheduler asks its decode servers each second and counts what it does not know as ghosts; a refusal with room is offered to a second server, whose answer tells which of both it was; failed connections are refunded.

--- a/core/mangobroker/broker.go
+++ b/core/mangobroker/broker.go
@@ -44,7 +44,9 @@
 	peers Peers
 	seeds []mangomodel.Address
 	log   Observer
-	last  atomic.Uint64
+	// engines is nil if no reports are wanted.
+	engines Engines
+	last    atomic.Uint64
 
 	// held are the leases of engines that this daemon uses. It is a registry
 	// of traffic and no control state, so a lock guards it.
@@ -57,6 +59,8 @@
 	PeerLost(at mangomodel.Address, err error)
 	PeerRegained(at mangomodel.Address)
 	SchedulerChanged(service mangotraffic.ServiceName, to mangomodel.DaemonID)
+	// ReportFailed is called when an engine did not say what it runs.
+	ReportFailed(server mangotraffic.Server, err error)
 }
 
 // Option configures a Broker.
@@ -225,3 +229,4 @@
 func (silent) PeerLost(mangomodel.Address, error)                             {}
 func (silent) PeerRegained(mangomodel.Address)                                {}
 func (silent) SchedulerChanged(mangotraffic.ServiceName, mangomodel.DaemonID) {}
+func (silent) ReportFailed(mangotraffic.Server, error)                        {}
--- /dev/null
+++ b/core/mangobroker/inspect.go
@@ -0,0 +1,68 @@
+package mangobroker
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"mangolane/core/mangofleet"
+	"mangolane/core/mangotraffic"
+)
+
+// inspectTimeout bounds one report.
+const inspectTimeout = 300 * time.Millisecond
+
+// Engines are asked for reports.
+type Engines interface {
+	Report(ctx context.Context, server mangotraffic.Server) (mangotraffic.LoadReport, error)
+}
+
+// WithEngines makes the broker ask the decode servers that it schedules what
+// they run.
+func WithEngines(e Engines) Option { return func(b *Broker) { b.engines = e } }
+
+// inspect asks until ctx ends.
+func (b *Broker) inspect(ctx context.Context) {
+	ticker := time.NewTicker(mangofleet.InspectInterval)
+	defer ticker.Stop()
+	for {
+		var running sync.WaitGroup
+		for _, server := range b.scheduled() {
+			running.Go(func() { b.inspectOne(ctx, server) })
+		}
+		running.Wait()
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// scheduled returns the decode servers of the services that this daemon
+// schedules.
+func (b *Broker) scheduled() []mangotraffic.Server {
+	if b.engines == nil {
+		return nil
+	}
+	var list []mangotraffic.Server
+	for _, server := range b.fleet.View().Listed {
+		if server.Stage == mangotraffic.StageDecode && b.scheduler(server.Service).Holder == b.self.Holder {
+			list = append(list, server)
+		}
+	}
+	return list
+}
+
+// inspectOne asks one server. A server that does not answer keeps the belief
+// that the calls to it have made.
+func (b *Broker) inspectOne(ctx context.Context, server mangotraffic.Server) {
+	ctx, cancel := context.WithTimeout(ctx, inspectTimeout)
+	defer cancel()
+	report, err := b.engines.Report(ctx, server)
+	if err != nil {
+		b.log.ReportFailed(server, err)
+		return
+	}
+	b.tell(mangofleet.Inspected{Server: server.ID, Report: report})
+}
--- a/core/mangobroker/news.go
+++ b/core/mangobroker/news.go
@@ -52,6 +52,7 @@
 	var running sync.WaitGroup
 	running.Go(func() { b.renew(ctx) })
 	running.Go(func() { b.join(ctx) })
+	running.Go(func() { b.inspect(ctx) })
 	running.Wait()
 }
 
--- a/core/mangobudget/budget.go
+++ b/core/mangobudget/budget.go
@@ -80,6 +80,13 @@
 	return true
 }
 
+// Refund takes a repeat back that was counted a moment ago.
+func (b *Budget) Refund(now time.Time) {
+	p := b.at(now)
+	p.repeats = max(p.repeats-1, 0)
+	b.allowed++
+}
+
 // Usage is what one daemon has used within a window.
 type Usage struct{ Calls, Repeats int }
 
--- a/core/mangofleet/admission.go
+++ b/core/mangofleet/admission.go
@@ -62,7 +62,7 @@
 		s.observe(o, now)
 	}
 	s.withdraw(c.Lease)
-	s.release(c.Lease)
+	s.release(c.Lease, now)
 	s.serveQueue(now)
 	return nil
 }
@@ -71,7 +71,7 @@
 	s.queue = slices.DeleteFunc(s.queue, func(w *waiter) bool { return w.lease == id })
 }
 
-func (s *state) release(id LeaseID) {
+func (s *state) release(id LeaseID, now time.Time) {
 	l, ok := s.leases[id]
 	if !ok {
 		return
@@ -79,6 +79,7 @@
 	s.releasePrefill(id, l)
 	if b, ok := s.backends[l.server]; ok {
 		delete(b.runs, id)
+		b.remember(l, now)
 	}
 	delete(s.leases, id)
 	s.granted = s.granted.Without(id)
--- a/core/mangofleet/backend.go
+++ b/core/mangofleet/backend.go
@@ -31,6 +31,12 @@
 	// others is what the server last said to run besides runs.
 	others   int
 	othersAt time.Time
+	// ended are the generations that ended lately. ghosts are those that the
+	// server runs besides runs, by its report.
+	ended       []ended
+	ghosts      int
+	ghostMemory mangomodel.Tokens
+	ghostsAt    time.Time
 	// fullUntil is set when the server had no room although the counts said
 	// so.
 	fullUntil time.Time
@@ -75,7 +81,27 @@
 	for _, l := range b.runs {
 		runs = append(runs, l.run(b.decodeRate, now))
 	}
-	return mangokv.Peak(append(runs, mangokv.Run{Held: g.Prompt, Left: g.Expected(0)}))
+	peak := mangokv.Peak(append(runs, mangokv.Run{Held: g.Prompt, Left: g.Expected(0)}))
+	if now.Sub(b.ghostsAt) < ghostReportTime {
+		peak += b.ghostMemory
+	}
+	return peak
+}
+
+// ghostReportTime is how long a report of ghosts holds: until the next one,
+// and a missed one.
+const ghostReportTime = 2 * InspectInterval
+
+// free returns the slots that are probably free.
+func (b *backend) free(now time.Time) int {
+	unknown := 0
+	if now.Sub(b.othersAt) < ghostTime {
+		unknown = b.others
+	}
+	if now.Sub(b.ghostsAt) < ghostReportTime {
+		unknown = max(unknown, b.ghosts)
+	}
+	return int(b.server.Slots) - len(b.runs) - unknown
 }
 
 // lease is one granted lease.
--- /dev/null
+++ b/core/mangofleet/inspect.go
@@ -0,0 +1,67 @@
+package mangofleet
+
+import (
+	"time"
+
+	"mangolane/core/mangomodel"
+	"mangolane/core/mangotraffic"
+)
+
+const (
+	// InspectInterval is how often a scheduler asks its engines what they run.
+	InspectInterval = time.Second
+	// reportLag is how old an engine's report of itself may be.
+	reportLag = 1200 * time.Millisecond
+)
+
+// Inspected says what an engine reports of itself. What it runs beyond the
+// known leases are generations whose holder is gone or lost the answer.
+type Inspected struct {
+	Server mangomodel.ServerID
+	Report mangotraffic.LoadReport
+}
+
+// Apply applies the command.
+func (c Inspected) Apply(s *state, now time.Time) error {
+	b, ok := s.backends[c.Server]
+	if !ok {
+		return nil
+	}
+	running, held := len(b.runs), mangomodel.Tokens(0)
+	for _, l := range b.runs {
+		held += l.run(b.decodeRate, now).Held
+	}
+	for _, e := range b.ended {
+		if now.Sub(e.at) < reportLag {
+			running++
+			held += e.held
+		}
+	}
+	b.ghosts, b.ghostsAt = max(c.Report.Running-running, 0), now
+	b.ghostMemory = 0
+	if b.ghosts > 0 {
+		b.ghostMemory = max(c.Report.KVUsed-held, 0)
+	}
+	s.serveQueue(now)
+	return nil
+}
+
+// ended is a generation that ended lately.
+type ended struct {
+	held mangomodel.Tokens
+	at   time.Time
+}
+
+// remember keeps an ended generation for as long as reports may count it.
+func (b *backend) remember(l *lease, now time.Time) {
+	if l.demand.Generation == nil {
+		return
+	}
+	kept := b.ended[:0]
+	for _, e := range b.ended {
+		if now.Sub(e.at) < reportLag {
+			kept = append(kept, e)
+		}
+	}
+	b.ended = append(kept, ended{held: l.run(b.decodeRate, now).Held, at: now})
+}
--- a/core/mangofleet/observe.go
+++ b/core/mangofleet/observe.go
@@ -19,6 +19,8 @@
 	ObservedUnreachable
 	// ObservedFull is a refusal for want of room.
 	ObservedFull
+	// ObservedLapsed is a prefilled KV cache that could not be fetched.
+	ObservedLapsed
 	// ObservedMoved is another server at the address.
 	ObservedMoved
 )
@@ -54,7 +56,7 @@
 		m.health = m.health.Succeeded()
 	case ObservedFailure:
 		m.health = m.health.Failed(now)
-	case ObservedUnreachable, ObservedMoved:
+	case ObservedUnreachable, ObservedLapsed, ObservedMoved:
 		m.health = m.health.Unreachable(now)
 	case ObservedFull:
 		m.fullUntil = now.Add(fullPause)
--- a/core/mangofleet/placement.go
+++ b/core/mangofleet/placement.go
@@ -103,10 +103,7 @@
 // decodeCost prefers near servers, and among those the emptiest.
 func (s *state) decodeCost(b *backend, w *waiter, now time.Time) (float64, bool) {
 	slots := float64(b.server.Slots)
-	free := slots - float64(len(b.runs))
-	if now.Sub(b.othersAt) < ghostTime {
-		free -= float64(b.others)
-	}
+	free := float64(b.free(now))
 	needed := 1.0
 	if w.lateness(now) > 0 {
 		needed += math.Floor(slots * lateReserve)
--- a/core/mangofleet/renew.go
+++ b/core/mangofleet/renew.go
@@ -40,10 +40,10 @@
 	}
 	for id, l := range s.leases {
 		if id.Holder == c.Holder && !named[id] && l.demand.Generation != nil && now.Sub(l.since) > namingTime {
-			s.release(id)
+			s.release(id, now)
 		}
 	}
-	s.dropOldLives(c.Holder)
+	s.dropOldLives(c.Holder, now)
 	if c.Holder != s.self.Holder {
 		s.usages[c.Holder] = peerUsage{usages: c.Usages, at: now}
 	}
@@ -92,10 +92,10 @@
 }
 
 // dropOldLives releases what earlier lives of a daemon held.
-func (s *state) dropOldLives(h mangomodel.Holder) {
+func (s *state) dropOldLives(h mangomodel.Holder, now time.Time) {
 	for id := range s.leases {
 		if id.Holder.Daemon == h.Daemon && id.Holder.Incarnation < h.Incarnation {
-			s.release(id)
+			s.release(id, now)
 		}
 	}
 }
@@ -104,7 +104,7 @@
 func (s *state) expireHolders(now time.Time) {
 	for id, l := range s.leases {
 		if id.Holder != s.self.Holder && now.Sub(l.seen) > holderTimeout {
-			s.release(id)
+			s.release(id, now)
 		}
 	}
 }
--- a/core/mangofleet/retry.go
+++ b/core/mangofleet/retry.go
@@ -44,6 +44,15 @@
 	return nil
 }
 
+// RefundRetry gives a repeat back that was not made.
+type RefundRetry struct{ Service mangotraffic.ServiceName }
+
+// Apply applies the command.
+func (c RefundRetry) Apply(s *state, now time.Time) error {
+	s.budget(c.Service).Refund(now)
+	return nil
+}
+
 // budget returns the retry budget of a service at this daemon.
 func (s *state) budget(name mangotraffic.ServiceName) *mangobudget.Budget {
 	limits := s.retries()
--- a/core/mangorelay/plain.go
+++ b/core/mangorelay/plain.go
@@ -146,6 +146,7 @@
 	j.avoid = append(j.avoid, server.ID)
 	if f.Run == mangomodel.RunNot {
 		j.observe(server.ID, mangofleet.ObservedUnreachable, nil)
+		j.refund(PhaseRun)
 		return f
 	}
 	j.runs++
--- a/core/mangorelay/relay.go
+++ b/core/mangorelay/relay.go
@@ -198,6 +198,14 @@
 	return j.relay.fleet.Do(ctx, mangofleet.TakeRetry{Service: j.service.Name})
 }
 
+// refund gives back what a send took that reached no server.
+func (j *job) refund(phase Phase) {
+	j.sends[phase]--
+	if j.sends[phase] > 0 {
+		j.tell(mangofleet.RefundRetry{Service: j.service.Name})
+	}
+}
+
 // exchanged reports one exchange.
 func (j *job) exchanged(phase Phase, server mangotraffic.Server, lease mangofleet.Lease, began time.Time, err error) {
 	view := j.relay.fleet.View()
--- a/core/mangorelay/stream.go
+++ b/core/mangorelay/stream.go
@@ -30,9 +30,6 @@
 	// handleShare is the part of a KV cache's lifetime after which it is not
 	// offered to another server.
 	handleShare = 0.7
-	// maxFetches is how many servers are offered one KV cache. The second one
-	// that cannot fetch it shows that the cache is gone.
-	maxFetches = 2
 	// cleanupTimeout bounds the giving back of what an engine holds.
 	cleanupTimeout = time.Second
 )
@@ -59,8 +56,8 @@
 	source mangotraffic.KVSource
 	server mangomodel.ServerID
 	until  time.Time
-	// refused counts the servers that did not fetch it.
-	refused int
+	// refusedBy is a server that had room and did not run the call.
+	refusedBy mangomodel.ServerID
 }
 
 func (j *job) tryStream(ctx context.Context) error {
@@ -78,16 +75,11 @@
 	return j.generate(ctx, grant)
 }
 
-// dropOldSource gives up a KV cache that will have lapsed, or that several
-// servers could not fetch.
+// dropOldSource gives up a KV cache that will have lapsed.
 func (j *job) dropOldSource() {
-	if j.source == nil {
-		return
-	}
-	if time.Now().Before(j.source.until) && j.source.refused < maxFetches {
-		return
+	if j.source != nil && !time.Now().Before(j.source.until) {
+		j.free()
 	}
-	j.free()
 }
 
 // withoutSource turns the refusal of a demand for a decode server alone into
@@ -135,7 +127,6 @@
 	j.exchanged(PhasePrefill, server, grant.Lease, began, err)
 	if err == nil {
 		grant.PrefillDone(time.Since(began))
-		j.observe(server.ID, mangofleet.ObservedSuccess, nil)
 		life := time.Duration(handleShare * float64(j.service.Engine.HandleLifetime))
 		j.source = &prefilled{source: source, server: server.ID, until: time.Now().Add(life)}
 		return nil
@@ -146,6 +137,9 @@
 	if ctx.Err() == nil {
 		j.observe(server.ID, prefillObservation(f), nil)
 	}
+	if f.Run == mangomodel.RunNot && f.Code == mangomodel.CodeUnavailable {
+		j.refund(PhasePrefill)
+	}
 	// A prefill is not a run, whatever became of it.
 	f.Run = mangomodel.RunNot
 	return f
@@ -200,16 +194,51 @@
 		return
 	}
 	if err != nil && mangomodel.AsFault(err, mangomodel.StepCall).Run == mangomodel.RunNot {
-		j.source.refused++
-		if j.source.refused >= maxFetches {
-			j.avoid = append(j.avoid, j.source.server)
-			j.observe(j.source.server, mangofleet.ObservedFailure, nil)
-		}
 		return
 	}
 	j.source = nil
 }
 
+// declinedStream handles a decode server that did not run the call: it was
+// full, or it could not fetch the KV cache. Where the scheduler knew of room,
+// another server is offered the cache, and its answer tells which of both it
+// was.
+func (j *job) declinedStream(server mangotraffic.Server, answer *Answer) error {
+	if j.source == nil || answer.Moved || !j.hadRoom() {
+		return j.declined(server, answer)
+	}
+	j.avoid = append(j.avoid, server.ID)
+	err := mangomodel.Faultf(mangomodel.StepTransfer, mangomodel.PeerName(server.ID), mangomodel.CodeOverloaded, mangomodel.RunNot,
+		"status %d, not run, with room for it", answer.Head.Status)
+	if j.source.refusedBy == "" {
+		j.source.refusedBy = server.ID
+		return err
+	}
+	j.avoid = append(j.avoid, j.source.server)
+	j.observe(j.source.server, mangofleet.ObservedLapsed, nil)
+	j.source = nil
+	return err
+}
+
+// fetched says that the decode server has the KV cache.
+func (j *job) fetched() {
+	if j.source == nil {
+		return
+	}
+	j.observe(j.source.server, mangofleet.ObservedSuccess, nil)
+	if j.source.refusedBy != "" {
+		j.observe(j.source.refusedBy, mangofleet.ObservedFull, nil)
+	}
+}
+
+// hadRoom reports whether the lease in use was far from filling its server.
+func (j *job) hadRoom() bool {
+	lease := j.grant.Lease
+	const spareSlots, usedShare = 2, 0.75
+	return lease.Running+spareSlots <= int(lease.Server.Slots) &&
+		float64(lease.Peak) <= usedShare*float64(j.service.Engine.KVTokens)
+}
+
 // silenceTimer watches an engine while an event is awaited.
 type silenceTimer interface {
 	Stop() bool
@@ -225,9 +254,10 @@
 func (j *job) passAnswer(ctx context.Context, server mangotraffic.Server, answer *Answer, stall silenceTimer) error {
 	defer answer.Close()
 	if answer.NotRun {
-		return j.declined(server, answer)
+		return j.declinedStream(server, answer)
 	}
 	j.runs++
+	j.fetched()
 	if answer.Events == nil {
 		return j.passOn(ctx, server, answer)
 	}
--- a/core/mangotraffic/call.go
+++ b/core/mangotraffic/call.go
@@ -85,4 +85,6 @@
 type LoadReport struct {
 	Running, Waiting int
 	Slots            mangomodel.Slots
+	// KVUsed is the KV memory that is in use, for engines.
+	KVUsed mangomodel.Tokens
 }
--- a/mangolaned/mangogateway/gateway.go
+++ b/mangolaned/mangogateway/gateway.go
@@ -40,6 +40,12 @@
 	exitMargin = 300 * time.Millisecond
 )
 
+// Servers makes exchanges with backend servers.
+type Servers interface {
+	mangorelay.Servers
+	mangobroker.Engines
+}
+
 // Gateway is one daemon.
 type Gateway struct {
 	settings mangosettings.Gateway
@@ -55,7 +61,7 @@
 }
 
 // New puts a gateway together. Nothing runs yet.
-func New(s mangosettings.Gateway, logger *zap.Logger, level zap.AtomicLevel, source mangofollow.Source, servers mangorelay.Servers) *Gateway {
+func New(s mangosettings.Gateway, logger *zap.Logger, level zap.AtomicLevel, source mangofollow.Source, servers Servers) *Gateway {
 	self := mangofleet.Member{
 		Holder:     mangomodel.Holder{Daemon: s.Daemon, Incarnation: mangomodel.Incarnation(time.Now().UnixNano())},
 		DataCentre: s.DataCentre, Address: s.Peer,
@@ -68,7 +74,7 @@
 	})
 	m := newMetrics()
 	o := observer{logger: logger, metrics: m}
-	broker := mangobroker.New(self, fleet, mangomesh.NewPeers(), mangobroker.WithSeeds(s.Seeds), mangobroker.WithObserver(o))
+	broker := mangobroker.New(self, fleet, mangomesh.NewPeers(), mangobroker.WithSeeds(s.Seeds), mangobroker.WithObserver(o), mangobroker.WithEngines(servers))
 	return &Gateway{
 		settings: s, current: current, level: level, logger: logger, fleet: fleet, broker: broker, metrics: m,
 		relay:    mangorelay.New(fleet, broker, servers, mangorelay.WithObserver(o)),
--- a/mangolaned/mangogateway/observe.go
+++ b/mangolaned/mangogateway/observe.go
@@ -117,3 +117,9 @@
 func (o observer) SchedulerChanged(service mangotraffic.ServiceName, to mangomodel.DaemonID) {
 	o.logger.Info("scheduler chosen", zap.String("Service", string(service)), zap.String("Scheduler", string(to)))
 }
+
+// ReportFailed counts engines that did not say what they run.
+func (o observer) ReportFailed(server mangotraffic.Server, err error) {
+	o.metrics.count("Reports.Failed", 1)
+	o.logger.Debug("no report", append(mangolog.Fault(err), zap.String("Server", string(server.ID)))...)
+}
--- a/mangolaned/mangosettings/gateway.go
+++ b/mangolaned/mangosettings/gateway.go
@@ -105,7 +105,7 @@
 // retryShare is the part of the platform's retry allowance that is used. The
 // rest covers daemons that restart with an unused budget or see fewer daemons
 // than there are.
-const retryShare = 0.8
+const retryShare = 0.9
 
 // Retries returns the retry budget of a service. A daemon that started a while
 // ago uses the part of a window that it has been up for, since it does not know
