--- a/core/mangobroker/news.go
+++ b/core/mangobroker/news.go
@@ -97,7 +97,7 @@
 func (b *Broker) renewAt(ctx context.Context, m mangofleet.Member) {
 	if m.Holder == b.self.Holder {
 		b.tell(mangofleet.Renew{Holder: b.self.Holder, Leases: b.progress()})
-		b.tell(mangofleet.Allow{Allowances: b.fleet.View().Allowances})
+		b.tell(mangofleet.Allow{Allowances: b.fleet.View().Allowances(b.self.Holder)})
 		return
 	}
 	if err := b.exchange(ctx, m.Address, b.progress()); err != nil && ctx.Err() == nil {
@@ -224,7 +224,7 @@
 		return News{}, err
 	}
 	answer := b.Compose(news)
-	answer.Allowances = b.fleet.View().Allowances
+	answer.Allowances = b.fleet.View().Allowances(news.From.Holder)
 	return answer, nil
 }
 
--- a/core/mangofleet/admission.go
+++ b/core/mangofleet/admission.go
@@ -145,7 +145,7 @@
 	l := &lease{demand: w.demand, server: place.server.server.ID, since: now, seen: now}
 	granted := Lease{
 		Server: place.server.server, Waited: now.Sub(w.since),
-		Scheduler: s.self.Holder.Daemon, Running: len(place.server.runs), Peak: place.peak,
+		Scheduler: s.self.Holder.Daemon, Running: len(place.server.runs), Free: place.server.free(now), Peak: place.peak,
 	}
 	place.server.runs[w.lease] = l
 	if place.prefill != nil {
--- a/core/mangofleet/demand.go
+++ b/core/mangofleet/demand.go
@@ -39,11 +39,11 @@
 	Prefill *mangotraffic.Server
 	// Waited is how long the demand was queued.
 	Waited time.Duration
-	// Scheduler granted the lease, when Running others were known at the
-	// server and Peak was the memory predicted for all of them.
-	Scheduler mangomodel.DaemonID
-	Running   int
-	Peak      mangomodel.Tokens
+	// Scheduler granted the lease, when Running leases were known at the
+	// server, Free slots were left, and Peak was the memory predicted for all.
+	Scheduler     mangomodel.DaemonID
+	Running, Free int
+	Peak          mangomodel.Tokens
 }
 
 // Progress is what a holder knows of a lease.
--- a/core/mangofleet/fleet.go
+++ b/core/mangofleet/fleet.go
@@ -74,16 +74,19 @@
 	Listed map[mangomodel.ServerID]mangotraffic.Server
 	// Members are the daemons that are believed alive, this one included.
 	Members []Sighting
-	// Usages is what this daemon has used of the retry budgets, and Allowances
-	// what each daemon may use next, by what this one knows.
-	Usages     Usages
-	Allowances Allowances
+	// Usages is what this daemon has used of the retry budgets.
+	Usages Usages
 
 	schedulers map[mangotraffic.ServiceName][]Member
 	granted    mangoquery.Index[LeaseID, Lease]
 	crashes    []Crash
+	allowances map[mangomodel.Holder]Allowances
 }
 
+// Allowances returns what a daemon life may use of the retry budgets until it
+// renews again.
+func (v *View) Allowances(h mangomodel.Holder) Allowances { return v.allowances[h] }
+
 // Lease returns a granted lease.
 func (v *View) Lease(id LeaseID) (Lease, bool) { return v.granted.Get(id) }
 
--- a/core/mangofleet/member.go
+++ b/core/mangofleet/member.go
@@ -16,7 +16,7 @@
 	aliveTime = 2 * time.Second
 	// freshTime is how old a list of servers may be: a long read that ended
 	// without news and the time for one that did not.
-	freshTime = 2500 * time.Millisecond
+	freshTime = 3800 * time.Millisecond
 	// failedTime is how long a daemon that did not answer is passed over.
 	failedTime = time.Second
 	// forgetTime is how long a daemon that is gone stays known.
--- a/core/mangofleet/renew.go
+++ b/core/mangofleet/renew.go
@@ -1,6 +1,7 @@
 package mangofleet
 
 import (
+	"maps"
 	"time"
 
 	"mangolane/core/mangomodel"
@@ -44,8 +45,10 @@
 		}
 	}
 	s.dropOldLives(c.Holder, now)
+	s.allowances = maps.Clone(s.allowances)
+	s.allowances[c.Holder] = s.allow(c.Holder, now)
 	if c.Holder != s.self.Holder {
-		s.usages[c.Holder] = peerUsage{usages: c.Usages, at: now}
+		s.usages[c.Holder] = peerUsage{usages: c.Usages, allowed: s.allowances[c.Holder], at: now}
 	}
 	s.changed.usage = true
 	s.serveQueue(now)
--- a/core/mangofleet/retry.go
+++ b/core/mangofleet/retry.go
@@ -19,7 +19,9 @@
 
 type peerUsage struct {
 	usages Usages
-	at     time.Time
+	// allowed is what the daemon may have used since.
+	allowed Allowances
+	at      time.Time
 }
 
 // Allow sets how many repeats this daemon may make until the next renewal.
@@ -78,29 +80,37 @@
 	return u
 }
 
-// allowances returns what each daemon may use until the next renewal, by what
-// all have used. Lives that have ended count for a window. A scheduler that
-// took over within a window does not know what ended lives used before, so the
-// fixed number grows with its time.
-func (s *state) allowances(now time.Time) Allowances {
+// allow returns what a daemon may use until its next renewal. What the others
+// were allowed counts as used until they renew, so that all together never use
+// more than is left; half of the rest remains for them. Lives that have ended
+// count for a window. A scheduler that took over within a window does not know
+// what ended lives used before, so the fixed number grows with its time.
+func (s *state) allow(holder mangomodel.Holder, now time.Time) Allowances {
 	limits := s.retries()
 	limits.Fixed *= min(now.Sub(s.actingSince).Seconds()/limits.Window.Seconds(), 1)
 	lists := make(map[mangotraffic.ServiceName][]mangobudget.Usage)
 	for name, u := range s.usage(now) {
 		lists[name] = append(lists[name], u)
 	}
-	for holder, p := range s.usages {
+	for h, p := range s.usages {
 		if now.Sub(p.at) > limits.Window {
-			delete(s.usages, holder)
+			delete(s.usages, h)
 			continue
 		}
 		for name, u := range p.usages {
+			if h != holder {
+				u.Repeats += p.allowed[name]
+			}
 			lists[name] = append(lists[name], u)
 		}
 	}
-	allowances := make(Allowances, len(lists))
+	allowed := make(Allowances, len(lists))
 	for name, list := range lists {
-		allowances[name] = mangobudget.Left(limits, list) / s.daemons()
+		left := mangobudget.Left(limits, list)
+		if s.daemons() > 1 {
+			left = (left + 1) / 2
+		}
+		allowed[name] = left
 	}
-	return allowances
+	return allowed
 }
--- a/core/mangofleet/state.go
+++ b/core/mangofleet/state.go
@@ -30,11 +30,13 @@
 	retries  Retries
 	budgets  map[mangotraffic.ServiceName]*mangobudget.Budget
 	// usages is what the other daemon lives have used of the budgets.
-	usages   map[mangomodel.Holder]peerUsage
-	peers    map[mangomodel.DaemonID]*peer
-	suspects suspects
-	listRead time.Time
-	changed  parts
+	usages map[mangomodel.Holder]peerUsage
+	// allowances is what each daemon life may use; it is copied when changed.
+	allowances map[mangomodel.Holder]Allowances
+	peers      map[mangomodel.DaemonID]*peer
+	suspects   suspects
+	listRead   time.Time
+	changed    parts
 	// actedAt is when a renewal last came, and actingSince when the first came
 	// after a time without: this daemon became a scheduler then.
 	actedAt, actingSince time.Time
@@ -63,15 +65,16 @@
 
 func newState(self Self, retries Retries) *state {
 	return &state{
-		self:     self,
-		backends: make(map[mangomodel.ServerID]*backend),
-		leases:   make(map[LeaseID]*lease),
-		retries:  retries,
-		budgets:  make(map[mangotraffic.ServiceName]*mangobudget.Budget),
-		usages:   make(map[mangomodel.Holder]peerUsage),
-		peers:    make(map[mangomodel.DaemonID]*peer),
-		suspects: newSuspects(),
-		changed:  parts{list: true, members: changedNow},
+		self:       self,
+		backends:   make(map[mangomodel.ServerID]*backend),
+		leases:     make(map[LeaseID]*lease),
+		retries:    retries,
+		budgets:    make(map[mangotraffic.ServiceName]*mangobudget.Budget),
+		usages:     make(map[mangomodel.Holder]peerUsage),
+		allowances: make(map[mangomodel.Holder]Allowances),
+		peers:      make(map[mangomodel.DaemonID]*peer),
+		suspects:   newSuspects(),
+		changed:    parts{list: true, members: changedNow},
 	}
 }
 
@@ -112,11 +115,11 @@
 func (s *state) View(last *View, now time.Time) *View {
 	v := &View{
 		Routing: s.routing, Draining: s.draining, Waiting: len(s.queue), Leases: len(s.leases),
-		ListRead: s.listRead, granted: s.granted,
+		ListRead: s.listRead, granted: s.granted, allowances: s.allowances,
 	}
 	if last != nil {
 		v.Listed, v.Members, v.schedulers, v.crashes = last.Listed, last.Members, last.schedulers, last.crashes
-		v.Usages, v.Allowances = last.Usages, last.Allowances
+		v.Usages = last.Usages
 	}
 	if s.changed.list {
 		v.Listed = s.listed()
@@ -126,7 +129,7 @@
 		v.crashes = s.suspects.list(now)
 	}
 	if s.changed.usage {
-		v.Usages, v.Allowances = s.usage(now), s.allowances(now)
+		v.Usages = s.usage(now)
 	}
 	s.changed.list, s.changed.crashes, s.changed.usage = false, false, false
 	if s.changed.members == changedNow || s.changed.members == changedSoon && now.Sub(s.membersAt) >= membersInterval {
--- a/core/mangofollow/follow.go
+++ b/core/mangofollow/follow.go
@@ -26,9 +26,9 @@
 	// longRead is how long a read waits for news. A connection that has gone
 	// silent is noticed after it and readSlack, within the time in which a
 	// change has to be in force.
-	longRead = 1500 * time.Millisecond
+	longRead = 3 * time.Second
 	// readSlack is added to a read's own wait before it is given up.
-	readSlack = 700 * time.Millisecond
+	readSlack = 600 * time.Millisecond
 	// firstPause and longestPause bound the pause after failed reads.
 	firstPause   = 100 * time.Millisecond
 	longestPause = 800 * time.Millisecond
--- a/mangolaned/mangogateway/observe.go
+++ b/mangolaned/mangogateway/observe.go
@@ -27,7 +27,7 @@
 		zap.String("Request", string(e.Call.ID)), zap.Stringer("Phase", e.Phase),
 		zap.String("Server", string(e.Server.ID)), zap.Uint32("Attempt", uint32(e.Attempt)),
 		zap.Duration("Waited", e.Lease.Waited), zap.String("Scheduler", string(e.Lease.Scheduler)),
-		zap.Int("Running", e.Lease.Running), zap.Int64("Peak", int64(e.Lease.Peak)), zap.Duration("Took", e.Took), zap.Duration("ListAge", e.ListAge),
+		zap.Int("Running", e.Lease.Running), zap.Int("Free", e.Lease.Free), zap.Int64("Peak", int64(e.Lease.Peak)), zap.Duration("Took", e.Took), zap.Duration("ListAge", e.ListAge),
 	}
 	if e.Err != nil {
 		o.logger.Info("exchange failed", append(fields, mangolog.Fault(e.Err)...)...)
