Members: ages are worked out when they are asked for

A daemon that had joined before it had read the list was remembered as stale, and the published ages never grew while nobody was heard, so that nobody looked again. Change: the view holds when a member was heard; schedulers are worked out each 100 ms.

--- a/core/mangobroker/news.go
+++ b/core/mangobroker/news.go
@@ -168,7 +168,7 @@
 func (b *Broker) unheard() []mangomodel.Address {
 	list := slices.Clone(b.seeds)
 	heard := map[mangomodel.Address]bool{b.self.Address: true}
-	for _, s := range b.fleet.View().Members {
+	for _, s := range b.fleet.View().Sightings(time.Now()) {
 		if s.Age < seedInterval {
 			heard[s.Member.Address] = true
 		} else {
@@ -200,7 +200,7 @@
 // Compose returns this daemon's news for a daemon whose news are known.
 func (b *Broker) Compose(to News) News {
 	view := b.fleet.View()
-	news := News{From: b.self, Usages: view.Usages, Members: view.Members, Crashes: view.Crashes(), NoList: view.ListRead.IsZero()}
+	news := News{From: b.self, Usages: view.Usages, Members: view.Sightings(time.Now()), Crashes: view.Crashes(), NoList: view.ListRead.IsZero()}
 	news.From.Draining, news.From.Stale = view.Draining, view.Stale(time.Now())
 	if view.Routing != nil {
 		news.Revision = view.Routing.Revision
--- a/core/mangofleet/fleet.go
+++ b/core/mangofleet/fleet.go
@@ -73,7 +73,7 @@
 	// Listed are the servers of the list.
 	Listed map[mangomodel.ServerID]mangotraffic.Server
 	// Members are the daemons that are believed alive, this one included.
-	Members []Sighting
+	Members []Heard
 	// Usages is what this daemon has used of the retry budgets.
 	Usages Usages
 
@@ -83,6 +83,15 @@
 	allowances map[mangomodel.Holder]Allowances
 }
 
+// Sightings returns the members with the time since they were heard.
+func (v *View) Sightings(now time.Time) []Sighting {
+	list := make([]Sighting, len(v.Members))
+	for i, m := range v.Members {
+		list[i] = Sighting{Member: m.Member, Age: now.Sub(m.At)}
+	}
+	return list
+}
+
 // Allowances returns what a daemon life may use of the retry budgets until it
 // renews again.
 func (v *View) Allowances(h mangomodel.Holder) Allowances { return v.allowances[h] }
--- a/core/mangofleet/list.go
+++ b/core/mangofleet/list.go
@@ -127,6 +127,6 @@
 // Apply applies the command.
 func (Drain) Apply(s *state, _ time.Time) error {
 	s.draining = true
-	s.changed.members = changedNow
+	s.changed.members = true
 	return nil
 }
--- a/core/mangofleet/member.go
+++ b/core/mangofleet/member.go
@@ -40,6 +40,12 @@
 	Age    time.Duration
 }
 
+// Heard is a member with the time at which it was last heard.
+type Heard struct {
+	Member Member
+	At     time.Time
+}
+
 type peer struct {
 	member      Member
 	heard       time.Time
@@ -64,7 +70,7 @@
 func (c PeerFailed) Apply(s *state, now time.Time) error {
 	if p, ok := s.peers[c.Daemon]; ok {
 		p.failedUntil = now.Add(failedTime)
-		s.changed.members = changedNow
+		s.changed.members = true
 	}
 	return nil
 }
@@ -79,7 +85,7 @@
 	if !ok {
 		p = &peer{}
 		s.peers[id] = p
-		s.changed.members = changedNow
+		s.changed.members = true
 	}
 	if x.Member.Holder.Incarnation < p.member.Holder.Incarnation {
 		return
@@ -90,19 +96,17 @@
 	if heard.After(p.heard) {
 		p.heard, p.member = heard, x.Member
 	}
-	s.changed.members = max(s.changed.members, changedSoon)
 }
 
-// sightings returns this daemon and those that may be alive.
-func (s *state) sightings(now time.Time) []Sighting {
-	list := []Sighting{{Member: s.me(now)}}
+// members returns this daemon and those that may be alive.
+func (s *state) members(now time.Time) []Heard {
+	list := []Heard{{Member: s.me(now), At: now}}
 	for id, p := range s.peers {
-		age := now.Sub(p.heard)
-		if age > forgetTime {
+		if now.Sub(p.heard) > forgetTime {
 			delete(s.peers, id)
 			continue
 		}
-		list = append(list, Sighting{Member: p.member, Age: age})
+		list = append(list, Heard{Member: p.member, At: p.heard})
 	}
 	return list
 }
--- a/core/mangofleet/state.go
+++ b/core/mangofleet/state.go
@@ -45,22 +45,10 @@
 }
 
 // parts marks parts of the published view that are out of date.
-type parts struct {
-	list, crashes, usage bool
-	members              change
-}
-
-// change is how soon a part has to be published again.
-type change int
-
-const (
-	unchanged change = iota
-	changedSoon
-	changedNow
-)
+type parts struct{ list, members, crashes, usage bool }
 
-// membersInterval is how often the ages of members are published: often
-// against aliveTime, seldom against the exchanges of a large fleet.
+// membersInterval is how often it is looked at who is alive: often against
+// aliveTime, seldom against the exchanges of a large fleet.
 const membersInterval = 100 * time.Millisecond
 
 func newState(self Self, retries Retries) *state {
@@ -74,7 +62,7 @@
 		allowances: make(map[mangomodel.Holder]Allowances),
 		peers:      make(map[mangomodel.DaemonID]*peer),
 		suspects:   newSuspects(),
-		changed:    parts{list: true, members: changedNow},
+		changed:    parts{list: true, members: true},
 	}
 }
 
@@ -123,7 +111,7 @@
 	}
 	if s.changed.list {
 		v.Listed = s.listed()
-		s.changed.members = changedNow
+		s.changed.members = true
 	}
 	if s.changed.crashes {
 		v.crashes = s.suspects.list(now)
@@ -132,9 +120,9 @@
 		v.Usages = s.usage(now)
 	}
 	s.changed.list, s.changed.crashes, s.changed.usage = false, false, false
-	if s.changed.members == changedNow || s.changed.members == changedSoon && now.Sub(s.membersAt) >= membersInterval {
-		v.Members, v.schedulers = s.sightings(now), s.schedulers(now)
-		s.changed.members, s.membersAt = unchanged, now
+	if s.changed.members || now.Sub(s.membersAt) >= membersInterval {
+		v.Members, v.schedulers = s.members(now), s.schedulers(now)
+		s.changed.members, s.membersAt = false, now
 	}
 	return v
 }
--- a/mangolaned/mangogateway/gateway.go
+++ b/mangolaned/mangogateway/gateway.go
@@ -120,7 +120,7 @@
 	for _, s := range []*mangorest.Server{frontServer, readyServer, metricsServer} {
 		go s.Serve()
 	}
-	g.logger.Info("started", zap.String("Daemon", string(g.settings.Daemon)), zap.String("Front", string(g.settings.Front)))
+	g.logger.Info("started", zap.String("Daemon", string(g.settings.Daemon)), zap.Any("Seeds", g.settings.Seeds), zap.String("Front", string(g.settings.Front)))
 	<-ctx.Done()
 	err = g.drain(workCtx, frontServer)
 	cancel()
