--- a/core/mangofleet/admission.go
+++ b/core/mangofleet/admission.go
@@ -107,8 +107,8 @@
 		case !blocked[w.demand.Service] && s.grant(w, now):
 			w.reply.Answer(nil)
 		case !now.Before(w.patience):
-			w.reply.Answer(refused(mangomodel.CodeOverloaded, "no server of %s had room for %v",
-				w.demand.Service, now.Sub(w.since).Round(time.Millisecond)))
+			w.reply.Answer(refused(mangomodel.CodeOverloaded, "no server of %s had room for %v: %s",
+				w.demand.Service, now.Sub(w.since).Round(time.Millisecond), s.explain(w, now)))
 		default:
 			blocked[w.demand.Service] = blocked[w.demand.Service] || len(w.demand.Avoid) == 0
 			kept = append(kept, w)
