Messages name few daemons; strong daemons schedule

Change: messages name the next schedulers only, daemons look for one lost daemon at a time, a scheduler has a fair processor and link, renewals do not run the queue.

--- a/core/mangobroker/broker.go
+++ b/core/mangobroker/broker.go
@@ -47,6 +47,8 @@
 	// engines is nil if no reports are wanted.
 	engines Engines
 	last    atomic.Uint64
+	// visits counts the rounds of join, which alone uses it.
+	visits int
 
 	// held are the leases of engines that this daemon uses. It is a registry
 	// of traffic and no control state, so a lock guards it.
--- a/core/mangobroker/news.go
+++ b/core/mangobroker/news.go
@@ -164,7 +164,8 @@
 	return errs
 }
 
-// unheard returns the addresses to look at.
+// unheard returns the addresses to look at: all that are known while no other
+// daemon is heard, else one of them at a time.
 func (b *Broker) unheard() []mangomodel.Address {
 	list := slices.Clone(b.seeds)
 	heard := map[mangomodel.Address]bool{b.self.Address: true}
@@ -176,7 +177,12 @@
 		}
 	}
 	slices.Sort(list)
-	return slices.DeleteFunc(slices.Compact(list), func(a mangomodel.Address) bool { return heard[a] })
+	list = slices.DeleteFunc(slices.Compact(list), func(a mangomodel.Address) bool { return heard[a] })
+	if len(heard) == 1 || len(list) == 0 {
+		return list
+	}
+	b.visits++
+	return list[b.visits%len(list):][:1]
 }
 
 // progress returns what this daemon holds.
@@ -200,7 +206,7 @@
 // Compose returns this daemon's news for a daemon whose news are known.
 func (b *Broker) Compose(to News) News {
 	view := b.fleet.View()
-	news := News{From: b.self, Usages: view.Usages, Members: view.Sightings(time.Now()), Crashes: view.Crashes(), NoList: view.ListRead.IsZero()}
+	news := News{From: b.self, Usages: view.Usages, Members: view.Successors(time.Now()), Crashes: view.Crashes(), NoList: view.ListRead.IsZero()}
 	news.From.Draining, news.From.Stale = view.Draining, view.Stale(time.Now())
 	if view.Routing != nil {
 		news.Revision = view.Routing.Revision
--- a/core/mangofleet/fleet.go
+++ b/core/mangofleet/fleet.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"mangolane/core/mangobudget"
@@ -83,7 +84,7 @@
 	allowances map[mangomodel.Holder]Allowances
 }
 
-// Sightings returns the members with the time since they were heard.
+// Sightings returns all members with the time since they were heard.
 func (v *View) Sightings(now time.Time) []Sighting {
 	list := make([]Sighting, len(v.Members))
 	for i, m := range v.Members {
@@ -92,6 +93,17 @@
 	return list
 }
 
+// Successors returns the sightings of the members that may be scheduler next.
+func (v *View) Successors(now time.Time) []Sighting {
+	next := make(map[mangomodel.DaemonID]bool)
+	for _, list := range v.schedulers {
+		for _, m := range list[:min(len(list), newsMembers)] {
+			next[m.Holder.Daemon] = true
+		}
+	}
+	return slices.DeleteFunc(v.Sightings(now), func(s Sighting) bool { return !next[s.Member.Holder.Daemon] })
+}
+
 // Allowances returns what a daemon life may use of the retry budgets until it
 // renews again.
 func (v *View) Allowances(h mangomodel.Holder) Allowances { return v.allowances[h] }
--- a/core/mangofleet/inspect.go
+++ b/core/mangofleet/inspect.go
@@ -42,7 +42,6 @@
 	if b.ghosts > 0 {
 		b.ghostMemory = max(c.Report.KVUsed-held, 0)
 	}
-	s.serveQueue(now)
 	return nil
 }
 
--- a/core/mangofleet/member.go
+++ b/core/mangofleet/member.go
@@ -20,7 +20,10 @@
 	// failedTime is how long a daemon that did not answer is passed over.
 	failedTime = time.Second
 	// forgetTime is how long a daemon that is gone stays known.
-	forgetTime = time.Minute
+	forgetTime = 10 * time.Second
+	// newsMembers is how many daemons a message names: those that may become
+	// scheduler next. The scheduler itself hears all of them.
+	newsMembers = 6
 )
 
 // Member is one daemon life.
@@ -29,6 +32,9 @@
 	DataCentre mangomodel.DataCentreID
 	// Address is where it serves other daemons.
 	Address mangomodel.Address
+	// Strong members have the processor and the link for scheduling a large
+	// fleet.
+	Strong bool
 	// Draining members schedule nothing, and Stale ones, whose list of servers
 	// may be out of date, only if all are.
 	Draining, Stale bool
@@ -147,6 +153,7 @@
 		}
 	}
 	list = unless(list, func(m Member) bool { return m.Draining })
+	list = unless(list, func(m Member) bool { return !m.Strong })
 	return unless(list, func(m Member) bool { return m.Stale })
 }
 
--- a/core/mangofleet/renew.go
+++ b/core/mangofleet/renew.go
@@ -51,7 +51,6 @@
 		s.usages[c.Holder] = peerUsage{usages: c.Usages, allowed: s.allowances[c.Holder], at: now}
 	}
 	s.changed.usage = true
-	s.serveQueue(now)
 	return nil
 }
 
--- a/mangolaned/mangogateway/gateway.go
+++ b/mangolaned/mangogateway/gateway.go
@@ -64,7 +64,7 @@
 func New(s mangosettings.Gateway, logger *zap.Logger, level zap.AtomicLevel, source mangofollow.Source, servers Servers) *Gateway {
 	self := mangofleet.Member{
 		Holder:     mangomodel.Holder{Daemon: s.Daemon, Incarnation: mangomodel.Incarnation(time.Now().UnixNano())},
-		DataCentre: s.DataCentre, Address: s.Peer,
+		DataCentre: s.DataCentre, Address: s.Peer, Strong: s.Strong(),
 	}
 	started := time.Now()
 	current := &atomic.Pointer[mangosettings.Gateway]{}
--- a/mangolaned/mangosettings/gateway.go
+++ b/mangolaned/mangosettings/gateway.go
@@ -33,6 +33,10 @@
 
 	// Seeds are addresses of other daemons to start from.
 	Seeds []mangomodel.Address `json:",omitempty"`
+	// Cores and CoreShare say how much of how many cores the daemon has, and
+	// LinkRate, in Mbit/s, how much its link carries; zero means plenty.
+	Cores, CoreShare float64 `json:",omitempty"`
+	LinkRate         float64 `json:",omitempty"`
 	// MemoryLimit is what the process may take, in bytes; zero sets none.
 	MemoryLimit mangomodel.Bytes `json:",omitempty"`
 	// LogLevel is debug, info, warn or error.
@@ -93,6 +97,9 @@
 	if s.RetryRatio < 0 || s.RetryRatio > 1 || s.RetryFixed < 0 || s.RetryWindow.Std() < time.Second {
 		return invalid("RetryRatio must be between 0 and 1, RetryFixed at least 0, RetryWindow at least a second")
 	}
+	if s.Cores < 0 || s.CoreShare < 0 || s.LinkRate < 0 {
+		return invalid("Cores, CoreShare and LinkRate must be at least 0")
+	}
 	if s.MemoryLimit < 0 || s.LogRate < 1 {
 		return invalid("MemoryLimit must be at least 0 and LogRate at least 1")
 	}
@@ -118,3 +125,17 @@
 		Window: s.RetryWindow.Std(),
 	}
 }
+
+const (
+	// strongCores is the processor that scheduling a hundred daemons leaves
+	// enough of for calls: it takes some hundredths of a core.
+	strongCores = 0.35
+	// strongLink, in Mbit/s, carries a hundred daemons' renewals with room.
+	strongLink = 90
+)
+
+// Strong reports whether the daemon may schedule a large fleet.
+func (s *Gateway) Strong() bool {
+	cores := s.CoreShare * max(s.Cores, 1)
+	return (cores == 0 || cores >= strongCores) && (s.LinkRate == 0 || s.LinkRate >= strongLink)
+}
