Only schedulers follow the store; the others learn from them

Change: renewals carry the changes of the list and the configuration; a daemon reads by itself when its list is older than 1.45 s. A scheduler reads each 0.5 s at least, so that a cut is noticed in time for the others to read within 2.5 s.

--- a/core/mangobroker/news.go
+++ b/core/mangobroker/news.go
@@ -39,12 +39,8 @@
 	// that is behind.
 	Revision mangomodel.Revision
 	Routing  *mangotraffic.Document
-	// NoList is set when the sender has never read the list of servers;
-	// Servers answers that.
-	NoList  bool
-	Servers []mangotraffic.Server
-	// ListAge is the age of Servers.
-	ListAge time.Duration
+	// List brings a receiver to the sender's position in the list of servers.
+	List mangofleet.ChangeServers
 }
 
 // Run exchanges news until ctx ends.
@@ -206,7 +202,7 @@
 // Compose returns this daemon's news for a daemon whose news are known.
 func (b *Broker) Compose(to News) News {
 	view := b.fleet.View()
-	news := News{From: b.self, Usages: view.Usages, Members: view.Successors(time.Now()), Crashes: view.Crashes(), NoList: view.ListRead.IsZero()}
+	news := News{From: b.self, Usages: view.Usages, Members: view.Successors(time.Now()), Crashes: view.Crashes()}
 	news.From.Draining, news.From.Stale = view.Draining, view.Stale(time.Now())
 	if view.Routing != nil {
 		news.Revision = view.Routing.Revision
@@ -214,10 +210,11 @@
 			news.Routing = view.Routing.Document()
 		}
 	}
-	if to.NoList && !news.NoList {
-		news.Servers = slices.Collect(maps.Values(view.Listed))
-		news.ListAge = time.Since(view.ListRead)
+	position := view.ListCursor
+	if to.From.Holder.Daemon != "" {
+		position = to.List.Cursor
 	}
+	news.List = view.ChangesAfter(position, time.Now())
 	return news
 }
 
@@ -246,21 +243,22 @@
 			return err
 		}
 	}
-	if len(news.Servers) > 0 && b.fleet.View().ListRead.IsZero() {
-		if err := b.fleet.Do(ctx, listOf(news)); err != nil {
-			return err
-		}
+	if err := b.takeList(ctx, news); err != nil {
+		return err
 	}
 	return b.takeRouting(ctx, news)
 }
 
-func listOf(news News) mangofleet.ChangeServers {
-	cmd := mangofleet.ChangeServers{Full: true, Age: news.ListAge}
-	for i := range news.Servers {
-		server := &news.Servers[i]
-		cmd.Changes = append(cmd.Changes, mangotraffic.ServerChange{ID: server.ID, Server: server})
+// takeList applies changes of the list, or that there are none.
+func (b *Broker) takeList(ctx context.Context, news News) error {
+	if news.List.Cursor == 0 || news.From.Stale {
+		return nil
+	}
+	if news.List.Cursor > b.fleet.View().ListCursor && len(news.List.Changes) == 0 {
+		// The sender did not know this daemon's position; the answer will.
+		return nil
 	}
-	return cmd
+	return b.fleet.Do(ctx, news.List)
 }
 
 func (b *Broker) takeRouting(ctx context.Context, news News) error {
--- a/core/mangofleet/fleet.go
+++ b/core/mangofleet/fleet.go
@@ -71,6 +71,9 @@
 	// ListRead is when the list of servers was last known to be current; zero
 	// if it never was.
 	ListRead time.Time
+	// ListCursor and RoutingCursor are the positions of the platform's records
+	// that were read.
+	ListCursor, RoutingCursor mangotraffic.Cursor
 	// Listed are the servers of the list.
 	Listed map[mangomodel.ServerID]mangotraffic.Server
 	// Members are the daemons that are believed alive, this one included.
@@ -82,6 +85,22 @@
 	granted    mangoquery.Index[LeaseID, Lease]
 	crashes    []Crash
 	allowances map[mangomodel.Holder]Allowances
+	journal    []ListChange
+	self       mangomodel.DaemonID
+}
+
+// Informed reports whether this daemon learns of changes from a scheduler, so
+// that it does not have to read the platform's records.
+func (v *View) Informed(now time.Time) bool {
+	if v.Routing == nil || now.Sub(v.ListRead) > informedTime {
+		return false
+	}
+	for _, list := range v.schedulers {
+		if len(list) > 0 && list[0].Holder.Daemon == v.self {
+			return false
+		}
+	}
+	return true
 }
 
 // Sightings returns all members with the time since they were heard.
--- a/core/mangofleet/list.go
+++ b/core/mangofleet/list.go
@@ -1,6 +1,7 @@
 package mangofleet
 
 import (
+	"slices"
 	"time"
 
 	"mangolane/core/mangohealth"
@@ -13,12 +14,21 @@
 // return.
 const reappearTime = 2 * time.Second
 
+// journalLength is how many changes of the list are kept for daemons that
+// learn of them from this one. A daemon asks four times a second.
+const journalLength = 256
+
 // InstallRouting puts a revision in force. An older one than the one in force
 // is a conflict.
-type InstallRouting struct{ Routing *mangotraffic.Routing }
+type InstallRouting struct {
+	Routing *mangotraffic.Routing
+	// Cursor is where it was read; zero if it came from another daemon.
+	Cursor mangotraffic.Cursor
+}
 
 // Apply applies the command.
 func (c InstallRouting) Apply(s *state, now time.Time) error {
+	s.routingCursor = max(s.routingCursor, c.Cursor)
 	if s.routing != nil && c.Routing.Revision < s.routing.Revision {
 		return mangomodel.Faultf(mangomodel.StepConfigure, "", mangomodel.CodeConflict, mangomodel.RunNot,
 			"revision %d is older than %d in force", c.Routing.Revision, s.routing.Revision)
@@ -28,6 +38,15 @@
 	return nil
 }
 
+// RoutingRead says that nothing has changed up to a cursor.
+type RoutingRead struct{ Cursor mangotraffic.Cursor }
+
+// Apply applies the command.
+func (c RoutingRead) Apply(s *state, _ time.Time) error {
+	s.routingCursor = max(s.routingCursor, c.Cursor)
+	return nil
+}
+
 // ChangeServers applies changes of the list of servers.
 type ChangeServers struct {
 	Changes []mangotraffic.ServerChange
@@ -38,31 +57,90 @@
 	AfterOutage bool
 	// Age is how old the changes are.
 	Age time.Duration
+	// Cursor is the position after the changes. Changes before the position
+	// that is reached already are ignored.
+	Cursor mangotraffic.Cursor
 }
 
 // Apply applies the command.
 func (c ChangeServers) Apply(s *state, now time.Time) error {
-	s.listRead = now.Add(-c.Age)
+	if c.Cursor < s.listCursor {
+		return nil
+	}
+	if read := now.Add(-c.Age); read.After(s.listRead) {
+		s.listRead = read
+	}
 	listed := make(map[mangomodel.ServerID]bool, len(c.Changes))
 	for _, change := range c.Changes {
 		listed[change.ID] = true
-		if change.Server == nil {
-			s.vanish(change.ID, c.AfterOutage, now)
-			continue
-		}
-		s.list(*change.Server)
+		s.apply(change, c.AfterOutage, now)
 	}
 	if c.Full {
 		for id := range s.backends {
 			if !listed[id] {
-				s.vanish(id, c.AfterOutage, now)
+				s.apply(mangotraffic.ServerChange{ID: id}, c.AfterOutage, now)
 			}
 		}
 	}
+	s.record(c)
 	s.serveQueue(now)
 	return nil
 }
 
+func (s *state) apply(change mangotraffic.ServerChange, afterOutage bool, now time.Time) {
+	if change.Server == nil {
+		s.vanish(change.ID, afterOutage, now)
+		return
+	}
+	s.list(*change.Server)
+}
+
+// record keeps changes for the daemons that ask for them.
+func (s *state) record(c ChangeServers) {
+	if c.Cursor == s.listCursor {
+		return
+	}
+	s.listCursor = c.Cursor
+	s.changed.list = true
+	if c.Full {
+		s.journal = nil
+		return
+	}
+	s.journal = append(slices.Clone(s.journal), ListChange{Changes: c.Changes, AfterOutage: c.AfterOutage, Cursor: c.Cursor})
+	if extra := len(s.journal) - journalLength; extra > 0 {
+		s.journal = s.journal[extra:]
+	}
+}
+
+// ListChange is some changes with the position after them.
+type ListChange struct {
+	Changes     []mangotraffic.ServerChange
+	AfterOutage bool
+	Cursor      mangotraffic.Cursor
+}
+
+// ChangesAfter returns the command that brings a daemon from a position to
+// this one's, with the whole list when the changes between are not known.
+func (v *View) ChangesAfter(after mangotraffic.Cursor, now time.Time) ChangeServers {
+	cmd := ChangeServers{Cursor: v.ListCursor, Age: now.Sub(v.ListRead)}
+	if after >= v.ListCursor {
+		return cmd
+	}
+	i := slices.IndexFunc(v.journal, func(c ListChange) bool { return c.Cursor == after })
+	if i < 0 {
+		cmd.Full = true
+		for id, server := range v.Listed {
+			cmd.Changes = append(cmd.Changes, mangotraffic.ServerChange{ID: id, Server: &server})
+		}
+		return cmd
+	}
+	for _, c := range v.journal[i+1:] {
+		cmd.Changes = append(cmd.Changes, c.Changes...)
+		cmd.AfterOutage = cmd.AfterOutage || c.AfterOutage
+	}
+	return cmd
+}
+
 // list adds or updates a server. A new life starts without a history.
 func (s *state) list(server mangotraffic.Server) {
 	s.changed.list = true
--- a/core/mangofleet/member.go
+++ b/core/mangofleet/member.go
@@ -14,9 +14,12 @@
 	// daemon is heard by the schedulers each RenewInterval, and by the others
 	// through their answers.
 	aliveTime = 2 * time.Second
-	// freshTime is how old a list of servers may be: a long read that ended
-	// without news and the time for one that did not.
-	freshTime = 3800 * time.Millisecond
+	// freshTime is how old the list of a scheduler may be: a read that found
+	// nothing, and the time for one that failed.
+	freshTime = 1200 * time.Millisecond
+	// informedTime is how old the list of another daemon may be: a fresh list
+	// and a renewal.
+	informedTime = freshTime + RenewInterval
 	// failedTime is how long a daemon that did not answer is passed over.
 	failedTime = time.Second
 	// forgetTime is how long a daemon that is gone stays known.
--- a/core/mangofollow/follow.go
+++ b/core/mangofollow/follow.go
@@ -5,6 +5,9 @@
 // history is lost, or the cursor is not known any more, it is read whole again.
 // While the platform cannot be reached the fleet keeps what it has.
 //
+// Reads are priced, so that only schedulers follow all the time. The other
+// daemons learn of changes from them, and read by themselves when that stops.
+//
 // # Usage
 //
 //	f := mangofollow.New(fleet, source, observer)
@@ -23,12 +26,18 @@
 )
 
 const (
-	// longRead is how long a read waits for news. A connection that has gone
-	// silent is noticed after it and readSlack, within the time in which a
-	// change has to be in force.
-	longRead = 3 * time.Second
-	// readSlack is added to a read's own wait before it is given up.
-	readSlack = 600 * time.Millisecond
+	// longRead is how long a read waits for news, and readSlack is added to it
+	// before the read is given up. A connection that has gone silent is noticed
+	// after both, and the other daemons then have to read and apply what they
+	// missed within the 2.5 s in which a change has to be in force.
+	longRead  = 500 * time.Millisecond
+	readSlack = 500 * time.Millisecond
+	// gatherTime is the pause after a change. Servers are often listed one
+	// after the other.
+	gatherTime = 100 * time.Millisecond
+	// idlePause is how often a daemon that learns from others looks whether it
+	// still does.
+	idlePause = 100 * time.Millisecond
 	// firstPause and longestPause bound the pause after failed reads.
 	firstPause   = 100 * time.Millisecond
 	longestPause = 800 * time.Millisecond
@@ -41,20 +50,18 @@
 // ErrHistoryLost is returned by a Source that no longer knows a cursor.
 var ErrHistoryLost = errors.New("the history after the cursor is lost")
 
-// Cursor is a position in a record's history; zero is before all of it.
-type Cursor uint64
-
 // Source reads records. With a zero cursor it reads the whole record at once;
 // else it waits for changes after the cursor, at most for wait.
 type Source interface {
 	// Routing returns nil if nothing has changed.
-	Routing(ctx context.Context, after Cursor, wait time.Duration) (*mangotraffic.Routing, Cursor, error)
-	Servers(ctx context.Context, after Cursor, wait time.Duration) ([]mangotraffic.ServerChange, Cursor, error)
+	Routing(ctx context.Context, after mangotraffic.Cursor, wait time.Duration) (*mangotraffic.Routing, mangotraffic.Cursor, error)
+	Servers(ctx context.Context, after mangotraffic.Cursor, wait time.Duration) ([]mangotraffic.ServerChange, mangotraffic.Cursor, error)
 }
 
 // Fleet takes the commands of a Follower.
 type Fleet interface {
 	Do(ctx context.Context, cmd mangofleet.Command) error
+	View() *mangofleet.View
 }
 
 // Record is one of the followed records.
@@ -97,29 +104,31 @@
 	running.Wait()
 }
 
-// read is one read of a record. afterOutage is set when reads have failed not
-// long ago.
-type read func(ctx context.Context, after Cursor, afterOutage bool) (Cursor, error)
+// read is one read of a record. It returns whether something had changed.
+// afterOutage is set when reads have failed not long ago.
+type read func(ctx context.Context, afterOutage bool) (bool, error)
 
 func (f *Follower) follow(ctx context.Context, record Record, next read) {
 	var (
-		cursor   Cursor
 		failedAt time.Time
 		lostAt   time.Time
 		pause    = firstPause
 	)
 	for ctx.Err() == nil {
+		if f.fleet.View().Informed(time.Now()) {
+			sleep(ctx, idlePause)
+			continue
+		}
 		outage := !failedAt.IsZero() && time.Since(failedAt) < outageMemory
-		to, err := f.bounded(ctx, cursor, outage, next)
+		changed, err := f.bounded(ctx, outage, next)
 		if err == nil {
 			if !lostAt.IsZero() {
 				f.observer.Regained(record, time.Since(lostAt))
 			}
-			cursor, lostAt, pause = to, time.Time{}, firstPause
-			continue
-		}
-		if errors.Is(err, ErrHistoryLost) {
-			cursor = 0
+			lostAt, pause = time.Time{}, firstPause
+			if changed {
+				sleep(ctx, gatherTime)
+			}
 			continue
 		}
 		if ctx.Err() != nil {
@@ -135,36 +144,48 @@
 	}
 }
 
-func (f *Follower) bounded(ctx context.Context, after Cursor, outage bool, next read) (Cursor, error) {
+func (f *Follower) bounded(ctx context.Context, outage bool, next read) (bool, error) {
 	ctx, cancel := context.WithTimeout(ctx, longRead+readSlack)
 	defer cancel()
-	return next(ctx, after, outage)
+	return next(ctx, outage)
 }
 
-func (f *Follower) readRouting(ctx context.Context, after Cursor, _ bool) (Cursor, error) {
+func (f *Follower) readRouting(ctx context.Context, _ bool) (bool, error) {
+	after := f.fleet.View().RoutingCursor
 	routing, to, err := f.source.Routing(ctx, after, longRead)
-	if err != nil || routing == nil {
-		return to, err
+	if errors.Is(err, ErrHistoryLost) {
+		routing, to, err = f.source.Routing(ctx, 0, 0)
+	}
+	if err != nil {
+		return false, err
 	}
-	err = f.fleet.Do(ctx, mangofleet.InstallRouting{Routing: routing})
+	if routing == nil {
+		return false, f.fleet.Do(ctx, mangofleet.RoutingRead{Cursor: to})
+	}
+	err = f.fleet.Do(ctx, mangofleet.InstallRouting{Routing: routing, Cursor: to})
 	f.observer.RoutingChanged(routing.Revision, err)
 	if mangomodel.HasCode(err, mangomodel.CodeConflict) {
 		// A newer revision is in force; the record will catch up.
 		err = nil
 	}
-	return to, err
+	return true, err
 }
 
-func (f *Follower) readServers(ctx context.Context, after Cursor, afterOutage bool) (Cursor, error) {
+func (f *Follower) readServers(ctx context.Context, afterOutage bool) (bool, error) {
+	after := f.fleet.View().ListCursor
 	changes, to, err := f.source.Servers(ctx, after, longRead)
+	if errors.Is(err, ErrHistoryLost) {
+		after = 0
+		changes, to, err = f.source.Servers(ctx, 0, 0)
+	}
 	if err != nil {
-		return to, err
+		return false, err
 	}
-	cmd := mangofleet.ChangeServers{Changes: changes, Full: after == 0, AfterOutage: afterOutage}
+	cmd := mangofleet.ChangeServers{Changes: changes, Full: after == 0, AfterOutage: afterOutage, Cursor: to}
 	if len(changes) > 0 || cmd.Full {
 		f.observer.ServersChanged(cmd)
 	}
-	return to, f.fleet.Do(ctx, cmd)
+	return len(changes) > 0, f.fleet.Do(ctx, cmd)
 }
 
 // sleep waits until d has passed or ctx ends.
--- a/core/mangotraffic/server.go
+++ b/core/mangotraffic/server.go
@@ -53,3 +53,7 @@
 	// Server is nil when the entry is gone or names no usable server.
 	Server *Server
 }
+
+// Cursor is a position in the history of the platform's records; zero is
+// before all of it.
+type Cursor uint64
