--- /dev/null
+++ b/core/mangobroker/broker_test.go
@@ -0,0 +1,313 @@
+package mangobroker
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"mangolane/core/mangobudget"
+	"mangolane/core/mangofleet"
+	"mangolane/core/mangomodel"
+	"mangolane/core/mangotraffic"
+)
+
+const service mangotraffic.ServiceName = "llm"
+
+// weak is a daemon that schedules only when it is alone.
+const weak mangomodel.DaemonID = "weak"
+
+// mesh connects daemons in one process. A daemon that is down, or cut off from
+// the caller, does not answer.
+type mesh struct {
+	mu      sync.Mutex
+	daemons map[mangomodel.Address]*daemon
+	down    map[mangomodel.Address]bool
+	// waiting are the cancellations of calls by callee.
+	waiting map[mangomodel.Address][]context.CancelFunc
+}
+
+type daemon struct {
+	broker *Broker
+	fleet  *mangofleet.Fleet
+	stop   context.CancelFunc
+}
+
+type link struct {
+	mesh *mesh
+	from mangomodel.Address
+}
+
+var errUnreachable = mangomodel.Faultf(mangomodel.StepProbe, "", mangomodel.CodeUnavailable, mangomodel.RunNot, "unreachable")
+
+func (l link) reach(ctx context.Context, at mangomodel.Address) (*daemon, context.Context, error) {
+	l.mesh.mu.Lock()
+	d, ok := l.mesh.daemons[at]
+	down := !ok || l.mesh.down[at] || l.mesh.down[l.from]
+	ctx, cancel := context.WithCancel(ctx)
+	l.mesh.waiting[at] = append(l.mesh.waiting[at], cancel)
+	l.mesh.mu.Unlock()
+	if !down {
+		return d, ctx, nil
+	}
+	<-ctx.Done()
+	return nil, ctx, errUnreachable
+}
+
+func (l link) Acquire(ctx context.Context, at mangofleet.Member, id mangofleet.LeaseID, d mangofleet.Demand) (mangofleet.Lease, error) {
+	other, ctx, err := l.reach(ctx, at.Address)
+	if err != nil {
+		return mangofleet.Lease{}, err
+	}
+	if err := other.fleet.Do(ctx, mangofleet.Acquire{Lease: id, Demand: d}); err != nil {
+		if ctx.Err() != nil {
+			err = errUnreachable
+		}
+		return mangofleet.Lease{}, err
+	}
+	lease, _ := other.fleet.View().Lease(id)
+	return lease, nil
+}
+
+func (l link) Release(ctx context.Context, at mangofleet.Member, r mangofleet.Release) error {
+	other, ctx, err := l.reach(ctx, at.Address)
+	if err != nil {
+		return err
+	}
+	return other.fleet.Do(ctx, r)
+}
+
+func (l link) PrefillDone(ctx context.Context, at mangofleet.Member, id mangofleet.LeaseID, took time.Duration) error {
+	other, ctx, err := l.reach(ctx, at.Address)
+	if err != nil {
+		return err
+	}
+	return other.fleet.Do(ctx, mangofleet.PrefillDone{Lease: id, Took: took})
+}
+
+func (l link) Exchange(ctx context.Context, at mangomodel.Address, news News) (News, error) {
+	other, ctx, err := l.reach(ctx, at)
+	if err != nil {
+		return News{}, err
+	}
+	return other.broker.Receive(ctx, news)
+}
+
+func (l link) Drop(at mangomodel.Address) {
+	l.mesh.mu.Lock()
+	defer l.mesh.mu.Unlock()
+	for _, cancel := range l.mesh.waiting[at] {
+		cancel()
+	}
+	l.mesh.waiting[at] = nil
+}
+
+// set changes whether a daemon is down.
+func (m *mesh) set(at mangomodel.Address, down bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.down[at] = down
+}
+
+// start runs a daemon that knows one seed.
+func (m *mesh) start(id mangomodel.DaemonID, incarnation mangomodel.Incarnation, seeds ...mangomodel.Address) *daemon {
+	self := mangofleet.Member{
+		Holder: mangomodel.Holder{Daemon: id, Incarnation: incarnation}, DataCentre: "a1",
+		Address: mangomodel.Address(id), Strong: id != weak,
+	}
+	fleet := mangofleet.New(mangofleet.Self{
+		Member: self, Regions: map[mangomodel.DataCentreID]mangomodel.RegionID{"a1": "a"},
+	}, func() mangobudget.Limits { return mangobudget.Limits{Window: 10 * time.Second} })
+	d := &daemon{fleet: fleet, broker: New(self, fleet, link{m, self.Address}, WithSeeds(seeds))}
+	m.mu.Lock()
+	m.daemons[self.Address] = d
+	m.mu.Unlock()
+	var ctx context.Context
+	ctx, d.stop = context.WithCancel(context.Background())
+	go fleet.Run(ctx)
+	go d.broker.Run(ctx)
+	return d
+}
+
+// know gives a daemon a configuration and a list.
+func (d *daemon) know(g *gomega.WithT) {
+	routing, err := mangotraffic.NewRouting(3, nil, []mangotraffic.Service{
+		{Name: service, Engine: &mangotraffic.Engine{Slots: 2, KVTokens: 10_000, TokensPerEvent: 1}},
+	}, mangotraffic.Limits{})
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(d.fleet.Do(context.Background(), mangofleet.InstallRouting{Routing: routing})).To(gomega.Succeed())
+	d.read(g)
+}
+
+// read makes a daemon's list current, as a read of the platform does.
+func (d *daemon) read(g *gomega.WithT) {
+	decode := mangotraffic.Server{ID: "d", Service: service, DataCentre: "a1", Stage: mangotraffic.StageDecode, Slots: 2}
+	prefill := mangotraffic.Server{ID: "p", Service: service, DataCentre: "a1", Stage: mangotraffic.StagePrefill, Slots: 2}
+	g.Expect(d.fleet.Do(context.Background(), mangofleet.ChangeServers{Full: true, Cursor: 9, Changes: []mangotraffic.ServerChange{
+		{ID: "d", Server: &decode}, {ID: "p", Server: &prefill},
+	}})).To(gomega.Succeed())
+}
+
+// keep reads for all daemons until they stop.
+func keep(g *gomega.WithT, ctx context.Context, daemons ...*daemon) {
+	go func() {
+		for {
+			for _, d := range daemons {
+				d.read(g)
+			}
+			select {
+			case <-ctx.Done():
+				return
+			case <-time.After(500 * time.Millisecond):
+			}
+		}
+	}()
+}
+
+func bubble(t *testing.T, f func(g *gomega.WithT, ctx context.Context, m *mesh)) {
+	synctest.Test(t, func(t *testing.T) {
+		m := &mesh{
+			daemons: make(map[mangomodel.Address]*daemon), down: make(map[mangomodel.Address]bool),
+			waiting: make(map[mangomodel.Address][]context.CancelFunc),
+		}
+		ctx, cancel := context.WithCancel(context.Background())
+		defer func() {
+			cancel()
+			synctest.Wait()
+			for at, d := range m.daemons {
+				d.stop()
+				link{mesh: m}.Drop(at)
+			}
+			synctest.Wait()
+		}()
+		f(gomega.NewWithT(t), ctx, m)
+	})
+}
+
+func (d *daemon) scheduler() mangomodel.DaemonID {
+	m, _ := d.fleet.View().Scheduler(service)
+	return m.Holder.Daemon
+}
+
+func demand() mangofleet.Demand {
+	return mangofleet.Demand{
+		Service: service, Generation: &mangotraffic.Generation{Prompt: 10, MaxOutput: 10},
+		OnTimeFor: 2 * time.Second, Patience: 3 * time.Second,
+	}
+}
+
+func TestDaemonsAgreeOnAScheduler(t *testing.T) {
+	bubble(t, func(g *gomega.WithT, ctx context.Context, m *mesh) {
+		a, b, c := m.start("a", 1), m.start("b", 1, "a"), m.start("c", 1, "a")
+		for _, d := range []*daemon{a, b, c} {
+			d.know(g)
+		}
+		keep(g, ctx, a, b, c)
+		time.Sleep(3 * time.Second)
+		g.Expect(b.scheduler()).To(gomega.Equal(a.scheduler()))
+		g.Expect(c.scheduler()).To(gomega.Equal(a.scheduler()))
+		var running sync.WaitGroup
+		for _, d := range []*daemon{a, b} {
+			running.Go(func() {
+				grant, err := d.broker.Acquire(ctx, demand())
+				g.Expect(err).NotTo(gomega.HaveOccurred())
+				defer grant.Release()
+				g.Expect(grant.Lease.Scheduler).To(gomega.Equal(a.scheduler()))
+			})
+		}
+		running.Wait()
+	})
+}
+
+// TestDaemonThatJoinedWithoutAListIsNoStrangerLater covers daemons that start
+// together: each is heard before it has read the list, and nobody asks again
+// who schedules for itself.
+func TestDaemonThatJoinedWithoutAListIsNoStrangerLater(t *testing.T) {
+	bubble(t, func(g *gomega.WithT, ctx context.Context, m *mesh) {
+		a, b, c := m.start("a", 1, "b", "c"), m.start("b", 1, "a", "c"), m.start("c", 1, "a", "b")
+		time.Sleep(100 * time.Millisecond)
+		for _, d := range []*daemon{a, b, c} {
+			d.know(g)
+		}
+		keep(g, ctx, a, b, c)
+		time.Sleep(4 * time.Second)
+		g.Expect(b.scheduler()).To(gomega.Equal(a.scheduler()))
+		g.Expect(c.scheduler()).To(gomega.Equal(a.scheduler()))
+	})
+}
+
+func TestWaitingDemandMovesToTheNextScheduler(t *testing.T) {
+	bubble(t, func(g *gomega.WithT, ctx context.Context, m *mesh) {
+		a, b := m.start("a", 1), m.start("b", 1, "a")
+		a.know(g)
+		b.know(g)
+		keep(g, ctx, a, b)
+		time.Sleep(2 * time.Second)
+		asks, at := a, b
+		if a.scheduler() == "a" {
+			asks, at = b, a
+		}
+		var held []*Grant
+		for range 2 {
+			grant, err := asks.broker.Acquire(ctx, demand())
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			held = append(held, grant)
+		}
+		granted := make(chan error, 1)
+		go func() {
+			grant, err := asks.broker.Acquire(ctx, demand())
+			if err == nil {
+				grant.Release()
+			}
+			granted <- err
+		}()
+		time.Sleep(100 * time.Millisecond)
+		m.set(at.broker.self.Address, true)
+		time.Sleep(time.Second)
+		g.Expect(granted).NotTo(gomega.Receive(), "the new scheduler knows of the held slots")
+		held[0].Release()
+		g.Expect(<-granted).To(gomega.Succeed())
+		held[1].Release()
+	})
+}
+
+func TestDaemonLearnsFromOthersWhatThePlatformCannotTell(t *testing.T) {
+	bubble(t, func(g *gomega.WithT, ctx context.Context, m *mesh) {
+		a := m.start("a", 1)
+		a.know(g)
+		keep(g, ctx, a)
+		time.Sleep(time.Second)
+		b := m.start(weak, 1, "a")
+		time.Sleep(2 * time.Second)
+		g.Expect(b.fleet.View().Routing).NotTo(gomega.BeNil())
+		g.Expect(b.fleet.View().Listed).To(gomega.HaveLen(2))
+		g.Expect(b.fleet.View().Informed(time.Now())).To(gomega.BeTrue())
+		m.set("a", true)
+		time.Sleep(2 * time.Second)
+		g.Expect(b.fleet.View().Informed(time.Now())).To(gomega.BeFalse(), "it reads by itself now")
+	})
+}
+
+func TestCancelledAcquireHoldsNothing(t *testing.T) {
+	bubble(t, func(g *gomega.WithT, ctx context.Context, m *mesh) {
+		a := m.start("a", 1)
+		a.know(g)
+		keep(g, ctx, a)
+		time.Sleep(time.Second)
+		for range 2 {
+			_, err := a.broker.Acquire(ctx, demand())
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+		}
+		gone, cancel := context.WithCancel(ctx)
+		time.AfterFunc(50*time.Millisecond, cancel)
+		_, err := a.broker.Acquire(gone, demand())
+		g.Expect(err).To(gomega.HaveOccurred())
+		g.Expect(errors.Is(gone.Err(), context.Canceled)).To(gomega.BeTrue())
+		g.Expect(a.fleet.View().Waiting).To(gomega.Equal(0))
+		g.Expect(a.fleet.View().Leases).To(gomega.Equal(2))
+	})
+}
--- a/core/mangobudget/budget.go
+++ b/core/mangobudget/budget.go
@@ -80,6 +80,14 @@
 	return true
 }
 
+// Allowed returns how many repeats the allowance still permits.
+func (b *Budget) Allowed(now time.Time) int {
+	if now.Before(b.allowedUntil) {
+		return b.allowed
+	}
+	return 0
+}
+
 // Refund takes a repeat back that was counted a moment ago.
 func (b *Budget) Refund(now time.Time) {
 	p := b.at(now)
--- /dev/null
+++ b/core/mangobudget/budget_test.go
@@ -0,0 +1,77 @@
+package mangobudget
+
+import (
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+)
+
+var limits = Limits{Ratio: 0.2, Fixed: 10, Window: 10 * time.Second}
+
+func take(b *Budget, now time.Time, daemons, tries int) int {
+	n := 0
+	for range tries {
+		if b.Take(now, daemons) {
+			n++
+		}
+	}
+	return n
+}
+
+func TestOwnPart(t *testing.T) {
+	tests := []struct {
+		name           string
+		calls, daemons int
+		want           int
+	}{
+		{"the fixed number alone", 0, 1, 10},
+		{"an equal part of it", 0, 5, 2},
+		{"a share of the calls besides", 50, 5, 12},
+		{"no daemons count as one", 0, 0, 10},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			b, now := New(limits), time.Now()
+			for range test.calls {
+				b.Called(now)
+			}
+			gomega.NewWithT(t).Expect(take(b, now, test.daemons, 100)).To(gomega.Equal(test.want))
+		})
+	}
+}
+
+func TestWindowSlides(t *testing.T) {
+	g := gomega.NewWithT(t)
+	b, now := New(limits), time.Now()
+	g.Expect(take(b, now, 1, 100)).To(gomega.Equal(10))
+	g.Expect(take(b, now.Add(9*time.Second), 1, 100)).To(gomega.Equal(0))
+	g.Expect(take(b, now.Add(11*time.Second), 1, 100)).To(gomega.Equal(10))
+}
+
+func TestAllowanceReplacesOwnPart(t *testing.T) {
+	g := gomega.NewWithT(t)
+	b, now := New(limits), time.Now()
+	b.Allow(3, now.Add(time.Second))
+	g.Expect(take(b, now, 1, 100)).To(gomega.Equal(3))
+	g.Expect(b.Usage(now)).To(gomega.Equal(Usage{Repeats: 3}))
+	// When the allowance has lapsed, what was used counts towards the own part.
+	g.Expect(take(b, now.Add(2*time.Second), 1, 100)).To(gomega.Equal(7))
+}
+
+func TestRefund(t *testing.T) {
+	g := gomega.NewWithT(t)
+	b, now := New(limits), time.Now()
+	b.Allow(1, now.Add(time.Second))
+	g.Expect(b.Take(now, 1)).To(gomega.BeTrue())
+	b.Refund(now)
+	g.Expect(b.Usage(now)).To(gomega.Equal(Usage{}))
+	g.Expect(b.Take(now, 1)).To(gomega.BeTrue())
+	g.Expect(b.Take(now, 1)).To(gomega.BeFalse())
+}
+
+func TestLeft(t *testing.T) {
+	g := gomega.NewWithT(t)
+	g.Expect(Left(limits, []Usage{{Calls: 100, Repeats: 5}, {Calls: 50, Repeats: 10}})).To(gomega.Equal(25))
+	g.Expect(Left(limits, []Usage{{Repeats: 11}})).To(gomega.Equal(0))
+}
--- a/core/mangofleet/admission.go
+++ b/core/mangofleet/admission.go
@@ -58,11 +58,11 @@
 
 // Apply applies the command.
 func (c Release) Apply(s *state, now time.Time) error {
+	s.withdraw(c.Lease)
+	s.release(c.Lease, now)
 	for _, o := range c.Seen {
 		s.observe(o, now)
 	}
-	s.withdraw(c.Lease)
-	s.release(c.Lease, now)
 	s.serveQueue(now)
 	return nil
 }
--- /dev/null
+++ b/core/mangofleet/admission_test.go
@@ -0,0 +1,192 @@
+package mangofleet
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"mangolane/core/mangomodel"
+	"mangolane/core/mangotraffic"
+)
+
+func TestGenerationGetsSlotAndPrefillNearby(t *testing.T) {
+	bubble(t, func(x *fixture) {
+		x.list(1, decode("far", "b1"), decode("near", "a1"), prefill("p-far", "b1"), prefill("p-near", "a1"))
+		_, lease := x.mustAcquire(generation(100, 100))
+		x.Expect(lease.Server.ID).To(gomega.BeEquivalentTo("near"))
+		x.Expect(lease.Prefill.ID).To(gomega.BeEquivalentTo("p-near"))
+	})
+}
+
+func TestMemoryBindsBeforeSlots(t *testing.T) {
+	bubble(t, func(x *fixture) {
+		x.list(1, decode("d", "a1"), prefill("p", "a1"))
+		x.mustAcquire(generation(4000, 500))
+		x.mustAcquire(generation(4000, 500))
+		_, _, err := x.acquire(generation(4000, 500))
+		x.Expect(mangomodel.HasCode(err, mangomodel.CodeOverloaded)).To(gomega.BeTrue())
+		x.Expect(mangomodel.AsFault(err, 0).Run).To(gomega.Equal(mangomodel.RunNot))
+		x.Expect(err.Error()).To(gomega.ContainSubstring("1 full"))
+	})
+}
+
+func TestReleaseServesWhoWaits(t *testing.T) {
+	bubble(t, func(x *fixture) {
+		x.list(1, decode("d", "a1"), prefill("p", "a1"))
+		first, _ := x.mustAcquire(generation(9000, 100))
+		done := make(chan error, 1)
+		go func() {
+			_, _, err := x.acquire(generation(9000, 100))
+			done <- err
+		}()
+		synctest.Wait()
+		x.do(PrefillDone{Lease: first})
+		x.Expect(done).NotTo(gomega.Receive())
+		x.do(Release{Lease: first})
+		x.Expect(<-done).To(gomega.Succeed())
+	})
+}
+
+// TestQueueOrder fills the only slot's memory and checks who gets it next.
+func TestQueueOrder(t *testing.T) {
+	late := generation(9000, 100)
+	late.OnTimeFor = -time.Millisecond
+	basic := generation(9000, 100)
+	basic.Priority = 2
+	tests := []struct {
+		name          string
+		first, second Demand
+		want          int
+	}{
+		{"older first", generation(9000, 100), generation(9000, 100), 0},
+		{"more urgent first", basic, generation(9000, 100), 1},
+		{"late last, also if more urgent", late, basic, 1},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			bubble(t, func(x *fixture) {
+				x.list(1, decode("d", "a1"), prefill("p", "a1"))
+				holder, _ := x.mustAcquire(generation(9000, 100))
+				x.do(PrefillDone{Lease: holder})
+				served := make(chan int, 2)
+				for i, d := range []Demand{test.first, test.second} {
+					go func() {
+						if _, _, err := x.acquire(d); err == nil {
+							served <- i
+						}
+					}()
+					synctest.Wait()
+					time.Sleep(time.Millisecond)
+				}
+				x.do(Release{Lease: holder})
+				x.Expect(<-served).To(gomega.Equal(test.want))
+			})
+		})
+	}
+}
+
+func TestWithdrawnDemandTakesNothing(t *testing.T) {
+	bubble(t, func(x *fixture) {
+		x.list(1, decode("d", "a1"), prefill("p", "a1"))
+		first, _ := x.mustAcquire(generation(9000, 100))
+		ctx, cancel := context.WithCancel(context.Background())
+		go func() {
+			synctest.Wait()
+			cancel()
+		}()
+		err := x.fleet.Do(ctx, Acquire{Lease: x.id(), Demand: generation(9000, 100)})
+		x.Expect(mangomodel.HasCode(err, mangomodel.CodeCancelled)).To(gomega.BeTrue())
+		x.do(Release{Lease: first})
+		x.Expect(x.fleet.View().Leases).To(gomega.Equal(0))
+		x.Expect(x.fleet.View().Waiting).To(gomega.Equal(0))
+	})
+}
+
+func TestLeavingServerGetsNothing(t *testing.T) {
+	bubble(t, func(x *fixture) {
+		leaving := plain("s1", "a1")
+		leaving.State = mangotraffic.StateLeaving
+		x.list(1, leaving, plain("s2", "b1"))
+		_, lease := x.mustAcquire(call())
+		x.Expect(lease.Server.ID).To(gomega.BeEquivalentTo("s2"))
+		x.Expect(x.fleet.View().MayUse("s1")).To(gomega.BeFalse())
+	})
+}
+
+// TestRefusalTellsOfUnknownRuns covers engines that run what no daemon knows of:
+// one refusal keeps the server from being tried for a while.
+func TestRefusalTellsOfUnknownRuns(t *testing.T) {
+	bubble(t, func(x *fixture) {
+		x.list(1, decode("d1", "a1"), decode("d2", "a2"), prefill("p", "a1"))
+		id, lease := x.mustAcquire(generation(100, 100))
+		x.Expect(lease.Server.ID).To(gomega.BeEquivalentTo("d1"))
+		x.do(Release{Lease: id, Seen: []Observe{{Server: "d1", Saw: ObservedFull}}})
+		time.Sleep(2 * fullPause)
+		_, lease = x.mustAcquire(generation(100, 100))
+		x.Expect(lease.Server.ID).To(gomega.BeEquivalentTo("d2"))
+	})
+}
+
+func TestReportedGhostsTakeSlots(t *testing.T) {
+	bubble(t, func(x *fixture) {
+		x.list(1, decode("d1", "a1"), decode("d2", "a2"), prefill("p", "a1"))
+		x.do(Inspected{Server: "d1", Report: mangotraffic.LoadReport{Running: 4}})
+		_, lease := x.mustAcquire(generation(100, 100))
+		x.Expect(lease.Server.ID).To(gomega.BeEquivalentTo("d2"))
+		time.Sleep(ghostReportTime)
+		_, lease = x.mustAcquire(generation(100, 100))
+		x.Expect(lease.Server.ID).To(gomega.BeEquivalentTo("d1"))
+	})
+}
+
+// TestEndedRunsAreNoGhosts covers the lag of reports.
+func TestEndedRunsAreNoGhosts(t *testing.T) {
+	bubble(t, func(x *fixture) {
+		x.list(1, decode("d1", "a1"), decode("d2", "a2"), prefill("p", "a1"))
+		for range 4 {
+			id, _ := x.mustAcquire(generation(100, 100))
+			x.do(Release{Lease: id})
+		}
+		x.do(Inspected{Server: "d1", Report: mangotraffic.LoadReport{Running: 4}})
+		_, lease := x.mustAcquire(generation(100, 100))
+		x.Expect(lease.Server.ID).To(gomega.BeEquivalentTo("d1"))
+	})
+}
+
+func TestLapsedCacheSetsPrefillServerAside(t *testing.T) {
+	bubble(t, func(x *fixture) {
+		x.list(1, decode("d", "a1"), prefill("p1", "a1"), prefill("p2", "b1"))
+		id, lease := x.mustAcquire(generation(100, 100))
+		x.Expect(lease.Prefill.ID).To(gomega.BeEquivalentTo("p1"))
+		x.do(Release{Lease: id, Seen: []Observe{{Server: "p1", Saw: ObservedLapsed}}})
+		_, lease = x.mustAcquire(generation(100, 100))
+		x.Expect(lease.Prefill.ID).To(gomega.BeEquivalentTo("p2"))
+	})
+}
+
+func TestPlainServersShareByTheirOwnReports(t *testing.T) {
+	bubble(t, func(x *fixture) {
+		x.list(1, plain("s1", "a1"), plain("s2", "a2"))
+		x.do(Observe{Server: "s1", Saw: ObservedSuccess, Load: &mangotraffic.LoadReport{Running: 2, Slots: 2}})
+		_, lease := x.mustAcquire(call())
+		x.Expect(lease.Server.ID).To(gomega.BeEquivalentTo("s2"))
+	})
+}
+
+func TestCallThatBreaksServersIsRefused(t *testing.T) {
+	bubble(t, func(x *fixture) {
+		for range maxCrashes - 1 {
+			x.do(CallBroke{Call: 7})
+		}
+		x.do(Enter{Service: app, Call: 7})
+		x.do(LearnCrashes{From: "d2", Crashes: []Crash{{Call: 7, Count: 1}}})
+		err := x.fleet.Do(context.Background(), Enter{Service: app, Call: 7})
+		x.Expect(mangomodel.HasCode(err, mangomodel.CodeQuarantined)).To(gomega.BeTrue())
+		x.do(Enter{Service: app, Call: 8})
+		time.Sleep(crashMemory + time.Second)
+		x.do(Enter{Service: app, Call: 7})
+	})
+}
--- /dev/null
+++ b/core/mangofleet/fleet_test.go
@@ -0,0 +1,110 @@
+package mangofleet
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"mangolane/core/mangobudget"
+	"mangolane/core/mangomodel"
+	"mangolane/core/mangotraffic"
+)
+
+const (
+	engines mangotraffic.ServiceName = "llm"
+	app     mangotraffic.ServiceName = "app"
+)
+
+var testLimits = mangobudget.Limits{Ratio: 0.2, Fixed: 40, Window: 10 * time.Second}
+
+// fixture is a fleet in a bubble.
+type fixture struct {
+	*gomega.WithT
+	fleet *Fleet
+	self  mangomodel.Holder
+	next  uint64
+}
+
+// bubble runs a test with a fleet whose clock is that of the bubble.
+func bubble(t *testing.T, f func(x *fixture)) {
+	synctest.Test(t, func(t *testing.T) {
+		self := mangomodel.Holder{Daemon: "d1", Incarnation: 1}
+		x := &fixture{WithT: gomega.NewWithT(t), self: self}
+		x.fleet = New(Self{
+			Member:  Member{Holder: self, DataCentre: "a1", Address: "d1:1", Strong: true},
+			Regions: map[mangomodel.DataCentreID]mangomodel.RegionID{"a1": "a", "a2": "a", "b1": "b"},
+		}, func() mangobudget.Limits { return testLimits })
+		ctx, cancel := context.WithCancel(t.Context())
+		defer func() {
+			cancel()
+			synctest.Wait()
+		}()
+		go x.fleet.Run(ctx)
+		routing, err := mangotraffic.NewRouting(1, nil, []mangotraffic.Service{
+			{Name: engines, Engine: &mangotraffic.Engine{Slots: 4, KVTokens: 10_000, TokensPerEvent: 10}}, {Name: app},
+		}, mangotraffic.Limits{})
+		x.Expect(err).NotTo(gomega.HaveOccurred())
+		x.do(InstallRouting{Routing: routing})
+		f(x)
+	})
+}
+
+func (x *fixture) do(cmd Command) {
+	x.Expect(x.fleet.Do(context.Background(), cmd)).To(gomega.Succeed())
+}
+
+func decode(id mangomodel.ServerID, dc mangomodel.DataCentreID) mangotraffic.Server {
+	return mangotraffic.Server{ID: id, Service: engines, Address: "x", DataCentre: dc, Stage: mangotraffic.StageDecode, Slots: 4}
+}
+
+func prefill(id mangomodel.ServerID, dc mangomodel.DataCentreID) mangotraffic.Server {
+	s := decode(id, dc)
+	s.Stage = mangotraffic.StagePrefill
+	return s
+}
+
+func plain(id mangomodel.ServerID, dc mangomodel.DataCentreID) mangotraffic.Server {
+	return mangotraffic.Server{ID: id, Service: app, Address: "x", DataCentre: dc, Slots: 2}
+}
+
+// list makes the servers the whole list, read at a position.
+func (x *fixture) list(cursor mangotraffic.Cursor, servers ...mangotraffic.Server) {
+	cmd := ChangeServers{Full: true, Cursor: cursor}
+	for i := range servers {
+		cmd.Changes = append(cmd.Changes, mangotraffic.ServerChange{ID: servers[i].ID, Server: &servers[i]})
+	}
+	x.do(cmd)
+}
+
+func (x *fixture) id() LeaseID {
+	x.next++
+	return LeaseID{Holder: x.self, Number: x.next}
+}
+
+func generation(prompt, output mangomodel.Tokens) Demand {
+	return Demand{
+		Service: engines, Origin: "a1", Generation: &mangotraffic.Generation{Prompt: prompt, MaxOutput: 2 * output},
+		OnTimeFor: time.Second, Patience: 2 * time.Second,
+	}
+}
+
+func call() Demand {
+	return Demand{Service: app, Origin: "a1", OnTimeFor: time.Second, Patience: time.Second}
+}
+
+// acquire returns the granted lease.
+func (x *fixture) acquire(d Demand) (LeaseID, Lease, error) {
+	id := x.id()
+	err := x.fleet.Do(context.Background(), Acquire{Lease: id, Demand: d})
+	lease, _ := x.fleet.View().Lease(id)
+	return id, lease, err
+}
+
+func (x *fixture) mustAcquire(d Demand) (LeaseID, Lease) {
+	id, lease, err := x.acquire(d)
+	x.Expect(err).NotTo(gomega.HaveOccurred())
+	return id, lease
+}
--- /dev/null
+++ b/core/mangofleet/list_test.go
@@ -0,0 +1,93 @@
+package mangofleet
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"mangolane/core/mangomodel"
+	"mangolane/core/mangotraffic"
+)
+
+func (x *fixture) listed() []mangomodel.ServerID {
+	var ids []mangomodel.ServerID
+	for id := range x.fleet.View().Listed {
+		ids = append(ids, id)
+	}
+	return ids
+}
+
+func TestOlderRoutingIsAConflict(t *testing.T) {
+	bubble(t, func(x *fixture) {
+		newer, err := mangotraffic.NewRouting(5, nil, nil, mangotraffic.Limits{})
+		x.Expect(err).NotTo(gomega.HaveOccurred())
+		x.do(InstallRouting{Routing: newer})
+		older, err := mangotraffic.NewRouting(4, nil, nil, mangotraffic.Limits{})
+		x.Expect(err).NotTo(gomega.HaveOccurred())
+		err = x.fleet.Do(context.Background(), InstallRouting{Routing: older})
+		x.Expect(mangomodel.HasCode(err, mangomodel.CodeConflict)).To(gomega.BeTrue())
+		x.Expect(x.fleet.View().Routing.Revision).To(gomega.BeEquivalentTo(5))
+	})
+}
+
+func TestGoneEntryIsGoneAtOnce(t *testing.T) {
+	bubble(t, func(x *fixture) {
+		x.list(1, plain("s1", "a1"), plain("s2", "a1"))
+		x.do(ChangeServers{Changes: []mangotraffic.ServerChange{{ID: "s1"}}, Cursor: 2})
+		x.Expect(x.listed()).To(gomega.ConsistOf(mangomodel.ServerID("s2")))
+	})
+}
+
+func TestEntryLostInAnOutageMayComeBack(t *testing.T) {
+	bubble(t, func(x *fixture) {
+		leaving := plain("s3", "a1")
+		leaving.State = mangotraffic.StateLeaving
+		x.list(1, plain("s1", "a1"), plain("s2", "a1"), leaving)
+		x.do(ChangeServers{Full: true, AfterOutage: true, Cursor: 2})
+		x.Expect(x.listed()).To(gomega.ConsistOf(mangomodel.ServerID("s1"), mangomodel.ServerID("s2")))
+		back := plain("s1", "a1")
+		x.do(ChangeServers{Changes: []mangotraffic.ServerChange{{ID: "s1", Server: &back}}, Cursor: 3})
+		time.Sleep(reappearTime + time.Millisecond)
+		x.do(RoutingRead{})
+		x.Expect(x.listed()).To(gomega.ConsistOf(mangomodel.ServerID("s1")))
+	})
+}
+
+func TestOldChangesAreIgnored(t *testing.T) {
+	bubble(t, func(x *fixture) {
+		x.list(5, plain("s1", "a1"))
+		x.do(ChangeServers{Full: true, Cursor: 4})
+		x.Expect(x.listed()).To(gomega.ConsistOf(mangomodel.ServerID("s1")))
+	})
+}
+
+func TestNewLifeUnderAnOldIDStartsWithoutHistory(t *testing.T) {
+	bubble(t, func(x *fixture) {
+		x.list(1, plain("s1", "a1"))
+		x.do(Observe{Server: "s1", Saw: ObservedUnreachable})
+		_, _, err := x.acquire(Demand{Service: app, Origin: "a1", Patience: time.Millisecond})
+		x.Expect(err).To(gomega.HaveOccurred())
+		again := plain("s1", "a1")
+		again.Born = time.UnixMilli(5)
+		x.list(2, again)
+		x.mustAcquire(call())
+	})
+}
+
+func TestChangesAfter(t *testing.T) {
+	bubble(t, func(x *fixture) {
+		x.list(1, plain("s1", "a1"))
+		s2 := plain("s2", "a1")
+		x.do(ChangeServers{Changes: []mangotraffic.ServerChange{{ID: "s2", Server: &s2}}, Cursor: 2})
+		x.do(ChangeServers{Changes: []mangotraffic.ServerChange{{ID: "s1"}}, Cursor: 3, AfterOutage: true})
+		now, view := time.Now(), x.fleet.View()
+		x.Expect(view.ChangesAfter(3, now).Changes).To(gomega.BeEmpty())
+		last := view.ChangesAfter(2, now)
+		x.Expect(last.Full).To(gomega.BeFalse())
+		x.Expect(last.AfterOutage).To(gomega.BeTrue())
+		x.Expect(last.Changes).To(gomega.Equal([]mangotraffic.ServerChange{{ID: "s1"}}))
+		x.Expect(view.ChangesAfter(0, now).Full).To(gomega.BeTrue())
+	})
+}
--- /dev/null
+++ b/core/mangofleet/member_test.go
@@ -0,0 +1,171 @@
+package mangofleet
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"mangolane/core/mangobudget"
+	"mangolane/core/mangomodel"
+	"mangolane/core/mangotraffic"
+)
+
+func other(id mangomodel.DaemonID, incarnation mangomodel.Incarnation) Member {
+	return Member{
+		Holder: mangomodel.Holder{Daemon: id, Incarnation: incarnation}, DataCentre: "a1",
+		Address: mangomodel.Address(id + ":1"), Strong: true,
+	}
+}
+
+func (x *fixture) hear(m Member, age time.Duration) {
+	x.do(Hear{Sightings: []Sighting{{Member: m, Age: age}}})
+	time.Sleep(membersInterval)
+	x.do(RoutingRead{})
+}
+
+func (x *fixture) scheduler() mangomodel.DaemonID {
+	m, _ := x.fleet.View().Scheduler(engines)
+	return m.Holder.Daemon
+}
+
+// rival returns a daemon that goes before this one as scheduler.
+func (x *fixture) rival() Member {
+	for _, id := range []mangomodel.DaemonID{"r1", "r2", "r3", "r4", "r5", "r6"} {
+		x.hear(other(id, 1), 0)
+		if x.scheduler() == id {
+			return other(id, 1)
+		}
+	}
+	x.Expect(false).To(gomega.BeTrue(), "no daemon goes before this one")
+	return Member{}
+}
+
+func TestSchedulerIsAliveAndWilling(t *testing.T) {
+	tests := []struct {
+		name   string
+		change func(x *fixture, m Member)
+	}{
+		{"draining", func(x *fixture, m Member) { m.Draining = true; x.hear(m, 0) }},
+		{"stale", func(x *fixture, m Member) { m.Stale = true; x.hear(m, 0) }},
+		{"weak", func(x *fixture, m Member) { m.Strong = false; x.hear(m, 0) }},
+		{"failed", func(x *fixture, m Member) { x.do(PeerFailed{Daemon: m.Holder.Daemon}) }},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			bubble(t, func(x *fixture) {
+				x.list(1, decode("d", "a1"))
+				rival := x.rival()
+				test.change(x, rival)
+				x.list(2, decode("d", "a1"))
+				x.Expect(x.scheduler()).NotTo(gomega.Equal(rival.Holder.Daemon))
+			})
+		})
+	}
+}
+
+// TestSilentSchedulerIsReplaced covers a view that is published while nobody is
+// heard: ages have to grow all the same.
+func TestSilentSchedulerIsReplaced(t *testing.T) {
+	bubble(t, func(x *fixture) {
+		x.list(1, decode("d", "a1"))
+		x.rival()
+		time.Sleep(aliveTime)
+		x.list(2, decode("d", "a1"))
+		x.Expect(x.scheduler()).To(gomega.BeEquivalentTo("d1"))
+		for _, s := range x.fleet.View().Sightings(time.Now())[1:] {
+			x.Expect(s.Age).To(gomega.BeNumerically(">=", aliveTime))
+		}
+	})
+}
+
+func TestNewLifeOfADaemonIsTriedAtOnce(t *testing.T) {
+	bubble(t, func(x *fixture) {
+		x.list(1, decode("d", "a1"))
+		rival := x.rival()
+		x.do(PeerFailed{Daemon: rival.Holder.Daemon})
+		rival.Holder.Incarnation++
+		x.hear(rival, 0)
+		x.Expect(x.scheduler()).To(gomega.Equal(rival.Holder.Daemon))
+	})
+}
+
+func progress(n uint64, server mangomodel.ServerID, prompt mangomodel.Tokens) Progress {
+	return Progress{Number: n, Server: server, Service: engines, Generation: mangotraffic.Generation{Prompt: prompt, MaxOutput: 100}}
+}
+
+func TestNewSchedulerLearnsLeasesBeforeItGrants(t *testing.T) {
+	bubble(t, func(x *fixture) {
+		x.list(1, decode("d1", "a1"), decode("d2", "a2"), prefill("p", "a1"))
+		x.hear(other("d9", 1), 0)
+		x.do(Renew{Holder: x.self})
+		granted := make(chan Lease, 1)
+		go func() {
+			_, lease := x.mustAcquire(generation(100, 100))
+			granted <- lease
+		}()
+		time.Sleep(takeoverTime / 2)
+		x.Expect(granted).NotTo(gomega.Receive())
+		x.do(Renew{Holder: other("d9", 1).Holder, Leases: []Progress{progress(1, "d1", 9000)}})
+		x.Expect((<-granted).Server.ID).To(gomega.BeEquivalentTo("d2"))
+	})
+}
+
+func TestLeasesOfSilentAndOldHoldersEnd(t *testing.T) {
+	bubble(t, func(x *fixture) {
+		x.list(1, decode("d1", "a1"), prefill("p", "a1"))
+		h := other("d9", 1).Holder
+		x.do(Renew{Holder: h, Leases: []Progress{progress(1, "d1", 100), progress(2, "d1", 100)}})
+		time.Sleep(namingTime + time.Millisecond)
+		x.do(Renew{Holder: h, Leases: []Progress{progress(1, "d1", 100)}})
+		x.Expect(x.fleet.View().Leases).To(gomega.Equal(1), "a lease that is not named any more")
+		x.do(Renew{Holder: mangomodel.Holder{Daemon: "d9", Incarnation: 2}, Leases: []Progress{progress(1, "d1", 100)}})
+		x.Expect(x.fleet.View().Leases).To(gomega.Equal(1), "a lease of an earlier life")
+		time.Sleep(2 * holderTimeout)
+		x.do(RoutingRead{})
+		x.Expect(x.fleet.View().Leases).To(gomega.Equal(0), "a lease of a silent holder")
+	})
+}
+
+// TestAllowancesNeverExceedWhatIsLeft lets many daemons ask before any of them
+// reports what it used.
+func TestAllowancesNeverExceedWhatIsLeft(t *testing.T) {
+	bubble(t, func(x *fixture) {
+		x.do(Enter{Service: app, Call: 1})
+		x.do(Renew{Holder: x.self})
+		for range 50 {
+			time.Sleep(RenewInterval)
+			x.do(Renew{Holder: x.self})
+		}
+		x.do(Allow{Allowances: x.fleet.View().Allowances(x.self)})
+		total := x.fleet.View().Allowances(x.self)[app]
+		for i := range 8 {
+			h := mangomodel.Holder{Daemon: mangomodel.DaemonID(rune('a' + i)), Incarnation: 1}
+			x.hear(Member{Holder: h}, 0)
+			x.do(Renew{Holder: h, Usages: Usages{app: mangobudget.Usage{}}})
+			total += x.fleet.View().Allowances(h)[app]
+		}
+		x.Expect(total).To(gomega.BeNumerically("<=", testLimits.Fixed+1))
+		x.Expect(total).To(gomega.BeNumerically(">", testLimits.Fixed/2))
+	})
+}
+
+func TestNewSchedulerHandsOutLittleAtFirst(t *testing.T) {
+	bubble(t, func(x *fixture) {
+		x.do(Enter{Service: app, Call: 1})
+		x.do(Renew{Holder: x.self})
+		x.Expect(x.fleet.View().Allowances(x.self)[app]).To(gomega.Equal(0))
+	})
+}
+
+func TestRetriesAreRefusedBeyondTheBudget(t *testing.T) {
+	bubble(t, func(x *fixture) {
+		x.do(Allow{Allowances: Allowances{app: 1}})
+		x.do(TakeRetry{Service: app})
+		err := x.fleet.Do(context.Background(), TakeRetry{Service: app})
+		x.Expect(mangomodel.HasCode(err, mangomodel.CodeOverloaded)).To(gomega.BeTrue())
+		x.do(RefundRetry{Service: app})
+		x.do(TakeRetry{Service: app})
+	})
+}
--- a/core/mangofleet/retry.go
+++ b/core/mangofleet/retry.go
@@ -90,6 +90,9 @@
 	limits.Fixed *= min(now.Sub(s.actingSince).Seconds()/limits.Window.Seconds(), 1)
 	lists := make(map[mangotraffic.ServiceName][]mangobudget.Usage)
 	for name, u := range s.usage(now) {
+		if holder != s.self.Holder {
+			u.Repeats += s.budget(name).Allowed(now)
+		}
 		lists[name] = append(lists[name], u)
 	}
 	for h, p := range s.usages {
