--- a/core/mangorelay/plain.go
+++ b/core/mangorelay/plain.go
@@ -74,9 +74,12 @@
 	if !j.picked.Repeatable() || j.runs+1 >= j.picked.MaxAttempts {
 		return context.WithCancel(ctx)
 	}
-	return context.WithTimeout(ctx, time.Duration(silenceFactor*float64(j.picked.TargetLatency)))
+	return context.WithTimeoutCause(ctx, time.Duration(silenceFactor*float64(j.picked.TargetLatency)), errSilent)
 }
 
+// errSilent is the cause of an attempt's end when its server did not answer.
+var errSilent = errors.New("no answer in time")
+
 // exchange sends the call and passes the answer on.
 func (j *job) exchange(ctx context.Context, lease mangofleet.Lease) error {
 	if err := j.spend(ctx, PhaseRun); err != nil {
@@ -158,16 +161,16 @@
 func (j *job) broke(ctx context.Context, server mangotraffic.Server, err error) error {
 	j.avoid = append(j.avoid, server.ID)
 	cause := context.Cause(ctx)
-	if cause == nil || errors.Is(cause, context.DeadlineExceeded) {
+	if cause == nil || errors.Is(cause, errSilent) || errors.Is(cause, errStalled) {
 		j.observe(server.ID, mangofleet.ObservedFailure, nil)
 	}
 	if cause == nil {
 		j.tell(mangofleet.CallBroke{Call: j.call.Fingerprint})
 	}
-	f := mangomodel.AsFault(err, mangomodel.StepCall)
+	f := *mangomodel.AsFault(err, mangomodel.StepCall)
 	f.Run = mangomodel.RunUnknown
 	if f.Peer == "" {
 		f.Peer = mangomodel.PeerName(server.ID)
 	}
-	return f
+	return &f
 }
--- a/core/mangorelay/stream.go
+++ b/core/mangorelay/stream.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"slices"
 	"time"
 
 	"mangolane/core/mangobroker"
@@ -89,9 +90,9 @@
 		return err
 	}
 	j.free()
-	f := mangomodel.AsFault(err, mangomodel.StepAdmission)
+	f := *mangomodel.AsFault(err, mangomodel.StepAdmission)
 	f.Step = mangomodel.StepTransfer
-	return f
+	return &f
 }
 
 // streamDemand asks for a decode slot and a prefill server. A stream that was
@@ -132,17 +133,17 @@
 		return nil
 	}
 	grant.PrefillDone(0)
-	f := mangomodel.AsFault(err, mangomodel.StepPrefill)
+	f := *mangomodel.AsFault(err, mangomodel.StepPrefill)
 	j.avoid = append(j.avoid, server.ID)
 	if ctx.Err() == nil {
-		j.observe(server.ID, prefillObservation(f), nil)
+		j.observe(server.ID, prefillObservation(&f), nil)
 	}
 	if f.Run == mangomodel.RunNot && f.Code == mangomodel.CodeUnavailable {
 		j.refund(PhasePrefill)
 	}
 	// A prefill is not a run, whatever became of it.
 	f.Run = mangomodel.RunNot
-	return f
+	return &f
 }
 
 func prefillObservation(f *mangomodel.Fault) mangofleet.Observation {
@@ -214,6 +215,9 @@
 		j.source.refusedBy = server.ID
 		return err
 	}
+	// The decode servers had room indeed, so that they may be asked again.
+	refused := []mangomodel.ServerID{server.ID, j.source.refusedBy}
+	j.avoid = slices.DeleteFunc(j.avoid, func(id mangomodel.ServerID) bool { return slices.Contains(refused, id) })
 	j.avoid = append(j.avoid, j.source.server)
 	j.observe(j.source.server, mangofleet.ObservedLapsed, nil)
 	j.source = nil
