--- a/core/mangorelay/relay.go
+++ b/core/mangorelay/relay.go
@@ -39,6 +39,10 @@
 	return r
 }
 
+// retryShare is the part of a client's time after which it should come back.
+// Clients wait for up to a third of it.
+const retryShare = 0.3
+
 // unknownOutput is assumed for a generation whose client gave no bound.
 const unknownOutput mangomodel.Tokens = 4096
 
@@ -66,11 +70,13 @@
 
 // job is one call on its way.
 type job struct {
-	relay   *Relay
-	call    *mangotraffic.Call
-	sink    Sink
-	picked  *mangotraffic.Route
-	service *mangotraffic.Service
+	relay *Relay
+	call  *mangotraffic.Call
+	sink  Sink
+	// clientDeadline is when the client stops waiting.
+	clientDeadline time.Time
+	picked         *mangotraffic.Route
+	service        *mangotraffic.Service
 	// runs counts the servers that may have run the call.
 	runs int
 	// attempts counts the leases.
@@ -115,6 +121,7 @@
 
 // serve bounds the call's time and serves it.
 func (j *job) serve(ctx context.Context) error {
+	j.clientDeadline = j.call.Deadline
 	end := j.call.Deadline
 	if t := j.call.Arrived.Add(j.picked.Timeout); j.picked.Timeout > 0 && t.Before(end) {
 		end = t
@@ -149,9 +156,20 @@
 	if j.runs > 0 {
 		f.Run = mangomodel.RunUnknown
 	}
+	f.RetryAfter = j.retryAfter(&f)
 	return &f
 }
 
+// retryAfter tells the client of a call that has not run when to come back:
+// after a part of the time that it has left, so that a flood has ebbed by then
+// and the call can still be served.
+func (j *job) retryAfter(f *mangomodel.Fault) time.Duration {
+	if f.Run != mangomodel.RunNot || f.Code == mangomodel.CodeQuarantined {
+		return 0
+	}
+	return time.Duration(retryShare * float64(time.Until(j.clientDeadline)))
+}
+
 // acquire waits for servers.
 func (j *job) acquire(ctx context.Context, d mangofleet.Demand) (*mangobroker.Grant, error) {
 	d.Request, d.Service, d.Priority, d.Avoid = j.call.ID, j.service.Name, j.picked.Priority, j.avoid
