--- /dev/null
+++ b/mangolaned/mangoconn/pool_test.go
@@ -0,0 +1,106 @@
+package mangoconn
+
+import (
+	"context"
+	"net"
+	"net/rpc"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"mangolane/core/mangomodel"
+)
+
+// Echo is a service for tests.
+type Echo struct{}
+
+// Say returns its argument.
+func (Echo) Say(args []byte, reply *[]byte) error {
+	*reply = args
+	return nil
+}
+
+type server struct {
+	listener net.Listener
+	conns    chan net.Conn
+}
+
+func serve(t *testing.T, addr string) *server {
+	l, err := net.Listen("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &server{listener: l, conns: make(chan net.Conn, 16)}
+	r := rpc.NewServer()
+	if err := r.RegisterName("Command", Echo{}); err != nil {
+		t.Fatal(err)
+	}
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			s.conns <- conn
+			go r.ServeConn(conn)
+		}
+	}()
+	return s
+}
+
+// stop ends the server as the end of its process does.
+func (s *server) stop() {
+	s.listener.Close()
+	for {
+		select {
+		case conn := <-s.conns:
+			conn.Close()
+		default:
+			return
+		}
+	}
+}
+
+func say(p *Pool, to Endpoint, text []byte, timeout time.Duration) error {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	var reply []byte
+	return p.Call(ctx, to, mangomodel.StepProbe, "Command.Say", text, &reply)
+}
+
+// TestNewLifeOfAPeerIsReached covers the connection that the old life leaves.
+func TestNewLifeOfAPeerIsReached(t *testing.T) {
+	g := gomega.NewWithT(t)
+	first := serve(t, "127.0.0.1:0")
+	to := Endpoint{Address: mangomodel.Address(first.listener.Addr().String())}
+	p := New(TCP)
+	g.Expect(say(p, to, []byte("a"), time.Second)).To(gomega.Succeed())
+	first.stop()
+	second := serve(t, string(to.Address))
+	defer second.stop()
+	time.Sleep(50 * time.Millisecond)
+	g.Expect(say(p, to, []byte("b"), time.Second)).To(gomega.Succeed())
+}
+
+// TestPeerThatReadsNothingBlocksNobody fills the window of a connection to a
+// peer that does not read, as one behind a partition does not.
+func TestPeerThatReadsNothingBlocksNobody(t *testing.T) {
+	g := gomega.NewWithT(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	defer l.Close()
+	to := Endpoint{Address: mangomodel.Address(l.Addr().String())}
+	p := New(TCP)
+	began := time.Now()
+	g.Expect(say(p, to, make([]byte, 64<<20), 200*time.Millisecond)).NotTo(gomega.Succeed())
+	g.Expect(time.Since(began)).To(gomega.BeNumerically("<", 5*writeTimeout))
+}
+
+func TestUnreachableIsNotRun(t *testing.T) {
+	s := serve(t, "127.0.0.1:0")
+	to := Endpoint{Address: mangomodel.Address(s.listener.Addr().String())}
+	s.stop()
+	err := say(New(TCP), to, nil, time.Second)
+	gomega.NewWithT(t).Expect(mangomodel.AsFault(err, 0).Run).To(gomega.Equal(mangomodel.RunNot))
+}
--- /dev/null
+++ b/mangolaned/mangosettings/gateway_test.go
@@ -0,0 +1,56 @@
+package mangosettings
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+)
+
+const gateway = `{
+  "Daemon": "d1", "DataCentre": "a1", "Regions": {"a1": "a"},
+  "Front": "127.0.0.1:1", "Readiness": "127.0.0.1:2", "Peer": "127.0.0.1:3", "Metrics": "127.0.0.1:4",
+  "Platform": "127.0.0.1:5", "GracePeriod": "8s", "RetryRatio": 0.2, "RetryFixed": 52, "RetryWindow": "10s",
+  "Seeds": ["127.0.0.1:6"]
+}`
+
+func TestGatewaySettings(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s, err := ParseGateway([]byte(gateway))
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(s.LogLevel).To(gomega.Equal("info"))
+	g.Expect(s.LogRate).To(gomega.Equal(defaultLogRate))
+	g.Expect(s.Strong()).To(gomega.BeTrue())
+}
+
+func TestWrongGatewaySettingsNameTheField(t *testing.T) {
+	tests := []struct{ name, old, new string }{
+		{"Daemon", `"d1"`, `""`},
+		{"Regions", `{"a1": "a"}`, `{}`},
+		{"Front", `"127.0.0.1:1"`, `"host:1"`},
+		{"Seeds", `["127.0.0.1:6"]`, `["x"]`},
+		{"GracePeriod", `"8s"`, `"8ms"`},
+		{"RetryRatio", `0.2`, `2`},
+		{"RetryWindow", `"10s"`, `"0s"`},
+		{"Unknown", `"Daemon"`, `"Unknown": 1, "Daemon"`},
+		{"LogLevel", `"Daemon"`, `"LogLevel": "loud", "Daemon"`},
+		{"LogRate", `"Daemon"`, `"LogRate": -1, "Daemon"`},
+		{"CoreShare", `"Daemon"`, `"CoreShare": -1, "Daemon"`},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			_, err := ParseGateway([]byte(strings.Replace(gateway, test.old, test.new, 1)))
+			gomega.NewWithT(t).Expect(err).To(gomega.MatchError(gomega.ContainSubstring(test.name)))
+		})
+	}
+}
+
+func TestRetriesGrowWithTheTimeSinceTheStart(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s, err := ParseGateway([]byte(gateway))
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(s.Retries(0).Fixed).To(gomega.BeZero())
+	g.Expect(s.Retries(5 * time.Second).Fixed).To(gomega.BeNumerically("~", s.Retries(time.Minute).Fixed/2))
+	g.Expect(s.Retries(time.Minute).Fixed).To(gomega.BeNumerically("<=", 52))
+}
