Silence of an engine that is alive ends no stream; lists by position

A new scheduler also sent whole lists to all. Change: a silent engine is asked for its report and waited for if it answers; streams that cannot be resumed are never cut for silence; entries may come back until 2 s after the list did; changes are found by position; lists are taken from answers only.

--- a/core/mangobroker/news.go
+++ b/core/mangobroker/news.go
@@ -220,9 +220,15 @@
 
 // Receive takes in another daemon's news and answers them.
 func (b *Broker) Receive(ctx context.Context, news News) (News, error) {
+	// A list in a request may be older than it says, since it may have been
+	// long on its way. Answers come in time or not at all.
+	news.List.Changes, news.List.Full = nil, false
+	position := news.List.Cursor
+	news.List.Cursor = 0
 	if err := b.take(ctx, news); err != nil {
 		return News{}, err
 	}
+	news.List.Cursor = position
 	if err := b.fleet.Do(ctx, mangofleet.Renew{Holder: news.From.Holder, Leases: news.Leases, Usages: news.Usages}); err != nil {
 		return News{}, err
 	}
--- a/core/mangofleet/fleet.go
+++ b/core/mangofleet/fleet.go
@@ -81,12 +81,13 @@
 	// Usages is what this daemon has used of the retry budgets.
 	Usages Usages
 
-	schedulers map[mangotraffic.ServiceName][]Member
-	granted    mangoquery.Index[LeaseID, Lease]
-	crashes    []Crash
-	allowances map[mangomodel.Holder]Allowances
-	journal    []ListChange
-	self       mangomodel.DaemonID
+	schedulers  map[mangotraffic.ServiceName][]Member
+	granted     mangoquery.Index[LeaseID, Lease]
+	crashes     []Crash
+	allowances  map[mangomodel.Holder]Allowances
+	journal     []ListChange
+	journalBase mangotraffic.Cursor
+	self        mangomodel.DaemonID
 }
 
 // Informed reports whether this daemon learns of changes from a scheduler, so
--- a/core/mangofleet/list.go
+++ b/core/mangofleet/list.go
@@ -9,11 +9,6 @@
 	"mangolane/core/mangotraffic"
 )
 
-// reappearTime is how long an entry that vanished during an outage of the list
-// is still used: live servers are listed again within two seconds of its
-// return.
-const reappearTime = 2 * time.Second
-
 // journalLength is how many changes of the list are kept for daemons that
 // learn of them from this one. A daemon asks four times a second.
 const journalLength = 256
@@ -52,9 +47,9 @@
 	Changes []mangotraffic.ServerChange
 	// Full is set when the changes are the whole list.
 	Full bool
-	// AfterOutage is set when entries may have lapsed because the list could
-	// not be written.
-	AfterOutage bool
+	// Grace is how long entries that are gone are still used, because they may
+	// have lapsed while the list could not be written.
+	Grace time.Duration
 	// Age is how old the changes are.
 	Age time.Duration
 	// Cursor is the position after the changes. Changes before the position
@@ -73,12 +68,12 @@
 	listed := make(map[mangomodel.ServerID]bool, len(c.Changes))
 	for _, change := range c.Changes {
 		listed[change.ID] = true
-		s.apply(change, c.AfterOutage, now)
+		s.apply(change, c.Grace, now)
 	}
 	if c.Full {
 		for id := range s.backends {
 			if !listed[id] {
-				s.apply(mangotraffic.ServerChange{ID: id}, c.AfterOutage, now)
+				s.apply(mangotraffic.ServerChange{ID: id}, c.Grace, now)
 			}
 		}
 	}
@@ -87,9 +82,9 @@
 	return nil
 }
 
-func (s *state) apply(change mangotraffic.ServerChange, afterOutage bool, now time.Time) {
+func (s *state) apply(change mangotraffic.ServerChange, grace time.Duration, now time.Time) {
 	if change.Server == nil {
-		s.vanish(change.ID, afterOutage, now)
+		s.vanish(change.ID, grace, now)
 		return
 	}
 	s.list(*change.Server)
@@ -103,20 +98,24 @@
 	s.listCursor = c.Cursor
 	s.changed.list = true
 	if c.Full {
-		s.journal = nil
+		s.journal, s.journalBase = nil, c.Cursor
+		return
+	}
+	if len(c.Changes) == 0 {
 		return
 	}
-	s.journal = append(slices.Clone(s.journal), ListChange{Changes: c.Changes, AfterOutage: c.AfterOutage, Cursor: c.Cursor})
+	s.journal = append(slices.Clone(s.journal), ListChange{Changes: c.Changes, Grace: c.Grace, Cursor: c.Cursor})
 	if extra := len(s.journal) - journalLength; extra > 0 {
+		s.journalBase = s.journal[extra-1].Cursor
 		s.journal = s.journal[extra:]
 	}
 }
 
 // ListChange is some changes with the position after them.
 type ListChange struct {
-	Changes     []mangotraffic.ServerChange
-	AfterOutage bool
-	Cursor      mangotraffic.Cursor
+	Changes []mangotraffic.ServerChange
+	Grace   time.Duration
+	Cursor  mangotraffic.Cursor
 }
 
 // ChangesAfter returns the command that brings a daemon from a position to
@@ -126,17 +125,19 @@
 	if after >= v.ListCursor {
 		return cmd
 	}
-	i := slices.IndexFunc(v.journal, func(c ListChange) bool { return c.Cursor == after })
-	if i < 0 {
+	if after < v.journalBase {
 		cmd.Full = true
 		for id, server := range v.Listed {
 			cmd.Changes = append(cmd.Changes, mangotraffic.ServerChange{ID: id, Server: &server})
 		}
 		return cmd
 	}
-	for _, c := range v.journal[i+1:] {
+	for _, c := range v.journal {
+		if c.Cursor <= after {
+			continue
+		}
 		cmd.Changes = append(cmd.Changes, c.Changes...)
-		cmd.AfterOutage = cmd.AfterOutage || c.AfterOutage
+		cmd.Grace = max(cmd.Grace, c.Grace)
 	}
 	return cmd
 }
@@ -159,17 +160,17 @@
 }
 
 // vanish removes a server, or gives it time to be listed again.
-func (s *state) vanish(id mangomodel.ServerID, afterOutage bool, now time.Time) {
+func (s *state) vanish(id mangomodel.ServerID, grace time.Duration, now time.Time) {
 	m, ok := s.backends[id]
 	if !ok {
 		return
 	}
-	if !afterOutage || m.server.State == mangotraffic.StateLeaving {
+	if grace <= 0 || m.server.State == mangotraffic.StateLeaving {
 		s.remove(id)
 		return
 	}
 	if m.goneAt.IsZero() {
-		m.goneAt = now.Add(reappearTime)
+		m.goneAt = now.Add(grace)
 	}
 }
 
--- a/core/mangofleet/state.go
+++ b/core/mangofleet/state.go
@@ -40,7 +40,9 @@
 	// journal the last changes of the list; it is copied when changed.
 	listCursor, routingCursor mangotraffic.Cursor
 	journal                   []ListChange
-	changed                   parts
+	// journalBase is the position before the first change of the journal.
+	journalBase mangotraffic.Cursor
+	changed     parts
 	// actedAt is when a renewal last came, and actingSince when the first came
 	// after a time without: this daemon became a scheduler then.
 	actedAt, actingSince time.Time
@@ -108,7 +110,7 @@
 	v := &View{
 		Routing: s.routing, Draining: s.draining, Waiting: len(s.queue), Leases: len(s.leases),
 		ListRead: s.listRead, granted: s.granted, allowances: s.allowances,
-		ListCursor: s.listCursor, RoutingCursor: s.routingCursor, journal: s.journal, self: s.self.Holder.Daemon,
+		ListCursor: s.listCursor, RoutingCursor: s.routingCursor, journal: s.journal, journalBase: s.journalBase, self: s.self.Holder.Daemon,
 	}
 	if last != nil {
 		v.Listed, v.Members, v.schedulers, v.crashes = last.Listed, last.Members, last.schedulers, last.crashes
--- a/core/mangofollow/follow.go
+++ b/core/mangofollow/follow.go
@@ -41,10 +41,9 @@
 	// firstPause and longestPause bound the pause after failed reads.
 	firstPause   = 100 * time.Millisecond
 	longestPause = 800 * time.Millisecond
-	// outageMemory is how long after a failed read entries may still vanish
-	// because of the outage: three missed heartbeats and the time in which
-	// live servers are listed again.
-	outageMemory = 6 * time.Second
+	// reappearTime is how long after the list's return live servers that had
+	// lapsed are listed again; one that is missing then is gone.
+	reappearTime = 2 * time.Second
 )
 
 // ErrHistoryLost is returned by a Source that no longer knows a cursor.
@@ -105,22 +104,26 @@
 }
 
 // read is one read of a record. It returns whether something had changed.
-// afterOutage is set when reads have failed not long ago.
-type read func(ctx context.Context, afterOutage bool) (bool, error)
+// Entries that are gone may come back until a time, after an outage.
+type read func(ctx context.Context, until time.Time) (bool, error)
 
 func (f *Follower) follow(ctx context.Context, record Record, next read) {
 	var (
-		failedAt time.Time
-		lostAt   time.Time
-		pause    = firstPause
+		lostAt time.Time
+		// until is when lapsed entries have been listed again.
+		until time.Time
+		pause = firstPause
 	)
 	for ctx.Err() == nil {
 		if f.fleet.View().Informed(time.Now()) {
 			sleep(ctx, idlePause)
 			continue
 		}
-		outage := !failedAt.IsZero() && time.Since(failedAt) < outageMemory
-		changed, err := f.bounded(ctx, outage, next)
+		if !lostAt.IsZero() {
+			// If this read succeeds, the record is back.
+			until = time.Now().Add(reappearTime)
+		}
+		changed, err := f.bounded(ctx, until, next)
 		if err == nil {
 			if !lostAt.IsZero() {
 				f.observer.Regained(record, time.Since(lostAt))
@@ -134,9 +137,8 @@
 		if ctx.Err() != nil {
 			return
 		}
-		failedAt = time.Now()
 		if lostAt.IsZero() {
-			lostAt = failedAt
+			lostAt = time.Now()
 			f.observer.Lost(record, err)
 		}
 		sleep(ctx, pause)
@@ -144,13 +146,13 @@
 	}
 }
 
-func (f *Follower) bounded(ctx context.Context, outage bool, next read) (bool, error) {
+func (f *Follower) bounded(ctx context.Context, until time.Time, next read) (bool, error) {
 	ctx, cancel := context.WithTimeout(ctx, longRead+readSlack)
 	defer cancel()
-	return next(ctx, outage)
+	return next(ctx, until)
 }
 
-func (f *Follower) readRouting(ctx context.Context, _ bool) (bool, error) {
+func (f *Follower) readRouting(ctx context.Context, _ time.Time) (bool, error) {
 	after := f.fleet.View().RoutingCursor
 	routing, to, err := f.source.Routing(ctx, after, longRead)
 	if errors.Is(err, ErrHistoryLost) {
@@ -171,7 +173,7 @@
 	return true, err
 }
 
-func (f *Follower) readServers(ctx context.Context, afterOutage bool) (bool, error) {
+func (f *Follower) readServers(ctx context.Context, until time.Time) (bool, error) {
 	after := f.fleet.View().ListCursor
 	changes, to, err := f.source.Servers(ctx, after, longRead)
 	if errors.Is(err, ErrHistoryLost) {
@@ -181,7 +183,7 @@
 	if err != nil {
 		return false, err
 	}
-	cmd := mangofleet.ChangeServers{Changes: changes, Full: after == 0, AfterOutage: afterOutage, Cursor: to}
+	cmd := mangofleet.ChangeServers{Changes: changes, Full: after == 0, Grace: time.Until(until), Cursor: to}
 	if len(changes) > 0 || cmd.Full {
 		f.observer.ServersChanged(cmd)
 	}
--- a/core/mangorelay/port.go
+++ b/core/mangorelay/port.go
@@ -51,6 +51,8 @@
 	Run(ctx context.Context, to mangotraffic.Server, call *mangotraffic.Call, opts RunOptions) (*Answer, error)
 	// Prefill computes the KV cache of a call's prompt.
 	Prefill(ctx context.Context, to mangotraffic.Server, call *mangotraffic.Call) (mangotraffic.KVSource, error)
+	// Report asks an engine what it runs.
+	Report(ctx context.Context, server mangotraffic.Server) (mangotraffic.LoadReport, error)
 	// Free drops a KV cache that was not fetched.
 	Free(ctx context.Context, source mangotraffic.KVSource) error
 }
--- a/core/mangorelay/stream.go
+++ b/core/mangorelay/stream.go
@@ -19,7 +19,7 @@
 	startShare = 0.35
 	// streamPatience, in target latencies, is how long a stream may wait for a
 	// start. Clients abandon a stream without an event after four.
-	streamPatience = 3.0
+	streamPatience = 1.5
 	// firstEventTimeout bounds the wait for the first event after the send. A
 	// transfer that would take over two seconds is not started by an engine.
 	firstEventTimeout = 2 * time.Second
@@ -174,7 +174,8 @@
 	}
 	runCtx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	stall := time.AfterFunc(firstEventTimeout, func() { cancel(errStalled) })
+	stall := &stallWatch{job: j, server: server, cancel: func() { cancel(errStalled) }}
+	stall.Reset(firstEventTimeout)
 	defer stall.Stop()
 	runCtx, end := j.relay.tracer.Start(runCtx, mangomodel.StepDecode, mangomodel.PeerName(server.ID))
 	answer, err := j.relay.servers.Run(runCtx, server, j.call, opts)
@@ -243,18 +244,6 @@
 		float64(lease.Peak) <= usedShare*float64(j.service.Engine.KVTokens)
 }
 
-// silenceTimer watches an engine while an event is awaited.
-type silenceTimer interface {
-	Stop() bool
-	Reset(d time.Duration) bool
-}
-
-// nobody watches nothing.
-type nobody struct{}
-
-func (nobody) Stop() bool               { return true }
-func (nobody) Reset(time.Duration) bool { return true }
-
 func (j *job) passAnswer(ctx context.Context, server mangotraffic.Server, answer *Answer, stall silenceTimer) error {
 	defer answer.Close()
 	if answer.NotRun {
--- a/mangolaned/mangogateway/observe.go
+++ b/mangolaned/mangogateway/observe.go
@@ -80,7 +80,7 @@
 // ServersChanged logs changes of the list of servers.
 func (o observer) ServersChanged(c mangofleet.ChangeServers) {
 	for _, change := range c.Changes {
-		o.logger.Info("server listed", zap.Object("Server", listing(change)), zap.Bool("Full", c.Full), zap.Bool("AfterOutage", c.AfterOutage))
+		o.logger.Info("server listed", zap.Object("Server", listing(change)), zap.Bool("Full", c.Full), zap.Duration("Grace", max(c.Grace, 0)))
 	}
 }
 
