Engines are moved between the stages by the capacity of each

Change: mangobalance compares the stages' throughput by measured rates and the mean request; the scheduler orders one engine at a time, with a fence from a row of the store and not within the lease of another daemon.

--- a/core/mangobroker/broker.go
+++ b/core/mangobroker/broker.go
@@ -44,6 +44,10 @@
 	peers Peers
 	seeds []mangomodel.Address
 	log   Observer
+	// fences and orders are nil if no engine is to be moved.
+	fences     Fences
+	orders     Orders
+	orderLease time.Duration
 	// engines is nil if no reports are wanted.
 	engines Engines
 	last    atomic.Uint64
@@ -61,6 +65,8 @@
 	PeerLost(at mangomodel.Address, err error)
 	PeerRegained(at mangomodel.Address)
 	SchedulerChanged(service mangotraffic.ServiceName, to mangomodel.DaemonID)
+	// Ordered is called when an engine was told to change its stage, or not.
+	Ordered(m mangofleet.Move, fence Fence, err error)
 	// ReportFailed is called when an engine did not say what it runs.
 	ReportFailed(server mangotraffic.Server, err error)
 }
@@ -231,4 +237,5 @@
 func (silent) PeerLost(mangomodel.Address, error)                             {}
 func (silent) PeerRegained(mangomodel.Address)                                {}
 func (silent) SchedulerChanged(mangotraffic.ServiceName, mangomodel.DaemonID) {}
+func (silent) Ordered(mangofleet.Move, Fence, error)                          {}
 func (silent) ReportFailed(mangotraffic.Server, error)                        {}
--- /dev/null
+++ b/core/mangobroker/move_test.go
@@ -0,0 +1,83 @@
+package mangobroker
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"mangolane/core/mangofleet"
+	"mangolane/core/mangomodel"
+	"mangolane/core/mangotraffic"
+)
+
+// platform keeps one claim and takes orders.
+type platform struct {
+	claim    Claim
+	takeErr  error
+	orderErr error
+	orders   []Order
+}
+
+func (p *platform) Claimed(context.Context, mangotraffic.ServiceName) (Claim, error) { return p.claim, nil }
+
+func (p *platform) Take(_ context.Context, _ mangotraffic.ServiceName, holder mangomodel.DaemonID, last Claim) (Fence, error) {
+	if p.takeErr != nil {
+		return 0, p.takeErr
+	}
+	p.claim = Claim{Holder: holder, Version: last.Version + 1}
+	return Fence(p.claim.Version), nil
+}
+
+func (p *platform) Order(_ context.Context, _ mangotraffic.Server, o Order) error {
+	p.orders = append(p.orders, o)
+	return p.orderErr
+}
+
+func (p *platform) Report(context.Context, mangotraffic.Server) (mangotraffic.LoadReport, error) {
+	return mangotraffic.LoadReport{Orders: 3}, nil
+}
+
+func TestOrders(t *testing.T) {
+	const lease = 3 * time.Second
+	lost := errors.New("lost")
+	tests := []struct {
+		name     string
+		platform platform
+		ordered  bool
+		ok       bool
+	}{
+		{"first order", platform{}, true, true},
+		{"own claim", platform{claim: Claim{Holder: "a", Age: 0, Version: 7}}, true, true},
+		{"another daemon's claim within the lease", platform{claim: Claim{Holder: "b", Age: lease, Version: 7}}, false, false},
+		{"another daemon's claim long ago", platform{claim: Claim{Holder: "b", Age: lease + 2*orderTimeout, Version: 7}}, true, true},
+		{"claim lost to another daemon", platform{takeErr: lost}, false, false},
+		{"refused by the engine", platform{orderErr: lost}, true, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			bubble(t, func(g *gomega.WithT, ctx context.Context, m *mesh) {
+				d := m.start("a", 1)
+				d.know(g)
+				p := test.platform
+				d.broker.fences, d.broker.orders, d.broker.engines, d.broker.orderLease = &p, &p, &p, lease
+				before := p.claim.Version
+				fence, err := d.broker.order(ctx, mangofleet.Move{Service: service, Server: mangotraffic.Server{ID: "p"}, To: mangotraffic.StageDecode})
+				g.Expect(err == nil).To(gomega.Equal(test.ok))
+				if !test.ordered {
+					g.Expect(p.orders).To(gomega.BeEmpty())
+					return
+				}
+				g.Expect(p.orders).To(gomega.HaveLen(1))
+				g.Expect(p.orders[0].Fence).To(gomega.BeEquivalentTo(before + 1))
+				g.Expect(p.orders[0].Holder).To(gomega.BeEquivalentTo("a"))
+				g.Expect(p.orders[0].Sequence).To(gomega.BeEquivalentTo(3))
+				if test.ok {
+					g.Expect(fence).To(gomega.Equal(p.orders[0].Fence))
+				}
+			})
+		})
+	}
+}
--- a/core/mangobroker/news.go
+++ b/core/mangobroker/news.go
@@ -49,6 +49,7 @@
 	running.Go(func() { b.renew(ctx) })
 	running.Go(func() { b.join(ctx) })
 	running.Go(func() { b.inspect(ctx) })
+	running.Go(func() { b.move(ctx) })
 	running.Wait()
 }
 
--- a/core/mangofleet/admission.go
+++ b/core/mangofleet/admission.go
@@ -45,6 +45,9 @@
 		s.withdraw(c.Lease)
 		return refused(mangomodel.CodeOverloaded, "%d demands wait already", maxQueue)
 	}
+	if c.Demand.Generation != nil {
+		s.workOf(c.Demand.Service).learn(c.Demand.Generation)
+	}
 	s.serveQueue(now)
 	return nil
 }
@@ -110,6 +113,7 @@
 			w.reply.Answer(refused(mangomodel.CodeOverloaded, "no server of %s had room for %v: %s",
 				w.demand.Service, now.Sub(w.since).Round(time.Millisecond), s.explain(w, now)))
 		default:
+			s.workOf(w.demand.Service).waitedAt = now
 			blocked[w.demand.Service] = blocked[w.demand.Service] || len(w.demand.Avoid) == 0
 			kept = append(kept, w)
 		}
--- a/core/mangofleet/backend.go
+++ b/core/mangofleet/backend.go
@@ -41,6 +41,10 @@
 	// so.
 	fullUntil time.Time
 	health    mangohealth.Record
+	// orderedTo is the stage that the server was told to change to; it may not
+	// have changed before orderedUntil.
+	orderedTo    mangotraffic.Stage
+	orderedUntil time.Time
 	// goneAt is when an entry that vanished during an outage of the list
 	// counts as gone.
 	goneAt time.Time
@@ -58,7 +62,8 @@
 
 // usable reports whether a server may get new work.
 func (b *backend) usable(now time.Time) bool {
-	return b.server.State == mangotraffic.StateReady && b.health.Usable(now) && !now.Before(b.fullUntil)
+	return b.server.State == mangotraffic.StateReady && b.health.Usable(now) &&
+		!now.Before(b.fullUntil) && !now.Before(b.orderedUntil)
 }
 
 // backlog returns the predicted time until the prefills of a server are done.
--- /dev/null
+++ b/core/mangofleet/balance_test.go
@@ -0,0 +1,74 @@
+package mangofleet
+
+import (
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"mangolane/core/mangotraffic"
+)
+
+// press lets demands wait, so that a move is worth its price.
+func (x *fixture) press() {
+	for range leastRequests + 5 {
+		d := generation(4000, 4000)
+		d.Patience = time.Millisecond
+		x.acquire(d)
+	}
+	time.Sleep(membersInterval)
+	x.do(RoutingRead{})
+}
+
+func TestScarceStageGetsAnEngine(t *testing.T) {
+	bubble(t, func(x *fixture) {
+		x.list(1, decode("d1", "a1"), prefill("p1", "a1"), prefill("p2", "a2"), prefill("p3", "a2"))
+		x.press()
+		move, ok := x.fleet.View().Move(engines)
+		x.Expect(ok).To(gomega.BeTrue())
+		x.Expect(move.To).To(gomega.Equal(mangotraffic.StageDecode))
+		x.Expect(move.Server.DataCentre).To(gomega.BeEquivalentTo("a2"), "the data centre that has most of them")
+		x.do(OrderBegun{Server: move.Server.ID, To: move.To})
+		time.Sleep(membersInterval)
+		x.do(RoutingRead{})
+		_, ok = x.fleet.View().Move(engines)
+		x.Expect(ok).To(gomega.BeFalse(), "one at a time")
+	})
+}
+
+func TestNoMoveWithoutWaiting(t *testing.T) {
+	bubble(t, func(x *fixture) {
+		x.list(1, decode("d1", "a1"), prefill("p1", "a1"), prefill("p2", "a2"), prefill("p3", "a2"))
+		x.press()
+		time.Sleep(pressureTime + time.Second)
+		x.do(RoutingRead{})
+		_, ok := x.fleet.View().Move(engines)
+		x.Expect(ok).To(gomega.BeFalse())
+	})
+}
+
+func TestEngineThatChangesGetsNothingUntilItHas(t *testing.T) {
+	bubble(t, func(x *fixture) {
+		x.list(1, decode("d1", "a1"), prefill("p1", "a1"), prefill("p2", "b1"))
+		x.do(OrderBegun{Server: "p1", To: mangotraffic.StageDecode})
+		id, lease := x.mustAcquire(generation(100, 100))
+		x.Expect(lease.Prefill.ID).To(gomega.BeEquivalentTo("p2"))
+		x.do(Release{Lease: id})
+		x.list(2, decode("d1", "a1"), decode("p1", "a1"), prefill("p2", "b1"))
+		for range 4 {
+			x.mustAcquire(generation(100, 100))
+		}
+		_, lease = x.mustAcquire(generation(100, 100))
+		x.Expect(lease.Server.ID).To(gomega.BeElementOf("d1", "p1"))
+	})
+}
+
+func TestFailedOrderChangesNothing(t *testing.T) {
+	bubble(t, func(x *fixture) {
+		x.list(1, decode("d1", "a1"), prefill("p1", "a1"), prefill("p2", "b1"))
+		x.do(OrderBegun{Server: "p1", To: mangotraffic.StageDecode})
+		x.do(OrderFailed{Server: "p1"})
+		_, lease := x.mustAcquire(generation(100, 100))
+		x.Expect(lease.Prefill.ID).To(gomega.BeEquivalentTo("p1"))
+	})
+}
--- a/core/mangofleet/fleet.go
+++ b/core/mangofleet/fleet.go
@@ -82,6 +82,7 @@
 	Usages Usages
 
 	schedulers  map[mangotraffic.ServiceName][]Member
+	moves       map[mangotraffic.ServiceName]Move
 	granted     mangoquery.Index[LeaseID, Lease]
 	crashes     []Crash
 	allowances  map[mangomodel.Holder]Allowances
--- a/core/mangofleet/list.go
+++ b/core/mangofleet/list.go
@@ -155,6 +155,9 @@
 		m.health = mangohealth.Record{}
 		m.fullUntil = time.Time{}
 	}
+	if m.server.Stage != server.Stage {
+		m.orderedUntil = time.Time{}
+	}
 	m.server = server
 	m.goneAt = time.Time{}
 }
--- a/core/mangofleet/state.go
+++ b/core/mangofleet/state.go
@@ -28,6 +28,7 @@
 	granted  mangoquery.Index[LeaseID, Lease]
 	queue    []*waiter
 	retries  Retries
+	work     map[mangotraffic.ServiceName]*meanWork
 	budgets  map[mangotraffic.ServiceName]*mangobudget.Budget
 	// usages is what the other daemon lives have used of the budgets.
 	usages map[mangomodel.Holder]peerUsage
@@ -63,6 +64,7 @@
 		backends:   make(map[mangomodel.ServerID]*backend),
 		leases:     make(map[LeaseID]*lease),
 		retries:    retries,
+		work:       make(map[mangotraffic.ServiceName]*meanWork),
 		budgets:    make(map[mangotraffic.ServiceName]*mangobudget.Budget),
 		usages:     make(map[mangomodel.Holder]peerUsage),
 		allowances: make(map[mangomodel.Holder]Allowances),
@@ -114,6 +116,7 @@
 	}
 	if last != nil {
 		v.Listed, v.Members, v.schedulers, v.crashes = last.Listed, last.Members, last.schedulers, last.crashes
+		v.moves = last.moves
 		v.Usages = last.Usages
 	}
 	if s.changed.list {
@@ -128,7 +131,7 @@
 	}
 	s.changed.list, s.changed.crashes, s.changed.usage = false, false, false
 	if s.changed.members || now.Sub(s.membersAt) >= membersInterval {
-		v.Members, v.schedulers = s.members(now), s.schedulers(now)
+		v.Members, v.schedulers, v.moves = s.members(now), s.schedulers(now), s.movesOf(now)
 		s.changed.members, s.membersAt = false, now
 	}
 	return v
--- a/core/mangotraffic/call.go
+++ b/core/mangotraffic/call.go
@@ -87,4 +87,6 @@
 	Slots            mangomodel.Slots
 	// KVUsed is the KV memory that is in use, for engines.
 	KVUsed mangomodel.Tokens
+	// Orders is how many orders an engine has accepted since its start.
+	Orders int64
 }
--- a/mangolaned/mangogateway/gateway.go
+++ b/mangolaned/mangogateway/gateway.go
@@ -44,6 +44,13 @@
 type Servers interface {
 	mangorelay.Servers
 	mangobroker.Engines
+	mangobroker.Orders
+}
+
+// Store is what the platform keeps.
+type Store interface {
+	mangofollow.Source
+	mangobroker.Fences
 }
 
 // Gateway is one daemon.
@@ -61,7 +68,7 @@
 }
 
 // New puts a gateway together. Nothing runs yet.
-func New(s mangosettings.Gateway, logger *zap.Logger, level zap.AtomicLevel, source mangofollow.Source, servers Servers) *Gateway {
+func New(s mangosettings.Gateway, logger *zap.Logger, level zap.AtomicLevel, source Store, servers Servers) *Gateway {
 	self := mangofleet.Member{
 		Holder:     mangomodel.Holder{Daemon: s.Daemon, Incarnation: mangomodel.Incarnation(time.Now().UnixNano())},
 		DataCentre: s.DataCentre, Address: s.Peer, Strong: s.Strong(),
@@ -74,7 +81,8 @@
 	})
 	m := newMetrics()
 	o := observer{logger: logger, metrics: m}
-	broker := mangobroker.New(self, fleet, mangomesh.NewPeers(), mangobroker.WithSeeds(s.Seeds), mangobroker.WithObserver(o), mangobroker.WithEngines(servers))
+	broker := mangobroker.New(self, fleet, mangomesh.NewPeers(), mangobroker.WithSeeds(s.Seeds), mangobroker.WithObserver(o), mangobroker.WithEngines(servers),
+		mangobroker.WithMoves(source, servers, s.OrderLease.Std()))
 	return &Gateway{
 		settings: s, current: current, level: level, logger: logger, fleet: fleet, broker: broker, metrics: m,
 		relay:    mangorelay.New(fleet, broker, servers, mangorelay.WithObserver(o)),
--- a/mangolaned/mangogateway/observe.go
+++ b/mangolaned/mangogateway/observe.go
@@ -6,6 +6,7 @@
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 
+	"mangolane/core/mangobroker"
 	"mangolane/core/mangofleet"
 	"mangolane/core/mangofollow"
 	"mangolane/core/mangomodel"
@@ -123,3 +124,18 @@
 	o.metrics.count("Reports.Failed", 1)
 	o.logger.Debug("no report", append(mangolog.Fault(err), zap.String("Server", string(server.ID)))...)
 }
+
+// Ordered logs that an engine was told to change its stage, or why not.
+func (o observer) Ordered(m mangofleet.Move, fence mangobroker.Fence, err error) {
+	fields := []zap.Field{
+		zap.String("Server", string(m.Server.ID)), zap.Stringer("To", m.To), zap.Uint64("Fence", uint64(fence)),
+		zap.Int("Prefillers", m.Prefillers), zap.Int("Decoders", m.Decoders), zap.Int("Wanted", m.Wanted),
+	}
+	if err != nil {
+		o.metrics.count("Orders.Failed", 1)
+		o.logger.Warn("engine not moved", append(fields, mangolog.Fault(err)...)...)
+		return
+	}
+	o.metrics.count("Orders.Done", 1)
+	o.logger.Info("engine moved", fields...)
+}
--- a/mangolaned/mangosettings/gateway.go
+++ b/mangolaned/mangosettings/gateway.go
@@ -31,6 +31,9 @@
 	RetryFixed  float64
 	RetryWindow mangomodel.Duration
 
+	// OrderLease is how long after a daemon's order no other daemon may order
+	// the same servers.
+	OrderLease mangomodel.Duration `json:",omitempty"`
 	// Seeds are addresses of other daemons to start from.
 	Seeds []mangomodel.Address `json:",omitempty"`
 	// Cores and CoreShare say how much of how many cores the daemon has, and
@@ -45,6 +48,9 @@
 	LogRate int `json:",omitempty"`
 }
 
+// defaultOrderLease is the lease of the users' sheets.
+const defaultOrderLease = 3 * time.Second
+
 // defaultLogRate bounds the log of one daemon, in lines a second: five lines
 // for each of the users' peak of 20 calls a second and daemon, with room for a
 // burst of ten times as many.
@@ -67,6 +73,7 @@
 	}
 	fill(&s.LogLevel, defaultLogLevel)
 	fill(&s.LogRate, defaultLogRate)
+	fill(&s.OrderLease, mangomodel.Duration(defaultOrderLease))
 	return s, s.check()
 }
 
