--- a/core/mangobroker/move_test.go
+++ b/core/mangobroker/move_test.go
@@ -21,7 +21,9 @@
 	orders   []Order
 }
 
-func (p *platform) Claimed(context.Context, mangotraffic.ServiceName) (Claim, error) { return p.claim, nil }
+func (p *platform) Claimed(context.Context, mangotraffic.ServiceName) (Claim, error) {
+	return p.claim, nil
+}
 
 func (p *platform) Take(_ context.Context, _ mangotraffic.ServiceName, holder mangomodel.DaemonID, last Claim) (Fence, error) {
 	if p.takeErr != nil {
@@ -62,9 +64,9 @@
 				d := m.start("a", 1)
 				d.know(g)
 				p := test.platform
-				d.broker.fences, d.broker.orders, d.broker.engines, d.broker.orderLease = &p, &p, &p, lease
+				b := New(d.broker.self, d.fleet, nil, WithEngines(&p), WithMoves(&p, &p, lease))
 				before := p.claim.Version
-				fence, err := d.broker.order(ctx, mangofleet.Move{Service: service, Server: mangotraffic.Server{ID: "p"}, To: mangotraffic.StageDecode})
+				fence, err := b.order(ctx, mangofleet.Move{Service: service, Server: mangotraffic.Server{ID: "p"}, To: mangotraffic.StageDecode})
 				g.Expect(err == nil).To(gomega.Equal(test.ok))
 				if !test.ordered {
 					g.Expect(p.orders).To(gomega.BeEmpty())
--- a/core/mangofleet/balance_test.go
+++ b/core/mangofleet/balance_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/onsi/gomega"
 
+	"mangolane/core/mangomodel"
 	"mangolane/core/mangotraffic"
 )
 
@@ -59,7 +60,7 @@
 			x.mustAcquire(generation(100, 100))
 		}
 		_, lease = x.mustAcquire(generation(100, 100))
-		x.Expect(lease.Server.ID).To(gomega.BeElementOf("d1", "p1"))
+		x.Expect(lease.Server.ID).To(gomega.BeElementOf(mangomodel.ServerID("d1"), mangomodel.ServerID("p1")))
 	})
 }
 
