A daemon tells those that it knows when it becomes fit to schedule

Cause: a test of three daemons failed once in 10 runs: each remembered the others as they were before they had read the list, and asked one of them a second. Another failed once in 25: a daemon that took over granted before any renewal had come. Change: a change of fitness is told at once; a daemon grants only while renewals come.

--- a/core/mangobroker/news.go
+++ b/core/mangobroker/news.go
@@ -19,6 +19,9 @@
 	exchangeTimeout = 300 * time.Millisecond
 	// changeInterval is how often a daemon looks for a new scheduler.
 	changeInterval = 50 * time.Millisecond
+	// mostTold is how many daemons are told at once of a change. The others
+	// learn of it from the scheduler.
+	mostTold = 16
 	// seedInterval is how often an address that no live daemon has is tried.
 	seedInterval = time.Second
 )
@@ -119,21 +122,25 @@
 }
 
 // join looks for daemons that no exchange reaches: the seeds, and those that
-// have gone silent, which may be behind a partition that has healed.
+// have gone silent, which may be behind a partition that has healed. When this
+// daemon becomes fit to schedule, or ceases to be, it tells those that it knows.
 func (b *Broker) join(ctx context.Context) {
-	ticker := time.NewTicker(seedInterval)
+	ticker := time.NewTicker(changeInterval)
 	defer ticker.Stop()
 	lost := make(map[mangomodel.Address]bool)
+	var last time.Time
+	unfit := true
 	for {
-		for addr, err := range b.visit(ctx, b.unheard()) {
-			if err != nil && !lost[addr] && ctx.Err() == nil {
-				b.log.PeerLost(addr, err)
-			}
-			if err == nil && lost[addr] {
-				b.log.PeerRegained(addr)
-			}
-			lost[addr] = err != nil
+		var addrs []mangomodel.Address
+		now, view := time.Now(), b.fleet.View()
+		if was := unfit; was != (view.Draining || view.Stale(now)) {
+			unfit = !was
+			addrs = b.known()
+		} else if now.Sub(last) >= seedInterval {
+			last = now
+			addrs = b.unheard()
 		}
+		b.report(ctx, b.visit(ctx, addrs), lost)
 		select {
 		case <-ticker.C:
 		case <-ctx.Done():
@@ -142,6 +149,31 @@
 	}
 }
 
+// report tells the observer of daemons that were lost and regained.
+func (b *Broker) report(ctx context.Context, errs map[mangomodel.Address]error, lost map[mangomodel.Address]bool) {
+	for addr, err := range errs {
+		if err != nil && !lost[addr] && ctx.Err() == nil {
+			b.log.PeerLost(addr, err)
+		}
+		if err == nil && lost[addr] {
+			b.log.PeerRegained(addr)
+		}
+		lost[addr] = err != nil
+	}
+}
+
+// known returns the addresses of some daemons: the seeds and the members first
+// in the list, which is in no order.
+func (b *Broker) known() []mangomodel.Address {
+	list := slices.Clone(b.seeds)
+	for _, m := range b.fleet.View().Members[1:] {
+		list = append(list, m.Member.Address)
+	}
+	list = list[:min(len(list), mostTold)]
+	slices.Sort(list)
+	return slices.DeleteFunc(slices.Compact(list), func(a mangomodel.Address) bool { return a == b.self.Address })
+}
+
 // visit exchanges news with all addresses at once.
 func (b *Broker) visit(ctx context.Context, addrs []mangomodel.Address) map[mangomodel.Address]error {
 	var (
--- a/core/mangofleet/placement.go
+++ b/core/mangofleet/placement.go
@@ -53,7 +53,7 @@
 		b := s.best(w, mangotraffic.StageNone, now, func(b *backend) (float64, bool) { return s.plainCost(b, d, now) })
 		return placement{server: b}, b != nil
 	}
-	if now.Sub(s.actingSince) < takeoverTime && len(s.peers) > 0 {
+	if !s.acting(now) {
 		return placement{}, false
 	}
 	decode := s.best(w, mangotraffic.StageDecode, now, func(b *backend) (float64, bool) { return s.decodeCost(b, w, now) })
--- a/core/mangofleet/renew.go
+++ b/core/mangofleet/renew.go
@@ -54,6 +54,15 @@
 	return nil
 }
 
+// acting reports whether this daemon may grant: renewals have come for long
+// enough to know of the leases that others hold.
+func (s *state) acting(now time.Time) bool {
+	if len(s.peers) == 0 {
+		return true
+	}
+	return now.Sub(s.actedAt) <= holderTimeout && now.Sub(s.actingSince) >= takeoverTime
+}
+
 // renew updates a lease, or adopts one that another scheduler granted.
 func (s *state) renew(id LeaseID, p Progress, now time.Time) {
 	l, ok := s.leases[id]
