--- a/core/mangorelay/port.go
+++ b/core/mangorelay/port.go
@@ -115,6 +115,8 @@
 
 // Tracer starts spans.
 type Tracer interface {
+	// Request returns the context of a request's spans.
+	Request(ctx context.Context, id mangomodel.RequestID) context.Context
 	// Start begins a span. The returned function ends it.
 	Start(ctx context.Context, step mangomodel.Step, peer mangomodel.PeerName) (context.Context, func(error))
 }
--- a/core/mangorelay/relay.go
+++ b/core/mangorelay/relay.go
@@ -60,7 +60,7 @@
 	j := &job{relay: r, call: call, sink: sink, result: Result{Call: call}}
 	err := j.route(view)
 	if err == nil {
-		err = j.serve(ctx)
+		err = j.serve(r.tracer.Request(ctx, call.ID))
 	}
 	j.result.Err = err
 	j.result.Took = time.Since(call.Arrived)
@@ -260,6 +260,8 @@
 
 type untraced struct{}
 
+func (untraced) Request(ctx context.Context, _ mangomodel.RequestID) context.Context { return ctx }
+
 func (untraced) Start(ctx context.Context, _ mangomodel.Step, _ mangomodel.PeerName) (context.Context, func(error)) {
 	return ctx, func(error) {}
 }
--- a/mangolaned/mangogateway/gateway.go
+++ b/mangolaned/mangogateway/gateway.go
@@ -29,6 +29,7 @@
 	"mangolane/mangolaned/mangolog"
 	"mangolane/mangolaned/mangomesh"
 	"mangolane/mangolaned/mangosettings"
+	"mangolane/mangolaned/mangotrace"
 )
 
 const (
@@ -65,6 +66,7 @@
 	relay    *mangorelay.Relay
 	follower *mangofollow.Follower
 	metrics  *metrics
+	recorder *mangotrace.Recorder
 }
 
 // New puts a gateway together. Nothing runs yet.
@@ -81,11 +83,12 @@
 	})
 	m := newMetrics()
 	o := observer{logger: logger, metrics: m}
+	recorder := mangotrace.NewRecorder(s.TraceSpans)
 	broker := mangobroker.New(self, fleet, mangomesh.NewPeers(), mangobroker.WithSeeds(s.Seeds), mangobroker.WithObserver(o), mangobroker.WithEngines(servers),
 		mangobroker.WithMoves(source, servers, s.OrderLease.Std()))
 	return &Gateway{
-		settings: s, current: current, level: level, logger: logger, fleet: fleet, broker: broker, metrics: m,
-		relay:    mangorelay.New(fleet, broker, servers, mangorelay.WithObserver(o)),
+		settings: s, current: current, level: level, logger: logger, fleet: fleet, broker: broker, metrics: m, recorder: recorder,
+		relay:    mangorelay.New(fleet, broker, servers, mangorelay.WithObserver(o), mangorelay.WithTracer(mangotrace.Install(recorder, s.Daemon))),
 		follower: mangofollow.New(fleet, source, o),
 	}
 }
@@ -106,7 +109,7 @@
 	if err != nil {
 		return err
 	}
-	metricsServer, err := mangorest.NewServer("metrics", g.settings.Metrics, []rest.Route{g.metrics.route()})
+	metricsServer, err := mangorest.NewServer("metrics", g.settings.Metrics, []rest.Route{g.metrics.route(), g.spansRoute()})
 	if err != nil {
 		return err
 	}
@@ -124,6 +127,7 @@
 	running.Go(func() { g.fleet.Run(workCtx) })
 	running.Go(func() { g.follower.Run(workCtx) })
 	running.Go(func() { g.broker.Run(workCtx) })
+	running.Go(func() { g.recorder.Run(workCtx) })
 	go g.servePeers(peerServer, listener)
 	for _, s := range []*mangorest.Server{frontServer, readyServer, metricsServer} {
 		go s.Serve()
--- a/mangolaned/mangogateway/metrics.go
+++ b/mangolaned/mangogateway/metrics.go
@@ -8,11 +8,15 @@
 
 	"mangolane/core/mangomodel"
 	"mangolane/core/mangorelay"
+	"mangolane/core/mangorest"
+	"mangolane/mangolaned/mangotrace"
 )
 
 const (
 	// pathMetrics is where the metrics are served.
 	pathMetrics = "/metrics"
+	// pathSpans is where the spans of requests are served, as JSON.
+	pathSpans = "/spans"
 	// sampleSize and sampleAlpha shape the decaying samples of latencies.
 	sampleSize  = 256
 	sampleAlpha = 0.015
@@ -29,6 +33,17 @@
 	}}
 }
 
+// spansRoute serves the kept spans of a request, or all of them.
+func (g *Gateway) spansRoute() rest.Route {
+	return mangorest.Query(pathSpans, func(r *http.Request) ([]mangotrace.Span, error) {
+		id := r.URL.Query().Get("Request")
+		if id == "" {
+			return g.recorder.Spans(""), nil
+		}
+		return g.recorder.Spans(mangotrace.TraceOf(mangomodel.RequestID(id))), nil
+	})
+}
+
 func (m *metrics) exchanged(e mangorelay.Exchange) {
 	name := "Exchanges." + e.Phase.String()
 	if e.Err != nil {
--- a/mangolaned/mangosettings/gateway.go
+++ b/mangolaned/mangosettings/gateway.go
@@ -42,12 +42,18 @@
 	LinkRate         float64 `json:",omitempty"`
 	// MemoryLimit is what the process may take, in bytes; zero sets none.
 	MemoryLimit mangomodel.Bytes `json:",omitempty"`
+	// TraceSpans is how many finished spans are kept.
+	TraceSpans int `json:",omitempty"`
 	// LogLevel is debug, info, warn or error.
 	LogLevel string `json:",omitempty"`
 	// LogRate is how many log lines a second are written at most.
 	LogRate int `json:",omitempty"`
 }
 
+// defaultGatewaySpans keeps about a minute of a daemon's calls at some hundred
+// bytes a span.
+const defaultGatewaySpans = 1024
+
 // defaultOrderLease is the lease of the users' sheets.
 const defaultOrderLease = 3 * time.Second
 
@@ -71,6 +77,7 @@
 	if err != nil {
 		return s, err
 	}
+	fill(&s.TraceSpans, defaultGatewaySpans)
 	fill(&s.LogLevel, defaultLogLevel)
 	fill(&s.LogRate, defaultLogRate)
 	fill(&s.OrderLease, mangomodel.Duration(defaultOrderLease))
@@ -107,8 +114,8 @@
 	if s.Cores < 0 || s.CoreShare < 0 || s.LinkRate < 0 {
 		return invalid("Cores, CoreShare and LinkRate must be at least 0")
 	}
-	if s.MemoryLimit < 0 || s.LogRate < 1 {
-		return invalid("MemoryLimit must be at least 0 and LogRate at least 1")
+	if s.MemoryLimit < 0 || s.LogRate < 1 || s.TraceSpans < 1 || s.OrderLease < 0 {
+		return invalid("MemoryLimit and OrderLease must be at least 0, LogRate and TraceSpans at least 1")
 	}
 	if _, err := zapcore.ParseLevel(s.LogLevel); err != nil {
 		return invalid("LogLevel: %v", err)
--- a/mangolaned/mangotrace/trace.go
+++ b/mangolaned/mangotrace/trace.go
@@ -15,6 +15,7 @@
 
 import (
 	"context"
+	"crypto/sha256"
 	"time"
 
 	"go.opentelemetry.io/otel"
@@ -56,6 +57,21 @@
 	}
 }
 
+// Request returns a context whose spans belong to the trace of a request id.
+// Anyone who knows the id can find the trace; see [TraceOf].
+func (t *Tracer) Request(ctx context.Context, id mangomodel.RequestID) context.Context {
+	sum := sha256.Sum256([]byte(id))
+	return trace.ContextWithRemoteSpanContext(ctx, trace.NewSpanContext(trace.SpanContextConfig{
+		TraceID: trace.TraceID(sum[:16]), SpanID: trace.SpanID(sum[16:24]), TraceFlags: trace.FlagsSampled,
+	}))
+}
+
+// TraceOf returns the trace id of a request id.
+func TraceOf(id mangomodel.RequestID) string {
+	sum := sha256.Sum256([]byte(id))
+	return trace.TraceID(sum[:16]).String()
+}
+
 // Carrier is a trace context as it travels on a message.
 type Carrier struct{ TraceParent string }
 
