--- a/core/mangobroker/broker.go
+++ b/core/mangobroker/broker.go
@@ -8,6 +8,8 @@
 
 	"mangolane/core/mangofleet"
 	"mangolane/core/mangomodel"
+	"mangolane/core/mangopool"
+	"mangolane/core/mangoroster"
 	"mangolane/core/mangotraffic"
 )
 
@@ -29,9 +31,9 @@
 // Peers makes calls to other daemons. A failure to reach one has the code
 // Unavailable.
 type Peers interface {
-	Acquire(ctx context.Context, at mangofleet.Member, id mangofleet.LeaseID, d mangofleet.Demand) (mangofleet.Lease, error)
-	Release(ctx context.Context, at mangofleet.Member, r mangofleet.Release) error
-	PrefillDone(ctx context.Context, at mangofleet.Member, id mangofleet.LeaseID, took time.Duration) error
+	Acquire(ctx context.Context, at mangoroster.Member, id mangopool.LeaseID, d mangopool.Demand) (mangopool.Lease, error)
+	Release(ctx context.Context, at mangoroster.Member, r mangofleet.Release) error
+	PrefillDone(ctx context.Context, at mangoroster.Member, id mangopool.LeaseID, took time.Duration) error
 	Exchange(ctx context.Context, at mangomodel.Address, news News) (News, error)
 	// Drop ends all calls that wait for a daemon.
 	Drop(at mangomodel.Address)
@@ -39,7 +41,7 @@
 
 // Broker finds servers for calls.
 type Broker struct {
-	self  mangofleet.Member
+	self  mangoroster.Member
 	fleet Fleet
 	peers Peers
 	seeds []mangomodel.Address
@@ -57,7 +59,7 @@
 	// held are the leases of engines that this daemon uses. It is a registry
 	// of traffic and no control state, so a lock guards it.
 	mu   sync.Mutex
-	held map[mangofleet.LeaseID]*Grant
+	held map[mangopool.LeaseID]*Grant
 }
 
 // Observer is told about other daemons.
@@ -66,7 +68,7 @@
 	PeerRegained(at mangomodel.Address)
 	SchedulerChanged(service mangotraffic.ServiceName, to mangomodel.DaemonID)
 	// Ordered is called when an engine was told to change its stage, or not.
-	Ordered(m mangofleet.Move, fence Fence, err error)
+	Ordered(m mangopool.Move, fence Fence, err error)
 	// ReportFailed is called when an engine did not say what it runs.
 	ReportFailed(server mangotraffic.Server, err error)
 }
@@ -81,8 +83,8 @@
 func WithObserver(o Observer) Option { return func(b *Broker) { b.log = o } }
 
 // New returns a Broker.
-func New(self mangofleet.Member, fleet Fleet, peers Peers, opts ...Option) *Broker {
-	b := &Broker{self: self, fleet: fleet, peers: peers, log: silent{}, held: make(map[mangofleet.LeaseID]*Grant)}
+func New(self mangoroster.Member, fleet Fleet, peers Peers, opts ...Option) *Broker {
+	b := &Broker{self: self, fleet: fleet, peers: peers, log: silent{}, held: make(map[mangopool.LeaseID]*Grant)}
 	for _, opt := range opts {
 		opt(b)
 	}
@@ -91,21 +93,21 @@
 
 // Grant is a lease in use.
 type Grant struct {
-	ID    mangofleet.LeaseID
-	Lease mangofleet.Lease
+	ID    mangopool.LeaseID
+	Lease mangopool.Lease
 
 	broker    *Broker
-	scheduler mangofleet.Member
-	demand    mangofleet.Demand
+	scheduler mangoroster.Member
+	demand    mangopool.Demand
 	made      atomic.Int64
 	prefilled atomic.Bool
 
 	mu   sync.Mutex
-	seen []mangofleet.Observe
+	seen []mangopool.Observed
 }
 
 // Observe keeps what an exchange showed for whoever granted the lease.
-func (g *Grant) Observe(o mangofleet.Observe) {
+func (g *Grant) Observe(o mangopool.Observed) {
 	if g.scheduler.Holder == g.broker.self.Holder {
 		return
 	}
@@ -147,9 +149,9 @@
 }
 
 // Acquire waits for servers.
-func (b *Broker) Acquire(ctx context.Context, d mangofleet.Demand) (*Grant, error) {
+func (b *Broker) Acquire(ctx context.Context, d mangopool.Demand) (*Grant, error) {
 	d.Origin = b.self.DataCentre
-	id := mangofleet.LeaseID{Holder: b.self.Holder, Number: b.last.Add(1)}
+	id := mangopool.LeaseID{Holder: b.self.Holder, Number: b.last.Add(1)}
 	if d.Generation == nil {
 		return b.acquireHere(ctx, id, d)
 	}
@@ -174,14 +176,14 @@
 
 // scheduler returns who grants a service's slots: this daemon if it knows of
 // no other.
-func (b *Broker) scheduler(name mangotraffic.ServiceName) mangofleet.Member {
+func (b *Broker) scheduler(name mangotraffic.ServiceName) mangoroster.Member {
 	if m, ok := b.fleet.View().Scheduler(name); ok {
 		return m
 	}
 	return b.self
 }
 
-func (b *Broker) acquireFrom(ctx context.Context, id mangofleet.LeaseID, at mangofleet.Member, d mangofleet.Demand) (*Grant, error) {
+func (b *Broker) acquireFrom(ctx context.Context, id mangopool.LeaseID, at mangoroster.Member, d mangopool.Demand) (*Grant, error) {
 	if at.Holder == b.self.Holder {
 		return b.acquireHere(ctx, id, d)
 	}
@@ -195,7 +197,7 @@
 	return &Grant{ID: id, Lease: lease, broker: b, scheduler: at, demand: d}, nil
 }
 
-func (b *Broker) acquireHere(ctx context.Context, id mangofleet.LeaseID, d mangofleet.Demand) (*Grant, error) {
+func (b *Broker) acquireHere(ctx context.Context, id mangopool.LeaseID, d mangopool.Demand) (*Grant, error) {
 	if err := b.fleet.Do(ctx, mangofleet.Acquire{Lease: id, Demand: d}); err != nil {
 		return nil, err
 	}
@@ -214,7 +216,7 @@
 }
 
 // lose passes a daemon over for a while and frees all who wait for it.
-func (b *Broker) lose(m mangofleet.Member, err error) {
+func (b *Broker) lose(m mangoroster.Member, err error) {
 	b.tell(mangofleet.PeerFailed{Daemon: m.Holder.Daemon})
 	b.peers.Drop(m.Address)
 	b.log.PeerLost(m.Address, err)
@@ -237,5 +239,5 @@
 func (silent) PeerLost(mangomodel.Address, error)                             {}
 func (silent) PeerRegained(mangomodel.Address)                                {}
 func (silent) SchedulerChanged(mangotraffic.ServiceName, mangomodel.DaemonID) {}
-func (silent) Ordered(mangofleet.Move, Fence, error)                          {}
+func (silent) Ordered(mangopool.Move, Fence, error)                           {}
 func (silent) ReportFailed(mangotraffic.Server, error)                        {}
--- a/core/mangobroker/broker_test.go
+++ b/core/mangobroker/broker_test.go
@@ -13,6 +13,8 @@
 	"mangolane/core/mangobudget"
 	"mangolane/core/mangofleet"
 	"mangolane/core/mangomodel"
+	"mangolane/core/mangopool"
+	"mangolane/core/mangoroster"
 	"mangolane/core/mangotraffic"
 )
 
@@ -58,22 +60,22 @@
 	return nil, ctx, errUnreachable
 }
 
-func (l link) Acquire(ctx context.Context, at mangofleet.Member, id mangofleet.LeaseID, d mangofleet.Demand) (mangofleet.Lease, error) {
+func (l link) Acquire(ctx context.Context, at mangoroster.Member, id mangopool.LeaseID, d mangopool.Demand) (mangopool.Lease, error) {
 	other, ctx, err := l.reach(ctx, at.Address)
 	if err != nil {
-		return mangofleet.Lease{}, err
+		return mangopool.Lease{}, err
 	}
 	if err := other.fleet.Do(ctx, mangofleet.Acquire{Lease: id, Demand: d}); err != nil {
 		if ctx.Err() != nil {
 			err = errUnreachable
 		}
-		return mangofleet.Lease{}, err
+		return mangopool.Lease{}, err
 	}
 	lease, _ := other.fleet.View().Lease(id)
 	return lease, nil
 }
 
-func (l link) Release(ctx context.Context, at mangofleet.Member, r mangofleet.Release) error {
+func (l link) Release(ctx context.Context, at mangoroster.Member, r mangofleet.Release) error {
 	other, ctx, err := l.reach(ctx, at.Address)
 	if err != nil {
 		return err
@@ -81,7 +83,7 @@
 	return other.fleet.Do(ctx, r)
 }
 
-func (l link) PrefillDone(ctx context.Context, at mangofleet.Member, id mangofleet.LeaseID, took time.Duration) error {
+func (l link) PrefillDone(ctx context.Context, at mangoroster.Member, id mangopool.LeaseID, took time.Duration) error {
 	other, ctx, err := l.reach(ctx, at.Address)
 	if err != nil {
 		return err
@@ -115,7 +117,7 @@
 
 // start runs a daemon that knows one seed.
 func (m *mesh) start(id mangomodel.DaemonID, incarnation mangomodel.Incarnation, seeds ...mangomodel.Address) *daemon {
-	self := mangofleet.Member{
+	self := mangoroster.Member{
 		Holder: mangomodel.Holder{Daemon: id, Incarnation: incarnation}, DataCentre: "a1",
 		Address: mangomodel.Address(id), Strong: id != weak,
 	}
@@ -193,8 +195,8 @@
 	return m.Holder.Daemon
 }
 
-func demand() mangofleet.Demand {
-	return mangofleet.Demand{
+func demand() mangopool.Demand {
+	return mangopool.Demand{
 		Service: service, Generation: &mangotraffic.Generation{Prompt: 10, MaxOutput: 10},
 		OnTimeFor: 2 * time.Second, Patience: 3 * time.Second,
 	}
--- a/core/mangobroker/inspect.go
+++ b/core/mangobroker/inspect.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"mangolane/core/mangofleet"
+	"mangolane/core/mangopool"
 	"mangolane/core/mangotraffic"
 )
 
@@ -23,7 +24,7 @@
 
 // inspect asks until ctx ends.
 func (b *Broker) inspect(ctx context.Context) {
-	ticker := time.NewTicker(mangofleet.InspectInterval)
+	ticker := time.NewTicker(mangopool.InspectInterval)
 	defer ticker.Stop()
 	for {
 		var running sync.WaitGroup
--- a/core/mangobroker/move.go
+++ b/core/mangobroker/move.go
@@ -6,6 +6,7 @@
 
 	"mangolane/core/mangofleet"
 	"mangolane/core/mangomodel"
+	"mangolane/core/mangopool"
 	"mangolane/core/mangotraffic"
 )
 
@@ -83,7 +84,7 @@
 	}
 }
 
-func (b *Broker) moveOne(ctx context.Context, m mangofleet.Move) {
+func (b *Broker) moveOne(ctx context.Context, m mangopool.Move) {
 	b.tell(mangofleet.OrderBegun{Server: m.Server.ID, To: m.To})
 	fence, err := b.order(ctx, m)
 	if err != nil {
@@ -94,7 +95,7 @@
 
 // order takes a fence and gives the order. The claim of another daemon counts
 // for the lease and the time in which its order may still be on its way.
-func (b *Broker) order(ctx context.Context, m mangofleet.Move) (Fence, error) {
+func (b *Broker) order(ctx context.Context, m mangopool.Move) (Fence, error) {
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
 	last, err := b.fences.Claimed(ctx, m.Service)
--- a/core/mangobroker/move_test.go
+++ b/core/mangobroker/move_test.go
@@ -8,8 +8,8 @@
 
 	"github.com/onsi/gomega"
 
-	"mangolane/core/mangofleet"
 	"mangolane/core/mangomodel"
+	"mangolane/core/mangopool"
 	"mangolane/core/mangotraffic"
 )
 
@@ -66,7 +66,7 @@
 				p := test.platform
 				b := New(d.broker.self, d.fleet, nil, WithEngines(&p), WithMoves(&p, &p, lease))
 				before := p.claim.Version
-				fence, err := b.order(ctx, mangofleet.Move{Service: service, Server: mangotraffic.Server{ID: "p"}, To: mangotraffic.StageDecode})
+				fence, err := b.order(ctx, mangopool.Move{Service: service, Server: mangotraffic.Server{ID: "p"}, To: mangotraffic.StageDecode})
 				g.Expect(err == nil).To(gomega.Equal(test.ok))
 				if !test.ordered {
 					g.Expect(p.orders).To(gomega.BeEmpty())
--- a/core/mangobroker/news.go
+++ b/core/mangobroker/news.go
@@ -7,8 +7,11 @@
 	"sync"
 	"time"
 
+	"mangolane/core/mangocrash"
 	"mangolane/core/mangofleet"
 	"mangolane/core/mangomodel"
+	"mangolane/core/mangopool"
+	"mangolane/core/mangoroster"
 	"mangolane/core/mangotraffic"
 )
 
@@ -28,16 +31,16 @@
 
 // News is what daemons tell each other.
 type News struct {
-	From mangofleet.Member
+	From mangoroster.Member
 	// Leases are those of the sender at the receiver's services.
-	Leases []mangofleet.Progress
+	Leases []mangopool.Progress
 	// Usages is what the sender has used of the retry budgets. An answer's
 	// Allowances is what the other daemon may use next.
 	Usages     mangofleet.Usages
 	Allowances mangofleet.Allowances
 	// Members are the daemons that the sender knows.
-	Members []mangofleet.Sighting
-	Crashes []mangofleet.Crash
+	Members []mangoroster.Sighting
+	Crashes []mangocrash.Crash
 	// Revision is the sender's configuration; Routing is set for a receiver
 	// that is behind.
 	Revision mangomodel.Revision
@@ -64,7 +67,7 @@
 	var renewed time.Time
 	for {
 		targets, changed := b.schedulers(last)
-		if changed || time.Since(renewed) >= mangofleet.RenewInterval-changeInterval/2 {
+		if changed || time.Since(renewed) >= mangopool.RenewInterval-changeInterval/2 {
 			renewed = time.Now()
 			var exchanges sync.WaitGroup
 			for _, m := range targets {
@@ -81,8 +84,8 @@
 }
 
 // schedulers returns the schedulers of all services, and whether one is new.
-func (b *Broker) schedulers(last map[mangotraffic.ServiceName]mangomodel.DaemonID) (map[mangomodel.DaemonID]mangofleet.Member, bool) {
-	targets, changed := make(map[mangomodel.DaemonID]mangofleet.Member), false
+func (b *Broker) schedulers(last map[mangotraffic.ServiceName]mangomodel.DaemonID) (map[mangomodel.DaemonID]mangoroster.Member, bool) {
+	targets, changed := make(map[mangomodel.DaemonID]mangoroster.Member), false
 	for _, name := range b.fleet.View().Services() {
 		m := b.scheduler(name)
 		targets[m.Holder.Daemon] = m
@@ -94,7 +97,7 @@
 	return targets, changed
 }
 
-func (b *Broker) renewAt(ctx context.Context, m mangofleet.Member) {
+func (b *Broker) renewAt(ctx context.Context, m mangoroster.Member) {
 	if m.Holder == b.self.Holder {
 		b.tell(mangofleet.Renew{Holder: b.self.Holder, Leases: b.progress()})
 		b.tell(mangofleet.Allow{Allowances: b.fleet.View().Allowances(b.self.Holder)})
@@ -106,7 +109,7 @@
 }
 
 // exchange sends news and takes in the answer.
-func (b *Broker) exchange(ctx context.Context, at mangomodel.Address, leases []mangofleet.Progress) error {
+func (b *Broker) exchange(ctx context.Context, at mangomodel.Address, leases []mangopool.Progress) error {
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
 	news := b.Compose(News{})
@@ -215,12 +218,12 @@
 }
 
 // progress returns what this daemon holds.
-func (b *Broker) progress() []mangofleet.Progress {
+func (b *Broker) progress() []mangopool.Progress {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	list := make([]mangofleet.Progress, 0, len(b.held))
+	list := make([]mangopool.Progress, 0, len(b.held))
 	for g := range maps.Values(b.held) {
-		p := mangofleet.Progress{
+		p := mangopool.Progress{
 			Number: g.ID.Number, Server: g.Lease.Server.ID, Service: g.demand.Service,
 			Generation: *g.demand.Generation, Made: mangomodel.Tokens(g.made.Load()),
 		}
@@ -272,7 +275,7 @@
 
 // take applies news.
 func (b *Broker) take(ctx context.Context, news News) error {
-	sightings := append([]mangofleet.Sighting{{Member: news.From}}, news.Members...)
+	sightings := append([]mangoroster.Sighting{{Member: news.From}}, news.Members...)
 	if err := b.fleet.Do(ctx, mangofleet.Hear{Sightings: sightings}); err != nil {
 		return err
 	}
--- a/core/mangofleet/admission.go
+++ b/core/mangofleet/admission.go
@@ -7,6 +7,7 @@
 
 	"mangolane/core/mangoloop"
 	"mangolane/core/mangomodel"
+	"mangolane/core/mangopool"
 	"mangolane/core/mangotraffic"
 )
 
@@ -22,17 +23,13 @@
 // Acquire asks for servers. It is answered with nil once they are granted,
 // and with a fault that says "not run" when the demand's patience ends.
 type Acquire struct {
-	Lease  LeaseID
-	Demand Demand
+	Lease  mangopool.LeaseID
+	Demand mangopool.Demand
 }
 
 // Await keeps the reply until the demand is decided.
 func (c Acquire) Await(s *state, r mangoloop.Reply) {
-	now := time.Now()
-	s.queue = append(s.queue, &waiter{
-		lease: c.Lease, demand: c.Demand, reply: r, since: now.Add(-c.Demand.Age),
-		onTimeUntil: now.Add(c.Demand.OnTimeFor), patience: now.Add(c.Demand.Patience),
-	})
+	s.queue = append(s.queue, &waiter{Ask: mangopool.NewAsk(c.Lease, c.Demand, time.Now()), reply: r})
 }
 
 // Apply queues the demand and serves it if possible.
@@ -45,54 +42,31 @@
 		s.withdraw(c.Lease)
 		return refused(mangomodel.CodeOverloaded, "%d demands wait already", maxQueue)
 	}
-	if c.Demand.Generation != nil {
-		s.workOf(c.Demand.Service).learn(c.Demand.Generation)
-	}
+	s.pool.Learn(&c.Demand)
 	s.serveQueue(now)
 	return nil
 }
 
 // Release gives a lease back, or withdraws its demand.
 type Release struct {
-	Lease LeaseID
+	Lease mangopool.LeaseID
 	// Seen is what the holder's exchanges have shown.
-	Seen []Observe
+	Seen []mangopool.Observed
 }
 
 // Apply applies the command.
 func (c Release) Apply(s *state, now time.Time) error {
 	s.withdraw(c.Lease)
-	s.release(c.Lease, now)
+	s.pool.Release(c.Lease, now)
 	for _, o := range c.Seen {
-		s.observe(o, now)
+		s.pool.Observe(o, now)
 	}
 	s.serveQueue(now)
 	return nil
 }
 
-func (s *state) withdraw(id LeaseID) {
-	s.queue = slices.DeleteFunc(s.queue, func(w *waiter) bool { return w.lease == id })
-}
-
-func (s *state) release(id LeaseID, now time.Time) {
-	l, ok := s.leases[id]
-	if !ok {
-		return
-	}
-	s.releasePrefill(id, l)
-	if b, ok := s.backends[l.server]; ok {
-		delete(b.runs, id)
-		b.remember(l, now)
-	}
-	delete(s.leases, id)
-	s.granted = s.granted.Without(id)
-}
-
-func (s *state) releasePrefill(id LeaseID, l *lease) {
-	if b, ok := s.backends[l.prefill]; ok {
-		delete(b.prefills, id)
-	}
-	l.prefill = ""
+func (s *state) withdraw(id mangopool.LeaseID) {
+	s.queue = slices.DeleteFunc(s.queue, func(w *waiter) bool { return w.Lease == id })
 }
 
 // serveQueue grants what can be granted, in order, and refuses what has
@@ -107,14 +81,14 @@
 	kept := s.queue[:0]
 	for _, w := range s.queue {
 		switch {
-		case !blocked[w.demand.Service] && s.grant(w, now):
+		case !blocked[w.Demand.Service] && s.grant(w, now):
 			w.reply.Answer(nil)
-		case !now.Before(w.patience):
+		case !now.Before(w.Patience):
 			w.reply.Answer(refused(mangomodel.CodeOverloaded, "no server of %s had room for %v: %s",
-				w.demand.Service, now.Sub(w.since).Round(time.Millisecond), s.explain(w, now)))
+				w.Demand.Service, now.Sub(w.Since).Round(time.Millisecond), s.pool.Explain(w.Ask, now)))
 		default:
-			s.workOf(w.demand.Service).waitedAt = now
-			blocked[w.demand.Service] = blocked[w.demand.Service] || len(w.demand.Avoid) == 0
+			s.pool.Waited(w.Demand.Service, now)
+			blocked[w.Demand.Service] = blocked[w.Demand.Service] || len(w.Demand.Avoid) == 0
 			kept = append(kept, w)
 		}
 	}
@@ -126,41 +100,26 @@
 // cannot, then by priority, then by age.
 func compareWaiters(a, b *waiter, now time.Time) int {
 	return cmp.Or(
-		cmp.Compare(a.lateness(now), b.lateness(now)),
-		cmp.Compare(a.demand.Priority, b.demand.Priority),
-		a.since.Compare(b.since),
+		cmp.Compare(lateness(a, now), lateness(b, now)),
+		cmp.Compare(a.Demand.Priority, b.Demand.Priority),
+		a.Since.Compare(b.Since),
 	)
 }
 
-// lateness is 0 for a demand that can still meet its target and 1 for others.
-func (w *waiter) lateness(now time.Time) int {
-	if now.After(w.onTimeUntil) {
+func lateness(w *waiter, now time.Time) int {
+	if w.Late(now) {
 		return 1
 	}
 	return 0
 }
 
-// grant leases the best servers for a demand, if there are any.
+// grant leases servers for a demand. Engines are granted only while renewals
+// tell what others hold.
 func (s *state) grant(w *waiter, now time.Time) bool {
-	place, ok := s.place(w, now)
-	if !ok {
+	if w.Demand.Generation != nil && !s.acting(now) {
 		return false
 	}
-	l := &lease{demand: w.demand, server: place.server.server.ID, since: now, seen: now}
-	granted := Lease{
-		Server: place.server.server, Waited: now.Sub(w.since),
-		Scheduler: s.self.Holder.Daemon, Running: len(place.server.runs), Free: place.server.free(now), Peak: place.peak,
-	}
-	place.server.runs[w.lease] = l
-	if place.prefill != nil {
-		l.prefill = place.prefill.server.ID
-		place.prefill.prefills[w.lease] = l
-		server := place.prefill.server
-		granted.Prefill = &server
-	}
-	s.leases[w.lease] = l
-	s.granted = s.granted.With(w.lease, granted)
-	return true
+	return s.pool.Grant(w.Ask, now)
 }
 
 func refused(code mangomodel.Code, format string, args ...any) error {
--- a/core/mangofleet/admission_test.go
+++ b/core/mangofleet/admission_test.go
@@ -8,7 +8,9 @@
 
 	"github.com/onsi/gomega"
 
+	"mangolane/core/mangocrash"
 	"mangolane/core/mangomodel"
+	"mangolane/core/mangopool"
 	"mangolane/core/mangotraffic"
 )
 
@@ -58,7 +60,7 @@
 	basic.Priority = 2
 	tests := []struct {
 		name          string
-		first, second Demand
+		first, second mangopool.Demand
 		want          int
 	}{
 		{"older first", generation(9000, 100), generation(9000, 100), 0},
@@ -72,7 +74,7 @@
 				holder, _ := x.mustAcquire(generation(9000, 100))
 				x.do(PrefillDone{Lease: holder})
 				served := make(chan int, 2)
-				for i, d := range []Demand{test.first, test.second} {
+				for i, d := range []mangopool.Demand{test.first, test.second} {
 					go func() {
 						if _, _, err := x.acquire(d); err == nil {
 							served <- i
@@ -123,8 +125,8 @@
 		x.list(1, decode("d1", "a1"), decode("d2", "a2"), prefill("p", "a1"))
 		id, lease := x.mustAcquire(generation(100, 100))
 		x.Expect(lease.Server.ID).To(gomega.BeEquivalentTo("d1"))
-		x.do(Release{Lease: id, Seen: []Observe{{Server: "d1", Saw: ObservedFull}}})
-		time.Sleep(2 * fullPause)
+		x.do(Release{Lease: id, Seen: []mangopool.Observed{{Server: "d1", Saw: mangopool.ObservedFull}}})
+		time.Sleep(2 * mangopool.FullPause)
 		_, lease = x.mustAcquire(generation(100, 100))
 		x.Expect(lease.Server.ID).To(gomega.BeEquivalentTo("d2"))
 	})
@@ -136,7 +138,7 @@
 		x.do(Inspected{Server: "d1", Report: mangotraffic.LoadReport{Running: 4}})
 		_, lease := x.mustAcquire(generation(100, 100))
 		x.Expect(lease.Server.ID).To(gomega.BeEquivalentTo("d2"))
-		time.Sleep(ghostReportTime)
+		time.Sleep(mangopool.GhostReportTime)
 		_, lease = x.mustAcquire(generation(100, 100))
 		x.Expect(lease.Server.ID).To(gomega.BeEquivalentTo("d1"))
 	})
@@ -161,7 +163,7 @@
 		x.list(1, decode("d", "a1"), prefill("p1", "a1"), prefill("p2", "b1"))
 		id, lease := x.mustAcquire(generation(100, 100))
 		x.Expect(lease.Prefill.ID).To(gomega.BeEquivalentTo("p1"))
-		x.do(Release{Lease: id, Seen: []Observe{{Server: "p1", Saw: ObservedLapsed}}})
+		x.do(Release{Lease: id, Seen: []mangopool.Observed{{Server: "p1", Saw: mangopool.ObservedLapsed}}})
 		_, lease = x.mustAcquire(generation(100, 100))
 		x.Expect(lease.Prefill.ID).To(gomega.BeEquivalentTo("p2"))
 	})
@@ -170,7 +172,7 @@
 func TestPlainServersShareByTheirOwnReports(t *testing.T) {
 	bubble(t, func(x *fixture) {
 		x.list(1, plain("s1", "a1"), plain("s2", "a2"))
-		x.do(Observe{Server: "s1", Saw: ObservedSuccess, Load: &mangotraffic.LoadReport{Running: 2, Slots: 2}})
+		x.do(Observe{Observed: mangopool.Observed{Server: "s1", Saw: mangopool.ObservedSuccess, Load: &mangotraffic.LoadReport{Running: 2, Slots: 2}}})
 		_, lease := x.mustAcquire(call())
 		x.Expect(lease.Server.ID).To(gomega.BeEquivalentTo("s2"))
 	})
@@ -178,15 +180,15 @@
 
 func TestCallThatBreaksServersIsRefused(t *testing.T) {
 	bubble(t, func(x *fixture) {
-		for range maxCrashes - 1 {
+		for range mangocrash.Most - 1 {
 			x.do(CallBroke{Call: 7})
 		}
 		x.do(Enter{Service: app, Call: 7})
-		x.do(LearnCrashes{From: "d2", Crashes: []Crash{{Call: 7, Count: 1}}})
+		x.do(LearnCrashes{From: "d2", Crashes: []mangocrash.Crash{{Call: 7, Count: 1}}})
 		err := x.fleet.Do(context.Background(), Enter{Service: app, Call: 7})
 		x.Expect(mangomodel.HasCode(err, mangomodel.CodeQuarantined)).To(gomega.BeTrue())
 		x.do(Enter{Service: app, Call: 8})
-		time.Sleep(crashMemory + time.Second)
+		time.Sleep(mangocrash.Memory + time.Second)
 		x.do(Enter{Service: app, Call: 7})
 	})
 }
--- a/core/mangofleet/balance_test.go
+++ b/core/mangofleet/balance_test.go
@@ -7,12 +7,13 @@
 	"github.com/onsi/gomega"
 
 	"mangolane/core/mangomodel"
+	"mangolane/core/mangopool"
 	"mangolane/core/mangotraffic"
 )
 
 // press lets demands wait, so that a move is worth its price.
 func (x *fixture) press() {
-	for range leastRequests + 5 {
+	for range mangopool.LeastRequests + 5 {
 		d := generation(4000, 4000)
 		d.Patience = time.Millisecond
 		x.acquire(d)
@@ -41,7 +42,7 @@
 	bubble(t, func(x *fixture) {
 		x.list(1, decode("d1", "a1"), prefill("p1", "a1"), prefill("p2", "a2"), prefill("p3", "a2"))
 		x.press()
-		time.Sleep(pressureTime + time.Second)
+		time.Sleep(mangopool.PressureTime + time.Second)
 		x.do(RoutingRead{})
 		_, ok := x.fleet.View().Move(engines)
 		x.Expect(ok).To(gomega.BeFalse())
--- a/core/mangofleet/fleet.go
+++ b/core/mangofleet/fleet.go
@@ -7,15 +7,18 @@
 	"time"
 
 	"mangolane/core/mangobudget"
+	"mangolane/core/mangocrash"
 	"mangolane/core/mangoloop"
 	"mangolane/core/mangomodel"
+	"mangolane/core/mangopool"
 	"mangolane/core/mangoquery"
+	"mangolane/core/mangoroster"
 	"mangolane/core/mangotraffic"
 )
 
 // Self is the daemon that owns a fleet.
 type Self struct {
-	Member
+	mangoroster.Member
 	// Regions says which region each data centre is in.
 	Regions map[mangomodel.DataCentreID]mangomodel.RegionID
 	// LeastDaemons is how many daemons there are at least.
@@ -77,14 +80,14 @@
 	// Listed are the servers of the list.
 	Listed map[mangomodel.ServerID]mangotraffic.Server
 	// Members are the daemons that are believed alive, this one included.
-	Members []Heard
+	Members []mangoroster.Heard
 	// Usages is what this daemon has used of the retry budgets.
 	Usages Usages
 
-	schedulers  map[mangotraffic.ServiceName][]Member
-	moves       map[mangotraffic.ServiceName]Move
-	granted     mangoquery.Index[LeaseID, Lease]
-	crashes     []Crash
+	schedulers  map[mangotraffic.ServiceName][]mangoroster.Member
+	moves       map[mangotraffic.ServiceName]mangopool.Move
+	granted     mangoquery.Index[mangopool.LeaseID, mangopool.Lease]
+	crashes     []mangocrash.Crash
 	allowances  map[mangomodel.Holder]Allowances
 	journal     []ListChange
 	journalBase mangotraffic.Cursor
@@ -106,23 +109,23 @@
 }
 
 // Sightings returns all members with the time since they were heard.
-func (v *View) Sightings(now time.Time) []Sighting {
-	list := make([]Sighting, len(v.Members))
+func (v *View) Sightings(now time.Time) []mangoroster.Sighting {
+	list := make([]mangoroster.Sighting, len(v.Members))
 	for i, m := range v.Members {
-		list[i] = Sighting{Member: m.Member, Age: now.Sub(m.At)}
+		list[i] = mangoroster.Sighting{Member: m.Member, Age: now.Sub(m.At)}
 	}
 	return list
 }
 
 // Successors returns the sightings of the members that may be scheduler next.
-func (v *View) Successors(now time.Time) []Sighting {
+func (v *View) Successors(now time.Time) []mangoroster.Sighting {
 	next := make(map[mangomodel.DaemonID]bool)
 	for _, list := range v.schedulers {
 		for _, m := range list[:min(len(list), newsMembers)] {
 			next[m.Holder.Daemon] = true
 		}
 	}
-	return slices.DeleteFunc(v.Sightings(now), func(s Sighting) bool { return !next[s.Member.Holder.Daemon] })
+	return slices.DeleteFunc(v.Sightings(now), func(s mangoroster.Sighting) bool { return !next[s.Member.Holder.Daemon] })
 }
 
 // Allowances returns what a daemon life may use of the retry budgets until it
@@ -130,7 +133,7 @@
 func (v *View) Allowances(h mangomodel.Holder) Allowances { return v.allowances[h] }
 
 // Lease returns a granted lease.
-func (v *View) Lease(id LeaseID) (Lease, bool) { return v.granted.Get(id) }
+func (v *View) Lease(id mangopool.LeaseID) (mangopool.Lease, bool) { return v.granted.Get(id) }
 
 // Ready reports whether the daemon can route calls and wants more of them.
 func (v *View) Ready() bool { return v.Routing != nil && !v.ListRead.IsZero() && !v.Draining }
@@ -149,14 +152,20 @@
 func (v *View) Stale(now time.Time) bool { return now.Sub(v.ListRead) > freshTime }
 
 // Scheduler returns the daemon that grants the slots of a service's engines.
-func (v *View) Scheduler(name mangotraffic.ServiceName) (Member, bool) {
+func (v *View) Scheduler(name mangotraffic.ServiceName) (mangoroster.Member, bool) {
 	list := v.schedulers[name]
 	if len(list) == 0 {
-		return Member{}, false
+		return mangoroster.Member{}, false
 	}
 	return list[0], true
 }
 
+// Move returns the engine of a service that should change its stage, if any.
+func (v *View) Move(name mangotraffic.ServiceName) (mangopool.Move, bool) {
+	m, ok := v.moves[name]
+	return m, ok
+}
+
 // Services returns the services that have a scheduler.
 func (v *View) Services() []mangotraffic.ServiceName {
 	names := make([]mangotraffic.ServiceName, 0, len(v.schedulers))
@@ -167,4 +176,4 @@
 }
 
 // Crashes returns the calls that broke off at servers lately.
-func (v *View) Crashes() []Crash { return v.crashes }
+func (v *View) Crashes() []mangocrash.Crash { return v.crashes }
--- a/core/mangofleet/fleet_test.go
+++ b/core/mangofleet/fleet_test.go
@@ -10,6 +10,8 @@
 
 	"mangolane/core/mangobudget"
 	"mangolane/core/mangomodel"
+	"mangolane/core/mangopool"
+	"mangolane/core/mangoroster"
 	"mangolane/core/mangotraffic"
 )
 
@@ -34,7 +36,7 @@
 		self := mangomodel.Holder{Daemon: "d1", Incarnation: 1}
 		x := &fixture{WithT: gomega.NewWithT(t), self: self}
 		x.fleet = New(Self{
-			Member:  Member{Holder: self, DataCentre: "a1", Address: "d1:1", Strong: true},
+			Member:  mangoroster.Member{Holder: self, DataCentre: "a1", Address: "d1:1", Strong: true},
 			Regions: map[mangomodel.DataCentreID]mangomodel.RegionID{"a1": "a", "a2": "a", "b1": "b"},
 		}, func() mangobudget.Limits { return testLimits })
 		ctx, cancel := context.WithCancel(t.Context())
@@ -79,31 +81,31 @@
 	x.do(cmd)
 }
 
-func (x *fixture) id() LeaseID {
+func (x *fixture) id() mangopool.LeaseID {
 	x.next++
-	return LeaseID{Holder: x.self, Number: x.next}
+	return mangopool.LeaseID{Holder: x.self, Number: x.next}
 }
 
-func generation(prompt, output mangomodel.Tokens) Demand {
-	return Demand{
+func generation(prompt, output mangomodel.Tokens) mangopool.Demand {
+	return mangopool.Demand{
 		Service: engines, Origin: "a1", Generation: &mangotraffic.Generation{Prompt: prompt, MaxOutput: 2 * output},
 		OnTimeFor: time.Second, Patience: 2 * time.Second,
 	}
 }
 
-func call() Demand {
-	return Demand{Service: app, Origin: "a1", OnTimeFor: time.Second, Patience: time.Second}
+func call() mangopool.Demand {
+	return mangopool.Demand{Service: app, Origin: "a1", OnTimeFor: time.Second, Patience: time.Second}
 }
 
 // acquire returns the granted lease.
-func (x *fixture) acquire(d Demand) (LeaseID, Lease, error) {
+func (x *fixture) acquire(d mangopool.Demand) (mangopool.LeaseID, mangopool.Lease, error) {
 	id := x.id()
 	err := x.fleet.Do(context.Background(), Acquire{Lease: id, Demand: d})
 	lease, _ := x.fleet.View().Lease(id)
 	return id, lease, err
 }
 
-func (x *fixture) mustAcquire(d Demand) (LeaseID, Lease) {
+func (x *fixture) mustAcquire(d mangopool.Demand) (mangopool.LeaseID, mangopool.Lease) {
 	id, lease, err := x.acquire(d)
 	x.Expect(err).NotTo(gomega.HaveOccurred())
 	return id, lease
--- a/core/mangofleet/list.go
+++ b/core/mangofleet/list.go
@@ -4,7 +4,6 @@
 	"slices"
 	"time"
 
-	"mangolane/core/mangohealth"
 	"mangolane/core/mangomodel"
 	"mangolane/core/mangotraffic"
 )
@@ -29,6 +28,7 @@
 			"revision %d is older than %d in force", c.Routing.Revision, s.routing.Revision)
 	}
 	s.routing = c.Routing
+	s.pool.Configure(c.Routing)
 	s.serveQueue(now)
 	return nil
 }
@@ -71,10 +71,8 @@
 		s.apply(change, c.Grace, now)
 	}
 	if c.Full {
-		for id := range s.backends {
-			if !listed[id] {
-				s.apply(mangotraffic.ServerChange{ID: id}, c.Grace, now)
-			}
+		for _, id := range s.pool.Missing(listed) {
+			s.pool.Vanish(id, c.Grace, now)
 		}
 	}
 	s.record(c)
@@ -84,10 +82,10 @@
 
 func (s *state) apply(change mangotraffic.ServerChange, grace time.Duration, now time.Time) {
 	if change.Server == nil {
-		s.vanish(change.ID, grace, now)
+		s.pool.Vanish(change.ID, grace, now)
 		return
 	}
-	s.list(*change.Server)
+	s.pool.List(*change.Server)
 }
 
 // record keeps changes for the daemons that ask for them.
@@ -96,7 +94,6 @@
 		return
 	}
 	s.listCursor = c.Cursor
-	s.changed.list = true
 	if c.Full {
 		s.journal, s.journalBase = nil, c.Cursor
 		return
@@ -142,67 +139,6 @@
 	return cmd
 }
 
-// list adds or updates a server. A new life starts without a history.
-func (s *state) list(server mangotraffic.Server) {
-	s.changed.list = true
-	m, ok := s.backends[server.ID]
-	if !ok {
-		s.backends[server.ID] = newBackend(server)
-		s.attach(server.ID)
-		return
-	}
-	if !m.server.SameLife(&server) {
-		m.health = mangohealth.Record{}
-		m.fullUntil = time.Time{}
-	}
-	if m.server.Stage != server.Stage {
-		m.orderedUntil = time.Time{}
-	}
-	m.server = server
-	m.goneAt = time.Time{}
-}
-
-// vanish removes a server, or gives it time to be listed again.
-func (s *state) vanish(id mangomodel.ServerID, grace time.Duration, now time.Time) {
-	m, ok := s.backends[id]
-	if !ok {
-		return
-	}
-	if grace <= 0 || m.server.State == mangotraffic.StateLeaving {
-		s.remove(id)
-		return
-	}
-	if m.goneAt.IsZero() {
-		m.goneAt = now.Add(grace)
-	}
-}
-
-func (s *state) remove(id mangomodel.ServerID) {
-	delete(s.backends, id)
-	s.changed.list = true
-}
-
-// attach finds the leases of a server that was not listed for a while.
-func (s *state) attach(id mangomodel.ServerID) {
-	for lease, l := range s.leases {
-		if l.server == id {
-			s.backends[id].runs[lease] = l
-		}
-		if l.prefill == id {
-			s.backends[id].prefills[lease] = l
-		}
-	}
-}
-
-// expireEntries removes the servers that were not listed again in time.
-func (s *state) expireEntries(now time.Time) {
-	for id, m := range s.backends {
-		if !m.goneAt.IsZero() && !now.Before(m.goneAt) {
-			s.remove(id)
-		}
-	}
-}
-
 // Drain begins a graceful shutdown: the daemon is no longer ready.
 type Drain struct{}
 
--- a/core/mangofleet/member_test.go
+++ b/core/mangofleet/member_test.go
@@ -9,18 +9,20 @@
 
 	"mangolane/core/mangobudget"
 	"mangolane/core/mangomodel"
+	"mangolane/core/mangopool"
+	"mangolane/core/mangoroster"
 	"mangolane/core/mangotraffic"
 )
 
-func other(id mangomodel.DaemonID, incarnation mangomodel.Incarnation) Member {
-	return Member{
+func other(id mangomodel.DaemonID, incarnation mangomodel.Incarnation) mangoroster.Member {
+	return mangoroster.Member{
 		Holder: mangomodel.Holder{Daemon: id, Incarnation: incarnation}, DataCentre: "a1",
 		Address: mangomodel.Address(id + ":1"), Strong: true,
 	}
 }
 
-func (x *fixture) hear(m Member, age time.Duration) {
-	x.do(Hear{Sightings: []Sighting{{Member: m, Age: age}}})
+func (x *fixture) hear(m mangoroster.Member, age time.Duration) {
+	x.do(Hear{Sightings: []mangoroster.Sighting{{Member: m, Age: age}}})
 	time.Sleep(membersInterval)
 	x.do(RoutingRead{})
 }
@@ -31,7 +33,7 @@
 }
 
 // rival returns a daemon that goes before this one as scheduler.
-func (x *fixture) rival() Member {
+func (x *fixture) rival() mangoroster.Member {
 	for _, id := range []mangomodel.DaemonID{"r1", "r2", "r3", "r4", "r5", "r6"} {
 		x.hear(other(id, 1), 0)
 		if x.scheduler() == id {
@@ -39,18 +41,18 @@
 		}
 	}
 	x.Expect(false).To(gomega.BeTrue(), "no daemon goes before this one")
-	return Member{}
+	return mangoroster.Member{}
 }
 
 func TestSchedulerIsAliveAndWilling(t *testing.T) {
 	tests := []struct {
 		name   string
-		change func(x *fixture, m Member)
+		change func(x *fixture, m mangoroster.Member)
 	}{
-		{"draining", func(x *fixture, m Member) { m.Draining = true; x.hear(m, 0) }},
-		{"stale", func(x *fixture, m Member) { m.Stale = true; x.hear(m, 0) }},
-		{"weak", func(x *fixture, m Member) { m.Strong = false; x.hear(m, 0) }},
-		{"failed", func(x *fixture, m Member) { x.do(PeerFailed{Daemon: m.Holder.Daemon}) }},
+		{"draining", func(x *fixture, m mangoroster.Member) { m.Draining = true; x.hear(m, 0) }},
+		{"stale", func(x *fixture, m mangoroster.Member) { m.Stale = true; x.hear(m, 0) }},
+		{"weak", func(x *fixture, m mangoroster.Member) { m.Strong = false; x.hear(m, 0) }},
+		{"failed", func(x *fixture, m mangoroster.Member) { x.do(PeerFailed{Daemon: m.Holder.Daemon}) }},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -71,11 +73,11 @@
 	bubble(t, func(x *fixture) {
 		x.list(1, decode("d", "a1"))
 		x.rival()
-		time.Sleep(aliveTime)
+		time.Sleep(mangoroster.AliveTime)
 		x.list(2, decode("d", "a1"))
 		x.Expect(x.scheduler()).To(gomega.BeEquivalentTo("d1"))
 		for _, s := range x.fleet.View().Sightings(time.Now())[1:] {
-			x.Expect(s.Age).To(gomega.BeNumerically(">=", aliveTime))
+			x.Expect(s.Age).To(gomega.BeNumerically(">=", mangoroster.AliveTime))
 		}
 	})
 }
@@ -91,8 +93,8 @@
 	})
 }
 
-func progress(n uint64, server mangomodel.ServerID, prompt mangomodel.Tokens) Progress {
-	return Progress{Number: n, Server: server, Service: engines, Generation: mangotraffic.Generation{Prompt: prompt, MaxOutput: 100}}
+func progress(n uint64, server mangomodel.ServerID, prompt mangomodel.Tokens) mangopool.Progress {
+	return mangopool.Progress{Number: n, Server: server, Service: engines, Generation: mangotraffic.Generation{Prompt: prompt, MaxOutput: 100}}
 }
 
 func TestNewSchedulerLearnsLeasesBeforeItGrants(t *testing.T) {
@@ -100,14 +102,14 @@
 		x.list(1, decode("d1", "a1"), decode("d2", "a2"), prefill("p", "a1"))
 		x.hear(other("d9", 1), 0)
 		x.do(Renew{Holder: x.self})
-		granted := make(chan Lease, 1)
+		granted := make(chan mangopool.Lease, 1)
 		go func() {
 			_, lease := x.mustAcquire(generation(100, 100))
 			granted <- lease
 		}()
 		time.Sleep(takeoverTime / 2)
 		x.Expect(granted).NotTo(gomega.Receive())
-		x.do(Renew{Holder: other("d9", 1).Holder, Leases: []Progress{progress(1, "d1", 9000)}})
+		x.do(Renew{Holder: other("d9", 1).Holder, Leases: []mangopool.Progress{progress(1, "d1", 9000)}})
 		x.Expect((<-granted).Server.ID).To(gomega.BeEquivalentTo("d2"))
 	})
 }
@@ -116,13 +118,13 @@
 	bubble(t, func(x *fixture) {
 		x.list(1, decode("d1", "a1"), prefill("p", "a1"))
 		h := other("d9", 1).Holder
-		x.do(Renew{Holder: h, Leases: []Progress{progress(1, "d1", 100), progress(2, "d1", 100)}})
-		time.Sleep(namingTime + time.Millisecond)
-		x.do(Renew{Holder: h, Leases: []Progress{progress(1, "d1", 100)}})
+		x.do(Renew{Holder: h, Leases: []mangopool.Progress{progress(1, "d1", 100), progress(2, "d1", 100)}})
+		time.Sleep(mangopool.NamingTime + time.Millisecond)
+		x.do(Renew{Holder: h, Leases: []mangopool.Progress{progress(1, "d1", 100)}})
 		x.Expect(x.fleet.View().Leases).To(gomega.Equal(1), "a lease that is not named any more")
-		x.do(Renew{Holder: mangomodel.Holder{Daemon: "d9", Incarnation: 2}, Leases: []Progress{progress(1, "d1", 100)}})
+		x.do(Renew{Holder: mangomodel.Holder{Daemon: "d9", Incarnation: 2}, Leases: []mangopool.Progress{progress(1, "d1", 100)}})
 		x.Expect(x.fleet.View().Leases).To(gomega.Equal(1), "a lease of an earlier life")
-		time.Sleep(2 * holderTimeout)
+		time.Sleep(2 * mangopool.HolderTimeout)
 		x.do(RoutingRead{})
 		x.Expect(x.fleet.View().Leases).To(gomega.Equal(0), "a lease of a silent holder")
 	})
@@ -135,14 +137,14 @@
 		x.do(Enter{Service: app, Call: 1})
 		x.do(Renew{Holder: x.self})
 		for range 50 {
-			time.Sleep(RenewInterval)
+			time.Sleep(mangopool.RenewInterval)
 			x.do(Renew{Holder: x.self})
 		}
 		x.do(Allow{Allowances: x.fleet.View().Allowances(x.self)})
 		total := x.fleet.View().Allowances(x.self)[app]
 		for i := range 8 {
 			h := mangomodel.Holder{Daemon: mangomodel.DaemonID(rune('a' + i)), Incarnation: 1}
-			x.hear(Member{Holder: h}, 0)
+			x.hear(mangoroster.Member{Holder: h}, 0)
 			x.do(Renew{Holder: h, Usages: Usages{app: mangobudget.Usage{}}})
 			total += x.fleet.View().Allowances(h)[app]
 		}
--- a/core/mangofleet/retry.go
+++ b/core/mangofleet/retry.go
@@ -69,7 +69,7 @@
 
 // daemons returns how many daemons share the budgets. All known ones count,
 // since one that is silent may still use its part.
-func (s *state) daemons() int { return max(1+len(s.peers), s.self.LeastDaemons) }
+func (s *state) daemons() int { return max(1+s.roster.Len(), s.self.LeastDaemons) }
 
 // usage returns what this daemon has used.
 func (s *state) usage(now time.Time) Usages {
--- a/core/mangofleet/state.go
+++ b/core/mangofleet/state.go
@@ -4,18 +4,18 @@
 	"time"
 
 	"mangolane/core/mangobudget"
+	"mangolane/core/mangocrash"
 	"mangolane/core/mangoloop"
 	"mangolane/core/mangomodel"
-	"mangolane/core/mangoquery"
+	"mangolane/core/mangopool"
+	"mangolane/core/mangoroster"
 	"mangolane/core/mangotraffic"
 )
 
+// waiter is a demand that waits for its answer.
 type waiter struct {
-	lease  LeaseID
-	demand Demand
-	// since, onTimeUntil and patience are the demand's durations as times.
-	since, onTimeUntil, patience time.Time
-	reply                        mangoloop.Reply
+	*mangopool.Ask
+	reply mangoloop.Reply
 }
 
 // state is the control state. Only the control goroutine touches it.
@@ -23,19 +23,16 @@
 	self     Self
 	routing  *mangotraffic.Routing
 	draining bool
-	backends map[mangomodel.ServerID]*backend
-	leases   map[LeaseID]*lease
-	granted  mangoquery.Index[LeaseID, Lease]
+	pool     *mangopool.Pool
 	queue    []*waiter
 	retries  Retries
-	work     map[mangotraffic.ServiceName]*meanWork
 	budgets  map[mangotraffic.ServiceName]*mangobudget.Budget
 	// usages is what the other daemon lives have used of the budgets.
 	usages map[mangomodel.Holder]peerUsage
 	// allowances is what each daemon life may use; it is copied when changed.
 	allowances map[mangomodel.Holder]Allowances
-	peers      map[mangomodel.DaemonID]*peer
-	suspects   suspects
+	roster     *mangoroster.Roster
+	suspects   *mangocrash.Suspects
 	listRead   time.Time
 	// listCursor and routingCursor are the positions that were read, and
 	// journal the last changes of the list; it is copied when changed.
@@ -52,7 +49,7 @@
 }
 
 // parts marks parts of the published view that are out of date.
-type parts struct{ list, members, crashes, usage bool }
+type parts struct{ members, crashes, usage bool }
 
 // membersInterval is how often it is looked at who is alive: often against
 // aliveTime, seldom against the exchanges of a large fleet.
@@ -61,40 +58,35 @@
 func newState(self Self, retries Retries) *state {
 	return &state{
 		self:       self,
-		backends:   make(map[mangomodel.ServerID]*backend),
-		leases:     make(map[LeaseID]*lease),
+		pool:       mangopool.New(self.Holder, self.Regions),
 		retries:    retries,
-		work:       make(map[mangotraffic.ServiceName]*meanWork),
 		budgets:    make(map[mangotraffic.ServiceName]*mangobudget.Budget),
 		usages:     make(map[mangomodel.Holder]peerUsage),
 		allowances: make(map[mangomodel.Holder]Allowances),
-		peers:      make(map[mangomodel.DaemonID]*peer),
-		suspects:   newSuspects(),
-		changed:    parts{list: true, members: true},
+		roster:     mangoroster.New(self.Holder.Daemon, self.Regions),
+		suspects:   mangocrash.New(),
+		changed:    parts{members: true},
 	}
 }
 
 // Tick does what is due.
 func (s *state) Tick(now time.Time) {
-	s.expireEntries(now)
-	s.expireHolders(now)
+	s.pool.ExpireEntries(now)
+	s.pool.ExpireHolders(now)
 	s.serveQueue(now)
 }
 
 // NextDue returns when Tick has to be called again.
 func (s *state) NextDue() (time.Time, bool) {
-	var due time.Time
-	for _, b := range s.backends {
-		due = earliest(due, b.goneAt)
-	}
+	due := s.pool.NextDue()
 	for _, w := range s.queue {
-		due = earliest(due, w.patience)
+		due = earliest(due, w.Patience)
 	}
 	if len(s.queue) > 0 {
 		due = earliest(due, time.Now().Add(queueInterval))
 	}
-	if len(s.leases) > 0 {
-		due = earliest(due, time.Now().Add(holderTimeout))
+	if s.pool.Leases() > 0 {
+		due = earliest(due, time.Now().Add(mangopool.HolderTimeout))
 	}
 	return due, !due.IsZero()
 }
@@ -110,8 +102,8 @@
 // View publishes the state.
 func (s *state) View(last *View, now time.Time) *View {
 	v := &View{
-		Routing: s.routing, Draining: s.draining, Waiting: len(s.queue), Leases: len(s.leases),
-		ListRead: s.listRead, granted: s.granted, allowances: s.allowances,
+		Routing: s.routing, Draining: s.draining, Waiting: len(s.queue), Leases: s.pool.Leases(),
+		ListRead: s.listRead, granted: s.pool.Granted(), allowances: s.allowances,
 		ListCursor: s.listCursor, RoutingCursor: s.routingCursor, journal: s.journal, journalBase: s.journalBase, self: s.self.Holder.Daemon,
 	}
 	if last != nil {
@@ -119,32 +111,26 @@
 		v.moves = last.moves
 		v.Usages = last.Usages
 	}
-	if s.changed.list {
-		v.Listed = s.listed()
+	if list, ok := s.pool.Listed(); ok {
+		v.Listed = list
 		s.changed.members = true
 	}
 	if s.changed.crashes {
-		v.crashes = s.suspects.list(now)
+		v.crashes = s.suspects.News(now)
 	}
 	if s.changed.usage {
 		v.Usages = s.usage(now)
 	}
-	s.changed.list, s.changed.crashes, s.changed.usage = false, false, false
+	s.changed.crashes, s.changed.usage = false, false
 	if s.changed.members || now.Sub(s.membersAt) >= membersInterval {
-		v.Members, v.schedulers, v.moves = s.members(now), s.schedulers(now), s.movesOf(now)
+		me := s.me(now)
+		v.Members, v.moves = s.roster.Members(me, now), s.pool.Moves(now)
+		v.schedulers = s.roster.Schedulers(me, s.pool.PerRegion(), now)
 		s.changed.members, s.membersAt = false, now
 	}
 	return v
 }
 
-func (s *state) listed() map[mangomodel.ServerID]mangotraffic.Server {
-	list := make(map[mangomodel.ServerID]mangotraffic.Server, len(s.backends))
-	for id, b := range s.backends {
-		list[id] = b.server
-	}
-	return list
-}
-
 func (s *state) service(name mangotraffic.ServiceName) (*mangotraffic.Service, bool) {
 	if s.routing == nil {
 		return nil, false
--- a/core/mangofollow/follow_test.go
+++ b/core/mangofollow/follow_test.go
@@ -13,6 +13,7 @@
 	"mangolane/core/mangobudget"
 	"mangolane/core/mangofleet"
 	"mangolane/core/mangomodel"
+	"mangolane/core/mangoroster"
 	"mangolane/core/mangotraffic"
 )
 
@@ -104,7 +105,7 @@
 func follow(t *testing.T, f func(g *gomega.WithT, s *source, fleet *mangofleet.Fleet, w *watcher)) {
 	synctest.Test(t, func(t *testing.T) {
 		s := &source{revision: 1, cursor: 1, servers: map[mangomodel.ServerID]mangotraffic.Server{"s1": {ID: "s1", Service: "app"}}}
-		self := mangofleet.Member{Holder: mangomodel.Holder{Daemon: "d"}, DataCentre: "a1"}
+		self := mangoroster.Member{Holder: mangomodel.Holder{Daemon: "d"}, DataCentre: "a1"}
 		fleet := mangofleet.New(mangofleet.Self{Member: self}, func() mangobudget.Limits {
 			return mangobudget.Limits{Window: time.Second}
 		})
--- a/core/mangofleet/backend.go
+++ b/core/mangopool/backend.go
@@ -1,4 +1,4 @@
-package mangofleet
+package mangopool
 
 import (
 	"time"
@@ -87,15 +87,15 @@
 		runs = append(runs, l.run(b.decodeRate, now))
 	}
 	peak := mangokv.Peak(append(runs, mangokv.Run{Held: g.Prompt, Left: g.Expected(0)}))
-	if now.Sub(b.ghostsAt) < ghostReportTime {
+	if now.Sub(b.ghostsAt) < GhostReportTime {
 		peak += b.ghostMemory
 	}
 	return peak
 }
 
-// ghostReportTime is how long a report of ghosts holds: until the next one,
+// GhostReportTime is how long a report of ghosts holds: until the next one,
 // and a missed one.
-const ghostReportTime = 2 * InspectInterval
+const GhostReportTime = 2 * InspectInterval
 
 // free returns the slots that are probably free.
 func (b *backend) free(now time.Time) int {
@@ -103,7 +103,7 @@
 	if now.Sub(b.othersAt) < ghostTime {
 		unknown = b.others
 	}
-	if now.Sub(b.ghostsAt) < ghostReportTime {
+	if now.Sub(b.ghostsAt) < GhostReportTime {
 		unknown = max(unknown, b.ghosts)
 	}
 	return int(b.server.Slots) - len(b.runs) - unknown
--- a/core/mangofleet/balance.go
+++ b/core/mangopool/balance.go
@@ -1,4 +1,4 @@
-package mangofleet
+package mangopool
 
 import (
 	"time"
@@ -9,14 +9,14 @@
 )
 
 const (
-	// pressureTime is how long ago a demand may have waited for an engine to
+	// PressureTime is how long ago a demand may have waited for an engine to
 	// be moved: without waiting nothing is gained.
-	pressureTime = 2 * time.Second
+	PressureTime = 2 * time.Second
 	// meanWeight is the weight of a new request in the mean request.
 	meanWeight = 0.02
-	// leastRequests is how many requests have to be seen before their mean
+	// LeastRequests is how many requests have to be seen before their mean
 	// counts.
-	leastRequests = 20
+	LeastRequests = 20
 )
 
 // meanWork is the mean request of a service.
@@ -27,15 +27,25 @@
 	waitedAt time.Time
 }
 
-func (s *state) workOf(name mangotraffic.ServiceName) *meanWork {
-	w, ok := s.work[name]
+func (p *Pool) workOf(name mangotraffic.ServiceName) *meanWork {
+	w, ok := p.work[name]
 	if !ok {
 		w = &meanWork{}
-		s.work[name] = w
+		p.work[name] = w
 	}
 	return w
 }
 
+// Learn takes a request into the mean of its service.
+func (p *Pool) Learn(d *Demand) {
+	if d.Generation != nil {
+		p.workOf(d.Service).learn(d.Generation)
+	}
+}
+
+// Waited notes that a demand found no server.
+func (p *Pool) Waited(name mangotraffic.ServiceName, now time.Time) { p.workOf(name).waitedAt = now }
+
 // learn takes a request into the mean.
 func (w *meanWork) learn(g *mangotraffic.Generation) {
 	w.requests++
@@ -53,18 +63,12 @@
 	Prefillers, Decoders, Wanted int
 }
 
-// Move returns the engine of a service that should change its stage, if any.
-func (v *View) Move(name mangotraffic.ServiceName) (Move, bool) {
-	m, ok := v.moves[name]
-	return m, ok
-}
-
-// movesOf works out the moves of all services.
-func (s *state) movesOf(now time.Time) map[mangotraffic.ServiceName]Move {
+// Moves returns the engines that should change their stage, one a service.
+func (p *Pool) Moves(now time.Time) map[mangotraffic.ServiceName]Move {
 	moves := make(map[mangotraffic.ServiceName]Move)
-	for name, w := range s.work {
-		if w.requests >= leastRequests && now.Sub(w.waitedAt) < pressureTime {
-			if m, ok := s.move(name, w, now); ok {
+	for name, w := range p.work {
+		if w.requests >= LeastRequests && now.Sub(w.waitedAt) < PressureTime {
+			if m, ok := p.move(name, w, now); ok {
 				moves[name] = m
 			}
 		}
@@ -72,12 +76,12 @@
 	return moves
 }
 
-func (s *state) move(name mangotraffic.ServiceName, mean *meanWork, now time.Time) (Move, bool) {
-	service, ok := s.service(name)
-	if !ok || service.Engine == nil {
+func (p *Pool) move(name mangotraffic.ServiceName, mean *meanWork, now time.Time) (Move, bool) {
+	engine, ok := p.engine(name)
+	if !ok {
 		return Move{}, false
 	}
-	work, prefillers, decoders, settling := s.engines(name, mean, service.Engine, now)
+	work, prefillers, decoders, settling := p.engines(name, mean, engine, now)
 	if settling || prefillers == 0 || decoders == 0 {
 		return Move{}, false
 	}
@@ -90,7 +94,7 @@
 	if wanted > prefillers {
 		m.To, from = mangotraffic.StagePrefill, mangotraffic.StageDecode
 	}
-	b := s.idlest(name, from, now)
+	b := p.idlest(name, from, now)
 	if b == nil {
 		return Move{}, false
 	}
@@ -100,13 +104,13 @@
 
 // engines counts a service's engines and averages their rates. An engine that
 // was told to change counts as changed; settling is set shortly after.
-func (s *state) engines(name mangotraffic.ServiceName, mean *meanWork, e *mangotraffic.Engine, now time.Time) (mangobalance.Work, int, int, bool) {
+func (p *Pool) engines(name mangotraffic.ServiceName, mean *meanWork, e *mangotraffic.Engine, now time.Time) (mangobalance.Work, int, int, bool) {
 	work := mangobalance.Work{
 		Prompt: mangomodel.Tokens(mean.prompt), Output: mangomodel.Tokens(mean.output), Slots: e.Slots,
 		KVTokens: mangomodel.Tokens(memoryShare * float64(e.KVTokens)),
 	}
 	prefillers, decoders, settling := 0, 0, false
-	for _, b := range s.backends {
+	for _, b := range p.backends {
 		if b.server.Service != name || b.server.State != mangotraffic.StateReady {
 			continue
 		}
@@ -133,10 +137,10 @@
 
 // idlest returns the engine of a stage that can be spared best: one of the data
 // centre that has most of them, with the least to do.
-func (s *state) idlest(name mangotraffic.ServiceName, stage mangotraffic.Stage, now time.Time) *backend {
+func (p *Pool) idlest(name mangotraffic.ServiceName, stage mangotraffic.Stage, now time.Time) *backend {
 	perCentre := make(map[mangomodel.DataCentreID]int)
-	candidates := make([]*backend, 0, len(s.backends))
-	for _, b := range s.backends {
+	candidates := make([]*backend, 0, len(p.backends))
+	for _, b := range p.backends {
 		if b.server.Service == name && b.server.Stage == stage && b.usable(now) {
 			perCentre[b.server.DataCentre]++
 			candidates = append(candidates, b)
@@ -163,28 +167,17 @@
 	return b.server.ID < other.server.ID
 }
 
-// OrderBegun says that an engine is told to change its stage. It gets no new
+// OrderBegun notes that an engine is told to change its stage. It gets no new
 // work of its old stage.
-type OrderBegun struct {
-	Server mangomodel.ServerID
-	To     mangotraffic.Stage
-}
-
-// Apply applies the command.
-func (c OrderBegun) Apply(s *state, now time.Time) error {
-	if b, ok := s.backends[c.Server]; ok {
-		b.orderedTo, b.orderedUntil = c.To, now.Add(mangobalance.Settle)
+func (p *Pool) OrderBegun(id mangomodel.ServerID, to mangotraffic.Stage, now time.Time) {
+	if b, ok := p.backends[id]; ok {
+		b.orderedTo, b.orderedUntil = to, now.Add(mangobalance.Settle)
 	}
-	return nil
 }
 
-// OrderFailed says that an engine was not told, or did not take the order.
-type OrderFailed struct{ Server mangomodel.ServerID }
-
-// Apply applies the command.
-func (c OrderFailed) Apply(s *state, _ time.Time) error {
-	if b, ok := s.backends[c.Server]; ok {
+// OrderFailed notes that an engine was not told, or did not take the order.
+func (p *Pool) OrderFailed(id mangomodel.ServerID) {
+	if b, ok := p.backends[id]; ok {
 		b.orderedUntil = time.Time{}
 	}
-	return nil
 }
--- a/core/mangofleet/demand.go
+++ b/core/mangopool/demand.go
@@ -1,4 +1,4 @@
-package mangofleet
+package mangopool
 
 import (
 	"time"
@@ -31,6 +31,21 @@
 	Avoid []mangomodel.ServerID
 }
 
+// Ask is a demand as it waits: its durations are times.
+type Ask struct {
+	Lease                        LeaseID
+	Demand                       Demand
+	Since, OnTimeUntil, Patience time.Time
+}
+
+// NewAsk returns an ask for a demand that has just come.
+func NewAsk(id LeaseID, d Demand, now time.Time) *Ask {
+	return &Ask{Lease: id, Demand: d, Since: now.Add(-d.Age), OnTimeUntil: now.Add(d.OnTimeFor), Patience: now.Add(d.Patience)}
+}
+
+// Late reports whether the ask can no longer meet its target.
+func (a *Ask) Late(now time.Time) bool { return now.After(a.OnTimeUntil) }
+
 // Lease is a granted demand.
 type Lease struct {
 	// Server runs the call.
--- a/core/mangofleet/explain.go
+++ b/core/mangopool/explain.go
@@ -1,4 +1,4 @@
-package mangofleet
+package mangopool
 
 import (
 	"fmt"
@@ -18,18 +18,18 @@
 	return fmt.Sprintf("%d listed, %d leaving, %d set aside, %d avoided, %d full", x.listed, x.leaving, x.setAside, x.avoided, x.full)
 }
 
-// explain says why a demand found no server.
-func (s *state) explain(w *waiter, now time.Time) string {
-	if w.demand.Generation == nil {
-		return s.shortage(w, mangotraffic.StageNone, now).String()
+// Explain says why a demand found no server.
+func (p *Pool) Explain(a *Ask, now time.Time) string {
+	if a.Demand.Generation == nil {
+		return p.shortage(a, mangotraffic.StageNone, now).String()
 	}
-	return fmt.Sprintf("decode: %v; prefill: %v", s.shortage(w, mangotraffic.StageDecode, now), s.shortage(w, mangotraffic.StagePrefill, now))
+	return fmt.Sprintf("decode: %v; prefill: %v", p.shortage(a, mangotraffic.StageDecode, now), p.shortage(a, mangotraffic.StagePrefill, now))
 }
 
-func (s *state) shortage(w *waiter, stage mangotraffic.Stage, now time.Time) shortage {
+func (p *Pool) shortage(a *Ask, stage mangotraffic.Stage, now time.Time) shortage {
 	var x shortage
-	for id, b := range s.backends {
-		if b.server.Service != w.demand.Service || b.server.Stage != stage {
+	for id, b := range p.backends {
+		if b.server.Service != a.Demand.Service || b.server.Stage != stage {
 			continue
 		}
 		x.listed++
@@ -38,9 +38,9 @@
 			x.leaving++
 		case !b.usable(now):
 			x.setAside++
-		case slices.Contains(w.demand.Avoid, id):
+		case slices.Contains(a.Demand.Avoid, id):
 			x.avoided++
-		case !s.hasRoom(b, w, now):
+		case !p.hasRoom(b, a, now):
 			x.full++
 		}
 	}
@@ -48,15 +48,15 @@
 }
 
 // hasRoom reports whether a usable server could take the demand.
-func (s *state) hasRoom(b *backend, w *waiter, now time.Time) bool {
+func (p *Pool) hasRoom(b *backend, a *Ask, now time.Time) bool {
 	ok := false
 	switch b.server.Stage {
 	case mangotraffic.StageNone:
-		_, ok = s.plainCost(b, &w.demand, now)
+		_, ok = p.plainCost(b, &a.Demand, now)
 	case mangotraffic.StageDecode:
-		_, ok = s.decodeCost(b, w, now)
+		_, ok = p.decodeCost(b, a, now)
 	case mangotraffic.StagePrefill:
-		_, ok = s.prefillCost(b, b, now)
+		_, ok = p.prefillCost(b, b, now)
 	}
 	return ok
 }
--- a/core/mangofleet/inspect.go
+++ b/core/mangopool/inspect.go
@@ -1,4 +1,4 @@
-package mangofleet
+package mangopool
 
 import (
 	"time"
@@ -14,18 +14,12 @@
 	reportLag = 1200 * time.Millisecond
 )
 
-// Inspected says what an engine reports of itself. What it runs beyond the
+// Inspect takes in what an engine reports of itself. What it runs beyond the
 // known leases are generations whose holder is gone or lost the answer.
-type Inspected struct {
-	Server mangomodel.ServerID
-	Report mangotraffic.LoadReport
-}
-
-// Apply applies the command.
-func (c Inspected) Apply(s *state, now time.Time) error {
-	b, ok := s.backends[c.Server]
+func (p *Pool) Inspect(id mangomodel.ServerID, report mangotraffic.LoadReport, now time.Time) {
+	b, ok := p.backends[id]
 	if !ok {
-		return nil
+		return
 	}
 	running, held := len(b.runs), mangomodel.Tokens(0)
 	for _, l := range b.runs {
@@ -37,12 +31,11 @@
 			held += e.held
 		}
 	}
-	b.ghosts, b.ghostsAt = max(c.Report.Running-running, 0), now
+	b.ghosts, b.ghostsAt = max(report.Running-running, 0), now
 	b.ghostMemory = 0
 	if b.ghosts > 0 {
-		b.ghostMemory = max(c.Report.KVUsed-held, 0)
+		b.ghostMemory = max(report.KVUsed-held, 0)
 	}
-	return nil
 }
 
 // ended is a generation that ended lately.
--- /dev/null
+++ b/core/mangopool/list.go
@@ -0,0 +1,70 @@
+package mangopool
+
+import (
+	"time"
+
+	"mangolane/core/mangohealth"
+	"mangolane/core/mangomodel"
+	"mangolane/core/mangotraffic"
+)
+
+// List adds or updates a server. A new life starts without a history.
+func (p *Pool) List(server mangotraffic.Server) {
+	p.changed = true
+	m, ok := p.backends[server.ID]
+	if !ok {
+		p.backends[server.ID] = newBackend(server)
+		p.attach(server.ID)
+		return
+	}
+	if !m.server.SameLife(&server) {
+		m.health = mangohealth.Record{}
+		m.fullUntil = time.Time{}
+	}
+	if m.server.Stage != server.Stage {
+		m.orderedUntil = time.Time{}
+	}
+	m.server = server
+	m.goneAt = time.Time{}
+}
+
+// Vanish removes a server, or gives it time to be listed again.
+func (p *Pool) Vanish(id mangomodel.ServerID, grace time.Duration, now time.Time) {
+	m, ok := p.backends[id]
+	if !ok {
+		return
+	}
+	if grace <= 0 || m.server.State == mangotraffic.StateLeaving {
+		p.remove(id)
+		return
+	}
+	if m.goneAt.IsZero() {
+		m.goneAt = now.Add(grace)
+	}
+}
+
+func (p *Pool) remove(id mangomodel.ServerID) {
+	delete(p.backends, id)
+	p.changed = true
+}
+
+// attach finds the leases of a server that was not listed for a while.
+func (p *Pool) attach(id mangomodel.ServerID) {
+	for lease, l := range p.leases {
+		if l.server == id {
+			p.backends[id].runs[lease] = l
+		}
+		if l.prefill == id {
+			p.backends[id].prefills[lease] = l
+		}
+	}
+}
+
+// ExpireEntries removes the servers that were not listed again in time.
+func (p *Pool) ExpireEntries(now time.Time) {
+	for id, m := range p.backends {
+		if !m.goneAt.IsZero() && !now.Before(m.goneAt) {
+			p.remove(id)
+		}
+	}
+}
--- a/core/mangofleet/observe.go
+++ b/core/mangopool/observe.go
@@ -1,4 +1,4 @@
-package mangofleet
+package mangopool
 
 import (
 	"time"
@@ -25,26 +25,21 @@
 	ObservedMoved
 )
 
-// fullPause is how long a server that had no room is left alone. A slot of a
+// FullPause is how long a server that had no room is left alone. A slot of a
 // busy engine comes free about this often.
-const fullPause = 50 * time.Millisecond
+const FullPause = 50 * time.Millisecond
 
-// Observe tells what an exchange with a server showed.
-type Observe struct {
+// Observed is what an exchange with a server showed.
+type Observed struct {
 	Server mangomodel.ServerID
 	Saw    Observation
 	// Load is what the server said of itself, if anything.
 	Load *mangotraffic.LoadReport
 }
 
-// Apply applies the command.
-func (c Observe) Apply(s *state, now time.Time) error {
-	s.observe(c, now)
-	return nil
-}
-
-func (s *state) observe(c Observe, now time.Time) {
-	m, ok := s.backends[c.Server]
+// Observe takes in what an exchange showed.
+func (p *Pool) Observe(c Observed, now time.Time) {
+	m, ok := p.backends[c.Server]
 	if !ok {
 		return
 	}
@@ -59,7 +54,7 @@
 	case ObservedUnreachable, ObservedLapsed, ObservedMoved:
 		m.health = m.health.Unreachable(now)
 	case ObservedFull:
-		m.fullUntil = now.Add(fullPause)
+		m.fullUntil = now.Add(FullPause)
 		m.others, m.othersAt = max(int(m.server.Slots)-len(m.runs), 1), now
 	}
 }
--- a/core/mangoquery/import_test.go
+++ b/core/mangoquery/import_test.go
@@ -50,6 +50,13 @@
 		{"mangoroute", []string{"mangowire", "mangorest"}, "decisions know no encoding"},
 		{"mangoentry", []string{"mangowire", "mangorest"}, "decisions know no encoding"},
 		{"mangoagent", []string{"mangowire", "mangorest"}, "workers know no encoding"},
+		{"mangofleet", []string{"mangowire", "mangorest", "mangorelay", "mangobroker", "mangofollow"}, "commands know no adapter and no traffic"},
+		{"mangopool", []string{"mangofleet", "mangoloop", "mangowire", "mangorest"}, "decisions know no loop and no encoding"},
+		{"mangoroster", []string{"mangofleet", "mangopool", "mangoloop", "mangowire", "mangorest"}, "decisions know no loop and no encoding"},
+		{"mangobalance", []string{"mangofleet", "mangopool", "mangoloop", "mangowire", "mangorest"}, "decisions know no loop and no encoding"},
+		{"mangorelay", []string{"mangowire", "mangorest"}, "decisions know no encoding"},
+		{"mangobroker", []string{"mangowire", "mangorest"}, "decisions know no encoding"},
+		{"mangofollow", []string{"mangowire", "mangorest"}, "workers know no encoding"},
 	}
 	list := packages(t)
 	for _, p := range list {
--- a/core/mangorelay/fake_test.go
+++ b/core/mangorelay/fake_test.go
@@ -16,6 +16,7 @@
 	"mangolane/core/mangobudget"
 	"mangolane/core/mangofleet"
 	"mangolane/core/mangomodel"
+	"mangolane/core/mangoroster"
 	"mangolane/core/mangotraffic"
 )
 
@@ -210,7 +211,7 @@
 
 func play(t *testing.T, f func(w *world)) {
 	synctest.Test(t, func(t *testing.T) {
-		self := mangofleet.Member{Holder: mangomodel.Holder{Daemon: "d"}, DataCentre: "a1", Strong: true}
+		self := mangoroster.Member{Holder: mangomodel.Holder{Daemon: "d"}, DataCentre: "a1", Strong: true}
 		fleet := mangofleet.New(mangofleet.Self{Member: self}, func() mangobudget.Limits {
 			return mangobudget.Limits{Fixed: repeats, Window: 10 * time.Second}
 		})
--- a/core/mangorelay/plain.go
+++ b/core/mangorelay/plain.go
@@ -8,6 +8,7 @@
 
 	"mangolane/core/mangofleet"
 	"mangolane/core/mangomodel"
+	"mangolane/core/mangopool"
 	"mangolane/core/mangotraffic"
 )
 
@@ -54,7 +55,7 @@
 func (j *job) tryPlain(ctx context.Context) error {
 	now := time.Now()
 	patience := time.Duration(queuePatience * float64(j.picked.TargetLatency))
-	grant, err := j.acquire(ctx, mangofleet.Demand{OnTimeFor: patience, Patience: patience})
+	grant, err := j.acquire(ctx, mangopool.Demand{OnTimeFor: patience, Patience: patience})
 	if err != nil {
 		return err
 	}
@@ -81,7 +82,7 @@
 var errSilent = errors.New("no answer in time")
 
 // exchange sends the call and passes the answer on.
-func (j *job) exchange(ctx context.Context, lease mangofleet.Lease) error {
+func (j *job) exchange(ctx context.Context, lease mangopool.Lease) error {
 	if err := j.spend(ctx, PhaseRun); err != nil {
 		return err
 	}
@@ -108,7 +109,7 @@
 	if len(data) == maxBuffered {
 		return j.passRest(ctx, server, answer)
 	}
-	j.observe(server.ID, mangofleet.ObservedSuccess, answer.Load)
+	j.observe(server.ID, mangopool.ObservedSuccess, answer.Load)
 	return nil
 }
 
@@ -122,7 +123,7 @@
 			}
 		}
 		if errors.Is(err, io.EOF) {
-			j.observe(server.ID, mangofleet.ObservedSuccess, answer.Load)
+			j.observe(server.ID, mangopool.ObservedSuccess, answer.Load)
 			return nil
 		}
 		if err != nil {
@@ -133,9 +134,9 @@
 
 // declined handles an answer that says "not run".
 func (j *job) declined(server mangotraffic.Server, answer *Answer) error {
-	saw := mangofleet.ObservedFull
+	saw := mangopool.ObservedFull
 	if answer.Moved {
-		saw = mangofleet.ObservedMoved
+		saw = mangopool.ObservedMoved
 	}
 	j.observe(server.ID, saw, answer.Load)
 	j.avoid = append(j.avoid, server.ID)
@@ -148,7 +149,7 @@
 	f := mangomodel.AsFault(err, mangomodel.StepCall)
 	j.avoid = append(j.avoid, server.ID)
 	if f.Run == mangomodel.RunNot {
-		j.observe(server.ID, mangofleet.ObservedUnreachable, nil)
+		j.observe(server.ID, mangopool.ObservedUnreachable, nil)
 		j.refund(PhaseRun)
 		return f
 	}
@@ -162,7 +163,7 @@
 	j.avoid = append(j.avoid, server.ID)
 	cause := context.Cause(ctx)
 	if cause == nil || errors.Is(cause, errSilent) || errors.Is(cause, errStalled) {
-		j.observe(server.ID, mangofleet.ObservedFailure, nil)
+		j.observe(server.ID, mangopool.ObservedFailure, nil)
 	}
 	if cause == nil {
 		j.tell(mangofleet.CallBroke{Call: j.call.Fingerprint})
--- a/core/mangorelay/port.go
+++ b/core/mangorelay/port.go
@@ -28,6 +28,7 @@
 	"mangolane/core/mangobroker"
 	"mangolane/core/mangofleet"
 	"mangolane/core/mangomodel"
+	"mangolane/core/mangopool"
 	"mangolane/core/mangotraffic"
 )
 
@@ -41,7 +42,7 @@
 
 // Broker finds servers for calls.
 type Broker interface {
-	Acquire(ctx context.Context, d mangofleet.Demand) (*mangobroker.Grant, error)
+	Acquire(ctx context.Context, d mangopool.Demand) (*mangobroker.Grant, error)
 }
 
 // Servers makes exchanges with backend servers. A failure is a fault whose Run
@@ -143,7 +144,7 @@
 	// Attempt counts the call's leases from 1.
 	Attempt mangomodel.Attempt
 	// Lease is what the scheduler granted, and by which inputs.
-	Lease mangofleet.Lease
+	Lease mangopool.Lease
 	// Took is the time to the answer's head.
 	Took time.Duration
 	// ListAge is the age of the list of servers that was used.
--- a/core/mangorelay/relay.go
+++ b/core/mangorelay/relay.go
@@ -9,6 +9,7 @@
 	"mangolane/core/mangobroker"
 	"mangolane/core/mangofleet"
 	"mangolane/core/mangomodel"
+	"mangolane/core/mangopool"
 	"mangolane/core/mangotraffic"
 )
 
@@ -171,7 +172,7 @@
 }
 
 // acquire waits for servers.
-func (j *job) acquire(ctx context.Context, d mangofleet.Demand) (*mangobroker.Grant, error) {
+func (j *job) acquire(ctx context.Context, d mangopool.Demand) (*mangobroker.Grant, error) {
 	d.Request, d.Service, d.Priority, d.Avoid = j.call.ID, j.service.Name, j.picked.Priority, j.avoid
 	d.Age = time.Since(j.call.Arrived)
 	grant, err := j.relay.broker.Acquire(ctx, d)
@@ -201,9 +202,9 @@
 
 // observe tells the fleet, and whoever granted the lease in use, what an
 // exchange showed.
-func (j *job) observe(server mangomodel.ServerID, saw mangofleet.Observation, load *mangotraffic.LoadReport) {
-	o := mangofleet.Observe{Server: server, Saw: saw, Load: load}
-	j.tell(o)
+func (j *job) observe(server mangomodel.ServerID, saw mangopool.Observation, load *mangotraffic.LoadReport) {
+	o := mangopool.Observed{Server: server, Saw: saw, Load: load}
+	j.tell(mangofleet.Observe{Observed: o})
 	j.grant.Observe(o)
 }
 
@@ -225,7 +226,7 @@
 }
 
 // exchanged reports one exchange.
-func (j *job) exchanged(phase Phase, server mangotraffic.Server, lease mangofleet.Lease, began time.Time, err error) {
+func (j *job) exchanged(phase Phase, server mangotraffic.Server, lease mangopool.Lease, began time.Time, err error) {
 	view := j.relay.fleet.View()
 	j.relay.observer.Exchanged(Exchange{
 		Call: j.call, Route: j.picked, Server: server, Phase: phase, Attempt: j.attempts,
--- a/core/mangorelay/stream.go
+++ b/core/mangorelay/stream.go
@@ -8,8 +8,8 @@
 	"time"
 
 	"mangolane/core/mangobroker"
-	"mangolane/core/mangofleet"
 	"mangolane/core/mangomodel"
+	"mangolane/core/mangopool"
 	"mangolane/core/mangotraffic"
 )
 
@@ -97,8 +97,8 @@
 
 // streamDemand asks for a decode slot and a prefill server. A stream that was
 // begun goes first.
-func (j *job) streamDemand() mangofleet.Demand {
-	d := mangofleet.Demand{Generation: j.call.Generation, Prefilled: j.source != nil}
+func (j *job) streamDemand() mangopool.Demand {
+	d := mangopool.Demand{Generation: j.call.Generation, Prefilled: j.source != nil}
 	age := time.Since(j.call.Arrived)
 	target := float64(j.picked.TargetLatency)
 	d.OnTimeFor = time.Duration((1-startShare)*target) - age
@@ -146,14 +146,14 @@
 	return &f
 }
 
-func prefillObservation(f *mangomodel.Fault) mangofleet.Observation {
+func prefillObservation(f *mangomodel.Fault) mangopool.Observation {
 	switch {
 	case f.Code == mangomodel.CodeOverloaded:
-		return mangofleet.ObservedFull
+		return mangopool.ObservedFull
 	case f.Run == mangomodel.RunNot:
-		return mangofleet.ObservedUnreachable
+		return mangopool.ObservedUnreachable
 	default:
-		return mangofleet.ObservedFailure
+		return mangopool.ObservedFailure
 	}
 }
 
@@ -220,7 +220,7 @@
 	refused := []mangomodel.ServerID{server.ID, j.source.refusedBy}
 	j.avoid = slices.DeleteFunc(j.avoid, func(id mangomodel.ServerID) bool { return slices.Contains(refused, id) })
 	j.avoid = append(j.avoid, j.source.server)
-	j.observe(j.source.server, mangofleet.ObservedLapsed, nil)
+	j.observe(j.source.server, mangopool.ObservedLapsed, nil)
 	j.source = nil
 	return err
 }
@@ -230,9 +230,9 @@
 	if j.source == nil {
 		return
 	}
-	j.observe(j.source.server, mangofleet.ObservedSuccess, nil)
+	j.observe(j.source.server, mangopool.ObservedSuccess, nil)
 	if j.source.refusedBy != "" {
-		j.observe(j.source.refusedBy, mangofleet.ObservedFull, nil)
+		j.observe(j.source.refusedBy, mangopool.ObservedFull, nil)
 	}
 }
 
@@ -263,7 +263,7 @@
 		event, err := answer.Events.Next()
 		stall.Stop()
 		if errors.Is(err, io.EOF) {
-			j.observe(server.ID, mangofleet.ObservedSuccess, answer.Load)
+			j.observe(server.ID, mangopool.ObservedSuccess, answer.Load)
 			return j.finish(answer.Head)
 		}
 		if err != nil {
@@ -322,7 +322,7 @@
 		defer cancel()
 		began := time.Now()
 		if err := j.relay.servers.Free(ctx, source); err != nil {
-			j.exchanged(PhasePrefill, mangotraffic.Server{ID: server, Address: source.Server}, mangofleet.Lease{}, began, err)
+			j.exchanged(PhasePrefill, mangotraffic.Server{ID: server, Address: source.Server}, mangopool.Lease{}, began, err)
 		}
 	}()
 }
--- /dev/null
+++ b/core/mangoroster/roster.go
@@ -0,0 +1,183 @@
+// Package mangoroster decides which daemons are alive and who of them schedules.
+//
+// Daemons are heard directly or through others. Whoever has been heard lately,
+// did not fail to answer and is fit may schedule; all daemons order the
+// candidates alike.
+//
+// # Usage
+//
+//	r := mangoroster.New(self, regions)
+//	r.Hear(sighting, now)
+//	first := r.Schedulers(me, servers, now)["llm"][0]
+package mangoroster
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"mangolane/core/mangomodel"
+	"mangolane/core/mangotraffic"
+)
+
+const (
+	// AliveTime is how long after it was heard a daemon counts as alive. Every
+	// daemon is heard by the schedulers four times a second, and by the others
+	// through their answers.
+	AliveTime = 2 * time.Second
+	// failedTime is how long a daemon that did not answer is passed over.
+	failedTime = time.Second
+	// forgetTime is how long a daemon that is gone stays known.
+	forgetTime = 10 * time.Second
+)
+
+// Member is one daemon life.
+type Member struct {
+	Holder     mangomodel.Holder
+	DataCentre mangomodel.DataCentreID
+	// Address is where it serves other daemons.
+	Address mangomodel.Address
+	// Strong members have the processor and the link for scheduling a large
+	// fleet.
+	Strong bool
+	// Draining members schedule nothing, and Stale ones, whose list of servers
+	// may be out of date, only if all are.
+	Draining, Stale bool
+}
+
+// Sighting is a member with the time since it was last heard.
+type Sighting struct {
+	Member Member
+	Age    time.Duration
+}
+
+// Heard is a member with the time at which it was last heard.
+type Heard struct {
+	Member Member
+	At     time.Time
+}
+
+type peer struct {
+	member      Member
+	heard       time.Time
+	failedUntil time.Time
+}
+
+// ServersPerRegion counts the servers of each service by region.
+type ServersPerRegion map[mangotraffic.ServiceName]map[mangomodel.RegionID]int
+
+// Roster is what one daemon knows of the others.
+type Roster struct {
+	self    mangomodel.DaemonID
+	regions map[mangomodel.DataCentreID]mangomodel.RegionID
+	peers   map[mangomodel.DaemonID]*peer
+}
+
+// New returns a roster of a daemon that knows no other.
+func New(self mangomodel.DaemonID, regions map[mangomodel.DataCentreID]mangomodel.RegionID) *Roster {
+	return &Roster{self: self, regions: regions, peers: make(map[mangomodel.DaemonID]*peer)}
+}
+
+// Hear takes in what is known of a daemon. It reports whether the daemon is new.
+func (r *Roster) Hear(x Sighting, now time.Time) bool {
+	id := x.Member.Holder.Daemon
+	if id == r.self || id == "" {
+		return false
+	}
+	heard := now.Add(-x.Age)
+	p, ok := r.peers[id]
+	if !ok {
+		p = &peer{}
+		r.peers[id] = p
+	}
+	if x.Member.Holder.Incarnation < p.member.Holder.Incarnation {
+		return false
+	}
+	if x.Member.Holder.Incarnation > p.member.Holder.Incarnation {
+		p.failedUntil = time.Time{}
+	}
+	if heard.After(p.heard) {
+		p.heard, p.member = heard, x.Member
+	}
+	return !ok
+}
+
+// Failed notes that a daemon did not answer.
+func (r *Roster) Failed(id mangomodel.DaemonID, now time.Time) {
+	if p, ok := r.peers[id]; ok {
+		p.failedUntil = now.Add(failedTime)
+	}
+}
+
+// Len returns how many other daemons are known, alive or not.
+func (r *Roster) Len() int { return len(r.peers) }
+
+// Members returns this daemon and those that may be alive.
+func (r *Roster) Members(me Member, now time.Time) []Heard {
+	list := []Heard{{Member: me, At: now}}
+	for id, p := range r.peers {
+		if now.Sub(p.heard) > forgetTime {
+			delete(r.peers, id)
+			continue
+		}
+		list = append(list, Heard{Member: p.member, At: p.heard})
+	}
+	return list
+}
+
+// Schedulers returns for each service the daemons that may schedule it and
+// count its retries, best first. Daemons in the region with most of its servers go
+// first, since most grants are asked for there; rendezvous hashing spreads
+// services over them.
+func (r *Roster) Schedulers(me Member, servers ServersPerRegion, now time.Time) map[mangotraffic.ServiceName][]Member {
+	candidates := r.candidates(me, now)
+	lists := make(map[mangotraffic.ServiceName][]Member, len(servers))
+	for name, weight := range servers {
+		list := slices.Clone(candidates)
+		slices.SortFunc(list, func(a, b Member) int {
+			return cmp.Or(
+				cmp.Compare(weight[r.regions[b.DataCentre]], weight[r.regions[a.DataCentre]]),
+				cmp.Compare(mix(hashOf(string(name)), string(b.Holder.Daemon)), mix(hashOf(string(name)), string(a.Holder.Daemon))),
+			)
+		})
+		lists[name] = list
+	}
+	return lists
+}
+
+// candidates returns the daemons that may schedule, this one included.
+func (r *Roster) candidates(me Member, now time.Time) []Member {
+	list := []Member{me}
+	for _, p := range r.peers {
+		if now.Sub(p.heard) < AliveTime && !now.Before(p.failedUntil) {
+			list = append(list, p.member)
+		}
+	}
+	list = unless(list, func(m Member) bool { return m.Draining })
+	list = unless(list, func(m Member) bool { return m.Stale })
+	return unless(list, func(m Member) bool { return !m.Strong })
+}
+
+// unless returns the members without those that are worse, if any are left.
+func unless(list []Member, worse func(Member) bool) []Member {
+	better := slices.DeleteFunc(slices.Clone(list), worse)
+	if len(better) == 0 {
+		return list
+	}
+	return better
+}
+
+// mix spreads a salt and an id over the numbers (FNV-1a).
+func mix(salt uint64, id string) uint64 {
+	const prime = 1099511628211
+	h := salt * prime
+	for i := range len(id) {
+		h = (h ^ uint64(id[i])) * prime
+	}
+	return h ^ h>>29
+}
+
+func hashOf(id string) uint64 {
+	const offset = 14695981039346656037
+	return mix(offset, id)
+}
--- a/mangolaned/mangogateway/gateway.go
+++ b/mangolaned/mangogateway/gateway.go
@@ -26,6 +26,7 @@
 	"mangolane/core/mangomodel"
 	"mangolane/core/mangorelay"
 	"mangolane/core/mangorest"
+	"mangolane/core/mangoroster"
 	"mangolane/mangolaned/mangolog"
 	"mangolane/mangolaned/mangomesh"
 	"mangolane/mangolaned/mangosettings"
@@ -71,7 +72,7 @@
 
 // New puts a gateway together. Nothing runs yet.
 func New(s mangosettings.Gateway, logger *zap.Logger, level zap.AtomicLevel, source Store, servers Servers) *Gateway {
-	self := mangofleet.Member{
+	self := mangoroster.Member{
 		Holder:     mangomodel.Holder{Daemon: s.Daemon, Incarnation: mangomodel.Incarnation(time.Now().UnixNano())},
 		DataCentre: s.DataCentre, Address: s.Peer, Strong: s.Strong(),
 	}
--- a/mangolaned/mangogateway/observe.go
+++ b/mangolaned/mangogateway/observe.go
@@ -10,6 +10,7 @@
 	"mangolane/core/mangofleet"
 	"mangolane/core/mangofollow"
 	"mangolane/core/mangomodel"
+	"mangolane/core/mangopool"
 	"mangolane/core/mangorelay"
 	"mangolane/core/mangotraffic"
 	"mangolane/mangolaned/mangolog"
@@ -126,7 +127,7 @@
 }
 
 // Ordered logs that an engine was told to change its stage, or why not.
-func (o observer) Ordered(m mangofleet.Move, fence mangobroker.Fence, err error) {
+func (o observer) Ordered(m mangopool.Move, fence mangobroker.Fence, err error) {
 	fields := []zap.Field{
 		zap.String("Server", string(m.Server.ID)), zap.Stringer("To", m.To), zap.Uint64("Fence", uint64(fence)),
 		zap.Int("Prefillers", m.Prefillers), zap.Int("Decoders", m.Decoders), zap.Int("Wanted", m.Wanted),
--- a/mangolaned/mangomesh/peers.go
+++ b/mangolaned/mangomesh/peers.go
@@ -18,6 +18,8 @@
 	"mangolane/core/mangobroker"
 	"mangolane/core/mangofleet"
 	"mangolane/core/mangomodel"
+	"mangolane/core/mangopool"
+	"mangolane/core/mangoroster"
 	"mangolane/core/mangowire"
 	"mangolane/mangolaned/mangoconn"
 )
@@ -36,19 +38,19 @@
 
 // AcquireArgs is a demand.
 type AcquireArgs struct {
-	ID     mangofleet.LeaseID
-	Demand mangofleet.Demand
+	ID     mangopool.LeaseID
+	Demand mangopool.Demand
 }
 
 // AcquireReply is the granted lease, or why there is none.
 type AcquireReply struct {
-	Lease mangofleet.Lease
+	Lease mangopool.Lease
 	Fault *mangowire.FaultBody
 }
 
 // PrefillDoneArgs says how long a prefill took.
 type PrefillDoneArgs struct {
-	ID   mangofleet.LeaseID
+	ID   mangopool.LeaseID
 	Took time.Duration
 }
 
@@ -62,27 +64,27 @@
 func NewPeers() *Peers { return &Peers{pool: mangoconn.New(mangoconn.TCP)} }
 
 // Acquire asks a scheduler for a lease.
-func (p *Peers) Acquire(ctx context.Context, at mangofleet.Member, id mangofleet.LeaseID, d mangofleet.Demand) (mangofleet.Lease, error) {
+func (p *Peers) Acquire(ctx context.Context, at mangoroster.Member, id mangopool.LeaseID, d mangopool.Demand) (mangopool.Lease, error) {
 	ctx, cancel := context.WithTimeout(ctx, d.Patience+acquireSlack)
 	defer cancel()
 	var reply AcquireReply
 	to := mangoconn.Endpoint{Address: at.Address, Lane: mangoconn.LaneAdmission}
 	if err := p.pool.Call(ctx, to, mangomodel.StepAdmission, methodAcquire, AcquireArgs{ID: id, Demand: d}, &reply); err != nil {
-		return mangofleet.Lease{}, err
+		return mangopool.Lease{}, err
 	}
 	if reply.Fault != nil {
-		return mangofleet.Lease{}, reply.Fault.Fault()
+		return mangopool.Lease{}, reply.Fault.Fault()
 	}
 	return reply.Lease, nil
 }
 
 // Release gives a lease back.
-func (p *Peers) Release(ctx context.Context, at mangofleet.Member, r mangofleet.Release) error {
+func (p *Peers) Release(ctx context.Context, at mangoroster.Member, r mangofleet.Release) error {
 	return p.control(ctx, at.Address, mangomodel.StepRelease, methodRelease, r, &Empty{})
 }
 
 // PrefillDone tells that a lease's prefill server is free again.
-func (p *Peers) PrefillDone(ctx context.Context, at mangofleet.Member, id mangofleet.LeaseID, took time.Duration) error {
+func (p *Peers) PrefillDone(ctx context.Context, at mangoroster.Member, id mangopool.LeaseID, took time.Duration) error {
 	return p.control(ctx, at.Address, mangomodel.StepRelease, methodPrefill, PrefillDoneArgs{ID: id, Took: took}, &Empty{})
 }
 
