--- a/core/mangotraffic/call.go
+++ b/core/mangotraffic/call.go
@@ -67,13 +67,8 @@
 	Handle HandleID
 }
 
-// Identifiers that engines make.
-type (
-	// HandleID names a prefilled KV cache at the engine that holds it.
-	HandleID string
-	// ReservationID names a reserved slot and its memory at one engine.
-	ReservationID string
-)
+// HandleID names a prefilled KV cache at the engine that holds it.
+type HandleID string
 
 // Event is one event of a stream with the bytes that carry it.
 type Event struct {
--- a/core/mangotraffic/route.go
+++ b/core/mangotraffic/route.go
@@ -71,10 +71,6 @@
 // Service is a pool of backend servers.
 type Service struct {
 	Name ServiceName
-	// HealthPath answers whether a server considers itself healthy.
-	HealthPath string
-	// MaxConnections is what one server accepts from all daemons together.
-	MaxConnections int
 	// Engine is set for model engines.
 	Engine *Engine
 }
@@ -87,8 +83,6 @@
 	TokensPerEvent mangomodel.Tokens
 	// HandleLifetime is how long a prefilled KV cache is kept.
 	HandleLifetime time.Duration
-	// MaxReservation is the longest reservation of a slot.
-	MaxReservation time.Duration
 }
 
 // Limits bound what a client may send.
