--- a/core/mangorelay/relay.go
+++ b/core/mangorelay/relay.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"mangolane/core/mangobroker"
@@ -20,8 +21,12 @@
 	servers  Servers
 	observer Observer
 	tracer   Tracer
+	active   atomic.Int64
 }
 
+// Active returns how many calls are under way.
+func (r *Relay) Active() int { return int(r.active.Load()) }
+
 // Option configures a Relay.
 type Option func(*Relay)
 
@@ -57,6 +62,8 @@
 // once the whole answer was passed on. A fault with RunNot is a promise that
 // no server has run the call or will run it.
 func (r *Relay) Serve(ctx context.Context, call *mangotraffic.Call, sink Sink) error {
+	r.active.Add(1)
+	defer r.active.Add(-1)
 	view := r.fleet.View()
 	j := &job{relay: r, call: call, sink: sink, result: Result{Call: call}}
 	err := j.route(view)
--- a/mangolaned/mangogateway/gateway.go
+++ b/mangolaned/mangogateway/gateway.go
@@ -158,7 +158,9 @@
 	time.Sleep(min(rotationTime, g.settings.GracePeriod.Std()/2))
 	ctx, cancel := context.WithDeadline(ctx, began.Add(g.settings.GracePeriod.Std()-exitMargin))
 	defer cancel()
-	if err := front.Shutdown(ctx); err != nil {
+	// A connection that never carried a request also keeps the server waiting;
+	// only calls count.
+	if err := front.Shutdown(ctx); err != nil && g.relay.Active() > 0 {
 		return mangomodel.NewFault(mangomodel.StepRespond, "client", mangomodel.CodeTimeout, mangomodel.RunUnknown, err)
 	}
 	g.logger.Info("drained", zap.Duration("Duration", time.Since(began)))
