Moves reckon with the loss of an engine and do not turn back soon

Change: the throughput of a split counts the loss of one engine of each stage; no move the other way for 20 s.

--- a/core/mangobalance/balance.go
+++ b/core/mangobalance/balance.go
@@ -23,6 +23,9 @@
 	// leastGain is the gain in throughput below which no engine is moved. A
 	// move takes an engine away for some seconds.
 	leastGain = 0.1
+	// lossShare is the share of the time in which one engine of a stage is
+	// taken to be missing.
+	lossShare = 0.25
 )
 
 // Work is the mean request and what an engine does with it.
@@ -44,15 +47,22 @@
 	if total < 2 || w.Prompt <= 0 || w.Output <= 0 {
 		return prefillers, false
 	}
-	best, most := prefillers, w.throughput(prefillers, decoders)*(1+leastGain)
+	best, most := prefillers, w.expected(prefillers, decoders)*(1+leastGain)
 	for n := 1; n < total; n++ {
-		if t := w.throughput(n, total-n); t > most {
+		if t := w.expected(n, total-n); t > most {
 			best, most = n, t
 		}
 	}
 	return best, best != prefillers
 }
 
+// expected returns the throughput with the loss of one engine reckoned in:
+// engines come and go, and a stage of few suffers most from that.
+func (w Work) expected(prefillers, decoders int) float64 {
+	return (1-2*lossShare)*w.throughput(prefillers, decoders) +
+		lossShare*w.throughput(prefillers-1, decoders) + lossShare*w.throughput(prefillers, decoders-1)
+}
+
 // throughput returns the requests a second that the engines can carry.
 func (w Work) throughput(prefillers, decoders int) float64 {
 	prefill := float64(prefillers) * float64(w.PrefillRate) / float64(w.Prompt) / prefillMargin
@@ -68,6 +78,10 @@
 	return concurrent / duration
 }
 
+// Reverse is how long no engine is moved the other way. Measured rates differ
+// between the splits, so that the decision would swing.
+const Reverse = 20 * time.Second
+
 // Settle is how long a move has to have been over before the next one to the
 // same engine.
 const Settle = 12 * time.Second
--- a/core/mangobalance/balance_test.go
+++ b/core/mangobalance/balance_test.go
@@ -43,3 +43,14 @@
 		}
 	}
 }
+
+// TestLossIsReckonedIn covers a stage of few engines, which the loss of one
+// would halve.
+func TestLossIsReckonedIn(t *testing.T) {
+	small := work
+	small.Slots, small.KVTokens = 48, 107_000
+	n, move := Prefillers(small, 3, 6)
+	g := gomega.NewWithT(t)
+	g.Expect(move).To(gomega.BeFalse())
+	g.Expect(n).To(gomega.Equal(3))
+}
--- a/core/mangofleet/balance_test.go
+++ b/core/mangofleet/balance_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/onsi/gomega"
 
+	"mangolane/core/mangobalance"
 	"mangolane/core/mangomodel"
 	"mangolane/core/mangopool"
 	"mangolane/core/mangotraffic"
@@ -74,3 +75,18 @@
 		x.Expect(lease.Prefill.ID).To(gomega.BeEquivalentTo("p1"))
 	})
 }
+
+func TestMovesDoNotTurnBackSoon(t *testing.T) {
+	bubble(t, func(x *fixture) {
+		x.list(1, decode("d1", "a1"), prefill("p1", "a1"), prefill("p2", "a2"), prefill("p3", "a2"))
+		x.do(OrderBegun{Server: "p3", To: mangotraffic.StagePrefill})
+		time.Sleep(mangobalance.Settle)
+		x.press()
+		_, ok := x.fleet.View().Move(engines)
+		x.Expect(ok).To(gomega.BeFalse())
+		time.Sleep(mangobalance.Reverse - mangobalance.Settle)
+		x.press()
+		_, ok = x.fleet.View().Move(engines)
+		x.Expect(ok).To(gomega.BeTrue())
+	})
+}
--- a/core/mangopool/balance.go
+++ b/core/mangopool/balance.go
@@ -25,6 +25,9 @@
 	requests       int
 	// waitedAt is when a demand last found no server.
 	waitedAt time.Time
+	// movedTo is the stage that an engine was last told to change to.
+	movedTo mangotraffic.Stage
+	movedAt time.Time
 }
 
 func (p *Pool) workOf(name mangotraffic.ServiceName) *meanWork {
@@ -94,6 +97,9 @@
 	if wanted > prefillers {
 		m.To, from = mangotraffic.StagePrefill, mangotraffic.StageDecode
 	}
+	if mean.movedTo != mangotraffic.StageNone && mean.movedTo != m.To && now.Sub(mean.movedAt) < mangobalance.Reverse {
+		return Move{}, false
+	}
 	b := p.idlest(name, from, now)
 	if b == nil {
 		return Move{}, false
@@ -172,6 +178,8 @@
 func (p *Pool) OrderBegun(id mangomodel.ServerID, to mangotraffic.Stage, now time.Time) {
 	if b, ok := p.backends[id]; ok {
 		b.orderedTo, b.orderedUntil = to, now.Add(mangobalance.Settle)
+		mean := p.workOf(b.server.Service)
+		mean.movedTo, mean.movedAt = to, now
 	}
 }
 
