--- a/core/mangobroker/news.go
+++ b/core/mangobroker/news.go
@@ -300,6 +300,7 @@
 		// The sender did not know this daemon's position; the answer will.
 		return nil
 	}
+	news.List.From = mangomodel.PeerName(news.From.Holder.Daemon)
 	return b.fleet.Do(ctx, news.List)
 }
 
@@ -312,7 +313,7 @@
 	if err != nil {
 		return err
 	}
-	err = b.fleet.Do(ctx, mangofleet.InstallRouting{Routing: routing})
+	err = b.fleet.Do(ctx, mangofleet.InstallRouting{Routing: routing, From: mangomodel.PeerName(news.From.Holder.Daemon)})
 	if mangomodel.HasCode(err, mangomodel.CodeConflict) {
 		// A newer one came meanwhile.
 		return nil
--- a/core/mangofleet/admission.go
+++ b/core/mangofleet/admission.go
@@ -59,7 +59,7 @@
 	s.withdraw(c.Lease)
 	s.pool.Release(c.Lease, now)
 	for _, o := range c.Seen {
-		s.pool.Observe(o, now)
+		s.observe(o, now)
 	}
 	s.serveQueue(now)
 	return nil
--- a/core/mangofleet/fleet.go
+++ b/core/mangofleet/fleet.go
@@ -8,6 +8,7 @@
 
 	"mangolane/core/mangobudget"
 	"mangolane/core/mangocrash"
+	"mangolane/core/mangohealth"
 	"mangolane/core/mangoloop"
 	"mangolane/core/mangomodel"
 	"mangolane/core/mangopool"
@@ -33,12 +34,39 @@
 	loop *mangoloop.Loop[*state, View]
 }
 
+// Observer is told what the fleet comes to believe, on the control goroutine:
+// it must not block.
+type Observer interface {
+	// RoutingChanged tells of a configuration that is put in force.
+	RoutingChanged(rev mangomodel.Revision, from mangomodel.PeerName)
+	// ServersChanged tells of changes of the list of servers.
+	ServersChanged(cmd ChangeServers)
+	// HealthChanged tells that a server is set aside, or used again.
+	HealthChanged(server mangotraffic.Server, r mangohealth.Record, now time.Time)
+}
+
+// Option configures a Fleet.
+type Option func(*state)
+
+// WithObserver sets who is told what the fleet comes to believe.
+func WithObserver(o Observer) Option { return func(s *state) { s.observer = o } }
+
 // New returns a fleet without servers. Its view can be read at once; commands
 // are applied while Run runs.
-func New(self Self, retries Retries) *Fleet {
-	return &Fleet{loop: mangoloop.New[*state, View](newState(self, retries))}
+func New(self Self, retries Retries, opts ...Option) *Fleet {
+	s := newState(self, retries)
+	for _, opt := range opts {
+		opt(s)
+	}
+	return &Fleet{loop: mangoloop.New[*state, View](s)}
 }
 
+type silent struct{}
+
+func (silent) RoutingChanged(mangomodel.Revision, mangomodel.PeerName)          {}
+func (silent) ServersChanged(ChangeServers)                                     {}
+func (silent) HealthChanged(mangotraffic.Server, mangohealth.Record, time.Time) {}
+
 // Retries returns the retry budget of a service.
 type Retries func() mangobudget.Limits
 
@@ -132,7 +160,7 @@
 // renews again.
 func (v *View) Allowances(h mangomodel.Holder) Allowances { return v.allowances[h] }
 
-// Lease returns a granted lease.
+// Lease returns a lease that was granted and not renewed yet.
 func (v *View) Lease(id mangopool.LeaseID) (mangopool.Lease, bool) { return v.granted.Get(id) }
 
 // Ready reports whether the daemon can route calls and wants more of them.
--- a/core/mangofleet/fleet_test.go
+++ b/core/mangofleet/fleet_test.go
@@ -9,6 +9,7 @@
 	"github.com/onsi/gomega"
 
 	"mangolane/core/mangobudget"
+	"mangolane/core/mangohealth"
 	"mangolane/core/mangomodel"
 	"mangolane/core/mangopool"
 	"mangolane/core/mangoroster"
@@ -28,17 +29,37 @@
 	fleet *Fleet
 	self  mangomodel.Holder
 	next  uint64
+	// beliefs are what the fleet told its observer.
+	beliefs *beliefs
+}
+
+// beliefs keeps what an Observer is told. The control goroutine writes it and
+// the tests read it while that goroutine waits.
+type beliefs struct {
+	revisions []mangomodel.Revision
+	lists     []ChangeServers
+	usable    []bool
+}
+
+func (b *beliefs) RoutingChanged(rev mangomodel.Revision, _ mangomodel.PeerName) {
+	b.revisions = append(b.revisions, rev)
+}
+
+func (b *beliefs) ServersChanged(cmd ChangeServers) { b.lists = append(b.lists, cmd) }
+
+func (b *beliefs) HealthChanged(_ mangotraffic.Server, r mangohealth.Record, now time.Time) {
+	b.usable = append(b.usable, r.Usable(now))
 }
 
 // bubble runs a test with a fleet whose clock is that of the bubble.
 func bubble(t *testing.T, f func(x *fixture)) {
 	synctest.Test(t, func(t *testing.T) {
 		self := mangomodel.Holder{Daemon: "d1", Incarnation: 1}
-		x := &fixture{WithT: gomega.NewWithT(t), self: self}
+		x := &fixture{WithT: gomega.NewWithT(t), self: self, beliefs: &beliefs{}}
 		x.fleet = New(Self{
 			Member:  mangoroster.Member{Holder: self, DataCentre: "a1", Address: "d1:1", Strong: true},
 			Regions: map[mangomodel.DataCentreID]mangomodel.RegionID{"a1": "a", "a2": "a", "b1": "b"},
-		}, func() mangobudget.Limits { return testLimits })
+		}, func() mangobudget.Limits { return testLimits }, WithObserver(x.beliefs))
 		ctx, cancel := context.WithCancel(t.Context())
 		defer func() {
 			cancel()
--- a/core/mangofleet/list.go
+++ b/core/mangofleet/list.go
@@ -18,6 +18,8 @@
 	Routing *mangotraffic.Routing
 	// Cursor is where it was read; zero if it came from another daemon.
 	Cursor mangotraffic.Cursor
+	// From is where it was learned.
+	From mangomodel.PeerName
 }
 
 // Apply applies the command.
@@ -27,6 +29,9 @@
 		return mangomodel.Faultf(mangomodel.StepConfigure, "", mangomodel.CodeConflict, mangomodel.RunNot,
 			"revision %d is older than %d in force", c.Routing.Revision, s.routing.Revision)
 	}
+	if s.routing == nil || c.Routing.Revision > s.routing.Revision {
+		s.observer.RoutingChanged(c.Routing.Revision, c.From)
+	}
 	s.routing = c.Routing
 	s.pool.Configure(c.Routing)
 	s.serveQueue(now)
@@ -55,6 +60,8 @@
 	// Cursor is the position after the changes. Changes before the position
 	// that is reached already are ignored.
 	Cursor mangotraffic.Cursor
+	// From is where they were learned.
+	From mangomodel.PeerName
 }
 
 // Apply applies the command.
@@ -65,6 +72,9 @@
 	if read := now.Add(-c.Age); read.After(s.listRead) {
 		s.listRead = read
 	}
+	if len(c.Changes) > 0 {
+		s.observer.ServersChanged(c)
+	}
 	listed := make(map[mangomodel.ServerID]bool, len(c.Changes))
 	for _, change := range c.Changes {
 		listed[change.ID] = true
--- a/core/mangofleet/renew.go
+++ b/core/mangofleet/renew.go
@@ -65,10 +65,18 @@
 
 // Apply applies the command.
 func (c Observe) Apply(s *state, now time.Time) error {
-	s.pool.Observe(c.Observed, now)
+	s.observe(c.Observed, now)
 	return nil
 }
 
+func (s *state) observe(o mangopool.Observed, now time.Time) {
+	if !s.pool.Observe(o, now) {
+		return
+	}
+	server, health := s.pool.Health(o.Server)
+	s.observer.HealthChanged(server, health, now)
+}
+
 // Inspected says what an engine reports of itself.
 type Inspected struct {
 	Server mangomodel.ServerID
--- a/core/mangofleet/state.go
+++ b/core/mangofleet/state.go
@@ -21,6 +21,7 @@
 // state is the control state. Only the control goroutine touches it.
 type state struct {
 	self     Self
+	observer Observer
 	routing  *mangotraffic.Routing
 	draining bool
 	pool     *mangopool.Pool
@@ -58,6 +59,7 @@
 func newState(self Self, retries Retries) *state {
 	return &state{
 		self:       self,
+		observer:   silent{},
 		pool:       mangopool.New(self.Holder, self.Regions),
 		retries:    retries,
 		budgets:    make(map[mangotraffic.ServiceName]*mangobudget.Budget),
--- a/core/mangofollow/follow.go
+++ b/core/mangofollow/follow.go
@@ -78,11 +78,13 @@
 	// Lost and Regained tell when reads of a record start and stop to fail.
 	Lost(r Record, err error)
 	Regained(r Record, after time.Duration)
-	// RoutingChanged and ServersChanged tell what was read.
-	RoutingChanged(rev mangomodel.Revision, err error)
-	ServersChanged(cmd mangofleet.ChangeServers)
+	// Rejected tells of a configuration that was read and is not applied.
+	Rejected(rev mangomodel.Revision, err error)
 }
 
+// platform is where a Follower learns what it reads.
+const platform mangomodel.PeerName = "platform"
+
 // Follower follows a Source.
 type Follower struct {
 	fleet    Fleet
@@ -164,8 +166,10 @@
 	if routing == nil {
 		return false, f.fleet.Do(ctx, mangofleet.RoutingRead{Cursor: to})
 	}
-	err = f.fleet.Do(ctx, mangofleet.InstallRouting{Routing: routing, Cursor: to})
-	f.observer.RoutingChanged(routing.Revision, err)
+	err = f.fleet.Do(ctx, mangofleet.InstallRouting{Routing: routing, Cursor: to, From: platform})
+	if err != nil {
+		f.observer.Rejected(routing.Revision, err)
+	}
 	if mangomodel.HasCode(err, mangomodel.CodeConflict) {
 		// A newer revision is in force; the record will catch up.
 		err = nil
@@ -183,10 +187,7 @@
 	if err != nil {
 		return false, err
 	}
-	cmd := mangofleet.ChangeServers{Changes: changes, Full: after == 0, Grace: time.Until(until), Cursor: to}
-	if len(changes) > 0 || cmd.Full {
-		f.observer.ServersChanged(cmd)
-	}
+	cmd := mangofleet.ChangeServers{Changes: changes, Full: after == 0, Grace: time.Until(until), Cursor: to, From: platform}
 	return len(changes) > 0, f.fleet.Do(ctx, cmd)
 }
 
--- a/core/mangofollow/follow_test.go
+++ b/core/mangofollow/follow_test.go
@@ -98,9 +98,9 @@
 	w.regained++
 }
 
-func (*watcher) RoutingChanged(mangomodel.Revision, error)   {}
-func (*watcher) ServersChanged(cmd mangofleet.ChangeServers) {}
-func (w *watcher) counts() (int, int)                        { w.mu.Lock(); defer w.mu.Unlock(); return w.lost, w.regained }
+func (*watcher) Rejected(mangomodel.Revision, error) {}
+
+func (w *watcher) counts() (int, int) { w.mu.Lock(); defer w.mu.Unlock(); return w.lost, w.regained }
 
 func follow(t *testing.T, f func(g *gomega.WithT, s *source, fleet *mangofleet.Fleet, w *watcher)) {
 	synctest.Test(t, func(t *testing.T) {
--- a/core/mangokv/peak.go
+++ b/core/mangokv/peak.go
@@ -8,11 +8,12 @@
 //
 // # Usage
 //
-//	if mangokv.Peak(append(runs, next)) <= total { ... }
+//	var p mangokv.Profile
+//	p.Add(mangokv.Run{Held: 5000, Left: 70})
+//	if p.With(next) <= total { ... }
 package mangokv
 
 import (
-	"cmp"
 	"slices"
 
 	"mangolane/core/mangomodel"
@@ -26,15 +27,49 @@
 	Left mangomodel.Tokens
 }
 
-// Peak returns the most memory that the runs need at any time, if all of them
-// generate at the same pace. It sorts runs.
-func Peak(runs []Run) mangomodel.Tokens {
-	slices.SortFunc(runs, func(a, b Run) int { return cmp.Compare(b.Left, a.Left) })
-	var peak, held mangomodel.Tokens
-	for i, r := range runs {
-		// When r ends, it and all that last longer have grown by r.Left.
-		held += r.Held
-		peak = max(peak, held+r.Left*mangomodel.Tokens(i+1))
+// Profile is the generations of one server. The zero Profile has none.
+type Profile struct {
+	// runs are sorted by what is left, most first.
+	runs []Run
+}
+
+// Reset removes all generations.
+func (p *Profile) Reset() { p.runs = p.runs[:0] }
+
+// Add adds a generation.
+func (p *Profile) Add(r Run) {
+	i := len(p.runs)
+	for i > 0 && p.runs[i-1].Left < r.Left {
+		i--
+	}
+	p.runs = slices.Insert(p.runs, i, r)
+}
+
+// With returns the most memory that the generations and one more need at any
+// time, if all of them generate at the same pace.
+func (p *Profile) With(next Run) mangomodel.Tokens {
+	var s sum
+	pending := true
+	for _, r := range p.runs {
+		if pending && next.Left >= r.Left {
+			s.add(next)
+			pending = false
+		}
+		s.add(r)
+	}
+	if pending {
+		s.add(next)
 	}
-	return peak
+	return s.peak
+}
+
+// sum adds runs up, those that last longest first.
+type sum struct{ held, count, peak mangomodel.Tokens }
+
+// add adds a run. When it ends, it and all that last longer have grown by what
+// it has left.
+func (s *sum) add(r Run) {
+	s.held += r.Held
+	s.count++
+	s.peak = max(s.peak, s.held+r.Left*s.count)
 }
--- a/core/mangokv/peak_test.go
+++ b/core/mangokv/peak_test.go
@@ -9,6 +9,18 @@
 	"mangolane/core/mangomodel"
 )
 
+// peakOf adds all runs but the first and asks for the peak with that one.
+func peakOf(runs []Run) mangomodel.Tokens {
+	var p Profile
+	if len(runs) == 0 {
+		return p.With(Run{})
+	}
+	for _, r := range runs[1:] {
+		p.Add(r)
+	}
+	return p.With(runs[0])
+}
+
 func TestPeak(t *testing.T) {
 	tests := []struct {
 		name string
@@ -23,7 +35,7 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			gomega.NewWithT(t).Expect(Peak(test.runs)).To(gomega.Equal(test.want))
+			gomega.NewWithT(t).Expect(peakOf(test.runs)).To(gomega.Equal(test.want))
 		})
 	}
 }
@@ -38,8 +50,8 @@
 				Left: mangomodel.Tokens(rapid.IntRange(0, 40).Draw(t, "left")),
 			}
 		}), 0, 8).Draw(t, "runs")
-		if got, want := Peak(append([]Run(nil), runs...)), peakBySteps(runs); got != want {
-			t.Fatalf("Peak(%v) = %d, want %d", runs, got, want)
+		if got, want := peakOf(runs), peakBySteps(runs); got != want {
+			t.Fatalf("peak of %v = %d, want %d", runs, got, want)
 		}
 	})
 }
--- a/core/mangopool/backend.go
+++ b/core/mangopool/backend.go
@@ -28,6 +28,10 @@
 	// computed here.
 	runs     map[LeaseID]*lease
 	prefills map[LeaseID]*lease
+	// profile predicts the memory of runs; it was made at profiledAt, and not
+	// since runs changed if that is zero.
+	profile    mangokv.Profile
+	profiledAt time.Time
 	// others is what the server last said to run besides runs.
 	others   int
 	othersAt time.Time
@@ -80,13 +84,31 @@
 	return max(left, 0)
 }
 
+// profileTime is how long a profile is used while no run comes or ends. The
+// progress that it is made from is as old as a renewal.
+const profileTime = RenewInterval / 4
+
+// addRun and dropRun change the leases whose call runs here.
+func (b *backend) addRun(id LeaseID, l *lease) {
+	b.runs[id] = l
+	b.profiledAt = time.Time{}
+}
+
+func (b *backend) dropRun(id LeaseID) {
+	delete(b.runs, id)
+	b.profiledAt = time.Time{}
+}
+
 // peak returns the memory that the runs of a server and one more will need.
 func (b *backend) peak(g *mangotraffic.Generation, now time.Time) mangomodel.Tokens {
-	runs := make([]mangokv.Run, 0, len(b.runs)+1)
-	for _, l := range b.runs {
-		runs = append(runs, l.run(b.decodeRate, now))
+	if now.Sub(b.profiledAt) > profileTime {
+		b.profile.Reset()
+		for _, l := range b.runs {
+			b.profile.Add(l.run(b.decodeRate, now))
+		}
+		b.profiledAt = now
 	}
-	peak := mangokv.Peak(append(runs, mangokv.Run{Held: g.Prompt, Left: g.Expected(0)}))
+	peak := b.profile.With(mangokv.Run{Held: g.Prompt, Left: g.Expected(0)})
 	if now.Sub(b.ghostsAt) < GhostReportTime {
 		peak += b.ghostMemory
 	}
@@ -129,5 +151,7 @@
 		made += mangomodel.Tokens(now.Sub(l.madeAt).Seconds() * float64(rate))
 	}
 	g := l.demand.Generation
+	// One that is preempted makes nothing for a while.
+	made = min(made, max(g.MaxOutput, l.made))
 	return mangokv.Run{Held: g.Prompt + made, Left: max(g.Expected(l.made)-made, 0)}
 }
--- a/core/mangopool/explain.go
+++ b/core/mangopool/explain.go
@@ -28,17 +28,14 @@
 
 func (p *Pool) shortage(a *Ask, stage mangotraffic.Stage, now time.Time) shortage {
 	var x shortage
-	for id, b := range p.backends {
-		if b.server.Service != a.Demand.Service || b.server.Stage != stage {
-			continue
-		}
+	for _, b := range p.members(group{a.Demand.Service, stage}) {
 		x.listed++
 		switch {
 		case b.server.State == mangotraffic.StateLeaving:
 			x.leaving++
 		case !b.usable(now):
 			x.setAside++
-		case slices.Contains(a.Demand.Avoid, id):
+		case slices.Contains(a.Demand.Avoid, b.server.ID):
 			x.avoided++
 		case !p.hasRoom(b, a, now):
 			x.full++
--- a/core/mangopool/lease.go
+++ b/core/mangopool/lease.go
@@ -42,6 +42,8 @@
 		l = p.adopt(id, x, now)
 	}
 	l.seen = now
+	// The holder knows its lease.
+	p.granted = p.granted.Without(id)
 	if x.Prefill == "" && l.prefill != "" {
 		p.releasePrefill(id, l)
 	}
@@ -66,7 +68,7 @@
 	l := &lease{demand: Demand{Service: x.Service, Generation: &g}, server: x.Server, prefill: x.Prefill, since: now}
 	p.leases[id] = l
 	if b, ok := p.backends[x.Server]; ok {
-		b.runs[id] = l
+		b.addRun(id, l)
 	}
 	if b, ok := p.backends[x.Prefill]; ok && x.Prefill != "" {
 		b.prefills[id] = l
@@ -112,7 +114,7 @@
 	}
 	p.releasePrefill(id, l)
 	if b, ok := p.backends[l.server]; ok {
-		delete(b.runs, id)
+		b.dropRun(id)
 		b.remember(l, now)
 	}
 	delete(p.leases, id)
@@ -137,7 +139,7 @@
 		Server: place.server.server, Waited: now.Sub(a.Since),
 		Scheduler: p.self.Daemon, Running: len(place.server.runs), Free: place.server.free(now), Peak: place.peak,
 	}
-	place.server.runs[a.Lease] = l
+	place.server.addRun(a.Lease, l)
 	if place.prefill != nil {
 		l.prefill = place.prefill.server.ID
 		place.prefill.prefills[a.Lease] = l
--- a/core/mangopool/list.go
+++ b/core/mangopool/list.go
@@ -10,7 +10,7 @@
 
 // List adds or updates a server. A new life starts without a history.
 func (p *Pool) List(server mangotraffic.Server) {
-	p.changed = true
+	p.changed, p.groups = true, nil
 	m, ok := p.backends[server.ID]
 	if !ok {
 		p.backends[server.ID] = newBackend(server)
@@ -45,14 +45,14 @@
 
 func (p *Pool) remove(id mangomodel.ServerID) {
 	delete(p.backends, id)
-	p.changed = true
+	p.changed, p.groups = true, nil
 }
 
 // attach finds the leases of a server that was not listed for a while.
 func (p *Pool) attach(id mangomodel.ServerID) {
 	for lease, l := range p.leases {
 		if l.server == id {
-			p.backends[id].runs[lease] = l
+			p.backends[id].addRun(lease, l)
 		}
 		if l.prefill == id {
 			p.backends[id].prefills[lease] = l
--- a/core/mangopool/observe.go
+++ b/core/mangopool/observe.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"mangolane/core/mangohealth"
 	"mangolane/core/mangomodel"
 	"mangolane/core/mangotraffic"
 )
@@ -37,12 +38,14 @@
 	Load *mangotraffic.LoadReport
 }
 
-// Observe takes in what an exchange showed.
-func (p *Pool) Observe(c Observed, now time.Time) {
+// Observe takes in what an exchange showed. It reports whether the server was
+// set aside, or is used again after it was.
+func (p *Pool) Observe(c Observed, now time.Time) bool {
 	m, ok := p.backends[c.Server]
 	if !ok {
-		return
+		return false
 	}
+	before := m.health.Until
 	if c.Load != nil {
 		m.others, m.othersAt = max(c.Load.Running+c.Load.Waiting-len(m.runs), 0), now
 	}
@@ -57,4 +60,14 @@
 		m.fullUntil = now.Add(FullPause)
 		m.others, m.othersAt = max(int(m.server.Slots)-len(m.runs), 1), now
 	}
+	return !m.health.Until.Equal(before)
+}
+
+// Health returns a listed server and what its calls have shown.
+func (p *Pool) Health(id mangomodel.ServerID) (mangotraffic.Server, mangohealth.Record) {
+	m, ok := p.backends[id]
+	if !ok {
+		return mangotraffic.Server{}, mangohealth.Record{}
+	}
+	return m.server, m.health
 }
--- a/core/mangopool/placement.go
+++ b/core/mangopool/placement.go
@@ -67,15 +67,15 @@
 func (p *Pool) best(a *Ask, stage mangotraffic.Stage, now time.Time, cost func(*backend) (float64, bool)) *backend {
 	var best *backend
 	least, bestTie := math.Inf(1), uint64(0)
-	for id, b := range p.backends {
-		if b.server.Service != a.Demand.Service || b.server.Stage != stage || !b.usable(now) || slices.Contains(a.Demand.Avoid, id) {
+	for _, b := range p.members(group{a.Demand.Service, stage}) {
+		if !b.usable(now) || slices.Contains(a.Demand.Avoid, b.server.ID) {
 			continue
 		}
 		c, ok := cost(b)
 		if !ok || c > least {
 			continue
 		}
-		tie := mix(a.Lease.Number, string(id))
+		tie := mix(a.Lease.Number, string(b.server.ID))
 		if c == least && tie < bestTie {
 			continue
 		}
--- a/core/mangopool/pool.go
+++ b/core/mangopool/pool.go
@@ -30,6 +30,9 @@
 	leases   map[LeaseID]*lease
 	granted  mangoquery.Index[LeaseID, Lease]
 	work     map[mangotraffic.ServiceName]*meanWork
+	// groups are the backends by service and stage; nil after a change of the
+	// list.
+	groups map[group][]*backend
 	// changed says that the list differs from what Listed returned last.
 	changed bool
 }
@@ -60,10 +63,29 @@
 	return service.Engine, true
 }
 
+// group names the servers of a service that do the same work.
+type group struct {
+	service mangotraffic.ServiceName
+	stage   mangotraffic.Stage
+}
+
+// members returns the servers of a group.
+func (p *Pool) members(g group) []*backend {
+	if p.groups == nil {
+		p.groups = make(map[group][]*backend)
+		for _, b := range p.backends {
+			g := group{b.server.Service, b.server.Stage}
+			p.groups[g] = append(p.groups[g], b)
+		}
+	}
+	return p.groups[g]
+}
+
 // Leases returns the number of leases.
 func (p *Pool) Leases() int { return len(p.leases) }
 
-// Granted returns the leases that this daemon granted.
+// Granted returns the leases that this daemon granted and their holders have
+// not named yet.
 func (p *Pool) Granted() mangoquery.Index[LeaseID, Lease] { return p.granted }
 
 // Listed returns the listed servers, and whether they have changed since it was
--- a/mangolanectl/main.go
+++ b/mangolanectl/main.go
@@ -9,6 +9,7 @@
 //	mangolanectl query status|configuration|metrics
 //	mangolanectl query traces [-trace ID]
 //	mangolanectl query key-hash KEY
+//	mangolanectl query explain [-json] REQUEST-ID <LOGS
 //
 // Verbs under "command" change something and print no more than a revision;
 // verbs under "query" only read. The addresses are tried in order until one
--- /dev/null
+++ b/mangolanectl/mangoexplain/explain_test.go
@@ -0,0 +1,69 @@
+package mangoexplain
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/onsi/gomega"
+
+	"mangolane/core/mangomodel"
+)
+
+// logs are lines of two daemons, one after the other.
+const logs = `{"Daemon":"d1","Time":"2026-12-04T10:00:01.5Z","Message":"server listed","Server":{"ID":"s1","Gone":true},"From":"platform"}
+{"Daemon":"d1","Time":"2026-12-04T10:00:02.2Z","Message":"call finished","Request":"r1","Attempts":2,"Step":"Admission","Code":"Overloaded","Run":"Not","Cause":"no room"}
+{"Daemon":"d1","Time":"2026-12-04T10:00:02.3Z","Message":"call finished","Request":"r2","Status":200,"OnTime":true}
+goroutine 1 [running]:
+{"Daemon":"d1","Time":"2026-12-04T10:00:01.4Z","Message":"server listed","Server":{"ID":"s9"}}
+{"Daemon":"d3","Time":"2026-12-04T10:00:01.8Z","Message":"platform lost","Cause":"at another daemon"}
+{"Daemon":"d1","Time":"2026-12-04T09:59:00Z","Message":"platform lost","Cause":"long before"}
+{"Daemon":"d2","Time":"2026-12-04T10:00:01.7Z","Message":"platform lost","Cause":"timeout"}
+{"Daemon":"d1","Time":"2026-12-04T10:00:01.6Z","Message":"exchange failed","Request":"r1","Server":"s1","Scheduler":"d2","Cause":"reset"}
+{"Daemon":"d1","Time":"2026-12-04T10:00:02.4Z","Message":"exchange failed","Request":"r3","Server":"s1"}
+{"Daemon":"d1","Time":"2026-12-04T10:00:05Z","Message":"call finished","Request":"r4","Status":200,"OnTime":false,"First":1.5,"LongestPause":0.1,"Attempts":1}
+`
+
+func messages(lines []Line) []string {
+	var list []string
+	for _, line := range lines {
+		list = append(list, line.Message)
+	}
+	return list
+}
+
+func TestRead(t *testing.T) {
+	g := gomega.NewWithT(t)
+	r, err := Read(strings.NewReader(logs), "r1")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(messages(r.Steps)).To(gomega.Equal([]string{"exchange failed", "call finished"}))
+	g.Expect(messages(r.Context)).To(gomega.Equal([]string{"server listed", "platform lost"}), "only of its own server and daemons, and not long before")
+	g.Expect(r.Outcome.Fields).To(gomega.HaveKeyWithValue("Cause", "no room"))
+	g.Expect(r.Unreadable).To(gomega.Equal(1))
+}
+
+func TestUnknownRequestIsAnError(t *testing.T) {
+	_, err := Read(strings.NewReader(logs), "r9")
+	gomega.NewWithT(t).Expect(mangomodel.HasCode(err, mangomodel.CodeNotFound)).To(gomega.BeTrue())
+}
+
+func TestCause(t *testing.T) {
+	tests := []struct {
+		id   mangomodel.RequestID
+		want string
+	}{
+		{"r1", "Cause: Overloaded at step Admission: no room (it was not run)"},
+		{"r2", "Cause: none, it was answered in time"},
+		{"r3", "Cause: the logs do not say how it ended"},
+		{"r4", "Cause: answered late: first after 1.5 s, longest pause 0.1 s, 1 attempts"},
+	}
+	for _, test := range tests {
+		t.Run(string(test.id), func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			r, err := Read(strings.NewReader(logs), test.id)
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			var out strings.Builder
+			g.Expect(WriteText(&out, r)).To(gomega.Succeed())
+			g.Expect(out.String()).To(gomega.ContainSubstring(test.want))
+		})
+	}
+}
--- /dev/null
+++ b/mangolanectl/mangoexplain/text.go
@@ -0,0 +1,69 @@
+package mangoexplain
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"strings"
+	"text/tabwriter"
+
+	"mangolane/core/mangomodel"
+)
+
+// timeFormat shows what tells the lines of one request apart.
+const timeFormat = "15:04:05.000"
+
+// WriteJSON writes a report for programs.
+func WriteJSON(w io.Writer, r *Report) error {
+	enc := json.NewEncoder(w)
+	enc.SetIndent("", "  ")
+	return mangomodel.Errors.Wrap(enc.Encode(r))
+}
+
+// WriteText writes a report for people: the steps, what happened around them,
+// and the cause.
+func WriteText(w io.Writer, r *Report) error {
+	tw := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintf(tw, "Request %s\n", r.Request)
+	writeLines(tw, r.Steps)
+	if len(r.Context) > 0 {
+		fmt.Fprintln(tw, "Meanwhile")
+		writeLines(tw, r.Context)
+	}
+	fmt.Fprintf(tw, "Cause: %s\n", cause(r))
+	if r.Unreadable > 0 {
+		fmt.Fprintf(tw, "%d lines are no JSON\n", r.Unreadable)
+	}
+	return mangomodel.Errors.Wrap(tw.Flush())
+}
+
+func writeLines(w io.Writer, lines []Line) {
+	for _, line := range lines {
+		var fields []string
+		for _, name := range slices.Sorted(maps.Keys(line.Fields)) {
+			fields = append(fields, fmt.Sprintf("%s=%v", name, line.Fields[name]))
+		}
+		fmt.Fprintf(w, "  %s\t%s\t%s\t%s\n", line.Time.Format(timeFormat), line.Daemon, line.Message, strings.Join(fields, " "))
+	}
+}
+
+// cause says in a sentence how a request ended.
+func cause(r *Report) string {
+	if r.Outcome == nil {
+		return "the logs do not say how it ended"
+	}
+	f := r.Outcome.Fields
+	if f["Cause"] == nil {
+		if f["OnTime"] == true {
+			return "none, it was answered in time"
+		}
+		return fmt.Sprintf("answered late: first after %v s, longest pause %v s, %v attempts", f["First"], f["LongestPause"], f["Attempts"])
+	}
+	run := "it may have run"
+	if f["Run"] == mangomodel.RunNot.String() {
+		run = "it was not run"
+	}
+	return fmt.Sprintf("%v at step %v: %v (%s)", f["Code"], f["Step"], f["Cause"], run)
+}
--- a/mangolanectl/query.go
+++ b/mangolanectl/query.go
@@ -13,6 +13,7 @@
 
 	"mangolane/core/mangomodel"
 	"mangolane/core/mangowire"
+	"mangolane/mangolanectl/mangoexplain"
 )
 
 // queries returns the verbs that only read.
@@ -27,6 +28,7 @@
 			Exec: func(ctx context.Context, _ []string) error {
 				return o.client().Show(ctx, mangowire.PathTraces+"?Trace="+url.QueryEscape(*trace), os.Stdout)
 			}},
+		explain(),
 		{Name: "key-hash", ShortUsage: "key-hash KEY", ShortHelp: "print the hash to configure for a key", Exec: keyHash},
 	}
 }
@@ -37,6 +39,29 @@
 	}}
 }
 
+// explain follows a request through the logs on standard input.
+func explain() *ffcli.Command {
+	flags := flag.NewFlagSet("explain", flag.ContinueOnError)
+	asJSON := flags.Bool("json", false, "write JSON for programs")
+	return &ffcli.Command{
+		Name: "explain", FlagSet: flags, ShortUsage: "explain [-json] REQUEST-ID <LOGS",
+		ShortHelp: "say from the logs of daemons what became of a request",
+		Exec: func(_ context.Context, args []string) error {
+			if len(args) != 1 {
+				return mangomodel.Errors.New("exactly one request id is needed")
+			}
+			report, err := mangoexplain.Read(os.Stdin, mangomodel.RequestID(args[0]))
+			if err != nil {
+				return err
+			}
+			if *asJSON {
+				return mangoexplain.WriteJSON(os.Stdout, report)
+			}
+			return mangoexplain.WriteText(os.Stdout, report)
+		},
+	}
+}
+
 func keyHash(_ context.Context, args []string) error {
 	if len(args) != 1 {
 		return mangomodel.Errors.New("exactly one key is needed")
--- a/mangolaned/mangogateway/gateway.go
+++ b/mangolaned/mangogateway/gateway.go
@@ -79,11 +79,11 @@
 	started := time.Now()
 	current := &atomic.Pointer[mangosettings.Gateway]{}
 	current.Store(&s)
-	fleet := mangofleet.New(mangofleet.Self{Member: self, Regions: s.Regions, LeastDaemons: len(s.Seeds)}, func() mangobudget.Limits {
-		return current.Load().Retries(time.Since(started))
-	})
 	m := newMetrics()
 	o := observer{logger: logger, metrics: m}
+	fleet := mangofleet.New(mangofleet.Self{Member: self, Regions: s.Regions, LeastDaemons: len(s.Seeds)}, func() mangobudget.Limits {
+		return current.Load().Retries(time.Since(started))
+	}, mangofleet.WithObserver(o))
 	recorder := mangotrace.NewRecorder(s.TraceSpans)
 	broker := mangobroker.New(self, fleet, mangomesh.NewPeers(), mangobroker.WithSeeds(s.Seeds), mangobroker.WithObserver(o), mangobroker.WithEngines(servers),
 		mangobroker.WithMoves(source, servers, s.OrderLease.Std()))
@@ -133,7 +133,7 @@
 	for _, s := range []*mangorest.Server{frontServer, readyServer, metricsServer} {
 		go s.Serve()
 	}
-	g.logger.Info("started", zap.String("Daemon", string(g.settings.Daemon)), zap.Any("Seeds", g.settings.Seeds), zap.String("Front", string(g.settings.Front)))
+	g.logger.Info("started", zap.Any("Seeds", g.settings.Seeds), zap.String("Front", string(g.settings.Front)))
 	<-ctx.Done()
 	err = g.drain(workCtx, frontServer)
 	cancel()
--- a/mangolaned/mangogateway/observe.go
+++ b/mangolaned/mangogateway/observe.go
@@ -9,6 +9,7 @@
 	"mangolane/core/mangobroker"
 	"mangolane/core/mangofleet"
 	"mangolane/core/mangofollow"
+	"mangolane/core/mangohealth"
 	"mangolane/core/mangomodel"
 	"mangolane/core/mangopool"
 	"mangolane/core/mangorelay"
@@ -69,20 +70,34 @@
 	o.logger.Info("platform regained", zap.String("Record", string(r)), zap.Duration("After", after))
 }
 
-// RoutingChanged logs a configuration that was read.
-func (o observer) RoutingChanged(rev mangomodel.Revision, err error) {
-	fields := []zap.Field{zap.Uint64("Revision", uint64(rev))}
-	if err != nil {
-		o.logger.Warn("configuration not applied", append(fields, mangolog.Fault(err)...)...)
+// Rejected logs a configuration that was read and is not applied.
+func (o observer) Rejected(rev mangomodel.Revision, err error) {
+	o.logger.Warn("configuration not applied", append(mangolog.Fault(err), zap.Uint64("Revision", uint64(rev)))...)
+}
+
+// RoutingChanged logs a configuration that is put in force.
+func (o observer) RoutingChanged(rev mangomodel.Revision, from mangomodel.PeerName) {
+	o.logger.Info("configuration in force", zap.Uint64("Revision", uint64(rev)), zap.String("From", string(from)))
+}
+
+// HealthChanged logs that a server is set aside, or used again.
+func (o observer) HealthChanged(server mangotraffic.Server, r mangohealth.Record, now time.Time) {
+	fields := []zap.Field{
+		zap.String("Server", string(server.ID)), zap.String("Service", string(server.Service)), zap.Int("Failures", r.Failures),
+	}
+	if r.Usable(now) {
+		o.logger.Info("server used again", fields...)
 		return
 	}
-	o.logger.Info("configuration in force", fields...)
+	o.metrics.count("Servers.SetAside", 1)
+	o.logger.Info("server set aside", append(fields, zap.Duration("For", r.Until.Sub(now)))...)
 }
 
 // ServersChanged logs changes of the list of servers.
 func (o observer) ServersChanged(c mangofleet.ChangeServers) {
 	for _, change := range c.Changes {
-		o.logger.Info("server listed", zap.Object("Server", listing(change)), zap.Bool("Full", c.Full), zap.Duration("Grace", max(c.Grace, 0)))
+		o.logger.Info("server listed", zap.Object("Server", listing(change)), zap.Bool("Full", c.Full),
+			zap.Duration("Grace", max(c.Grace, 0)), zap.Duration("Age", c.Age), zap.String("From", string(c.From)))
 	}
 }
 
