Configurations are fetched by themselves, packed; one daemon reads first at a start

After the loss of all daemons each of 88 read it whole from the store, 300 KB each, through the 60 Mbit/s between the regions, and gave a read up after 1 s, so that none was ever finished; and each exchange of news with a daemon that had it carried it again, within 300 ms, and was broken off and repeated with another scheduler.

Change: news name a revision only. A daemon that is behind fetches the configuration in a call of its own, compressed, over a connection of its own, one at a time, from the nearest daemon that has it. A read of the store, and a write to a daemon, are bounded by silence and no longer by their whole length. A daemon that starts waits 0.1 s to hear of others and then 0.7 s for the one that reads first.

--- a/core/mangobroker/broker.go
+++ b/core/mangobroker/broker.go
@@ -35,6 +35,8 @@
 	Release(ctx context.Context, at mangoroster.Member, r mangofleet.Release) error
 	PrefillDone(ctx context.Context, at mangoroster.Member, id mangopool.LeaseID, took time.Duration) error
 	Exchange(ctx context.Context, at mangomodel.Address, news News) (News, error)
+	// Routing returns the configuration that a daemon has.
+	Routing(ctx context.Context, at mangomodel.Address) (*mangotraffic.Document, error)
 	// Drop ends all calls that wait for a daemon.
 	Drop(at mangomodel.Address)
 }
@@ -56,10 +58,16 @@
 	// visits counts the rounds of join, which alone uses it.
 	visits int
 
-	// held are the leases of engines that this daemon uses. It is a registry
-	// of traffic and no control state, so a lock guards it.
-	mu   sync.Mutex
-	held map[mangopool.LeaseID]*Grant
+	regions map[mangomodel.DataCentreID]mangomodel.RegionID
+	// fetching wakes the fetcher of configurations.
+	fetching chan struct{}
+
+	// held are the leases of engines that this daemon uses, and offers who has
+	// a newer configuration. They are registries of traffic and no control
+	// state, so a lock guards them.
+	mu     sync.Mutex
+	held   map[mangopool.LeaseID]*Grant
+	offers map[mangomodel.Address]offer
 }
 
 // Observer is told about other daemons.
@@ -69,6 +77,8 @@
 	SchedulerChanged(service mangotraffic.ServiceName, to mangomodel.DaemonID)
 	// Ordered is called when an engine was told to change its stage, or not.
 	Ordered(m mangopool.Move, fence Fence, err error)
+	// FetchFailed is called when a daemon did not give its configuration.
+	FetchFailed(at mangomodel.Address, err error)
 	// ReportFailed is called when an engine did not say what it runs.
 	ReportFailed(server mangotraffic.Server, err error)
 }
@@ -84,7 +94,10 @@
 
 // New returns a Broker.
 func New(self mangoroster.Member, fleet Fleet, peers Peers, opts ...Option) *Broker {
-	b := &Broker{self: self, fleet: fleet, peers: peers, log: silent{}, held: make(map[mangopool.LeaseID]*Grant)}
+	b := &Broker{
+		self: self, fleet: fleet, peers: peers, log: silent{}, held: make(map[mangopool.LeaseID]*Grant),
+		offers: make(map[mangomodel.Address]offer), fetching: make(chan struct{}, 1),
+	}
 	for _, opt := range opts {
 		opt(b)
 	}
@@ -240,4 +253,5 @@
 func (silent) PeerRegained(mangomodel.Address)                                {}
 func (silent) SchedulerChanged(mangotraffic.ServiceName, mangomodel.DaemonID) {}
 func (silent) Ordered(mangopool.Move, Fence, error)                           {}
+func (silent) FetchFailed(mangomodel.Address, error)                          {}
 func (silent) ReportFailed(mangotraffic.Server, error)                        {}
--- a/core/mangobroker/broker_test.go
+++ b/core/mangobroker/broker_test.go
@@ -31,6 +31,8 @@
 	down    map[mangomodel.Address]bool
 	// waiting are the cancellations of calls by callee.
 	waiting map[mangomodel.Address][]context.CancelFunc
+	// fetches counts the configurations that were fetched from each daemon.
+	fetches map[mangomodel.Address]int
 }
 
 type daemon struct {
@@ -99,6 +101,17 @@
 	return other.broker.Receive(ctx, news)
 }
 
+func (l link) Routing(ctx context.Context, at mangomodel.Address) (*mangotraffic.Document, error) {
+	other, _, err := l.reach(ctx, at)
+	if err != nil {
+		return nil, err
+	}
+	l.mesh.mu.Lock()
+	l.mesh.fetches[at]++
+	l.mesh.mu.Unlock()
+	return other.fleet.View().Routing.Document(), nil
+}
+
 func (l link) Drop(at mangomodel.Address) {
 	l.mesh.mu.Lock()
 	defer l.mesh.mu.Unlock()
@@ -117,14 +130,22 @@
 
 // start runs a daemon that knows one seed.
 func (m *mesh) start(id mangomodel.DaemonID, incarnation mangomodel.Incarnation, seeds ...mangomodel.Address) *daemon {
+	return m.startAt("a1", id, incarnation, seeds...)
+}
+
+// regions are those of the daemons' data centres.
+var regions = map[mangomodel.DataCentreID]mangomodel.RegionID{"a1": "a", "a2": "a", "b1": "b"}
+
+// startAt runs a daemon of a data centre.
+func (m *mesh) startAt(dc mangomodel.DataCentreID, id mangomodel.DaemonID, incarnation mangomodel.Incarnation, seeds ...mangomodel.Address) *daemon {
 	self := mangoroster.Member{
-		Holder: mangomodel.Holder{Daemon: id, Incarnation: incarnation}, DataCentre: "a1",
+		Holder: mangomodel.Holder{Daemon: id, Incarnation: incarnation}, DataCentre: dc,
 		Address: mangomodel.Address(id), Strong: id != weak,
 	}
 	fleet := mangofleet.New(mangofleet.Self{
-		Member: self, Regions: map[mangomodel.DataCentreID]mangomodel.RegionID{"a1": "a"},
+		Member: self, Regions: regions,
 	}, func() mangobudget.Limits { return mangobudget.Limits{Window: 10 * time.Second} })
-	d := &daemon{fleet: fleet, broker: New(self, fleet, link{m, self.Address}, WithSeeds(seeds))}
+	d := &daemon{fleet: fleet, broker: New(self, fleet, link{m, self.Address}, WithSeeds(seeds), WithRegions(regions))}
 	m.mu.Lock()
 	m.daemons[self.Address] = d
 	m.mu.Unlock()
@@ -175,6 +196,7 @@
 		m := &mesh{
 			daemons: make(map[mangomodel.Address]*daemon), down: make(map[mangomodel.Address]bool),
 			waiting: make(map[mangomodel.Address][]context.CancelFunc),
+			fetches: make(map[mangomodel.Address]int),
 		}
 		ctx, cancel := context.WithCancel(context.Background())
 		defer func() {
--- a/core/mangobroker/news.go
+++ b/core/mangobroker/news.go
@@ -25,6 +25,8 @@
 	// mostTold is how many daemons are told at once of a change. The others
 	// learn of it from the scheduler.
 	mostTold = 16
+	// mostAsked is how many daemons one without a configuration asks at a time.
+	mostAsked = 6
 	// seedInterval is how often an address that no live daemon has is tried.
 	seedInterval = time.Second
 )
@@ -41,10 +43,8 @@
 	// Members are the daemons that the sender knows.
 	Members []mangoroster.Sighting
 	Crashes []mangocrash.Crash
-	// Revision is the sender's configuration; Routing is set for a receiver
-	// that is behind.
+	// Revision is the sender's configuration.
 	Revision mangomodel.Revision
-	Routing  *mangotraffic.Document
 	// List brings a receiver to the sender's position in the list of servers.
 	List mangofleet.ChangeServers
 }
@@ -54,6 +54,7 @@
 	var running sync.WaitGroup
 	running.Go(func() { b.renew(ctx) })
 	running.Go(func() { b.join(ctx) })
+	running.Go(func() { b.fetch(ctx) })
 	running.Go(func() { b.inspect(ctx) })
 	running.Go(func() { b.move(ctx) })
 	running.Wait()
@@ -142,6 +143,9 @@
 		} else if now.Sub(last) >= seedInterval {
 			last = now
 			addrs = b.unheard()
+		} else if view.Routing == nil && now.Sub(last) >= mangopool.RenewInterval {
+			last = now
+			addrs = b.near()
 		}
 		b.report(ctx, b.visit(ctx, addrs), lost)
 		select {
@@ -172,7 +176,23 @@
 	for _, m := range b.fleet.View().Members[1:] {
 		list = append(list, m.Member.Address)
 	}
-	list = list[:min(len(list), mostTold)]
+	return b.others(list[:min(len(list), mostTold)])
+}
+
+// near returns the addresses that a daemon without a configuration asks: the
+// seeds, and a few daemons of its data centre.
+func (b *Broker) near() []mangomodel.Address {
+	list := slices.Clone(b.seeds)
+	for _, m := range b.fleet.View().Members[1:] {
+		if b.distance(m.Member) == 0 && len(list) < mostAsked {
+			list = append(list, m.Member.Address)
+		}
+	}
+	return b.others(list)
+}
+
+// others returns the addresses of a list without this daemon's own, each once.
+func (b *Broker) others(list []mangomodel.Address) []mangomodel.Address {
 	slices.Sort(list)
 	return slices.DeleteFunc(slices.Compact(list), func(a mangomodel.Address) bool { return a == b.self.Address })
 }
@@ -242,9 +262,6 @@
 	news.From.Draining, news.From.Stale = view.Draining, view.Stale(time.Now())
 	if view.Routing != nil {
 		news.Revision = view.Routing.Revision
-		if to.From.Holder.Daemon != "" && to.Revision < news.Revision {
-			news.Routing = view.Routing.Document()
-		}
 	}
 	position := view.ListCursor
 	if to.From.Holder.Daemon != "" {
@@ -285,10 +302,8 @@
 			return err
 		}
 	}
-	if err := b.takeList(ctx, news); err != nil {
-		return err
-	}
-	return b.takeRouting(ctx, news)
+	b.offered(offer{from: news.From, revision: news.Revision})
+	return b.takeList(ctx, news)
 }
 
 // takeList applies changes of the list, or that there are none.
@@ -303,20 +318,3 @@
 	news.List.From = mangomodel.PeerName(news.From.Holder.Daemon)
 	return b.fleet.Do(ctx, news.List)
 }
-
-func (b *Broker) takeRouting(ctx context.Context, news News) error {
-	view := b.fleet.View()
-	if news.Routing == nil || view.Routing != nil && view.Routing.Revision >= news.Routing.Revision {
-		return nil
-	}
-	routing, err := news.Routing.Routing()
-	if err != nil {
-		return err
-	}
-	err = b.fleet.Do(ctx, mangofleet.InstallRouting{Routing: routing, From: mangomodel.PeerName(news.From.Holder.Daemon)})
-	if mangomodel.HasCode(err, mangomodel.CodeConflict) {
-		// A newer one came meanwhile.
-		return nil
-	}
-	return err
-}
--- a/core/mangofleet/fleet.go
+++ b/core/mangofleet/fleet.go
@@ -120,6 +120,8 @@
 	journal     []ListChange
 	journalBase mangotraffic.Cursor
 	self        mangomodel.DaemonID
+	// reader is who reads the platform's records first.
+	reader mangoroster.Member
 }
 
 // Informed reports whether this daemon learns of changes from a scheduler, so
@@ -136,6 +138,10 @@
 	return true
 }
 
+// Follows reports whether another daemon reads the platform's records first
+// while this one knows no configuration.
+func (v *View) Follows() bool { return v.Routing == nil && v.reader.Holder.Daemon != v.self }
+
 // Sightings returns all members with the time since they were heard.
 func (v *View) Sightings(now time.Time) []mangoroster.Sighting {
 	list := make([]mangoroster.Sighting, len(v.Members))
--- a/core/mangofleet/state.go
+++ b/core/mangofleet/state.go
@@ -110,7 +110,7 @@
 	}
 	if last != nil {
 		v.Listed, v.Members, v.schedulers, v.crashes = last.Listed, last.Members, last.schedulers, last.crashes
-		v.moves = last.moves
+		v.moves, v.reader = last.moves, last.reader
 		v.Usages = last.Usages
 	}
 	if list, ok := s.pool.Listed(); ok {
@@ -128,6 +128,7 @@
 		me := s.me(now)
 		v.Members, v.moves = s.roster.Members(me, now), s.pool.Moves(now)
 		v.schedulers = s.roster.Schedulers(me, s.pool.PerRegion(), now)
+		v.reader = s.roster.First(me, now)
 		s.changed.members, s.membersAt = false, now
 	}
 	return v
--- a/core/mangofollow/follow.go
+++ b/core/mangofollow/follow.go
@@ -26,12 +26,21 @@
 )
 
 const (
-	// longRead is how long a read waits for news, and readSlack is added to it
-	// before the read is given up. A connection that has gone silent is noticed
-	// after both, and the other daemons then have to read and apply what they
-	// missed within the 2.5 s in which a change has to be in force.
-	longRead  = 500 * time.Millisecond
-	readSlack = 500 * time.Millisecond
+	// longRead is how long a read waits for news. A source adds its own bound on
+	// silence; the other daemons then have to read and apply what they missed
+	// within the 2.5 s in which a change has to be in force.
+	longRead = 500 * time.Millisecond
+	// readTimeout bounds a whole read. When all daemons start at once, some
+	// dozens read some hundred KB each over a link between regions that carries
+	// a few MB a second.
+	readTimeout = 8 * time.Second
+	// headStart is how long a daemon that starts waits to hear of others: a
+	// connection and a round trip between regions.
+	headStart = 100 * time.Millisecond
+	// othersFirst is how long a daemon that starts waits for a configuration
+	// from others, if there are any, before it reads by itself. Others answer
+	// within two round trips between regions and a fetch of the configuration.
+	othersFirst = 700 * time.Millisecond
 	// gatherTime is the pause after a change. Servers are often listed one
 	// after the other.
 	gatherTime = 100 * time.Millisecond
@@ -99,6 +108,7 @@
 
 // Run follows until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
+	sleep(ctx, headStart)
 	var running sync.WaitGroup
 	running.Go(func() { f.follow(ctx, RecordRouting, f.readRouting) })
 	running.Go(func() { f.follow(ctx, RecordServers, f.readServers) })
@@ -116,8 +126,9 @@
 		until time.Time
 		pause = firstPause
 	)
+	started := time.Now()
 	for ctx.Err() == nil {
-		if f.fleet.View().Informed(time.Now()) {
+		if view, now := f.fleet.View(), time.Now(); view.Informed(now) || view.Follows() && now.Sub(started) < othersFirst {
 			sleep(ctx, idlePause)
 			continue
 		}
@@ -149,7 +160,7 @@
 }
 
 func (f *Follower) bounded(ctx context.Context, until time.Time, next read) (bool, error) {
-	ctx, cancel := context.WithTimeout(ctx, longRead+readSlack)
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
 	return next(ctx, until)
 }
--- a/core/mangofollow/follow_test.go
+++ b/core/mangofollow/follow_test.go
@@ -31,6 +31,9 @@
 
 var errDown = errors.New("down")
 
+// silence is how long the source waits for an answer.
+const silence = 500 * time.Millisecond
+
 // wait is a long read: it answers at once when something is new.
 func (s *source) wait(ctx context.Context, after mangotraffic.Cursor, wait time.Duration) (bool, error) {
 	s.mu.Lock()
@@ -39,7 +42,7 @@
 	s.mu.Unlock()
 	switch {
 	case down:
-		<-ctx.Done()
+		sleep(ctx, wait+silence)
 		return false, errDown
 	case lost:
 		return false, ErrHistoryLost
@@ -74,6 +77,13 @@
 	return changes, s.cursor, nil
 }
 
+// count returns how many reads were made.
+func (s *source) count() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.reads
+}
+
 func (s *source) change(f func()) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -81,6 +91,31 @@
 	s.cursor++
 }
 
+// TestStartWaitsForOthers checks that daemons that start together do not all
+// read the records: one reads, and the others wait a moment for it.
+func TestStartWaitsForOthers(t *testing.T) {
+	stronger := mangoroster.Member{Holder: mangomodel.Holder{Daemon: "e"}, DataCentre: "a1", Address: "e", Strong: true}
+	tests := []struct {
+		name  string
+		heard []mangoroster.Sighting
+		reads bool
+	}{{"alone", nil, true}, {"with others", []mangoroster.Sighting{{Member: stronger}}, false}}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			start(t, func(g *gomega.WithT, s *source, fleet *mangofleet.Fleet, run func()) {
+				go run()
+				time.Sleep(headStart / 2)
+				g.Expect(s.count()).To(gomega.Equal(0), "others may be heard yet")
+				g.Expect(fleet.Do(context.Background(), mangofleet.Hear{Sightings: test.heard})).To(gomega.Succeed())
+				time.Sleep(headStart)
+				g.Expect(s.count() > 0).To(gomega.Equal(test.reads))
+				time.Sleep(time.Second)
+				g.Expect(fleet.View().Routing).NotTo(gomega.BeNil(), "it reads by itself when nobody tells it")
+			})
+		})
+	}
+}
+
 type watcher struct {
 	mu             sync.Mutex
 	lost, regained int
@@ -103,22 +138,33 @@
 func (w *watcher) counts() (int, int) { w.mu.Lock(); defer w.mu.Unlock(); return w.lost, w.regained }
 
 func follow(t *testing.T, f func(g *gomega.WithT, s *source, fleet *mangofleet.Fleet, w *watcher)) {
+	w := &watcher{}
+	startWith(t, w, func(g *gomega.WithT, s *source, fleet *mangofleet.Fleet, run func()) {
+		go run()
+		time.Sleep(time.Second)
+		f(g, s, fleet, w)
+	})
+}
+
+func start(t *testing.T, f func(g *gomega.WithT, s *source, fleet *mangofleet.Fleet, run func())) {
+	startWith(t, &watcher{}, f)
+}
+
+// startWith runs a fleet; run follows for it.
+func startWith(t *testing.T, w *watcher, f func(g *gomega.WithT, s *source, fleet *mangofleet.Fleet, run func())) {
 	synctest.Test(t, func(t *testing.T) {
 		s := &source{revision: 1, cursor: 1, servers: map[mangomodel.ServerID]mangotraffic.Server{"s1": {ID: "s1", Service: "app"}}}
 		self := mangoroster.Member{Holder: mangomodel.Holder{Daemon: "d"}, DataCentre: "a1"}
 		fleet := mangofleet.New(mangofleet.Self{Member: self}, func() mangobudget.Limits {
 			return mangobudget.Limits{Window: time.Second}
 		})
-		w := &watcher{}
 		ctx, cancel := context.WithCancel(context.Background())
 		defer func() {
 			cancel()
 			synctest.Wait()
 		}()
 		go fleet.Run(ctx)
-		go New(fleet, s, w).Run(ctx)
-		time.Sleep(time.Second)
-		f(gomega.NewWithT(t), s, fleet, w)
+		f(gomega.NewWithT(t), s, fleet, func() { New(fleet, s, w).Run(ctx) })
 	})
 }
 
--- a/core/mangorest/client.go
+++ b/core/mangorest/client.go
@@ -108,6 +108,40 @@
 	return resp, nil
 }
 
+// errSilent is the cause of an exchange's end when the peer sent nothing.
+var errSilent = errors.New("the peer sent nothing in time")
+
+// Fetch sends a request that the caller has built and reads the whole answer.
+// The exchange ends when the peer sends nothing for first before the answer, or
+// for between within it, so that a large answer over a narrow link is waited
+// for and a silent connection is not.
+func (c *Client) Fetch(step mangomodel.Step, req *http.Request, first, between time.Duration) (int, []byte, error) {
+	ctx, cancel := context.WithCancelCause(req.Context())
+	defer cancel(nil)
+	silence := time.AfterFunc(first, func() { cancel(errSilent) })
+	defer silence.Stop()
+	resp, err := c.Send(step, c.peer, req.WithContext(ctx))
+	if err != nil {
+		return 0, nil, err
+	}
+	defer resp.Body.Close()
+	silence.Reset(between)
+	body := io.TeeReader(resp.Body, onWrite(func() { silence.Reset(between) }))
+	data, err := io.ReadAll(io.LimitReader(body, maxAnswer))
+	if err != nil {
+		return 0, nil, mangomodel.NewFault(step, c.peer, mangomodel.CodeUnavailable, mangomodel.RunUnknown, err)
+	}
+	return resp.StatusCode, data, nil
+}
+
+// onWrite calls a function for each write.
+type onWrite func()
+
+func (f onWrite) Write(p []byte) (int, error) {
+	f()
+	return len(p), nil
+}
+
 // Exchange sends a message as JSON and reads the answer into out, which may
 // be nil. An answer that is not 200 becomes a fault.
 func (c *Client) Exchange(ctx context.Context, step mangomodel.Step, method, path string, in, out any) error {
--- a/core/mangoroster/roster.go
+++ b/core/mangoroster/roster.go
@@ -145,6 +145,14 @@
 	return lists
 }
 
+// First returns the daemon that all others of a region follow while no service
+// is known: the same order as for a service with its servers there.
+func (r *Roster) First(me Member, now time.Time) Member {
+	const none mangotraffic.ServiceName = ""
+	region := r.regions[me.DataCentre]
+	return r.Schedulers(me, ServersPerRegion{none: {region: 1}}, now)[none][0]
+}
+
 // candidates returns the daemons that may schedule, this one included.
 func (r *Roster) candidates(me Member, now time.Time) []Member {
 	list := []Member{me}
--- a/mangolaned/mangoconn/pool.go
+++ b/mangolaned/mangoconn/pool.go
@@ -11,6 +11,7 @@
 	"errors"
 	"net"
 	"net/rpc"
+	"slices"
 	"sync"
 	"time"
 
@@ -20,8 +21,8 @@
 // dialTimeout bounds the making of a connection.
 const dialTimeout = time.Second
 
-// Lane separates calls that are answered at once from those that may wait for
-// a grant, so that neither hides that the other's connection is silent.
+// Lane separates calls that are answered at once, those that may wait for a
+// grant and large ones, so that none hides that another's connection is silent.
 type Lane int
 
 const (
@@ -29,6 +30,8 @@
 	LaneControl Lane = iota
 	// LaneAdmission is for calls that may wait.
 	LaneAdmission
+	// LaneBulk is for large answers, which would hold up the others.
+	LaneBulk
 )
 
 // Endpoint names one connection.
@@ -72,7 +75,7 @@
 		}
 		return nil
 	case <-ctx.Done():
-		if to.Lane == LaneControl {
+		if to.Lane != LaneAdmission {
 			c.drop(to, client)
 		}
 		return Unreachable(step, to.Address, mangomodel.RunUnknown, context.Cause(ctx))
@@ -119,21 +122,35 @@
 	return c.keep(to, rpc.NewClient(Bounded(conn))), nil
 }
 
-// writeTimeout bounds one write. A peer that reads nothing for so long is
-// unreachable, and the writer holds up all others of its connection.
-const writeTimeout = 500 * time.Millisecond
+const (
+	// writeTimeout bounds the writing of one part. A peer that reads nothing
+	// for so long is unreachable, and the writer holds up all others of its
+	// connection.
+	writeTimeout = 500 * time.Millisecond
+	// writePart is what a link of 10 Mbit/s carries within writeTimeout while
+	// a dozen others use it.
+	writePart = 32 << 10
+)
 
-// Bounded returns the connection with a bound on each write.
+// Bounded returns the connection with a bound on the writing of each part.
 func Bounded(conn net.Conn) net.Conn { return boundedConn{conn} }
 
 type boundedConn struct{ net.Conn }
 
-// Write writes p or fails in time.
+// Write writes p part by part or fails in time.
 func (c boundedConn) Write(p []byte) (int, error) {
-	if err := c.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
-		return 0, err
+	written := 0
+	for part := range slices.Chunk(p, writePart) {
+		if err := c.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+			return written, err
+		}
+		n, err := c.Conn.Write(part)
+		written += n
+		if err != nil {
+			return written, err
+		}
 	}
-	return c.Conn.Write(p)
+	return written, nil
 }
 
 // keep stores a new connection unless another one was stored meanwhile.
--- a/mangolaned/mangoconn/pool_test.go
+++ b/mangolaned/mangoconn/pool_test.go
@@ -4,7 +4,9 @@
 	"context"
 	"net"
 	"net/rpc"
+	"os"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/onsi/gomega"
@@ -49,6 +51,43 @@
 	return s
 }
 
+// slowConn takes a part of a write every pause, and no later than a deadline.
+type slowConn struct {
+	net.Conn
+	pause    time.Duration
+	deadline time.Time
+	got      int
+}
+
+func (c *slowConn) SetWriteDeadline(t time.Time) error {
+	c.deadline = t
+	return nil
+}
+
+func (c *slowConn) Write(p []byte) (int, error) {
+	time.Sleep(c.pause)
+	if time.Now().After(c.deadline) {
+		return 0, os.ErrDeadlineExceeded
+	}
+	c.got += len(p)
+	return len(p), nil
+}
+
+// TestLargeWriteOverASlowLink checks that a write of many parts may take longer
+// than one part, and that a peer that takes nothing still ends it.
+func TestLargeWriteOverASlowLink(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		data := make([]byte, 8*writePart+1)
+		slow := &slowConn{pause: writeTimeout / 2}
+		n, err := Bounded(slow).Write(data)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect([]int{n, slow.got}).To(gomega.Equal([]int{len(data), len(data)}))
+		_, err = Bounded(&slowConn{pause: 2 * writeTimeout}).Write(data)
+		g.Expect(err).To(gomega.MatchError(os.ErrDeadlineExceeded))
+	})
+}
+
 // stop ends the server as the end of its process does.
 func (s *server) stop() {
 	s.listener.Close()
--- a/mangolaned/mangogateway/gateway.go
+++ b/mangolaned/mangogateway/gateway.go
@@ -86,6 +86,7 @@
 	}, mangofleet.WithObserver(o))
 	recorder := mangotrace.NewRecorder(s.TraceSpans)
 	broker := mangobroker.New(self, fleet, mangomesh.NewPeers(), mangobroker.WithSeeds(s.Seeds), mangobroker.WithObserver(o), mangobroker.WithEngines(servers),
+		mangobroker.WithRegions(s.Regions),
 		mangobroker.WithMoves(source, servers, s.OrderLease.Std()))
 	return &Gateway{
 		settings: s, current: current, level: level, logger: logger, fleet: fleet, broker: broker, metrics: m, recorder: recorder,
--- a/mangolaned/mangogateway/observe.go
+++ b/mangolaned/mangogateway/observe.go
@@ -135,6 +135,11 @@
 	o.logger.Info("scheduler chosen", zap.String("Service", string(service)), zap.String("Scheduler", string(to)))
 }
 
+// FetchFailed logs that a daemon did not give its configuration.
+func (o observer) FetchFailed(at mangomodel.Address, err error) {
+	o.logger.Warn("configuration not fetched", append(mangolog.Fault(err), zap.String("Address", string(at)))...)
+}
+
 // ReportFailed counts engines that did not say what they run.
 func (o observer) ReportFailed(server mangotraffic.Server, err error) {
 	o.metrics.count("Reports.Failed", 1)
--- a/mangolaned/mangomesh/peers.go
+++ b/mangolaned/mangomesh/peers.go
@@ -20,6 +20,7 @@
 	"mangolane/core/mangomodel"
 	"mangolane/core/mangopool"
 	"mangolane/core/mangoroster"
+	"mangolane/core/mangotraffic"
 	"mangolane/core/mangowire"
 	"mangolane/mangolaned/mangoconn"
 )
@@ -30,6 +31,7 @@
 	methodRelease  = "Command.Release"
 	methodPrefill  = "Command.PrefillDone"
 	methodExchange = "Command.Exchange"
+	methodRouting  = "Query.Routing"
 )
 
 // acquireSlack is added to a demand's patience before its scheduler counts as
@@ -95,6 +97,16 @@
 	return reply, err
 }
 
+// Routing returns the configuration that a daemon has.
+func (p *Peers) Routing(ctx context.Context, at mangomodel.Address) (*mangotraffic.Document, error) {
+	var reply RoutingReply
+	to := mangoconn.Endpoint{Address: at, Lane: mangoconn.LaneBulk}
+	if err := p.pool.Call(ctx, to, mangomodel.StepConfigure, methodRouting, Empty{}, &reply); err != nil {
+		return nil, err
+	}
+	return unpack(reply.Packed)
+}
+
 // Drop ends all calls that wait for a daemon.
 func (p *Peers) Drop(at mangomodel.Address) { p.pool.DropAll(at) }
 
--- a/mangolaned/mangomesh/server.go
+++ b/mangolaned/mangomesh/server.go
@@ -37,6 +37,9 @@
 	if err := s.rpc.RegisterName("Command", &Command{fleet, broker}); err != nil {
 		return nil, mangomodel.Errors.Wrap(err)
 	}
+	if err := s.rpc.RegisterName("Query", &Query{fleet: fleet, cache: &packedCache{}}); err != nil {
+		return nil, mangomodel.Errors.Wrap(err)
+	}
 	return s, nil
 }
 
