--- a/core/mangobroker/broker.go
+++ b/core/mangobroker/broker.go
@@ -35,8 +35,8 @@
 	Release(ctx context.Context, at mangoroster.Member, r mangofleet.Release) error
 	PrefillDone(ctx context.Context, at mangoroster.Member, id mangopool.LeaseID, took time.Duration) error
 	Exchange(ctx context.Context, at mangomodel.Address, news News) (News, error)
-	// Routing returns the configuration that a daemon has.
-	Routing(ctx context.Context, at mangomodel.Address) (*mangotraffic.Document, error)
+	// Snapshot returns what a daemon knows beyond what this one does.
+	Snapshot(ctx context.Context, at mangomodel.Address, known Known) (Snapshot, error)
 	// Drop ends all calls that wait for a daemon.
 	Drop(at mangomodel.Address)
 }
@@ -59,11 +59,11 @@
 	visits int
 
 	regions map[mangomodel.DataCentreID]mangomodel.RegionID
-	// fetching wakes the fetcher of configurations.
+	// fetching wakes the fetcher of snapshots.
 	fetching chan struct{}
 
-	// held are the leases of engines that this daemon uses, and offers who has
-	// a newer configuration. They are registries of traffic and no control
+	// held are the leases of engines that this daemon uses, and offers who
+	// knows more. They are registries of traffic and no control
 	// state, so a lock guards them.
 	mu     sync.Mutex
 	held   map[mangopool.LeaseID]*Grant
@@ -77,7 +77,7 @@
 	SchedulerChanged(service mangotraffic.ServiceName, to mangomodel.DaemonID)
 	// Ordered is called when an engine was told to change its stage, or not.
 	Ordered(m mangopool.Move, fence Fence, err error)
-	// FetchFailed is called when a daemon did not give its configuration.
+	// FetchFailed is called when a daemon did not give a snapshot.
 	FetchFailed(at mangomodel.Address, err error)
 	// ReportFailed is called when an engine did not say what it runs.
 	ReportFailed(server mangotraffic.Server, err error)
--- a/core/mangobroker/fetch.go
+++ b/core/mangobroker/fetch.go
@@ -10,22 +10,37 @@
 	"mangolane/core/mangofleet"
 	"mangolane/core/mangomodel"
 	"mangolane/core/mangoroster"
+	"mangolane/core/mangotraffic"
 )
 
 const (
-	// fetchTimeout bounds the fetching of a configuration: some dozen KB, while
-	// others fetch it over the same link.
+	// fetchTimeout bounds a fetch: some dozen KB, while others fetch the same
+	// over the same link.
 	fetchTimeout = 2 * time.Second
-	// offerTime is how long offers of a configuration are gathered, so that a
-	// near daemon is asked rather than the first that was heard: a round trip
-	// between regions.
+	// offerTime is how long offers are gathered, so that a near daemon is asked
+	// rather than the first that was heard: a round trip between regions.
 	offerTime = 30 * time.Millisecond
 )
 
-// offer is a daemon that has a newer configuration.
+// Known says which configuration and which position of the list of servers a
+// daemon knows.
+type Known struct {
+	Revision mangomodel.Revision
+	Cursor   mangotraffic.Cursor
+}
+
+// Snapshot is what a daemon knows beyond what another one does.
+type Snapshot struct {
+	// Routing is nil if the other daemon has it.
+	Routing *mangotraffic.Document
+	// List is the whole list; its cursor is 0 if the other daemon has it.
+	List mangofleet.ChangeServers
+}
+
+// offer is a daemon that knows more.
 type offer struct {
-	from     mangoroster.Member
-	revision mangomodel.Revision
+	from  mangoroster.Member
+	known Known
 }
 
 // WithRegions says which region each data centre is in.
@@ -33,9 +48,9 @@
 	return func(b *Broker) { b.regions = regions }
 }
 
-// offered notes what configuration a daemon has.
+// offered notes what a daemon knows.
 func (b *Broker) offered(o offer) {
-	if !b.newer(o) {
+	if !o.known.beyond(b.known()) {
 		return
 	}
 	b.mu.Lock()
@@ -47,14 +62,36 @@
 	}
 }
 
-// newer reports whether an offer is newer than the configuration in force.
-func (b *Broker) newer(o offer) bool {
+// known returns what this daemon knows.
+func (b *Broker) known() Known {
 	view := b.fleet.View()
-	return o.revision > 0 && (view.Routing == nil || o.revision > view.Routing.Revision)
+	k := Known{Cursor: view.ListCursor}
+	if view.Routing != nil {
+		k.Revision = view.Routing.Revision
+	}
+	return k
 }
 
-// fetch fetches newer configurations, one at a time, until ctx ends. They are
-// no part of the news: they are large, and a renewal is not.
+// beyond reports whether there is something that the other one does not know.
+func (k Known) beyond(other Known) bool {
+	return k.Revision > other.Revision || k.Cursor > other.Cursor
+}
+
+// Snapshot returns what this daemon knows beyond what another one does.
+func (b *Broker) Snapshot(other Known) Snapshot {
+	view, now := b.fleet.View(), time.Now()
+	var s Snapshot
+	if view.Routing != nil && view.Routing.Revision > other.Revision {
+		s.Routing = view.Routing.Document()
+	}
+	if view.ListCursor > other.Cursor && !view.Stale(now) {
+		s.List = view.List(now)
+	}
+	return s
+}
+
+// fetch fetches what others know beyond this daemon, from one at a time, until
+// ctx ends. It is no part of the news: it is large, and a renewal is not.
 func (b *Broker) fetch(ctx context.Context) {
 	for {
 		select {
@@ -80,7 +117,8 @@
 func (b *Broker) bestOffer() (offer, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	maps.DeleteFunc(b.offers, func(_ mangomodel.Address, o offer) bool { return !b.newer(o) })
+	known := b.known()
+	maps.DeleteFunc(b.offers, func(_ mangomodel.Address, o offer) bool { return !o.known.beyond(known) })
 	if len(b.offers) == 0 {
 		return offer{}, false
 	}
@@ -88,7 +126,7 @@
 		return cmp.Or(
 			cmp.Compare(b.distance(x.from), b.distance(y.from)),
 			compareTrue(x.from.Strong, y.from.Strong),
-			cmp.Compare(y.revision, x.revision),
+			cmp.Compare(y.known.Revision, x.known.Revision),
 		)
 	})
 	delete(b.offers, best.from.Address)
@@ -122,15 +160,32 @@
 func (b *Broker) fetchFrom(ctx context.Context, m mangoroster.Member) error {
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
-	document, err := b.peers.Routing(ctx, m.Address)
+	began := time.Now()
+	snapshot, err := b.peers.Snapshot(ctx, m.Address, b.known())
 	if err != nil {
 		return err
 	}
+	from := mangomodel.PeerName(m.Holder.Daemon)
+	if snapshot.List.Cursor > 0 {
+		// It may have been as old when it was sent.
+		snapshot.List.Age += time.Since(began)
+		snapshot.List.From = from
+		if err := b.fleet.Do(ctx, snapshot.List); err != nil {
+			return err
+		}
+	}
+	return b.takeRouting(ctx, snapshot.Routing, from)
+}
+
+func (b *Broker) takeRouting(ctx context.Context, document *mangotraffic.Document, from mangomodel.PeerName) error {
+	if document == nil {
+		return nil
+	}
 	routing, err := document.Routing()
 	if err != nil {
 		return err
 	}
-	err = b.fleet.Do(ctx, mangofleet.InstallRouting{Routing: routing, From: mangomodel.PeerName(m.Holder.Daemon)})
+	err = b.fleet.Do(ctx, mangofleet.InstallRouting{Routing: routing, From: from})
 	if mangomodel.HasCode(err, mangomodel.CodeConflict) {
 		// A newer one came meanwhile.
 		return nil
--- a/core/mangobroker/inspect.go
+++ b/core/mangobroker/inspect.go
@@ -1,7 +1,9 @@
 package mangobroker
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -10,8 +12,13 @@
 	"mangolane/core/mangotraffic"
 )
 
-// inspectTimeout bounds one report.
-const inspectTimeout = 300 * time.Millisecond
+const (
+	// inspectTimeout bounds one report.
+	inspectTimeout = 300 * time.Millisecond
+	// inspectMost is how many engines are asked in one interval: each report
+	// takes a connection, and in larger fleets they take turns.
+	inspectMost = 64
+)
 
 // Engines are asked for reports.
 type Engines interface {
@@ -26,9 +33,9 @@
 func (b *Broker) inspect(ctx context.Context) {
 	ticker := time.NewTicker(mangopool.InspectInterval)
 	defer ticker.Stop()
-	for {
+	for first := 0; ; first += inspectMost {
 		var running sync.WaitGroup
-		for _, server := range b.scheduled() {
+		for _, server := range turn(b.scheduled(), first, inspectMost) {
 			running.Go(func() { b.inspectOne(ctx, server) })
 		}
 		running.Wait()
@@ -40,6 +47,16 @@
 	}
 }
 
+// turn returns at most n servers of a list, from a position that goes round.
+func turn(list []mangotraffic.Server, first, n int) []mangotraffic.Server {
+	if len(list) <= n {
+		return list
+	}
+	slices.SortFunc(list, func(a, b mangotraffic.Server) int { return cmp.Compare(a.ID, b.ID) })
+	first %= len(list)
+	return append(list[first:], list[:first]...)[:n]
+}
+
 // scheduled returns the decode servers of the services that this daemon
 // schedules.
 func (b *Broker) scheduled() []mangotraffic.Server {
--- a/core/mangobroker/news.go
+++ b/core/mangobroker/news.go
@@ -45,7 +45,8 @@
 	Crashes []mangocrash.Crash
 	// Revision is the sender's configuration.
 	Revision mangomodel.Revision
-	// List brings a receiver to the sender's position in the list of servers.
+	// List brings a receiver to the sender's position in the list of servers, if
+	// it is a few changes behind. One that is further behind fetches a snapshot.
 	List mangofleet.ChangeServers
 }
 
@@ -139,7 +140,7 @@
 		now, view := time.Now(), b.fleet.View()
 		if was := unfit; was != (view.Draining || view.Stale(now)) {
 			unfit = !was
-			addrs = b.known()
+			addrs = b.acquainted()
 		} else if now.Sub(last) >= seedInterval {
 			last = now
 			addrs = b.unheard()
@@ -169,9 +170,9 @@
 	}
 }
 
-// known returns the addresses of some daemons: the seeds and the members first
+// acquainted returns the addresses of some daemons: the seeds and the members first
 // in the list, which is in no order.
-func (b *Broker) known() []mangomodel.Address {
+func (b *Broker) acquainted() []mangomodel.Address {
 	list := slices.Clone(b.seeds)
 	for _, m := range b.fleet.View().Members[1:] {
 		list = append(list, m.Member.Address)
@@ -302,8 +303,15 @@
 			return err
 		}
 	}
-	b.offered(offer{from: news.From, revision: news.Revision})
-	return b.takeList(ctx, news)
+	if err := b.takeList(ctx, news); err != nil {
+		return err
+	}
+	known := Known{Revision: news.Revision, Cursor: news.List.Cursor}
+	if news.From.Stale {
+		known.Cursor = 0
+	}
+	b.offered(offer{from: news.From, known: known})
+	return nil
 }
 
 // takeList applies changes of the list, or that there are none.
@@ -311,10 +319,6 @@
 	if news.List.Cursor == 0 || news.From.Stale {
 		return nil
 	}
-	if news.List.Cursor > b.fleet.View().ListCursor && len(news.List.Changes) == 0 {
-		// The sender did not know this daemon's position; the answer will.
-		return nil
-	}
 	news.List.From = mangomodel.PeerName(news.From.Holder.Daemon)
 	return b.fleet.Do(ctx, news.List)
 }
--- a/core/mangofleet/fleet.go
+++ b/core/mangofleet/fleet.go
@@ -112,7 +112,9 @@
 	// Usages is what this daemon has used of the retry budgets.
 	Usages Usages
 
-	schedulers  map[mangotraffic.ServiceName][]mangoroster.Member
+	schedulers map[mangotraffic.ServiceName][]mangoroster.Member
+	// lapsed are those of Listed whose entries have vanished.
+	lapsed      map[mangomodel.ServerID]bool
 	moves       map[mangotraffic.ServiceName]mangopool.Move
 	granted     mangoquery.Index[mangopool.LeaseID, mangopool.Lease]
 	crashes     []mangocrash.Crash
@@ -138,9 +140,12 @@
 	return true
 }
 
-// Follows reports whether another daemon reads the platform's records first
-// while this one knows no configuration.
-func (v *View) Follows() bool { return v.Routing == nil && v.reader.Holder.Daemon != v.self }
+// Follows reports whether others read the platform's records first while this
+// daemon knows no configuration: weak ones are many, and leave it to the strong
+// ones even before they have heard of any.
+func (v *View) Follows() bool {
+	return v.Routing == nil && (!v.reader.Strong || v.reader.Holder.Daemon != v.self)
+}
 
 // Sightings returns all members with the time since they were heard.
 func (v *View) Sightings(now time.Time) []mangoroster.Sighting {
--- a/core/mangofleet/list.go
+++ b/core/mangofleet/list.go
@@ -57,16 +57,17 @@
 	Grace time.Duration
 	// Age is how old the changes are.
 	Age time.Duration
-	// Cursor is the position after the changes. Changes before the position
-	// that is reached already are ignored.
-	Cursor mangotraffic.Cursor
+	// After is the position before the changes, and Cursor that after them.
+	// Changes up to a position that is reached already are ignored, those after
+	// a later one cannot be applied.
+	After, Cursor mangotraffic.Cursor
 	// From is where they were learned.
 	From mangomodel.PeerName
 }
 
 // Apply applies the command.
 func (c ChangeServers) Apply(s *state, now time.Time) error {
-	if c.Cursor < s.listCursor {
+	if c.Cursor < s.listCursor || c.After > s.listCursor && !c.Full {
 		return nil
 	}
 	if read := now.Add(-c.Age); read.After(s.listRead) {
@@ -125,30 +126,44 @@
 	Cursor  mangotraffic.Cursor
 }
 
-// ChangesAfter returns the command that brings a daemon from a position to
-// this one's, with the whole list when the changes between are not known.
+// mostChanges is how many changes a message names.
+const mostChanges = 64
+
+// ChangesAfter returns the command that brings a daemon from a position to this
+// one's. For one that is too far behind it begins at this one's position.
 func (v *View) ChangesAfter(after mangotraffic.Cursor, now time.Time) ChangeServers {
-	cmd := ChangeServers{Cursor: v.ListCursor, Age: now.Sub(v.ListRead)}
-	if after >= v.ListCursor {
-		return cmd
-	}
+	none := ChangeServers{After: v.ListCursor, Cursor: v.ListCursor, Age: now.Sub(v.ListRead)}
 	if after < v.journalBase {
-		cmd.Full = true
-		for id, server := range v.Listed {
-			cmd.Changes = append(cmd.Changes, mangotraffic.ServerChange{ID: id, Server: &server})
-		}
-		return cmd
+		return none
 	}
+	cmd := none
+	cmd.After = min(after, v.ListCursor)
 	for _, c := range v.journal {
 		if c.Cursor <= after {
 			continue
 		}
+		if len(cmd.Changes)+len(c.Changes) > mostChanges {
+			return none
+		}
 		cmd.Changes = append(cmd.Changes, c.Changes...)
 		cmd.Grace = max(cmd.Grace, c.Grace)
 	}
 	return cmd
 }
 
+// List returns the command that gives a daemon the whole list, without the
+// servers that have lapsed: they are listed again or gone soon.
+func (v *View) List(now time.Time) ChangeServers {
+	cmd := ChangeServers{Full: true, Cursor: v.ListCursor, Age: now.Sub(v.ListRead)}
+	for id, server := range v.Listed {
+		if v.lapsed[id] {
+			continue
+		}
+		cmd.Changes = append(cmd.Changes, mangotraffic.ServerChange{ID: id, Server: &server})
+	}
+	return cmd
+}
+
 // Drain begins a graceful shutdown: the daemon is no longer ready.
 type Drain struct{}
 
--- a/core/mangofleet/member_test.go
+++ b/core/mangofleet/member_test.go
@@ -153,6 +153,35 @@
 	})
 }
 
+// TestAllowancesAreSpread checks that in a large fleet half of the daemons may
+// repeat a call at the same time: those that lost one with an engine.
+func TestAllowancesAreSpread(t *testing.T) {
+	bubble(t, func(x *fixture) {
+		x.do(Enter{Service: app, Call: 1})
+		const daemons = 40
+		holder := func(i int) mangomodel.Holder {
+			return mangomodel.Holder{Daemon: mangomodel.DaemonID(rune('a' + i)), Incarnation: 1}
+		}
+		for range 50 {
+			time.Sleep(mangopool.RenewInterval)
+			x.do(Renew{Holder: x.self})
+		}
+		var all []mangoroster.Sighting
+		for i := range daemons {
+			all = append(all, mangoroster.Sighting{Member: mangoroster.Member{Holder: holder(i)}})
+		}
+		x.do(Hear{Sightings: all})
+		able := 0
+		for i := range daemons {
+			x.do(Renew{Holder: holder(i), Usages: Usages{app: mangobudget.Usage{}}})
+			if x.fleet.View().Allowances(holder(i))[app] > 0 {
+				able++
+			}
+		}
+		x.Expect(able).To(gomega.BeNumerically(">=", daemons/2))
+	})
+}
+
 func TestNewSchedulerHandsOutLittleAtFirst(t *testing.T) {
 	bubble(t, func(x *fixture) {
 		x.do(Enter{Service: app, Call: 1})
--- a/core/mangofleet/retry.go
+++ b/core/mangofleet/retry.go
@@ -82,7 +82,7 @@
 
 // allow returns what a daemon may use until its next renewal. What the others
 // were allowed counts as used until they renew, so that all together never use
-// more than is left; half of the rest remains for them. Lives that have ended
+// more than is left; most of the rest remains for them. Lives that have ended
 // count for a window. A scheduler that took over within a window does not know
 // what ended lives used before, so the fixed number grows with its time.
 func (s *state) allow(holder mangomodel.Holder, now time.Time) Allowances {
@@ -109,11 +109,21 @@
 	}
 	allowed := make(Allowances, len(lists))
 	for name, list := range lists {
-		left := mangobudget.Left(limits, list)
-		if s.daemons() > 1 {
-			left = (left + 1) / 2
-		}
-		allowed[name] = left
+		allowed[name] = part(mangobudget.Left(limits, list), s.daemons())
 	}
 	return allowed
 }
+
+// sharers is the share of the daemons that can use all that is left of a budget
+// at once. An engine that crashes has the calls of many daemons.
+const sharers = 0.25
+
+// part returns a daemon's part of what is left of a budget, rounded up: all of
+// it if it is alone, at most half of it else.
+func part(left, daemons int) int {
+	if daemons == 1 {
+		return left
+	}
+	divisor := max(2, int(sharers*float64(daemons)))
+	return (left + divisor - 1) / divisor
+}
--- a/core/mangofleet/state.go
+++ b/core/mangofleet/state.go
@@ -110,11 +110,12 @@
 	}
 	if last != nil {
 		v.Listed, v.Members, v.schedulers, v.crashes = last.Listed, last.Members, last.schedulers, last.crashes
+		v.lapsed = last.lapsed
 		v.moves, v.reader = last.moves, last.reader
 		v.Usages = last.Usages
 	}
 	if list, ok := s.pool.Listed(); ok {
-		v.Listed = list
+		v.Listed, v.lapsed = list.Servers, list.Lapsed
 		s.changed.members = true
 	}
 	if s.changed.crashes {
--- a/core/mangofollow/follow.go
+++ b/core/mangofollow/follow.go
@@ -38,9 +38,9 @@
 	// connection and a round trip between regions.
 	headStart = 100 * time.Millisecond
 	// othersFirst is how long a daemon that starts waits for a configuration
-	// from others, if there are any, before it reads by itself. Others answer
-	// within two round trips between regions and a fetch of the configuration.
-	othersFirst = 700 * time.Millisecond
+	// from others before it reads by itself. They start up to half a second
+	// later, read it, are asked four times a second and are fetched from.
+	othersFirst = 1200 * time.Millisecond
 	// gatherTime is the pause after a change. Servers are often listed one
 	// after the other.
 	gatherTime = 100 * time.Millisecond
--- a/core/mangopool/list.go
+++ b/core/mangopool/list.go
@@ -40,6 +40,7 @@
 	}
 	if m.goneAt.IsZero() {
 		m.goneAt = now.Add(grace)
+		p.changed = true
 	}
 }
 
--- a/core/mangopool/pool.go
+++ b/core/mangopool/pool.go
@@ -88,16 +88,29 @@
 // not named yet.
 func (p *Pool) Granted() mangoquery.Index[LeaseID, Lease] { return p.granted }
 
+// Listing is the servers of the list.
+type Listing struct {
+	Servers map[mangomodel.ServerID]mangotraffic.Server
+	// Lapsed are those that may be used for a while although their entries
+	// vanished.
+	Lapsed map[mangomodel.ServerID]bool
+}
+
 // Listed returns the listed servers, and whether they have changed since it was
 // called last.
-func (p *Pool) Listed() (map[mangomodel.ServerID]mangotraffic.Server, bool) {
+func (p *Pool) Listed() (Listing, bool) {
 	if !p.changed {
-		return nil, false
+		return Listing{}, false
 	}
 	p.changed = false
-	list := make(map[mangomodel.ServerID]mangotraffic.Server, len(p.backends))
+	list := Listing{
+		Servers: make(map[mangomodel.ServerID]mangotraffic.Server, len(p.backends)), Lapsed: make(map[mangomodel.ServerID]bool),
+	}
 	for id, b := range p.backends {
-		list[id] = b.server
+		list.Servers[id] = b.server
+		if !b.goneAt.IsZero() {
+			list.Lapsed[id] = true
+		}
 	}
 	return list, true
 }
--- a/core/mangoroster/roster.go
+++ b/core/mangoroster/roster.go
@@ -27,6 +27,10 @@
 	AliveTime = 2 * time.Second
 	// failedTime is how long a daemon that did not answer is passed over.
 	failedTime = time.Second
+	// regionFailures is how many daemons of a region have to fail for all others
+	// there that were not heard since to be passed over. Regions lose each other
+	// as a whole, and to find that out daemon by daemon takes seconds.
+	regionFailures = 2
 	// forgetTime is how long a daemon that is gone stays known.
 	forgetTime = 10 * time.Second
 )
@@ -58,11 +62,15 @@
 }
 
 type peer struct {
-	member      Member
-	heard       time.Time
-	failedUntil time.Time
+	member Member
+	heard  time.Time
+	// failed is when the daemon last did not answer.
+	failed time.Time
 }
 
+// passedOver reports whether a daemon did not answer lately.
+func (p *peer) passedOver(now time.Time) bool { return now.Sub(p.failed) < failedTime }
+
 // ServersPerRegion counts the servers of each service by region.
 type ServersPerRegion map[mangotraffic.ServiceName]map[mangomodel.RegionID]int
 
@@ -94,7 +102,7 @@
 		return false
 	}
 	if x.Member.Holder.Incarnation > p.member.Holder.Incarnation {
-		p.failedUntil = time.Time{}
+		p.failed = time.Time{}
 	}
 	if heard.After(p.heard) {
 		p.heard, p.member = heard, x.Member
@@ -105,7 +113,7 @@
 // Failed notes that a daemon did not answer.
 func (r *Roster) Failed(id mangomodel.DaemonID, now time.Time) {
 	if p, ok := r.peers[id]; ok {
-		p.failedUntil = now.Add(failedTime)
+		p.failed = now
 	}
 }
 
@@ -156,16 +164,37 @@
 // candidates returns the daemons that may schedule, this one included.
 func (r *Roster) candidates(me Member, now time.Time) []Member {
 	list := []Member{me}
+	lost := r.lostRegions(me, now)
 	for _, p := range r.peers {
-		if now.Sub(p.heard) < AliveTime && !now.Before(p.failedUntil) {
-			list = append(list, p.member)
+		if now.Sub(p.heard) >= AliveTime || p.passedOver(now) || !p.heard.After(lost[r.regions[p.member.DataCentre]]) {
+			continue
 		}
+		list = append(list, p.member)
 	}
 	list = unless(list, func(m Member) bool { return m.Draining })
 	list = unless(list, func(m Member) bool { return m.Stale })
 	return unless(list, func(m Member) bool { return !m.Strong })
 }
 
+// lostRegions returns since when the other regions that seem to be out of reach
+// do not answer.
+func (r *Roster) lostRegions(me Member, now time.Time) map[mangomodel.RegionID]time.Time {
+	failures := make(map[mangomodel.RegionID][]time.Time)
+	for _, p := range r.peers {
+		region := r.regions[p.member.DataCentre]
+		if region != r.regions[me.DataCentre] && p.passedOver(now) {
+			failures[region] = append(failures[region], p.failed)
+		}
+	}
+	lost := make(map[mangomodel.RegionID]time.Time)
+	for region, times := range failures {
+		if len(times) >= regionFailures {
+			lost[region] = slices.MinFunc(times, time.Time.Compare)
+		}
+	}
+	return lost
+}
+
 // unless returns the members without those that are worse, if any are left.
 func unless(list []Member, worse func(Member) bool) []Member {
 	better := slices.DeleteFunc(slices.Clone(list), worse)
--- a/mangolaned/mangogateway/observe.go
+++ b/mangolaned/mangogateway/observe.go
@@ -135,9 +135,9 @@
 	o.logger.Info("scheduler chosen", zap.String("Service", string(service)), zap.String("Scheduler", string(to)))
 }
 
-// FetchFailed logs that a daemon did not give its configuration.
+// FetchFailed logs that a daemon did not give a snapshot.
 func (o observer) FetchFailed(at mangomodel.Address, err error) {
-	o.logger.Warn("configuration not fetched", append(mangolog.Fault(err), zap.String("Address", string(at)))...)
+	o.logger.Warn("snapshot not fetched", append(mangolog.Fault(err), zap.String("Address", string(at)))...)
 }
 
 // ReportFailed counts engines that did not say what they run.
--- a/mangolaned/mangomesh/peers.go
+++ b/mangolaned/mangomesh/peers.go
@@ -20,7 +20,6 @@
 	"mangolane/core/mangomodel"
 	"mangolane/core/mangopool"
 	"mangolane/core/mangoroster"
-	"mangolane/core/mangotraffic"
 	"mangolane/core/mangowire"
 	"mangolane/mangolaned/mangoconn"
 )
@@ -31,7 +30,7 @@
 	methodRelease  = "Command.Release"
 	methodPrefill  = "Command.PrefillDone"
 	methodExchange = "Command.Exchange"
-	methodRouting  = "Query.Routing"
+	methodSnapshot = "Query.Snapshot"
 )
 
 // acquireSlack is added to a demand's patience before its scheduler counts as
@@ -97,12 +96,12 @@
 	return reply, err
 }
 
-// Routing returns the configuration that a daemon has.
-func (p *Peers) Routing(ctx context.Context, at mangomodel.Address) (*mangotraffic.Document, error) {
-	var reply RoutingReply
+// Snapshot returns what a daemon knows beyond what this one does.
+func (p *Peers) Snapshot(ctx context.Context, at mangomodel.Address, known mangobroker.Known) (mangobroker.Snapshot, error) {
+	var reply SnapshotReply
 	to := mangoconn.Endpoint{Address: at, Lane: mangoconn.LaneBulk}
-	if err := p.pool.Call(ctx, to, mangomodel.StepConfigure, methodRouting, Empty{}, &reply); err != nil {
-		return nil, err
+	if err := p.pool.Call(ctx, to, mangomodel.StepConfigure, methodSnapshot, known, &reply); err != nil {
+		return mangobroker.Snapshot{}, err
 	}
 	return unpack(reply.Packed)
 }
--- a/mangolaned/mangomesh/server.go
+++ b/mangolaned/mangomesh/server.go
@@ -23,9 +23,10 @@
 	View() *mangofleet.View
 }
 
-// Broker takes in news.
+// Broker takes in news and gives snapshots.
 type Broker interface {
 	Receive(ctx context.Context, news mangobroker.News) (mangobroker.News, error)
+	Snapshot(known mangobroker.Known) mangobroker.Snapshot
 }
 
 // Server serves the calls of other daemons.
@@ -37,7 +38,7 @@
 	if err := s.rpc.RegisterName("Command", &Command{fleet, broker}); err != nil {
 		return nil, mangomodel.Errors.Wrap(err)
 	}
-	if err := s.rpc.RegisterName("Query", &Query{fleet: fleet, cache: &packedCache{}}); err != nil {
+	if err := s.rpc.RegisterName("Query", &Query{broker: broker}); err != nil {
 		return nil, mangomodel.Errors.Wrap(err)
 	}
 	return s, nil
