Stand-ins of the published protocol are programs; the first run uses them

Cause: the store and the servers of the published protocol stood in test files of the soak, and the README's first run started the invented protocol only.

Change: mangostand/mangotable and mangostand/mangoworker, used by the soak and as 'mangostand tables', 'worker' and 'put'; examples/gateway starts them before two daemons. An engine takes a KV cache from the server that computed it over the network.

--- a/mangostand/main.go
+++ b/mangostand/main.go
@@ -1,8 +1,13 @@
 // Mangostand runs the stand-ins for what mangolane serves and relies on: model
-// engines, plain services and the platform.
+// engines, plain services and the platform, behind mangolane's own interface or
+// the protocol of the users' platform.
 //
 // # Usage
 //
+//	mangostand tables -listen 127.0.0.1:7910
+//	mangostand worker -id d-1 -service llm -stage decode -zone a1 -listen 127.0.0.1:8201
+//	mangostand put op config "$(cat config.json)"
+//
 //	mangostand platform -listen 127.0.0.1:7900
 //	mangostand engine -listen 127.0.0.1:8001 -id p1
 //	mangostand service -listen 127.0.0.1:8101 -paths /retire,/lookup
@@ -30,8 +35,8 @@
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	root := &ffcli.Command{
-		ShortUsage:  "mangostand <engine|service|platform|load> [flags]",
-		Subcommands: []*ffcli.Command{engineCommand(), serviceCommand(), platformCommand(), loadCommand()},
+		ShortUsage:  "mangostand <tables|worker|put|engine|service|platform|load> [flags]",
+		Subcommands: []*ffcli.Command{tablesCommand(), workerCommand(), putCommand(), engineCommand(), serviceCommand(), platformCommand(), loadCommand()},
 		Exec:        func(context.Context, []string) error { return flag.ErrHelp },
 	}
 	if err := root.ParseAndRun(ctx, os.Args[1:]); err != nil && !errors.Is(err, flag.ErrHelp) {
--- /dev/null
+++ b/mangostand/mangotable/doc.go
@@ -0,0 +1,16 @@
+// Package mangotable stands in for the users' platform store: tables of rows
+// behind the published protocol, kept in memory.
+//
+// The operator and the backend servers write rows in the real platform; here
+// whoever runs the stand-in does, with [Store.Put] or with a PUT of a row's
+// value to /stand/rows?table=TABLE&key=KEY.
+//
+// # Usage
+//
+//	s := mangotable.New()
+//	go http.ListenAndServe("127.0.0.1:7900", s)
+//	err := s.Put("op", "config", configuration)
+//	s.Fail(mangotable.OutageBusy)
+package mangotable
+
+//go:generate go run github.com/dmarkham/enumer@v1.7.2 -type=Outage -trimprefix=Outage -output=outage_string.go
--- /dev/null
+++ b/mangostand/mangotable/store.go
@@ -0,0 +1,171 @@
+package mangotable
+
+import (
+	"encoding/json"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"mangolane/core/mangomodel"
+)
+
+// Row is a row on the wire.
+type Row struct {
+	Table   string `json:"table"`
+	Part    string `json:"part"`
+	Key     string `json:"key"`
+	Value   []byte `json:"value,omitempty"`
+	Version uint64 `json:"ver"`
+	Deleted bool   `json:"deleted,omitempty"`
+}
+
+// name names a row.
+type name struct{ table, part, key string }
+
+func (r *Row) name() name { return name{r.Table, r.Part, r.Key} }
+
+// Outage is how a store fails.
+type Outage int
+
+const (
+	// OutageNone serves all calls.
+	OutageNone Outage = iota
+	// OutageBusy refuses all calls.
+	OutageBusy
+	// OutageSilent answers no call.
+	OutageSilent
+	// OutageLost carries writes out and does not answer them.
+	OutageLost
+)
+
+// Store is an emulated store. A lock guards it, since its HTTP server calls it
+// from many goroutines.
+type Store struct {
+	started time.Time
+
+	mu      sync.Mutex
+	rows    map[name]Row
+	history []Row
+	// oldest is the version before the first of the history.
+	oldest, version uint64
+	outage          Outage
+	// changed is closed at the next change.
+	changed chan struct{}
+}
+
+// New returns an empty store.
+func New() *Store {
+	return &Store{started: time.Now(), rows: make(map[name]Row), changed: make(chan struct{})}
+}
+
+// Put writes a row whose value is v as JSON.
+func (s *Store) Put(table, key string, v any) error {
+	value, err := json.Marshal(v)
+	if err != nil {
+		return mangomodel.Errors.Wrap(err)
+	}
+	s.change([]Row{{Table: table, Key: key, Value: value}})
+	return nil
+}
+
+// Remove drops a row.
+func (s *Store) Remove(table, key string) {
+	s.change([]Row{{Table: table, Key: key, Deleted: true}})
+}
+
+// Forget drops the history, as a store that compacts does.
+func (s *Store) Forget() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.history, s.oldest = nil, s.version
+}
+
+// Fail sets how the store fails from now on.
+func (s *Store) Fail(o Outage) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.outage = o
+}
+
+func (s *Store) change(rows []Row) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.apply(rows)
+}
+
+// apply writes rows in one transaction.
+func (s *Store) apply(rows []Row) {
+	s.version++
+	for _, r := range rows {
+		r.Version = s.version
+		if r.Deleted {
+			delete(s.rows, r.name())
+		} else {
+			s.rows[r.name()] = r
+		}
+		s.history = append(s.history, r)
+	}
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// transact applies a transaction if its conditions hold. It returns the current
+// rows of the conditions otherwise.
+func (s *Store) transact(conditions, rows []Row) ([]Row, uint64, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	holds := true
+	var current []Row
+	for _, c := range conditions {
+		r := s.rows[c.name()]
+		holds = holds && r.Version == c.Version
+		if r.Version > 0 {
+			current = append(current, r)
+		}
+	}
+	if !holds {
+		return current, s.version, false
+	}
+	s.apply(rows)
+	return nil, s.version, true
+}
+
+// read returns at most limit rows of a table from a key on and before another
+// one, if that is not empty, and whether there are more.
+func (s *Store) read(table, part, from, to string, limit int) ([]Row, uint64, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var list []Row
+	for n, r := range s.rows {
+		if n.table == table && n.part == part && n.key >= from && (to == "" || n.key < to) {
+			list = append(list, r)
+		}
+	}
+	slices.SortFunc(list, func(a, b Row) int { return strings.Compare(a.Key, b.Key) })
+	more := len(list) > limit
+	return list[:min(len(list), limit)], s.version, more
+}
+
+// changes returns the changes of a table after a version, and a channel that is
+// closed at the next change. It reports false if the history is lost.
+func (s *Store) changes(table string, after uint64) ([]Row, uint64, <-chan struct{}, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if after < s.oldest {
+		return nil, 0, nil, false
+	}
+	var list []Row
+	for _, r := range s.history {
+		if r.Table == table && r.Version > after {
+			list = append(list, r)
+		}
+	}
+	return list, s.version, s.changed, true
+}
+
+func (s *Store) failing() Outage {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.outage
+}
--- /dev/null
+++ b/mangostand/mangoworker/answer.go
@@ -0,0 +1,30 @@
+package mangoworker
+
+import (
+	"fmt"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// WholeBody returns the answer of a plain service.
+func WholeBody(id string, body []byte) string {
+	return fmt.Sprintf("%s %x", id, xxhash.Sum64(body))
+}
+
+// WholeStream returns all events of a request's stream.
+func WholeStream(id string) string {
+	var b strings.Builder
+	for n := 1; n <= streamLength(id); n++ {
+		b.WriteString(event(id, n))
+	}
+	return b.String()
+}
+
+func event(id string, n int) string { return fmt.Sprintf("id: %d\ndata: %s.%d\n\n", n, id, n) }
+
+// streamLength is how many events a request's stream has.
+func streamLength(id string) int {
+	const shortest, spread = 5, 30
+	return shortest + int(xxhash.Sum64String(id)%spread)
+}
--- /dev/null
+++ b/mangostand/mangoworker/worker.go
@@ -0,0 +1,259 @@
+package mangoworker
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"mangolane/core/mangomodel"
+)
+
+// pace is the time between two events of a stream, of a prefill and of a plain
+// call.
+const pace = 20 * time.Millisecond
+
+// fetchTimeout bounds the transfer of a KV cache.
+const fetchTimeout = 2 * time.Second
+
+// Names of the protocol.
+const (
+	pathReport = "/api/report"
+	// pathHandles is between the stand-ins: it takes a KV cache.
+	pathHandles   = "/stand/handles/"
+	fieldID       = "Request-Id"
+	fieldInstance = "Expect-Instance"
+	fieldStage    = "Serving-Stage"
+	fieldSource   = "Cache-Source"
+	fieldHold     = "Hold"
+	fieldAfter    = "Last-Event-Id"
+	fieldNotRun   = "Not-Executed"
+	fieldReceipt  = "Server-Signature"
+	stagePrefill  = "prefill"
+	// FieldForged marks requests of test clients whose other fields are forged:
+	// none of these may reach a server.
+	FieldForged = "Forged"
+)
+
+// Profile says what a server is.
+type Profile struct {
+	ID, Service string
+	// Stage is empty for plain services.
+	Stage string
+	Zone  string
+	Slots int
+}
+
+// Worker is an emulated backend server.
+type Worker struct {
+	Profile
+	ledger *Ledger
+	born   time.Time
+	// address is fixed by the first start, so that a crashed server can come
+	// back at it.
+	address string
+
+	mu      sync.Mutex
+	running int
+	server  *http.Server
+}
+
+// New returns a server that has not started.
+func New(p Profile, l *Ledger) *Worker { return &Worker{Profile: p, ledger: l, born: time.Now()} }
+
+// Start listens on an address, or again on that of the last start if the
+// address is empty.
+func (w *Worker) Start(address string) error {
+	if address == "" {
+		address = w.address
+	}
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return mangomodel.Errors.Wrap(err)
+	}
+	server := &http.Server{Handler: w}
+	w.mu.Lock()
+	w.address, w.server = l.Addr().String(), server
+	w.mu.Unlock()
+	// It ends when the server crashes.
+	go func() { _ = server.Serve(l) }()
+	return nil
+}
+
+// Address returns where the server listens.
+func (w *Worker) Address() string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.address
+}
+
+// Crash ends the server with all that it runs.
+func (w *Worker) Crash() {
+	w.mu.Lock()
+	server := w.server
+	w.mu.Unlock()
+	// The connections are gone in any case.
+	_ = server.Close()
+}
+
+// entry is a server's row in the list.
+type entry struct {
+	Service string `json:"service"`
+	Address string `json:"address"`
+	Zone    string `json:"zone"`
+	Version string `json:"version"`
+	Slots   int    `json:"slots"`
+	State   string `json:"state"`
+	Stage   string `json:"stage,omitempty"`
+	Born    int64  `json:"born"`
+	// Sequence counts the heartbeats.
+	Sequence int `json:"sequence"`
+}
+
+// Entry returns the server's row in the list, at which address callers find it.
+func (w *Worker) Entry(state, address string) any {
+	return entry{
+		Service: w.Service, Address: address, Zone: w.Zone, Version: "v1", Slots: w.Slots, State: state, Stage: w.Stage,
+		Born: w.born.UnixMilli(),
+	}
+}
+
+// ServeHTTP serves one request.
+func (w *Worker) ServeHTTP(rw http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == pathReport {
+		w.report(rw)
+		return
+	}
+	if expected := r.Header.Get(fieldInstance); expected != "" && expected != w.ID {
+		rw.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	if name, ok := strings.CutPrefix(r.URL.Path, pathHandles); ok {
+		if !w.ledger.fetch(name, r.URL.Query().Get("request")) {
+			rw.WriteHeader(http.StatusNotFound)
+		}
+		return
+	}
+	if r.Method == http.MethodDelete {
+		return
+	}
+	id := r.Header.Get(fieldID)
+	w.ledger.arrive(w.ID)
+	if r.Header.Get(FieldForged) != "" && r.Header.Get(fieldHold) != "" {
+		w.ledger.fault("%s came with a forged field", id)
+	}
+	rw.Header().Set(fieldID, id)
+	if r.Header.Get(fieldStage) == stagePrefill {
+		time.Sleep(pace)
+		fmt.Fprintf(rw, `{"handle":%q,"tokens":1,"version":1}`, w.ledger.prefilled(id))
+		return
+	}
+	w.run(rw, r, id)
+}
+
+// reportDocument is what an engine says of itself.
+type reportDocument struct {
+	Running int   `json:"running"`
+	Waiting int   `json:"waiting"`
+	KVUsed  int64 `json:"kv-used"`
+}
+
+func (w *Worker) report(rw http.ResponseWriter) {
+	w.mu.Lock()
+	d := reportDocument{Running: w.running}
+	w.mu.Unlock()
+	// A caller that has gone needs no report.
+	_ = json.NewEncoder(rw).Encode(d)
+}
+
+func (w *Worker) run(rw http.ResponseWriter, r *http.Request, id string) {
+	if !w.take() {
+		refuse(rw)
+		return
+	}
+	defer w.give()
+	if source := r.Header.Get(fieldSource); source != "" && !fetch(r.Context(), source, id) {
+		refuse(rw)
+		return
+	}
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	w.ledger.begin(id)
+	defer w.ledger.end(id)
+	rw.Header().Set(fieldReceipt, "s."+w.ID)
+	if w.Stage == "" {
+		time.Sleep(pace)
+		fmt.Fprint(rw, WholeBody(id, body))
+		return
+	}
+	stream(rw, r, id)
+}
+
+// fetch takes a KV cache from the server that computed it; source is its
+// address and the handle.
+func fetch(ctx context.Context, source, id string) bool {
+	address, name, _ := strings.Cut(source, "/")
+	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+	defer cancel()
+	target := "http://" + address + pathHandles + url.PathEscape(name) + "?" + url.Values{"request": {id}}.Encode()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, target, nil)
+	if err != nil {
+		return false
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return false
+	}
+	// Only the status counts.
+	_ = resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+func (w *Worker) take() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.running >= w.Slots {
+		return false
+	}
+	w.running++
+	return true
+}
+
+func (w *Worker) give() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.running--
+}
+
+func refuse(rw http.ResponseWriter) {
+	rw.Header().Set(fieldNotRun, "1")
+	rw.WriteHeader(http.StatusServiceUnavailable)
+}
+
+func stream(rw http.ResponseWriter, r *http.Request, id string) {
+	rw.Header().Set("Content-Type", "text/event-stream")
+	// Without the field a stream begins with its first event.
+	after, _ := strconv.Atoi(r.Header.Get(fieldAfter))
+	for n := after + 1; n <= streamLength(id); n++ {
+		select {
+		case <-time.After(pace):
+		case <-r.Context().Done():
+			return
+		}
+		if _, err := fmt.Fprint(rw, event(id, n)); err != nil {
+			return
+		}
+		if err := http.NewResponseController(rw).Flush(); err != nil {
+			return
+		}
+	}
+}
