--- a/core/mangobroker/fetch.go
+++ b/core/mangobroker/fetch.go
@@ -33,7 +33,8 @@
 type Snapshot struct {
 	// Routing is nil if the other daemon has it.
 	Routing *mangotraffic.Document
-	// List is the whole list; its cursor is 0 if the other daemon has it.
+	// List is the whole list, or its changes; its cursor is 0 if the other daemon
+	// has it.
 	List mangofleet.ChangeServers
 }
 
@@ -84,7 +85,11 @@
 	if view.Routing != nil && view.Routing.Revision > other.Revision {
 		s.Routing = view.Routing.Document()
 	}
-	if view.ListCursor > other.Cursor && !view.Stale(now) {
+	if view.ListCursor <= other.Cursor || view.Stale(now) {
+		return s
+	}
+	var ok bool
+	if s.List, ok = view.ChangesAfter(other.Cursor, now); !ok {
 		s.List = view.List(now)
 	}
 	return s
--- a/core/mangobroker/fetch_test.go
+++ b/core/mangobroker/fetch_test.go
@@ -2,12 +2,16 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"time"
 
 	"github.com/onsi/gomega"
 
+	"mangolane/core/mangofleet"
 	"mangolane/core/mangomodel"
+	"mangolane/core/mangoroster"
+	"mangolane/core/mangotraffic"
 )
 
 // TestConfigurationIsFetchedFromNearby lets one daemon after the other of two
@@ -56,3 +60,35 @@
 		g.Expect(old.fleet.View().Routing.Revision).To(gomega.Equal(knows.fleet.View().Routing.Revision))
 	})
 }
+
+// TestLongChangesAreFetched bounds what news name: the rest is fetched, as
+// changes if they are known.
+func TestLongChangesAreFetched(t *testing.T) {
+	bubble(t, func(g *gomega.WithT, ctx context.Context, m *mesh) {
+		a := m.start("a", 1)
+		a.know(g)
+		keep(g, ctx, a)
+		time.Sleep(time.Second)
+		for _, n := range []int{mostChanges, mostChanges + 1} {
+			before := a.broker.known()
+			cmd := mangofleet.ChangeServers{Cursor: before.Cursor + 1}
+			for i := range n {
+				s := mangotraffic.Server{ID: mangomodel.ServerID(fmt.Sprint(i)), Service: service}
+				cmd.Changes = append(cmd.Changes, mangotraffic.ServerChange{ID: s.ID, Server: &s})
+			}
+			g.Expect(a.fleet.Do(ctx, cmd)).To(gomega.Succeed())
+			asker := News{From: mangoroster.Member{Holder: mangomodel.Holder{Daemon: "b"}}, List: mangofleet.ChangeServers{Cursor: before.Cursor}}
+			list := a.broker.Compose(asker).List
+			if n <= mostChanges {
+				g.Expect(list.Changes).To(gomega.HaveLen(n))
+				g.Expect(list.After).To(gomega.Equal(before.Cursor))
+				continue
+			}
+			g.Expect(list.Changes).To(gomega.BeEmpty())
+			g.Expect(list.After).To(gomega.Equal(list.Cursor))
+			snapshot := a.broker.Snapshot(before)
+			g.Expect(snapshot.List.Changes).To(gomega.HaveLen(n))
+			g.Expect(snapshot.List.Full).To(gomega.BeFalse())
+		}
+	})
+}
--- a/core/mangobroker/news.go
+++ b/core/mangobroker/news.go
@@ -25,6 +25,9 @@
 	// mostTold is how many daemons are told at once of a change. The others
 	// learn of it from the scheduler.
 	mostTold = 16
+	// mostChanges is how many changes of the list a message names, at about 150
+	// bytes each.
+	mostChanges = 256
 	// mostAsked is how many daemons one without a configuration asks at a time.
 	mostAsked = 6
 	// seedInterval is how often an address that no live daemon has is tried.
@@ -268,10 +271,20 @@
 	if to.From.Holder.Daemon != "" {
 		position = to.List.Cursor
 	}
-	news.List = view.ChangesAfter(position, time.Now())
+	news.List = changesAfter(view, position)
 	return news
 }
 
+// changesAfter returns the changes of the list after a position. For one that
+// is far behind it returns none, from this daemon's own position on.
+func changesAfter(view *mangofleet.View, position mangotraffic.Cursor) mangofleet.ChangeServers {
+	now := time.Now()
+	if cmd, ok := view.ChangesAfter(position, now); ok && len(cmd.Changes) <= mostChanges {
+		return cmd
+	}
+	return mangofleet.ChangeServers{After: view.ListCursor, Cursor: view.ListCursor, Age: now.Sub(view.ListRead)}
+}
+
 // Receive takes in another daemon's news and answers them.
 func (b *Broker) Receive(ctx context.Context, news News) (News, error) {
 	// A list in a request may be older than it says, since it may have been
--- a/core/mangofleet/list.go
+++ b/core/mangofleet/list.go
@@ -126,29 +126,21 @@
 	Cursor  mangotraffic.Cursor
 }
 
-// mostChanges is how many changes a message names.
-const mostChanges = 64
-
 // ChangesAfter returns the command that brings a daemon from a position to this
-// one's. For one that is too far behind it begins at this one's position.
-func (v *View) ChangesAfter(after mangotraffic.Cursor, now time.Time) ChangeServers {
-	none := ChangeServers{After: v.ListCursor, Cursor: v.ListCursor, Age: now.Sub(v.ListRead)}
+// one's. It reports false for one that is too far behind for that.
+func (v *View) ChangesAfter(after mangotraffic.Cursor, now time.Time) (ChangeServers, bool) {
 	if after < v.journalBase {
-		return none
+		return ChangeServers{}, false
 	}
-	cmd := none
-	cmd.After = min(after, v.ListCursor)
+	cmd := ChangeServers{After: min(after, v.ListCursor), Cursor: v.ListCursor, Age: now.Sub(v.ListRead)}
 	for _, c := range v.journal {
 		if c.Cursor <= after {
 			continue
 		}
-		if len(cmd.Changes)+len(c.Changes) > mostChanges {
-			return none
-		}
 		cmd.Changes = append(cmd.Changes, c.Changes...)
 		cmd.Grace = max(cmd.Grace, c.Grace)
 	}
-	return cmd
+	return cmd, true
 }
 
 // List returns the command that gives a daemon the whole list, without the
--- a/core/mangofleet/list_test.go
+++ b/core/mangofleet/list_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"testing"
 	"time"
 
@@ -87,15 +86,17 @@
 		x.do(ChangeServers{Changes: []mangotraffic.ServerChange{{ID: "s2", Server: &s2}}, Cursor: 2})
 		x.do(ChangeServers{Changes: []mangotraffic.ServerChange{{ID: "s1"}}, Cursor: 3, Grace: reappear})
 		now, view := time.Now(), x.fleet.View()
-		x.Expect(view.ChangesAfter(3, now).Changes).To(gomega.BeEmpty())
-		last := view.ChangesAfter(2, now)
+		none, ok := view.ChangesAfter(3, now)
+		x.Expect(ok).To(gomega.BeTrue())
+		x.Expect(none.Changes).To(gomega.BeEmpty())
+		last, ok := view.ChangesAfter(2, now)
+		x.Expect(ok).To(gomega.BeTrue())
 		x.Expect(last.Full).To(gomega.BeFalse())
 		x.Expect(last.Grace).To(gomega.Equal(reappear))
 		x.Expect(last.Changes).To(gomega.Equal([]mangotraffic.ServerChange{{ID: "s1"}}))
 		x.Expect(last.After).To(gomega.BeEquivalentTo(2))
-		far := view.ChangesAfter(0, now)
-		x.Expect(far.Changes).To(gomega.BeEmpty())
-		x.Expect(far.After).To(gomega.BeEquivalentTo(3), "the list has to be fetched")
+		_, ok = view.ChangesAfter(0, now)
+		x.Expect(ok).To(gomega.BeFalse(), "the whole list is needed")
 		list := view.List(now)
 		x.Expect(list.Full).To(gomega.BeTrue())
 		x.Expect(list.Changes).To(gomega.Equal([]mangotraffic.ServerChange{{ID: "s2", Server: &s2}}), "s1 has lapsed")
@@ -117,18 +118,3 @@
 		x.Expect(x.fleet.View().Stale(time.Now().Add(freshTime))).To(gomega.BeFalse())
 	})
 }
-
-// TestLongChangesAreFetched bounds what a message names.
-func TestLongChangesAreFetched(t *testing.T) {
-	bubble(t, func(x *fixture) {
-		x.list(1)
-		cmd := ChangeServers{Cursor: 2}
-		for i := range mostChanges + 1 {
-			s := plain(mangomodel.ServerID(fmt.Sprint(i)), "a1")
-			cmd.Changes = append(cmd.Changes, mangotraffic.ServerChange{ID: s.ID, Server: &s})
-		}
-		x.do(cmd)
-		x.Expect(x.fleet.View().ChangesAfter(1, time.Now()).Changes).To(gomega.BeEmpty())
-		x.Expect(x.fleet.View().List(time.Now()).Changes).To(gomega.HaveLen(mostChanges + 1))
-	})
-}
--- a/core/mangomodel/code_string.go
+++ b/core/mangomodel/code_string.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _CodeName = "InvalidUnauthorisedNotFoundOverloadedUnavailableConflictInProgressQuarantinedUnknownOutcomeCancelledPreemptedBackendTimeoutTooLarge"
+const _CodeName = "InvalidUnauthorisedNotFoundOverloadedUnavailableConflictInProgressQuarantinedUnknownOutcomeCancelledPreemptedBackendTimeoutTooLargeHeaderTooLarge"
 
-var _CodeIndex = [...]uint8{0, 7, 19, 27, 37, 48, 56, 66, 77, 91, 100, 109, 116, 123, 131}
+var _CodeIndex = [...]uint8{0, 7, 19, 27, 37, 48, 56, 66, 77, 91, 100, 109, 116, 123, 131, 145}
 
-const _CodeLowerName = "invalidunauthorisednotfoundoverloadedunavailableconflictinprogressquarantinedunknownoutcomecancelledpreemptedbackendtimeouttoolarge"
+const _CodeLowerName = "invalidunauthorisednotfoundoverloadedunavailableconflictinprogressquarantinedunknownoutcomecancelledpreemptedbackendtimeouttoolargeheadertoolarge"
 
 func (i Code) String() string {
 	if i < 0 || i >= Code(len(_CodeIndex)-1) {
@@ -38,9 +38,10 @@
 	_ = x[CodeBackend-(11)]
 	_ = x[CodeTimeout-(12)]
 	_ = x[CodeTooLarge-(13)]
+	_ = x[CodeHeaderTooLarge-(14)]
 }
 
-var _CodeValues = []Code{CodeInvalid, CodeUnauthorised, CodeNotFound, CodeOverloaded, CodeUnavailable, CodeConflict, CodeInProgress, CodeQuarantined, CodeUnknownOutcome, CodeCancelled, CodePreempted, CodeBackend, CodeTimeout, CodeTooLarge}
+var _CodeValues = []Code{CodeInvalid, CodeUnauthorised, CodeNotFound, CodeOverloaded, CodeUnavailable, CodeConflict, CodeInProgress, CodeQuarantined, CodeUnknownOutcome, CodeCancelled, CodePreempted, CodeBackend, CodeTimeout, CodeTooLarge, CodeHeaderTooLarge}
 
 var _CodeNameToValueMap = map[string]Code{
 	_CodeName[0:7]:     CodeInvalid,
@@ -57,6 +58,7 @@
 	_CodeName[109:116]: CodeBackend,
 	_CodeName[116:123]: CodeTimeout,
 	_CodeName[123:131]: CodeTooLarge,
+	_CodeName[131:145]: CodeHeaderTooLarge,
 }
 
 var _CodeLowerNameToValueMap = map[string]Code{
@@ -74,6 +76,7 @@
 	_CodeLowerName[109:116]: CodeBackend,
 	_CodeLowerName[116:123]: CodeTimeout,
 	_CodeLowerName[123:131]: CodeTooLarge,
+	_CodeLowerName[131:145]: CodeHeaderTooLarge,
 }
 
 var _CodeNames = []string{
@@ -91,6 +94,7 @@
 	_CodeName[109:116],
 	_CodeName[116:123],
 	_CodeName[123:131],
+	_CodeName[131:145],
 }
 
 // CodeString retrieves an enum value from the enum constants string name.
--- a/core/mangomodel/enum.go
+++ b/core/mangomodel/enum.go
@@ -100,6 +100,8 @@
 	CodeTimeout
 	// CodeTooLarge means that the input exceeds a limit.
 	CodeTooLarge
+	// CodeHeaderTooLarge means that a message's header exceeds a limit.
+	CodeHeaderTooLarge
 )
 
 // Run says whether the work of a failed request may have run.
--- /dev/null
+++ b/core/mangorest/limits_test.go
@@ -0,0 +1,95 @@
+package mangorest
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+)
+
+// limited runs a server with a limiter that counts served requests.
+func limited(t *testing.T, idle time.Duration) (string, func() int) {
+	var (
+		mu     sync.Mutex
+		served int
+	)
+	l := newLimiter(func() time.Duration { return idle }, http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		mu.Lock()
+		defer mu.Unlock()
+		served++
+	}))
+	server := httptest.NewUnstartedServer(l)
+	l.install(server.Config)
+	server.Start()
+	t.Cleanup(server.Close)
+	return server.Listener.Addr().String(), func() int {
+		mu.Lock()
+		defer mu.Unlock()
+		return served
+	}
+}
+
+// TestIdleLimit lists what a client may do with a connection. Each part is
+// sent after its pause.
+func TestIdleLimit(t *testing.T) {
+	const limit = 200 * time.Millisecond
+	const request = "GET / HTTP/1.1\r\nHost: x\r\n\r\n"
+	tests := []struct {
+		name   string
+		idle   time.Duration
+		parts  []string
+		pauses []time.Duration
+		served int
+	}{
+		{"kept for another request", limit, []string{request, request}, []time.Duration{0, limit / 2}, 2},
+		{"idle for too long", limit, []string{request, request}, []time.Duration{0, 3 * limit}, 1},
+		{"silent from the start", limit, []string{request}, []time.Duration{3 * limit}, 0},
+		{"no limit", 0, []string{request, request}, []time.Duration{limit, 3 * limit}, 2},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			g := gomega.NewWithT(t)
+			addr, served := limited(t, test.idle)
+			conn, err := net.Dial("tcp", addr)
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			defer conn.Close()
+			for i, part := range test.parts {
+				time.Sleep(test.pauses[i])
+				// A write after the close fails or is reset later.
+				_, _ = fmt.Fprint(conn, part)
+			}
+			g.Expect(conn.SetReadDeadline(time.Now().Add(limit))).To(gomega.Succeed())
+			answers, r := 0, bufio.NewReader(conn)
+			for {
+				resp, err := http.ReadResponse(r, nil)
+				if err != nil {
+					break
+				}
+				resp.Body.Close()
+				answers++
+			}
+			g.Expect(answers).To(gomega.Equal(test.served))
+			g.Expect(served()).To(gomega.Equal(test.served))
+		})
+	}
+}
+
+// TestClosedConnectionIsNotServed checks that a request that came as its
+// connection was closed does not reach the handler.
+func TestClosedConnectionIsNotServed(t *testing.T) {
+	g := gomega.NewWithT(t)
+	l := newLimiter(func() time.Duration { return time.Millisecond }, nil)
+	client, server := net.Pipe()
+	defer client.Close()
+	l.connState(server, http.StateIdle)
+	time.Sleep(50 * time.Millisecond)
+	l.connState(server, http.StateActive)
+	g.Expect(l.open(server)).To(gomega.BeFalse())
+}
--- a/core/mangorest/server.go
+++ b/core/mangorest/server.go
@@ -48,6 +48,8 @@
 type Server struct {
 	rest *rest.Server
 	once sync.Once
+	// limiter is nil for servers whose callers are not bounded.
+	limiter *limiter
 	// started is closed when http holds the server.
 	started chan struct{}
 	http    *http.Server
@@ -93,13 +95,15 @@
 }
 
 // NewProxyServer returns a server that hands every request to one handler as
-// it came: no middleware touches it, whatever its method and path.
-func NewProxyServer(name string, addr mangomodel.Address, handler http.Handler) (*Server, error) {
+// it came: no middleware touches it, whatever its method and path. The limit of
+// idle connections is asked for whenever one becomes idle; zero sets none.
+func NewProxyServer(name string, addr mangomodel.Address, handler http.Handler, idle func() time.Duration) (*Server, error) {
 	s, err := NewServer(name, addr, nil)
 	if err != nil {
 		return nil, err
 	}
-	rest.WithRouter(everything{handler})(s.rest)
+	s.limiter = newLimiter(idle, handler)
+	rest.WithRouter(everything{s.limiter})(s.rest)
 	return s, nil
 }
 
@@ -120,6 +124,9 @@
 func (s *Server) Serve() {
 	s.rest.StartWithOpts(func(svr *http.Server) {
 		svr.ReadHeaderTimeout = headerTimeout
+		if s.limiter != nil {
+			s.limiter.install(svr)
+		}
 		s.once.Do(func() {
 			s.http = svr
 			close(s.started)
--- a/core/mangowire/fault.go
+++ b/core/mangowire/fault.go
@@ -54,6 +54,8 @@
 		return http.StatusUnprocessableEntity
 	case mangomodel.CodeUnknownOutcome, mangomodel.CodeTimeout:
 		return http.StatusGatewayTimeout
+	case mangomodel.CodeHeaderTooLarge:
+		return http.StatusRequestHeaderFieldsTooLarge
 	case mangomodel.CodeTooLarge:
 		return http.StatusRequestEntityTooLarge
 	default:
--- a/mangolaned/mangogateway/gateway.go
+++ b/mangolaned/mangogateway/gateway.go
@@ -103,7 +103,7 @@
 
 // Run serves until ctx ends, then drains and returns.
 func (g *Gateway) Run(ctx context.Context, front http.Handler, ready rest.Route) error {
-	frontServer, err := mangorest.NewProxyServer("front", g.settings.Front, front)
+	frontServer, err := mangorest.NewProxyServer("front", g.settings.Front, front, g.idleTimeout)
 	if err != nil {
 		return err
 	}
@@ -142,6 +142,15 @@
 	return err
 }
 
+// idleTimeout returns how long a client's connection may be idle by the
+// configuration in force.
+func (g *Gateway) idleTimeout() time.Duration {
+	if routing := g.fleet.View().Routing; routing != nil {
+		return routing.Limits.IdleTimeout
+	}
+	return 0
+}
+
 func (g *Gateway) servePeers(s *mangomesh.Server, l net.Listener) {
 	if err := s.Serve(l); err != nil {
 		g.logger.Error("peers", mangolog.Fault(err)...)
