--- a/core/mangobroker/broker.go
+++ b/core/mangobroker/broker.go
@@ -7,8 +7,8 @@
 	"time"
 
 	"mangolane/core/mangofleet"
+	"mangolane/core/mangolease"
 	"mangolane/core/mangomodel"
-	"mangolane/core/mangopool"
 	"mangolane/core/mangoroster"
 	"mangolane/core/mangotraffic"
 )
@@ -31,9 +31,9 @@
 // Peers makes calls to other daemons. A failure to reach one has the code
 // Unavailable.
 type Peers interface {
-	Acquire(ctx context.Context, at mangoroster.Member, id mangopool.LeaseID, d mangopool.Demand) (mangopool.Lease, error)
+	Acquire(ctx context.Context, at mangoroster.Member, id mangolease.ID, d mangolease.Demand) (mangolease.Lease, error)
 	Release(ctx context.Context, at mangoroster.Member, r mangofleet.Release) error
-	PrefillDone(ctx context.Context, at mangoroster.Member, id mangopool.LeaseID, took time.Duration) error
+	PrefillDone(ctx context.Context, at mangoroster.Member, id mangolease.ID, took time.Duration) error
 	Exchange(ctx context.Context, at mangomodel.Address, news News) (News, error)
 	// Snapshot returns what a daemon knows beyond what this one does.
 	Snapshot(ctx context.Context, at mangomodel.Address, known Known) (Snapshot, error)
@@ -48,13 +48,7 @@
 	peers Peers
 	seeds []mangomodel.Address
 	log   Observer
-	// fences and orders are nil if no engine is to be moved.
-	fences     Fences
-	orders     Orders
-	orderLease time.Duration
-	// engines is nil if no reports are wanted.
-	engines Engines
-	last    atomic.Uint64
+	last  atomic.Uint64
 	// visits counts the rounds of join, which alone uses it.
 	visits int
 
@@ -66,7 +60,7 @@
 	// knows more. They are registries of traffic and no control
 	// state, so a lock guards them.
 	mu     sync.Mutex
-	held   map[mangopool.LeaseID]*Grant
+	held   map[mangolease.ID]*Grant
 	offers map[mangomodel.Address]offer
 }
 
@@ -75,12 +69,8 @@
 	PeerLost(at mangomodel.Address, err error)
 	PeerRegained(at mangomodel.Address)
 	SchedulerChanged(service mangotraffic.ServiceName, to mangomodel.DaemonID)
-	// Ordered is called when an engine was told to change its stage, or not.
-	Ordered(m mangopool.Move, fence Fence, err error)
 	// FetchFailed is called when a daemon did not give a snapshot.
 	FetchFailed(at mangomodel.Address, err error)
-	// ReportFailed is called when an engine did not say what it runs.
-	ReportFailed(server mangotraffic.Server, err error)
 }
 
 // Option configures a Broker.
@@ -95,7 +85,7 @@
 // New returns a Broker.
 func New(self mangoroster.Member, fleet Fleet, peers Peers, opts ...Option) *Broker {
 	b := &Broker{
-		self: self, fleet: fleet, peers: peers, log: silent{}, held: make(map[mangopool.LeaseID]*Grant),
+		self: self, fleet: fleet, peers: peers, log: silent{}, held: make(map[mangolease.ID]*Grant),
 		offers: make(map[mangomodel.Address]offer), fetching: make(chan struct{}, 1),
 	}
 	for _, opt := range opts {
@@ -106,21 +96,21 @@
 
 // Grant is a lease in use.
 type Grant struct {
-	ID    mangopool.LeaseID
-	Lease mangopool.Lease
+	ID    mangolease.ID
+	Lease mangolease.Lease
 
 	broker    *Broker
 	scheduler mangoroster.Member
-	demand    mangopool.Demand
+	demand    mangolease.Demand
 	made      atomic.Int64
 	prefilled atomic.Bool
 
 	mu   sync.Mutex
-	seen []mangopool.Observed
+	seen []mangolease.Observed
 }
 
 // Observe keeps what an exchange showed for whoever granted the lease.
-func (g *Grant) Observe(o mangopool.Observed) {
+func (g *Grant) Observe(o mangolease.Observed) {
 	if g.scheduler.Holder == g.broker.self.Holder {
 		return
 	}
@@ -162,9 +152,9 @@
 }
 
 // Acquire waits for servers.
-func (b *Broker) Acquire(ctx context.Context, d mangopool.Demand) (*Grant, error) {
+func (b *Broker) Acquire(ctx context.Context, d mangolease.Demand) (*Grant, error) {
 	d.Origin = b.self.DataCentre
-	id := mangopool.LeaseID{Holder: b.self.Holder, Number: b.last.Add(1)}
+	id := mangolease.ID{Holder: b.self.Holder, Number: b.last.Add(1)}
 	if d.Generation == nil {
 		return b.acquireHere(ctx, id, d)
 	}
@@ -196,7 +186,7 @@
 	return b.self
 }
 
-func (b *Broker) acquireFrom(ctx context.Context, id mangopool.LeaseID, at mangoroster.Member, d mangopool.Demand) (*Grant, error) {
+func (b *Broker) acquireFrom(ctx context.Context, id mangolease.ID, at mangoroster.Member, d mangolease.Demand) (*Grant, error) {
 	if at.Holder == b.self.Holder {
 		return b.acquireHere(ctx, id, d)
 	}
@@ -210,7 +200,7 @@
 	return &Grant{ID: id, Lease: lease, broker: b, scheduler: at, demand: d}, nil
 }
 
-func (b *Broker) acquireHere(ctx context.Context, id mangopool.LeaseID, d mangopool.Demand) (*Grant, error) {
+func (b *Broker) acquireHere(ctx context.Context, id mangolease.ID, d mangolease.Demand) (*Grant, error) {
 	if err := b.fleet.Do(ctx, mangofleet.Acquire{Lease: id, Demand: d}); err != nil {
 		return nil, err
 	}
@@ -252,6 +242,4 @@
 func (silent) PeerLost(mangomodel.Address, error)                             {}
 func (silent) PeerRegained(mangomodel.Address)                                {}
 func (silent) SchedulerChanged(mangotraffic.ServiceName, mangomodel.DaemonID) {}
-func (silent) Ordered(mangopool.Move, Fence, error)                           {}
 func (silent) FetchFailed(mangomodel.Address, error)                          {}
-func (silent) ReportFailed(mangotraffic.Server, error)                        {}
--- a/core/mangobroker/broker_test.go
+++ b/core/mangobroker/broker_test.go
@@ -12,8 +12,8 @@
 
 	"mangolane/core/mangobudget"
 	"mangolane/core/mangofleet"
+	"mangolane/core/mangolease"
 	"mangolane/core/mangomodel"
-	"mangolane/core/mangopool"
 	"mangolane/core/mangoroster"
 	"mangolane/core/mangotraffic"
 )
@@ -62,16 +62,16 @@
 	return nil, ctx, errUnreachable
 }
 
-func (l link) Acquire(ctx context.Context, at mangoroster.Member, id mangopool.LeaseID, d mangopool.Demand) (mangopool.Lease, error) {
+func (l link) Acquire(ctx context.Context, at mangoroster.Member, id mangolease.ID, d mangolease.Demand) (mangolease.Lease, error) {
 	other, ctx, err := l.reach(ctx, at.Address)
 	if err != nil {
-		return mangopool.Lease{}, err
+		return mangolease.Lease{}, err
 	}
 	if err := other.fleet.Do(ctx, mangofleet.Acquire{Lease: id, Demand: d}); err != nil {
 		if ctx.Err() != nil {
 			err = errUnreachable
 		}
-		return mangopool.Lease{}, err
+		return mangolease.Lease{}, err
 	}
 	lease, _ := other.fleet.View().Lease(id)
 	return lease, nil
@@ -85,7 +85,7 @@
 	return other.fleet.Do(ctx, r)
 }
 
-func (l link) PrefillDone(ctx context.Context, at mangoroster.Member, id mangopool.LeaseID, took time.Duration) error {
+func (l link) PrefillDone(ctx context.Context, at mangoroster.Member, id mangolease.ID, took time.Duration) error {
 	other, ctx, err := l.reach(ctx, at.Address)
 	if err != nil {
 		return err
@@ -217,8 +217,8 @@
 	return m.Holder.Daemon
 }
 
-func demand() mangopool.Demand {
-	return mangopool.Demand{
+func demand() mangolease.Demand {
+	return mangolease.Demand{
 		Service: service, Generation: &mangotraffic.Generation{Prompt: 10, MaxOutput: 10},
 		OnTimeFor: 2 * time.Second, Patience: 3 * time.Second,
 	}
--- a/core/mangobroker/news.go
+++ b/core/mangobroker/news.go
@@ -7,8 +7,10 @@
 	"sync"
 	"time"
 
+	"mangolane/core/mangobudget"
 	"mangolane/core/mangocrash"
 	"mangolane/core/mangofleet"
+	"mangolane/core/mangolease"
 	"mangolane/core/mangomodel"
 	"mangolane/core/mangopool"
 	"mangolane/core/mangoroster"
@@ -38,11 +40,11 @@
 type News struct {
 	From mangoroster.Member
 	// Leases are those of the sender at the receiver's services.
-	Leases []mangopool.Progress
+	Leases []mangolease.Progress
 	// Usages is what the sender has used of the retry budgets. An answer's
 	// Allowances is what the other daemon may use next.
-	Usages     mangofleet.Usages
-	Allowances mangofleet.Allowances
+	Usages     mangobudget.Usages
+	Allowances mangobudget.Allowances
 	// Members are the daemons that the sender knows.
 	Members []mangoroster.Sighting
 	Crashes []mangocrash.Crash
@@ -59,8 +61,6 @@
 	running.Go(func() { b.renew(ctx) })
 	running.Go(func() { b.join(ctx) })
 	running.Go(func() { b.fetch(ctx) })
-	running.Go(func() { b.inspect(ctx) })
-	running.Go(func() { b.move(ctx) })
 	running.Wait()
 }
 
@@ -114,7 +114,7 @@
 }
 
 // exchange sends news and takes in the answer.
-func (b *Broker) exchange(ctx context.Context, at mangomodel.Address, leases []mangopool.Progress) error {
+func (b *Broker) exchange(ctx context.Context, at mangomodel.Address, leases []mangolease.Progress) error {
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
 	news := b.Compose(News{})
@@ -242,12 +242,12 @@
 }
 
 // progress returns what this daemon holds.
-func (b *Broker) progress() []mangopool.Progress {
+func (b *Broker) progress() []mangolease.Progress {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	list := make([]mangopool.Progress, 0, len(b.held))
+	list := make([]mangolease.Progress, 0, len(b.held))
 	for g := range maps.Values(b.held) {
-		p := mangopool.Progress{
+		p := mangolease.Progress{
 			Number: g.ID.Number, Server: g.Lease.Server.ID, Service: g.demand.Service,
 			Generation: *g.demand.Generation, Made: mangomodel.Tokens(g.made.Load()),
 		}
--- a/core/mangobudget/budget.go
+++ b/core/mangobudget/budget.go
@@ -2,15 +2,15 @@
 //
 // A service may get a share of its calls, and a fixed number besides, as
 // repeats within a window, from all daemons together. A daemon that counts for
-// all of them gives each an [Allowance] for the next moments. A daemon that
+// all of them gives each its [Allowances] for the next moments. A daemon that
 // cannot reach it uses its own calls and an equal part of the fixed number.
 //
 // # Usage
 //
-//	b := mangobudget.New(mangobudget.Limits{Ratio: 0.2, Fixed: 10, Window: 10 * time.Second})
-//	b.Called(now)
-//	if b.Take(now, daemons) { ... }
-//	n := mangobudget.Left(limits, usages) / daemons
+//	l := mangobudget.NewLedger(self, limits)
+//	l.Budget("llm").Called(now)
+//	if l.Budget("llm").Take(now, daemons) { ... }
+//	allowances := l.Renew(holder, usages, daemons, counting, now)
 package mangobudget
 
 import "time"
--- a/core/mangofleet/admission.go
+++ b/core/mangofleet/admission.go
@@ -5,9 +5,9 @@
 	"slices"
 	"time"
 
+	"mangolane/core/mangolease"
 	"mangolane/core/mangoloop"
 	"mangolane/core/mangomodel"
-	"mangolane/core/mangopool"
 	"mangolane/core/mangotraffic"
 )
 
@@ -23,13 +23,13 @@
 // Acquire asks for servers. It is answered with nil once they are granted,
 // and with a fault that says "not run" when the demand's patience ends.
 type Acquire struct {
-	Lease  mangopool.LeaseID
-	Demand mangopool.Demand
+	Lease  mangolease.ID
+	Demand mangolease.Demand
 }
 
 // Await keeps the reply until the demand is decided.
 func (c Acquire) Await(s *state, r mangoloop.Reply) {
-	s.queue = append(s.queue, &waiter{Ask: mangopool.NewAsk(c.Lease, c.Demand, time.Now()), reply: r})
+	s.queue = append(s.queue, &waiter{Ask: mangolease.NewAsk(c.Lease, c.Demand, time.Now()), reply: r})
 }
 
 // Apply queues the demand and serves it if possible.
@@ -49,9 +49,9 @@
 
 // Release gives a lease back, or withdraws its demand.
 type Release struct {
-	Lease mangopool.LeaseID
+	Lease mangolease.ID
 	// Seen is what the holder's exchanges have shown.
-	Seen []mangopool.Observed
+	Seen []mangolease.Observed
 }
 
 // Apply applies the command.
@@ -65,7 +65,7 @@
 	return nil
 }
 
-func (s *state) withdraw(id mangopool.LeaseID) {
+func (s *state) withdraw(id mangolease.ID) {
 	s.queue = slices.DeleteFunc(s.queue, func(w *waiter) bool { return w.Lease == id })
 }
 
--- a/core/mangofleet/admission_test.go
+++ b/core/mangofleet/admission_test.go
@@ -9,6 +9,7 @@
 	"github.com/onsi/gomega"
 
 	"mangolane/core/mangocrash"
+	"mangolane/core/mangolease"
 	"mangolane/core/mangomodel"
 	"mangolane/core/mangopool"
 	"mangolane/core/mangotraffic"
@@ -60,7 +61,7 @@
 	basic.Priority = 2
 	tests := []struct {
 		name          string
-		first, second mangopool.Demand
+		first, second mangolease.Demand
 		want          int
 	}{
 		{"older first", generation(9000, 100), generation(9000, 100), 0},
@@ -74,7 +75,7 @@
 				holder, _ := x.mustAcquire(generation(9000, 100))
 				x.do(PrefillDone{Lease: holder})
 				served := make(chan int, 2)
-				for i, d := range []mangopool.Demand{test.first, test.second} {
+				for i, d := range []mangolease.Demand{test.first, test.second} {
 					go func() {
 						if _, _, err := x.acquire(d); err == nil {
 							served <- i
@@ -125,7 +126,7 @@
 		x.list(1, decode("d1", "a1"), decode("d2", "a2"), prefill("p", "a1"))
 		id, lease := x.mustAcquire(generation(100, 100))
 		x.Expect(lease.Server.ID).To(gomega.BeEquivalentTo("d1"))
-		x.do(Release{Lease: id, Seen: []mangopool.Observed{{Server: "d1", Saw: mangopool.ObservedFull}}})
+		x.do(Release{Lease: id, Seen: []mangolease.Observed{{Server: "d1", Saw: mangolease.ObservedFull}}})
 		time.Sleep(2 * mangopool.FullPause)
 		_, lease = x.mustAcquire(generation(100, 100))
 		x.Expect(lease.Server.ID).To(gomega.BeEquivalentTo("d2"))
@@ -163,7 +164,7 @@
 		x.list(1, decode("d", "a1"), prefill("p1", "a1"), prefill("p2", "b1"))
 		id, lease := x.mustAcquire(generation(100, 100))
 		x.Expect(lease.Prefill.ID).To(gomega.BeEquivalentTo("p1"))
-		x.do(Release{Lease: id, Seen: []mangopool.Observed{{Server: "p1", Saw: mangopool.ObservedLapsed}}})
+		x.do(Release{Lease: id, Seen: []mangolease.Observed{{Server: "p1", Saw: mangolease.ObservedLapsed}}})
 		_, lease = x.mustAcquire(generation(100, 100))
 		x.Expect(lease.Prefill.ID).To(gomega.BeEquivalentTo("p2"))
 	})
@@ -172,7 +173,7 @@
 func TestPlainServersShareByTheirOwnReports(t *testing.T) {
 	bubble(t, func(x *fixture) {
 		x.list(1, plain("s1", "a1"), plain("s2", "a2"))
-		x.do(Observe{Observed: mangopool.Observed{Server: "s1", Saw: mangopool.ObservedSuccess, Load: &mangotraffic.LoadReport{Running: 2, Slots: 2}}})
+		x.do(Observe{Observed: mangolease.Observed{Server: "s1", Saw: mangolease.ObservedSuccess, Load: &mangotraffic.LoadReport{Running: 2, Slots: 2}}})
 		_, lease := x.mustAcquire(call())
 		x.Expect(lease.Server.ID).To(gomega.BeEquivalentTo("s2"))
 	})
--- a/core/mangofleet/fleet.go
+++ b/core/mangofleet/fleet.go
@@ -9,6 +9,7 @@
 	"mangolane/core/mangobudget"
 	"mangolane/core/mangocrash"
 	"mangolane/core/mangohealth"
+	"mangolane/core/mangolease"
 	"mangolane/core/mangoloop"
 	"mangolane/core/mangomodel"
 	"mangolane/core/mangopool"
@@ -110,15 +111,15 @@
 	// Members are the daemons that are believed alive, this one included.
 	Members []mangoroster.Heard
 	// Usages is what this daemon has used of the retry budgets.
-	Usages Usages
+	Usages mangobudget.Usages
 
 	schedulers map[mangotraffic.ServiceName][]mangoroster.Member
 	// lapsed are those of Listed whose entries have vanished.
 	lapsed      map[mangomodel.ServerID]bool
 	moves       map[mangotraffic.ServiceName]mangopool.Move
-	granted     mangoquery.Index[mangopool.LeaseID, mangopool.Lease]
+	granted     mangoquery.Index[mangolease.ID, mangolease.Lease]
 	crashes     []mangocrash.Crash
-	allowances  map[mangomodel.Holder]Allowances
+	allowances  map[mangomodel.Holder]mangobudget.Allowances
 	journal     []ListChange
 	journalBase mangotraffic.Cursor
 	self        mangomodel.DaemonID
@@ -169,10 +170,10 @@
 
 // Allowances returns what a daemon life may use of the retry budgets until it
 // renews again.
-func (v *View) Allowances(h mangomodel.Holder) Allowances { return v.allowances[h] }
+func (v *View) Allowances(h mangomodel.Holder) mangobudget.Allowances { return v.allowances[h] }
 
 // Lease returns a lease that was granted and not renewed yet.
-func (v *View) Lease(id mangopool.LeaseID) (mangopool.Lease, bool) { return v.granted.Get(id) }
+func (v *View) Lease(id mangolease.ID) (mangolease.Lease, bool) { return v.granted.Get(id) }
 
 // Ready reports whether the daemon can route calls and wants more of them.
 func (v *View) Ready() bool { return v.Routing != nil && !v.ListRead.IsZero() && !v.Draining }
--- a/core/mangofleet/fleet_test.go
+++ b/core/mangofleet/fleet_test.go
@@ -10,8 +10,8 @@
 
 	"mangolane/core/mangobudget"
 	"mangolane/core/mangohealth"
+	"mangolane/core/mangolease"
 	"mangolane/core/mangomodel"
-	"mangolane/core/mangopool"
 	"mangolane/core/mangoroster"
 	"mangolane/core/mangotraffic"
 )
@@ -102,31 +102,31 @@
 	x.do(cmd)
 }
 
-func (x *fixture) id() mangopool.LeaseID {
+func (x *fixture) id() mangolease.ID {
 	x.next++
-	return mangopool.LeaseID{Holder: x.self, Number: x.next}
+	return mangolease.ID{Holder: x.self, Number: x.next}
 }
 
-func generation(prompt, output mangomodel.Tokens) mangopool.Demand {
-	return mangopool.Demand{
+func generation(prompt, output mangomodel.Tokens) mangolease.Demand {
+	return mangolease.Demand{
 		Service: engines, Origin: "a1", Generation: &mangotraffic.Generation{Prompt: prompt, MaxOutput: 2 * output},
 		OnTimeFor: time.Second, Patience: 2 * time.Second,
 	}
 }
 
-func call() mangopool.Demand {
-	return mangopool.Demand{Service: app, Origin: "a1", OnTimeFor: time.Second, Patience: time.Second}
+func call() mangolease.Demand {
+	return mangolease.Demand{Service: app, Origin: "a1", OnTimeFor: time.Second, Patience: time.Second}
 }
 
 // acquire returns the granted lease.
-func (x *fixture) acquire(d mangopool.Demand) (mangopool.LeaseID, mangopool.Lease, error) {
+func (x *fixture) acquire(d mangolease.Demand) (mangolease.ID, mangolease.Lease, error) {
 	id := x.id()
 	err := x.fleet.Do(context.Background(), Acquire{Lease: id, Demand: d})
 	lease, _ := x.fleet.View().Lease(id)
 	return id, lease, err
 }
 
-func (x *fixture) mustAcquire(d mangopool.Demand) (mangopool.LeaseID, mangopool.Lease) {
+func (x *fixture) mustAcquire(d mangolease.Demand) (mangolease.ID, mangolease.Lease) {
 	id, lease, err := x.acquire(d)
 	x.Expect(err).NotTo(gomega.HaveOccurred())
 	return id, lease
--- a/core/mangofleet/list_test.go
+++ b/core/mangofleet/list_test.go
@@ -7,8 +7,8 @@
 
 	"github.com/onsi/gomega"
 
+	"mangolane/core/mangolease"
 	"mangolane/core/mangomodel"
-	"mangolane/core/mangopool"
 	"mangolane/core/mangotraffic"
 )
 
@@ -69,8 +69,8 @@
 func TestNewLifeUnderAnOldIDStartsWithoutHistory(t *testing.T) {
 	bubble(t, func(x *fixture) {
 		x.list(1, plain("s1", "a1"))
-		x.do(Observe{Observed: mangopool.Observed{Server: "s1", Saw: mangopool.ObservedUnreachable}})
-		_, _, err := x.acquire(mangopool.Demand{Service: app, Origin: "a1", Patience: time.Millisecond})
+		x.do(Observe{Observed: mangolease.Observed{Server: "s1", Saw: mangolease.ObservedUnreachable}})
+		_, _, err := x.acquire(mangolease.Demand{Service: app, Origin: "a1", Patience: time.Millisecond})
 		x.Expect(err).To(gomega.HaveOccurred())
 		again := plain("s1", "a1")
 		again.Born = time.UnixMilli(5)
--- a/core/mangofleet/member_test.go
+++ b/core/mangofleet/member_test.go
@@ -8,6 +8,7 @@
 	"github.com/onsi/gomega"
 
 	"mangolane/core/mangobudget"
+	"mangolane/core/mangolease"
 	"mangolane/core/mangomodel"
 	"mangolane/core/mangopool"
 	"mangolane/core/mangoroster"
@@ -93,8 +94,8 @@
 	})
 }
 
-func progress(n uint64, server mangomodel.ServerID, prompt mangomodel.Tokens) mangopool.Progress {
-	return mangopool.Progress{Number: n, Server: server, Service: engines, Generation: mangotraffic.Generation{Prompt: prompt, MaxOutput: 100}}
+func progress(n uint64, server mangomodel.ServerID, prompt mangomodel.Tokens) mangolease.Progress {
+	return mangolease.Progress{Number: n, Server: server, Service: engines, Generation: mangotraffic.Generation{Prompt: prompt, MaxOutput: 100}}
 }
 
 func TestNewSchedulerLearnsLeasesBeforeItGrants(t *testing.T) {
@@ -102,14 +103,14 @@
 		x.list(1, decode("d1", "a1"), decode("d2", "a2"), prefill("p", "a1"))
 		x.hear(other("d9", 1), 0)
 		x.do(Renew{Holder: x.self})
-		granted := make(chan mangopool.Lease, 1)
+		granted := make(chan mangolease.Lease, 1)
 		go func() {
 			_, lease := x.mustAcquire(generation(100, 100))
 			granted <- lease
 		}()
 		time.Sleep(takeoverTime / 2)
 		x.Expect(granted).NotTo(gomega.Receive())
-		x.do(Renew{Holder: other("d9", 1).Holder, Leases: []mangopool.Progress{progress(1, "d1", 9000)}})
+		x.do(Renew{Holder: other("d9", 1).Holder, Leases: []mangolease.Progress{progress(1, "d1", 9000)}})
 		x.Expect((<-granted).Server.ID).To(gomega.BeEquivalentTo("d2"))
 	})
 }
@@ -118,11 +119,11 @@
 	bubble(t, func(x *fixture) {
 		x.list(1, decode("d1", "a1"), prefill("p", "a1"))
 		h := other("d9", 1).Holder
-		x.do(Renew{Holder: h, Leases: []mangopool.Progress{progress(1, "d1", 100), progress(2, "d1", 100)}})
+		x.do(Renew{Holder: h, Leases: []mangolease.Progress{progress(1, "d1", 100), progress(2, "d1", 100)}})
 		time.Sleep(mangopool.NamingTime + time.Millisecond)
-		x.do(Renew{Holder: h, Leases: []mangopool.Progress{progress(1, "d1", 100)}})
+		x.do(Renew{Holder: h, Leases: []mangolease.Progress{progress(1, "d1", 100)}})
 		x.Expect(x.fleet.View().Leases).To(gomega.Equal(1), "a lease that is not named any more")
-		x.do(Renew{Holder: mangomodel.Holder{Daemon: "d9", Incarnation: 2}, Leases: []mangopool.Progress{progress(1, "d1", 100)}})
+		x.do(Renew{Holder: mangomodel.Holder{Daemon: "d9", Incarnation: 2}, Leases: []mangolease.Progress{progress(1, "d1", 100)}})
 		x.Expect(x.fleet.View().Leases).To(gomega.Equal(1), "a lease of an earlier life")
 		time.Sleep(2 * mangopool.HolderTimeout)
 		x.do(RoutingRead{})
@@ -145,7 +146,7 @@
 		for i := range 8 {
 			h := mangomodel.Holder{Daemon: mangomodel.DaemonID(rune('a' + i)), Incarnation: 1}
 			x.hear(mangoroster.Member{Holder: h}, 0)
-			x.do(Renew{Holder: h, Usages: Usages{app: mangobudget.Usage{}}})
+			x.do(Renew{Holder: h, Usages: mangobudget.Usages{app: mangobudget.Usage{}}})
 			total += x.fleet.View().Allowances(h)[app]
 		}
 		x.Expect(total).To(gomega.BeNumerically("<=", testLimits.Fixed+1))
@@ -173,7 +174,7 @@
 		x.do(Hear{Sightings: all})
 		able := 0
 		for i := range daemons {
-			x.do(Renew{Holder: holder(i), Usages: Usages{app: mangobudget.Usage{}}})
+			x.do(Renew{Holder: holder(i), Usages: mangobudget.Usages{app: mangobudget.Usage{}}})
 			if x.fleet.View().Allowances(holder(i))[app] > 0 {
 				able++
 			}
@@ -192,7 +193,7 @@
 
 func TestRetriesAreRefusedBeyondTheBudget(t *testing.T) {
 	bubble(t, func(x *fixture) {
-		x.do(Allow{Allowances: Allowances{app: 1}})
+		x.do(Allow{Allowances: mangobudget.Allowances{app: 1}})
 		x.do(TakeRetry{Service: app})
 		err := x.fleet.Do(context.Background(), TakeRetry{Service: app})
 		x.Expect(mangomodel.HasCode(err, mangomodel.CodeOverloaded)).To(gomega.BeTrue())
--- a/core/mangofleet/observer_test.go
+++ b/core/mangofleet/observer_test.go
@@ -7,8 +7,8 @@
 
 	"github.com/onsi/gomega"
 
+	"mangolane/core/mangolease"
 	"mangolane/core/mangomodel"
-	"mangolane/core/mangopool"
 	"mangolane/core/mangotraffic"
 )
 
@@ -37,17 +37,17 @@
 func TestHealthIsTold(t *testing.T) {
 	bubble(t, func(x *fixture) {
 		x.list(1, plain("s1", "a1"))
-		see := func(saw mangopool.Observation) {
-			x.do(Observe{mangopool.Observed{Server: "s1", Saw: saw}})
+		see := func(saw mangolease.Observation) {
+			x.do(Observe{mangolease.Observed{Server: "s1", Saw: saw}})
 		}
 		for range 3 {
-			see(mangopool.ObservedFailure)
+			see(mangolease.ObservedFailure)
 		}
-		see(mangopool.ObservedFailure)
+		see(mangolease.ObservedFailure)
 		x.Expect(x.beliefs.usable).To(gomega.Equal([]bool{false}))
 		time.Sleep(time.Minute)
-		see(mangopool.ObservedSuccess)
-		see(mangopool.ObservedSuccess)
+		see(mangolease.ObservedSuccess)
+		see(mangolease.ObservedSuccess)
 		x.Expect(x.beliefs.usable).To(gomega.Equal([]bool{false, true}))
 	})
 }
--- a/core/mangofleet/renew.go
+++ b/core/mangofleet/renew.go
@@ -4,6 +4,8 @@
 	"maps"
 	"time"
 
+	"mangolane/core/mangobudget"
+	"mangolane/core/mangolease"
 	"mangolane/core/mangomodel"
 	"mangolane/core/mangopool"
 	"mangolane/core/mangotraffic"
@@ -16,9 +18,9 @@
 // Renew names all leases that a daemon life holds.
 type Renew struct {
 	Holder mangomodel.Holder
-	Leases []mangopool.Progress
+	Leases []mangolease.Progress
 	// Usages is what the holder has used of the retry budgets.
-	Usages Usages
+	Usages mangobudget.Usages
 }
 
 // Apply applies the command.
@@ -29,10 +31,10 @@
 	s.actedAt = now
 	s.pool.Renew(c.Holder, c.Leases, now)
 	s.allowances = maps.Clone(s.allowances)
-	s.allowances[c.Holder] = s.allow(c.Holder, now)
-	if c.Holder != s.self.Holder {
-		s.usages[c.Holder] = peerUsage{usages: c.Usages, allowed: s.allowances[c.Holder], at: now}
-	}
+	maps.DeleteFunc(s.allowances, func(h mangomodel.Holder, _ mangobudget.Allowances) bool {
+		return h.Daemon == c.Holder.Daemon && h.Incarnation < c.Holder.Incarnation
+	})
+	s.allowances[c.Holder] = s.retries.Renew(c.Holder, c.Usages, s.daemons(), now.Sub(s.actingSince), now)
 	s.changed.usage = true
 	return nil
 }
@@ -48,7 +50,7 @@
 
 // PrefillDone says that a lease's prefill server has finished its part.
 type PrefillDone struct {
-	Lease mangopool.LeaseID
+	Lease mangolease.ID
 	// Took is how long it took; zero if it failed.
 	Took time.Duration
 }
@@ -61,7 +63,7 @@
 }
 
 // Observe tells what an exchange with a server showed.
-type Observe struct{ Observed mangopool.Observed }
+type Observe struct{ Observed mangolease.Observed }
 
 // Apply applies the command.
 func (c Observe) Apply(s *state, now time.Time) error {
@@ -69,7 +71,7 @@
 	return nil
 }
 
-func (s *state) observe(o mangopool.Observed, now time.Time) {
+func (s *state) observe(o mangolease.Observed, now time.Time) {
 	if !s.pool.Observe(o, now) {
 		return
 	}
--- a/core/mangofleet/state.go
+++ b/core/mangofleet/state.go
@@ -5,6 +5,7 @@
 
 	"mangolane/core/mangobudget"
 	"mangolane/core/mangocrash"
+	"mangolane/core/mangolease"
 	"mangolane/core/mangoloop"
 	"mangolane/core/mangomodel"
 	"mangolane/core/mangopool"
@@ -14,7 +15,7 @@
 
 // waiter is a demand that waits for its answer.
 type waiter struct {
-	*mangopool.Ask
+	*mangolease.Ask
 	reply mangoloop.Reply
 }
 
@@ -26,12 +27,9 @@
 	draining bool
 	pool     *mangopool.Pool
 	queue    []*waiter
-	retries  Retries
-	budgets  map[mangotraffic.ServiceName]*mangobudget.Budget
-	// usages is what the other daemon lives have used of the budgets.
-	usages map[mangomodel.Holder]peerUsage
+	retries  *mangobudget.Ledger
 	// allowances is what each daemon life may use; it is copied when changed.
-	allowances map[mangomodel.Holder]Allowances
+	allowances map[mangomodel.Holder]mangobudget.Allowances
 	roster     *mangoroster.Roster
 	suspects   *mangocrash.Suspects
 	listRead   time.Time
@@ -61,10 +59,8 @@
 		self:       self,
 		observer:   silent{},
 		pool:       mangopool.New(self.Holder, self.Regions),
-		retries:    retries,
-		budgets:    make(map[mangotraffic.ServiceName]*mangobudget.Budget),
-		usages:     make(map[mangomodel.Holder]peerUsage),
-		allowances: make(map[mangomodel.Holder]Allowances),
+		retries:    mangobudget.NewLedger(self.Holder, retries),
+		allowances: make(map[mangomodel.Holder]mangobudget.Allowances),
 		roster:     mangoroster.New(self.Holder.Daemon, self.Regions),
 		suspects:   mangocrash.New(),
 		changed:    parts{members: true},
@@ -122,7 +118,7 @@
 		v.crashes = s.suspects.News(now)
 	}
 	if s.changed.usage {
-		v.Usages = s.usage(now)
+		v.Usages = s.retries.Usage(now)
 	}
 	s.changed.crashes, s.changed.usage = false, false
 	if s.changed.members || now.Sub(s.membersAt) >= membersInterval {
--- a/core/mangofleet/suspect.go
+++ b/core/mangofleet/suspect.go
@@ -41,7 +41,7 @@
 
 // Apply applies the command.
 func (c Enter) Apply(s *state, now time.Time) error {
-	s.budget(c.Service).Called(now)
+	s.retries.Budget(c.Service).Called(now)
 	s.changed.usage = true
 	if n := s.suspects.Crashes(c.Call, now); n >= mangocrash.Most {
 		return refused(mangomodel.CodeQuarantined, "the call broke %d servers", n)
--- a/core/mangopool/demand.go
+++ b/core/mangolease/lease.go
@@ -1,4 +1,12 @@
-package mangopool
+// Package mangolease holds the values of a lease's life: the demand of a call,
+// how it waits, what it is granted, what its holder tells of it, and what its
+// exchanges have shown of the servers.
+//
+// # Usage
+//
+//	ask := mangolease.NewAsk(id, mangolease.Demand{Service: "llm", Patience: time.Second}, now)
+//	if ask.Late(now) { ... }
+package mangolease
 
 import (
 	"time"
@@ -7,8 +15,8 @@
 	"mangolane/core/mangotraffic"
 )
 
-// LeaseID names a lease by the daemon life that holds it and a number.
-type LeaseID = mangomodel.GrantID
+// ID names a lease by the daemon life that holds it and a number.
+type ID = mangomodel.GrantID
 
 // Demand is what a call needs.
 type Demand struct {
@@ -33,13 +41,13 @@
 
 // Ask is a demand as it waits: its durations are times.
 type Ask struct {
-	Lease                        LeaseID
+	Lease                        ID
 	Demand                       Demand
 	Since, OnTimeUntil, Patience time.Time
 }
 
 // NewAsk returns an ask for a demand that has just come.
-func NewAsk(id LeaseID, d Demand, now time.Time) *Ask {
+func NewAsk(id ID, d Demand, now time.Time) *Ask {
 	return &Ask{Lease: id, Demand: d, Since: now.Add(-d.Age), OnTimeUntil: now.Add(d.OnTimeFor), Patience: now.Add(d.Patience)}
 }
 
@@ -71,3 +79,29 @@
 	// Made is how many tokens were generated so far.
 	Made mangomodel.Tokens
 }
+
+// Observation is what an exchange with a server showed.
+type Observation int
+
+const (
+	// ObservedSuccess is a complete answer.
+	ObservedSuccess Observation = iota
+	// ObservedFailure is a broken, wrong or missing answer.
+	ObservedFailure
+	// ObservedUnreachable is a connection that could not be made.
+	ObservedUnreachable
+	// ObservedFull is a refusal for want of room.
+	ObservedFull
+	// ObservedLapsed is a prefilled KV cache that could not be fetched.
+	ObservedLapsed
+	// ObservedMoved is another server at the address.
+	ObservedMoved
+)
+
+// Observed is what an exchange with a server showed.
+type Observed struct {
+	Server mangomodel.ServerID
+	Saw    Observation
+	// Load is what the server said of itself, if anything.
+	Load *mangotraffic.LoadReport
+}
--- a/core/mangopool/backend.go
+++ b/core/mangopool/backend.go
@@ -5,6 +5,7 @@
 
 	"mangolane/core/mangohealth"
 	"mangolane/core/mangokv"
+	"mangolane/core/mangolease"
 	"mangolane/core/mangomodel"
 	"mangolane/core/mangotraffic"
 )
@@ -26,8 +27,8 @@
 	server mangotraffic.Server
 	// runs are the leases whose call runs here; prefills those whose prompt is
 	// computed here.
-	runs     map[LeaseID]*lease
-	prefills map[LeaseID]*lease
+	runs     map[mangolease.ID]*lease
+	prefills map[mangolease.ID]*lease
 	// profile predicts the memory of runs; it was made at profiledAt, and not
 	// since runs changed if that is zero.
 	profile    mangokv.Profile
@@ -59,7 +60,7 @@
 
 func newBackend(server mangotraffic.Server) *backend {
 	return &backend{
-		server: server, runs: make(map[LeaseID]*lease), prefills: make(map[LeaseID]*lease),
+		server: server, runs: make(map[mangolease.ID]*lease), prefills: make(map[mangolease.ID]*lease),
 		prefillRate: initialPrefillRate, decodeRate: initialDecodeRate,
 	}
 }
@@ -89,12 +90,12 @@
 const profileTime = RenewInterval / 4
 
 // addRun and dropRun change the leases whose call runs here.
-func (b *backend) addRun(id LeaseID, l *lease) {
+func (b *backend) addRun(id mangolease.ID, l *lease) {
 	b.runs[id] = l
 	b.profiledAt = time.Time{}
 }
 
-func (b *backend) dropRun(id LeaseID) {
+func (b *backend) dropRun(id mangolease.ID) {
 	delete(b.runs, id)
 	b.profiledAt = time.Time{}
 }
@@ -133,7 +134,7 @@
 
 // lease is one granted lease.
 type lease struct {
-	demand          Demand
+	demand          mangolease.Demand
 	server, prefill mangomodel.ServerID
 	// since is when it was granted.
 	since time.Time
--- a/core/mangopool/balance.go
+++ b/core/mangopool/balance.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"mangolane/core/mangobalance"
+	"mangolane/core/mangolease"
 	"mangolane/core/mangomodel"
 	"mangolane/core/mangotraffic"
 )
@@ -40,7 +41,7 @@
 }
 
 // Learn takes a request into the mean of its service.
-func (p *Pool) Learn(d *Demand) {
+func (p *Pool) Learn(d *mangolease.Demand) {
 	if d.Generation != nil {
 		p.workOf(d.Service).learn(d.Generation)
 	}
--- a/core/mangopool/bench_test.go
+++ b/core/mangopool/bench_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"mangolane/core/mangolease"
 	"mangolane/core/mangomodel"
 	"mangolane/core/mangotraffic"
 )
@@ -32,7 +33,7 @@
 		p.List(server)
 	}
 	for i := range engines * 3 / 4 * slots * 3 / 4 {
-		if !p.Grant(NewAsk(benchLease(i), benchDemand(), now), now) {
+		if !p.Grant(mangolease.NewAsk(benchLease(i), benchDemand(), now), now) {
 			b.Fatalf("lease %d was not granted", i)
 		}
 		p.PrefillDone(benchLease(i), 0)
@@ -42,20 +43,20 @@
 }
 
 // progress is what the holder of all leases would say.
-func progress(p *Pool) []Progress {
-	var list []Progress
+func progress(p *Pool) []mangolease.Progress {
+	var list []mangolease.Progress
 	for id, l := range p.leases {
-		list = append(list, Progress{Number: id.Number, Server: l.server, Service: "llm", Generation: *l.demand.Generation, Made: 10})
+		list = append(list, mangolease.Progress{Number: id.Number, Server: l.server, Service: "llm", Generation: *l.demand.Generation, Made: 10})
 	}
 	return list
 }
 
-func benchLease(i int) LeaseID {
-	return LeaseID{Holder: mangomodel.Holder{Daemon: "d"}, Number: uint64(i)}
+func benchLease(i int) mangolease.ID {
+	return mangolease.ID{Holder: mangomodel.Holder{Daemon: "d"}, Number: uint64(i)}
 }
 
-func benchDemand() Demand {
-	return Demand{
+func benchDemand() mangolease.Demand {
+	return mangolease.Demand{
 		Service: "llm", Origin: "a", Generation: &mangotraffic.Generation{Prompt: 5000, MaxOutput: 140},
 		OnTimeFor: time.Second, Patience: time.Second,
 	}
@@ -74,7 +75,7 @@
 				now = now.Add(time.Millisecond)
 				next++
 				id := benchLease(next)
-				if !p.Grant(NewAsk(id, benchDemand(), now), now) {
+				if !p.Grant(mangolease.NewAsk(id, benchDemand(), now), now) {
 					b.Fatal("not granted")
 				}
 				p.Release(id, now)
--- a/core/mangopool/lease.go
+++ b/core/mangopool/lease.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"mangolane/core/mangolease"
 	"mangolane/core/mangomodel"
 	"mangolane/core/mangotraffic"
 )
@@ -20,10 +21,10 @@
 
 // Renew updates the leases that a daemon life names, adopts those that another
 // scheduler granted, and releases the others of that life and of earlier ones.
-func (p *Pool) Renew(holder mangomodel.Holder, list []Progress, now time.Time) {
-	named := make(map[LeaseID]bool, len(list))
+func (p *Pool) Renew(holder mangomodel.Holder, list []mangolease.Progress, now time.Time) {
+	named := make(map[mangolease.ID]bool, len(list))
 	for _, x := range list {
-		id := LeaseID{Holder: holder, Number: x.Number}
+		id := mangolease.ID{Holder: holder, Number: x.Number}
 		named[id] = true
 		p.renew(id, x, now)
 	}
@@ -36,7 +37,7 @@
 }
 
 // renew updates a lease, or adopts one that another scheduler granted.
-func (p *Pool) renew(id LeaseID, x Progress, now time.Time) {
+func (p *Pool) renew(id mangolease.ID, x mangolease.Progress, now time.Time) {
 	l, ok := p.leases[id]
 	if !ok {
 		l = p.adopt(id, x, now)
@@ -63,9 +64,9 @@
 	b.decodeRate += rateWeight * (rate - b.decodeRate)
 }
 
-func (p *Pool) adopt(id LeaseID, x Progress, now time.Time) *lease {
+func (p *Pool) adopt(id mangolease.ID, x mangolease.Progress, now time.Time) *lease {
 	g := x.Generation
-	l := &lease{demand: Demand{Service: x.Service, Generation: &g}, server: x.Server, prefill: x.Prefill, since: now}
+	l := &lease{demand: mangolease.Demand{Service: x.Service, Generation: &g}, server: x.Server, prefill: x.Prefill, since: now}
 	p.leases[id] = l
 	if b, ok := p.backends[x.Server]; ok {
 		b.addRun(id, l)
@@ -95,7 +96,7 @@
 }
 
 // PrefillDone frees a lease's prefill server. Took is zero if the prefill failed.
-func (p *Pool) PrefillDone(id LeaseID, took time.Duration) {
+func (p *Pool) PrefillDone(id mangolease.ID, took time.Duration) {
 	l, ok := p.leases[id]
 	if !ok || l.prefill == "" {
 		return
@@ -107,7 +108,7 @@
 }
 
 // Release gives a lease back.
-func (p *Pool) Release(id LeaseID, now time.Time) {
+func (p *Pool) Release(id mangolease.ID, now time.Time) {
 	l, ok := p.leases[id]
 	if !ok {
 		return
@@ -121,7 +122,7 @@
 	p.granted = p.granted.Without(id)
 }
 
-func (p *Pool) releasePrefill(id LeaseID, l *lease) {
+func (p *Pool) releasePrefill(id mangolease.ID, l *lease) {
 	if b, ok := p.backends[l.prefill]; ok {
 		delete(b.prefills, id)
 	}
@@ -129,13 +130,13 @@
 }
 
 // Grant leases the best servers for an ask, if there are any.
-func (p *Pool) Grant(a *Ask, now time.Time) bool {
+func (p *Pool) Grant(a *mangolease.Ask, now time.Time) bool {
 	place, ok := p.place(a, now)
 	if !ok {
 		return false
 	}
 	l := &lease{demand: a.Demand, server: place.server.server.ID, since: now, seen: now}
-	granted := Lease{
+	granted := mangolease.Lease{
 		Server: place.server.server, Waited: now.Sub(a.Since),
 		Scheduler: p.self.Daemon, Running: len(place.server.runs), Free: place.server.free(now), Peak: place.peak,
 	}
--- a/core/mangopool/pool.go
+++ b/core/mangopool/pool.go
@@ -8,13 +8,14 @@
 //
 //	p := mangopool.New(self, regions)
 //	p.List(server)
-//	if p.Grant(mangopool.NewAsk(id, demand, now), now) { ... }
+//	if p.Grant(mangolease.NewAsk(id, demand, now), now) { ... }
 //	p.Release(id, now)
 package mangopool
 
 import (
 	"time"
 
+	"mangolane/core/mangolease"
 	"mangolane/core/mangomodel"
 	"mangolane/core/mangoquery"
 	"mangolane/core/mangoroster"
@@ -27,8 +28,8 @@
 	regions  map[mangomodel.DataCentreID]mangomodel.RegionID
 	routing  *mangotraffic.Routing
 	backends map[mangomodel.ServerID]*backend
-	leases   map[LeaseID]*lease
-	granted  mangoquery.Index[LeaseID, Lease]
+	leases   map[mangolease.ID]*lease
+	granted  mangoquery.Index[mangolease.ID, mangolease.Lease]
 	work     map[mangotraffic.ServiceName]*meanWork
 	// groups are the backends by service and stage; nil after a change of the
 	// list.
@@ -42,7 +43,7 @@
 	return &Pool{
 		self: self, regions: regions,
 		backends: make(map[mangomodel.ServerID]*backend),
-		leases:   make(map[LeaseID]*lease),
+		leases:   make(map[mangolease.ID]*lease),
 		work:     make(map[mangotraffic.ServiceName]*meanWork),
 		changed:  true,
 	}
@@ -86,7 +87,7 @@
 
 // Granted returns the leases that this daemon granted and their holders have
 // not named yet.
-func (p *Pool) Granted() mangoquery.Index[LeaseID, Lease] { return p.granted }
+func (p *Pool) Granted() mangoquery.Index[mangolease.ID, mangolease.Lease] { return p.granted }
 
 // Listing is the servers of the list.
 type Listing struct {
--- a/core/mangorelay/fake_test.go
+++ b/core/mangorelay/fake_test.go
@@ -14,6 +14,7 @@
 
 	"mangolane/core/mangobroker"
 	"mangolane/core/mangobudget"
+	"mangolane/core/mangoexchange"
 	"mangolane/core/mangofleet"
 	"mangolane/core/mangomodel"
 	"mangolane/core/mangoroster"
@@ -61,7 +62,7 @@
 	runs     map[mangomodel.ServerID][]step
 	prefills map[mangomodel.ServerID][]step
 	sent     []mangomodel.ServerID
-	options  []RunOptions
+	options  []mangoexchange.RunOptions
 	freed    []mangotraffic.KVSource
 	// dead servers do not report.
 	dead map[mangomodel.ServerID]bool
@@ -87,7 +88,7 @@
 	}
 }
 
-func (s *servers) Run(ctx context.Context, to mangotraffic.Server, _ *mangotraffic.Call, opts RunOptions) (*Answer, error) {
+func (s *servers) Run(ctx context.Context, to mangotraffic.Server, _ *mangotraffic.Call, opts mangoexchange.RunOptions) (*mangoexchange.Answer, error) {
 	s.mu.Lock()
 	x := next(s.runs, to.ID)
 	s.sent = append(s.sent, to.ID)
@@ -102,7 +103,7 @@
 	if x.status == 0 {
 		x.status = 200
 	}
-	a := &Answer{Head: Head{Status: x.status}, NotRun: x.notRun, Moved: x.moved}
+	a := &mangoexchange.Answer{Head: mangoexchange.Head{Status: x.status}, NotRun: x.notRun, Moved: x.moved}
 	if x.events != nil {
 		a.Events = &stream{ctx: ctx, step: x, after: opts.After}
 		return a, nil
@@ -185,7 +186,7 @@
 	gone   bool
 }
 
-func (c *client) Begin(h Head) error {
+func (c *client) Begin(h mangoexchange.Head) error {
 	c.begun++
 	c.status = h.Status
 	return nil
--- a/core/mangorelay/plain.go
+++ b/core/mangorelay/plain.go
@@ -6,9 +6,10 @@
 	"io"
 	"time"
 
+	"mangolane/core/mangoexchange"
 	"mangolane/core/mangofleet"
+	"mangolane/core/mangolease"
 	"mangolane/core/mangomodel"
-	"mangolane/core/mangopool"
 	"mangolane/core/mangotraffic"
 )
 
@@ -55,7 +56,7 @@
 func (j *job) tryPlain(ctx context.Context) error {
 	now := time.Now()
 	patience := time.Duration(queuePatience * float64(j.picked.TargetLatency))
-	grant, err := j.acquire(ctx, mangopool.Demand{OnTimeFor: patience, Patience: patience})
+	grant, err := j.acquire(ctx, mangolease.Demand{OnTimeFor: patience, Patience: patience})
 	if err != nil {
 		return err
 	}
@@ -66,7 +67,7 @@
 	runCtx, end := j.relay.tracer.Start(runCtx, mangomodel.StepCall, mangomodel.PeerName(lease.Server.ID))
 	err = j.exchange(runCtx, lease)
 	end(err)
-	j.exchanged(PhaseRun, lease.Server, lease, now, err)
+	j.exchanged(mangoexchange.PhaseRun, lease.Server, lease, now, err)
 	return err
 }
 
@@ -82,11 +83,11 @@
 var errSilent = errors.New("no answer in time")
 
 // exchange sends the call and passes the answer on.
-func (j *job) exchange(ctx context.Context, lease mangopool.Lease) error {
-	if err := j.spend(ctx, PhaseRun); err != nil {
+func (j *job) exchange(ctx context.Context, lease mangolease.Lease) error {
+	if err := j.spend(ctx, mangoexchange.PhaseRun); err != nil {
 		return err
 	}
-	opts := RunOptions{After: j.last, Stream: j.picked.Kind == mangotraffic.KindStreaming}
+	opts := mangoexchange.RunOptions{After: j.last, Stream: j.picked.Kind == mangotraffic.KindStreaming}
 	answer, err := j.relay.servers.Run(ctx, lease.Server, j.call, opts)
 	if err != nil {
 		return j.sendFailed(ctx, lease.Server, err)
@@ -95,7 +96,7 @@
 }
 
 // passOn reads the answer and passes it on. A small one is read whole first.
-func (j *job) passOn(ctx context.Context, server mangotraffic.Server, answer *Answer) error {
+func (j *job) passOn(ctx context.Context, server mangotraffic.Server, answer *mangoexchange.Answer) error {
 	data, err := io.ReadAll(io.LimitReader(answer.Body, maxBuffered))
 	if err != nil {
 		return j.broke(ctx, server, err)
@@ -109,11 +110,11 @@
 	if len(data) == maxBuffered {
 		return j.passRest(ctx, server, answer)
 	}
-	j.observe(server.ID, mangopool.ObservedSuccess, answer.Load)
+	j.observe(server.ID, mangolease.ObservedSuccess, answer.Load)
 	return nil
 }
 
-func (j *job) passRest(ctx context.Context, server mangotraffic.Server, answer *Answer) error {
+func (j *job) passRest(ctx context.Context, server mangotraffic.Server, answer *mangoexchange.Answer) error {
 	part := make([]byte, maxBuffered)
 	for {
 		n, err := answer.Body.Read(part)
@@ -123,7 +124,7 @@
 			}
 		}
 		if errors.Is(err, io.EOF) {
-			j.observe(server.ID, mangopool.ObservedSuccess, answer.Load)
+			j.observe(server.ID, mangolease.ObservedSuccess, answer.Load)
 			return nil
 		}
 		if err != nil {
@@ -133,10 +134,10 @@
 }
 
 // declined handles an answer that says "not run".
-func (j *job) declined(server mangotraffic.Server, answer *Answer) error {
-	saw := mangopool.ObservedFull
+func (j *job) declined(server mangotraffic.Server, answer *mangoexchange.Answer) error {
+	saw := mangolease.ObservedFull
 	if answer.Moved {
-		saw = mangopool.ObservedMoved
+		saw = mangolease.ObservedMoved
 	}
 	j.observe(server.ID, saw, answer.Load)
 	j.avoid = append(j.avoid, server.ID)
@@ -149,8 +150,8 @@
 	f := mangomodel.AsFault(err, mangomodel.StepCall)
 	j.avoid = append(j.avoid, server.ID)
 	if f.Run == mangomodel.RunNot {
-		j.observe(server.ID, mangopool.ObservedUnreachable, nil)
-		j.refund(PhaseRun)
+		j.observe(server.ID, mangolease.ObservedUnreachable, nil)
+		j.refund(mangoexchange.PhaseRun)
 		return f
 	}
 	j.runs++
@@ -163,7 +164,7 @@
 	j.avoid = append(j.avoid, server.ID)
 	cause := context.Cause(ctx)
 	if cause == nil || errors.Is(cause, errSilent) || errors.Is(cause, errStalled) {
-		j.observe(server.ID, mangopool.ObservedFailure, nil)
+		j.observe(server.ID, mangolease.ObservedFailure, nil)
 	}
 	if cause == nil {
 		j.tell(mangofleet.CallBroke{Call: j.call.Fingerprint})
--- a/core/mangorelay/relay.go
+++ b/core/mangorelay/relay.go
@@ -8,9 +8,10 @@
 	"time"
 
 	"mangolane/core/mangobroker"
+	"mangolane/core/mangoexchange"
 	"mangolane/core/mangofleet"
+	"mangolane/core/mangolease"
 	"mangolane/core/mangomodel"
-	"mangolane/core/mangopool"
 	"mangolane/core/mangotraffic"
 )
 
@@ -65,7 +66,7 @@
 	r.active.Add(1)
 	defer r.active.Add(-1)
 	view := r.fleet.View()
-	j := &job{relay: r, call: call, sink: sink, result: Result{Call: call}}
+	j := &job{relay: r, call: call, sink: sink, result: mangoexchange.Result{Call: call}}
 	err := j.route(view)
 	if err == nil {
 		err = j.serve(r.tracer.Request(ctx, call.ID))
@@ -90,7 +91,7 @@
 	// attempts counts the leases.
 	attempts mangomodel.Attempt
 	// sends counts the sends of each phase.
-	sends [phases]int
+	sends [mangoexchange.Phases]int
 	avoid []mangomodel.ServerID
 	// source is a KV cache that was computed and not fetched yet.
 	source *prefilled
@@ -100,7 +101,7 @@
 	begun  bool
 	last   mangotraffic.EventID
 	lastAt time.Time
-	result Result
+	result mangoexchange.Result
 }
 
 // route finds the call's route and service.
@@ -179,7 +180,7 @@
 }
 
 // acquire waits for servers.
-func (j *job) acquire(ctx context.Context, d mangopool.Demand) (*mangobroker.Grant, error) {
+func (j *job) acquire(ctx context.Context, d mangolease.Demand) (*mangobroker.Grant, error) {
 	d.Request, d.Service, d.Priority, d.Avoid = j.call.ID, j.service.Name, j.picked.Priority, j.avoid
 	d.Age = time.Since(j.call.Arrived)
 	grant, err := j.relay.broker.Acquire(ctx, d)
@@ -209,14 +210,14 @@
 
 // observe tells the fleet, and whoever granted the lease in use, what an
 // exchange showed.
-func (j *job) observe(server mangomodel.ServerID, saw mangopool.Observation, load *mangotraffic.LoadReport) {
-	o := mangopool.Observed{Server: server, Saw: saw, Load: load}
+func (j *job) observe(server mangomodel.ServerID, saw mangolease.Observation, load *mangotraffic.LoadReport) {
+	o := mangolease.Observed{Server: server, Saw: saw, Load: load}
 	j.tell(mangofleet.Observe{Observed: o})
 	j.grant.Observe(o)
 }
 
 // spend takes a send from the retry budget, except for the first of its phase.
-func (j *job) spend(ctx context.Context, phase Phase) error {
+func (j *job) spend(ctx context.Context, phase mangoexchange.Phase) error {
 	j.sends[phase]++
 	if j.sends[phase] == 1 {
 		return nil
@@ -225,7 +226,7 @@
 }
 
 // refund gives back what a send took that reached no server.
-func (j *job) refund(phase Phase) {
+func (j *job) refund(phase mangoexchange.Phase) {
 	j.sends[phase]--
 	if j.sends[phase] > 0 {
 		j.tell(mangofleet.RefundRetry{Service: j.service.Name})
@@ -233,16 +234,16 @@
 }
 
 // exchanged reports one exchange.
-func (j *job) exchanged(phase Phase, server mangotraffic.Server, lease mangopool.Lease, began time.Time, err error) {
+func (j *job) exchanged(phase mangoexchange.Phase, server mangotraffic.Server, lease mangolease.Lease, began time.Time, err error) {
 	view := j.relay.fleet.View()
-	j.relay.observer.Exchanged(Exchange{
+	j.relay.observer.Exchanged(mangoexchange.Exchange{
 		Call: j.call, Route: j.picked, Server: server, Phase: phase, Attempt: j.attempts,
 		Lease: lease, Took: time.Since(began), ListAge: time.Since(view.ListRead), Err: err,
 	})
 }
 
 // begin hands the head to the sink.
-func (j *job) begin(h Head) error {
+func (j *job) begin(h mangoexchange.Head) error {
 	j.begun = true
 	j.result.Status = h.Status
 	j.result.First = time.Since(j.call.Arrived)
@@ -263,8 +264,8 @@
 
 type silent struct{}
 
-func (silent) Exchanged(Exchange) {}
-func (silent) Finished(Result)    {}
+func (silent) Exchanged(mangoexchange.Exchange) {}
+func (silent) Finished(mangoexchange.Result)    {}
 
 type untraced struct{}
 
--- a/core/mangorelay/stream.go
+++ b/core/mangorelay/stream.go
@@ -8,8 +8,9 @@
 	"time"
 
 	"mangolane/core/mangobroker"
+	"mangolane/core/mangoexchange"
+	"mangolane/core/mangolease"
 	"mangolane/core/mangomodel"
-	"mangolane/core/mangopool"
 	"mangolane/core/mangotraffic"
 )
 
@@ -97,8 +98,8 @@
 
 // streamDemand asks for a decode slot and a prefill server. A stream that was
 // begun goes first.
-func (j *job) streamDemand() mangopool.Demand {
-	d := mangopool.Demand{Generation: j.call.Generation, Prefilled: j.source != nil}
+func (j *job) streamDemand() mangolease.Demand {
+	d := mangolease.Demand{Generation: j.call.Generation, Prefilled: j.source != nil}
 	age := time.Since(j.call.Arrived)
 	target := float64(j.picked.TargetLatency)
 	d.OnTimeFor = time.Duration((1-startShare)*target) - age
@@ -119,13 +120,13 @@
 	if err := j.mayUse(server.ID); err != nil {
 		return err
 	}
-	if err := j.spend(ctx, PhasePrefill); err != nil {
+	if err := j.spend(ctx, mangoexchange.PhasePrefill); err != nil {
 		return err
 	}
 	ctx, end := j.relay.tracer.Start(ctx, mangomodel.StepPrefill, mangomodel.PeerName(server.ID))
 	source, err := j.relay.servers.Prefill(ctx, server, j.call)
 	end(err)
-	j.exchanged(PhasePrefill, server, grant.Lease, began, err)
+	j.exchanged(mangoexchange.PhasePrefill, server, grant.Lease, began, err)
 	if err == nil {
 		grant.PrefillDone(time.Since(began))
 		life := time.Duration(handleShare * float64(j.service.Engine.HandleLifetime))
@@ -139,21 +140,21 @@
 		j.observe(server.ID, prefillObservation(&f), nil)
 	}
 	if f.Run == mangomodel.RunNot && f.Code == mangomodel.CodeUnavailable {
-		j.refund(PhasePrefill)
+		j.refund(mangoexchange.PhasePrefill)
 	}
 	// A prefill is not a run, whatever became of it.
 	f.Run = mangomodel.RunNot
 	return &f
 }
 
-func prefillObservation(f *mangomodel.Fault) mangopool.Observation {
+func prefillObservation(f *mangomodel.Fault) mangolease.Observation {
 	switch {
 	case f.Code == mangomodel.CodeOverloaded:
-		return mangopool.ObservedFull
+		return mangolease.ObservedFull
 	case f.Run == mangomodel.RunNot:
-		return mangopool.ObservedUnreachable
+		return mangolease.ObservedUnreachable
 	default:
-		return mangopool.ObservedFailure
+		return mangolease.ObservedFailure
 	}
 }
 
@@ -164,11 +165,11 @@
 	if err := j.mayUse(server.ID); err != nil {
 		return err
 	}
-	if err := j.spend(ctx, PhaseRun); err != nil {
+	if err := j.spend(ctx, mangoexchange.PhaseRun); err != nil {
 		j.free()
 		return err
 	}
-	opts := RunOptions{After: j.last, Stream: true}
+	opts := mangoexchange.RunOptions{After: j.last, Stream: true}
 	if j.source != nil {
 		opts.Source = &j.source.source
 	}
@@ -185,7 +186,7 @@
 		err = j.sendFailed(runCtx, server, err)
 	}
 	end(err)
-	j.exchanged(PhaseRun, server, grant.Lease, began, err)
+	j.exchanged(mangoexchange.PhaseRun, server, grant.Lease, began, err)
 	j.settleSource(err)
 	return err
 }
@@ -205,7 +206,7 @@
 // full, or it could not fetch the KV cache. Where the scheduler knew of room,
 // another server is offered the cache, and its answer tells which of both it
 // was.
-func (j *job) declinedStream(server mangotraffic.Server, answer *Answer) error {
+func (j *job) declinedStream(server mangotraffic.Server, answer *mangoexchange.Answer) error {
 	if j.source == nil || answer.Moved || !j.hadRoom() {
 		return j.declined(server, answer)
 	}
@@ -220,7 +221,7 @@
 	refused := []mangomodel.ServerID{server.ID, j.source.refusedBy}
 	j.avoid = slices.DeleteFunc(j.avoid, func(id mangomodel.ServerID) bool { return slices.Contains(refused, id) })
 	j.avoid = append(j.avoid, j.source.server)
-	j.observe(j.source.server, mangopool.ObservedLapsed, nil)
+	j.observe(j.source.server, mangolease.ObservedLapsed, nil)
 	j.source = nil
 	return err
 }
@@ -230,9 +231,9 @@
 	if j.source == nil {
 		return
 	}
-	j.observe(j.source.server, mangopool.ObservedSuccess, nil)
+	j.observe(j.source.server, mangolease.ObservedSuccess, nil)
 	if j.source.refusedBy != "" {
-		j.observe(j.source.refusedBy, mangopool.ObservedFull, nil)
+		j.observe(j.source.refusedBy, mangolease.ObservedFull, nil)
 	}
 }
 
@@ -244,7 +245,7 @@
 		float64(lease.Peak) <= usedShare*float64(j.service.Engine.KVTokens)
 }
 
-func (j *job) passAnswer(ctx context.Context, server mangotraffic.Server, answer *Answer, stall silenceTimer) error {
+func (j *job) passAnswer(ctx context.Context, server mangotraffic.Server, answer *mangoexchange.Answer, stall silenceTimer) error {
 	defer answer.Close()
 	if answer.NotRun {
 		return j.declinedStream(server, answer)
@@ -258,12 +259,12 @@
 }
 
 // passEvents passes whole events on until the stream has ended as complete.
-func (j *job) passEvents(ctx context.Context, server mangotraffic.Server, answer *Answer, stall silenceTimer) error {
+func (j *job) passEvents(ctx context.Context, server mangotraffic.Server, answer *mangoexchange.Answer, stall silenceTimer) error {
 	for {
 		event, err := answer.Events.Next()
 		stall.Stop()
 		if errors.Is(err, io.EOF) {
-			j.observe(server.ID, mangopool.ObservedSuccess, answer.Load)
+			j.observe(server.ID, mangolease.ObservedSuccess, answer.Load)
 			return j.finish(answer.Head)
 		}
 		if err != nil {
@@ -279,14 +280,14 @@
 }
 
 // finish ends a stream, also one without an event.
-func (j *job) finish(h Head) error {
+func (j *job) finish(h mangoexchange.Head) error {
 	if j.begun {
 		return nil
 	}
 	return j.begin(h)
 }
 
-func (j *job) passEvent(h Head, event mangotraffic.Event) error {
+func (j *job) passEvent(h mangoexchange.Head, event mangotraffic.Event) error {
 	if !j.begun {
 		if err := j.begin(h); err != nil {
 			return err
@@ -322,7 +323,7 @@
 		defer cancel()
 		began := time.Now()
 		if err := j.relay.servers.Free(ctx, source); err != nil {
-			j.exchanged(PhasePrefill, mangotraffic.Server{ID: server, Address: source.Server}, mangopool.Lease{}, began, err)
+			j.exchanged(mangoexchange.PhasePrefill, mangotraffic.Server{ID: server, Address: source.Server}, mangolease.Lease{}, began, err)
 		}
 	}()
 }
--- a/core/mangobroker/inspect.go
+++ b/core/mangostage/inspect.go
@@ -1,4 +1,4 @@
-package mangobroker
+package mangostage
 
 import (
 	"cmp"
@@ -20,23 +20,14 @@
 	inspectMost = 64
 )
 
-// Engines are asked for reports.
-type Engines interface {
-	Report(ctx context.Context, server mangotraffic.Server) (mangotraffic.LoadReport, error)
-}
-
-// WithEngines makes the broker ask the decode servers that it schedules what
-// they run.
-func WithEngines(e Engines) Option { return func(b *Broker) { b.engines = e } }
-
 // inspect asks until ctx ends.
-func (b *Broker) inspect(ctx context.Context) {
+func (s *Steward) inspect(ctx context.Context) {
 	ticker := time.NewTicker(mangopool.InspectInterval)
 	defer ticker.Stop()
 	for first := 0; ; first += inspectMost {
 		var running sync.WaitGroup
-		for _, server := range turn(b.scheduled(), first, inspectMost) {
-			running.Go(func() { b.inspectOne(ctx, server) })
+		for _, server := range turn(s.scheduled(), first, inspectMost) {
+			running.Go(func() { s.inspectOne(ctx, server) })
 		}
 		running.Wait()
 		select {
@@ -59,13 +50,10 @@
 
 // scheduled returns the decode servers of the services that this daemon
 // schedules.
-func (b *Broker) scheduled() []mangotraffic.Server {
-	if b.engines == nil {
-		return nil
-	}
+func (s *Steward) scheduled() []mangotraffic.Server {
 	var list []mangotraffic.Server
-	for _, server := range b.fleet.View().Listed {
-		if server.Stage == mangotraffic.StageDecode && b.scheduler(server.Service).Holder == b.self.Holder {
+	for _, server := range s.fleet.View().Listed {
+		if server.Stage == mangotraffic.StageDecode && s.schedules(server.Service) {
 			list = append(list, server)
 		}
 	}
@@ -74,13 +62,13 @@
 
 // inspectOne asks one server. A server that does not answer keeps the belief
 // that the calls to it have made.
-func (b *Broker) inspectOne(ctx context.Context, server mangotraffic.Server) {
+func (s *Steward) inspectOne(ctx context.Context, server mangotraffic.Server) {
 	ctx, cancel := context.WithTimeout(ctx, inspectTimeout)
 	defer cancel()
-	report, err := b.engines.Report(ctx, server)
+	report, err := s.engines.Report(ctx, server)
 	if err != nil {
-		b.log.ReportFailed(server, err)
+		s.log.ReportFailed(server, err)
 		return
 	}
-	b.tell(mangofleet.Inspected{Server: server.ID, Report: report})
+	s.tell(mangofleet.Inspected{Server: server.ID, Report: report})
 }
--- a/core/mangobroker/inspect_test.go
+++ b/core/mangostage/inspect_test.go
@@ -1,4 +1,4 @@
-package mangobroker
+package mangostage
 
 import (
 	"fmt"
--- /dev/null
+++ b/core/mangostage/move.go
@@ -0,0 +1,71 @@
+package mangostage
+
+import (
+	"context"
+	"time"
+
+	"mangolane/core/mangofleet"
+	"mangolane/core/mangomodel"
+	"mangolane/core/mangopool"
+)
+
+const (
+	// moveInterval is how often a scheduler looks whether an engine should
+	// change its stage.
+	moveInterval = 500 * time.Millisecond
+	// orderTimeout bounds all steps of one order, so that none is sent long
+	// after its fence was taken.
+	orderTimeout = time.Second
+)
+
+// move changes stages until ctx ends.
+func (s *Steward) move(ctx context.Context) {
+	ticker := time.NewTicker(moveInterval)
+	defer ticker.Stop()
+	for {
+		for _, name := range s.fleet.View().Services() {
+			if m, ok := s.fleet.View().Move(name); ok && s.schedules(name) {
+				s.moveOne(ctx, m)
+			}
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (s *Steward) moveOne(ctx context.Context, m mangopool.Move) {
+	s.tell(mangofleet.OrderBegun{Server: m.Server.ID, To: m.To})
+	fence, err := s.order(ctx, m)
+	if err != nil {
+		s.tell(mangofleet.OrderFailed{Server: m.Server.ID})
+	}
+	s.log.Ordered(m, fence, err)
+}
+
+// order takes a fence and gives the order. The claim of another daemon counts
+// for the lease and the time in which its order may still be on its way.
+func (s *Steward) order(ctx context.Context, m mangopool.Move) (Fence, error) {
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	last, err := s.fences.Claimed(ctx, m.Service)
+	if err != nil {
+		return 0, err
+	}
+	me := s.self.Daemon
+	if last.Holder != "" && last.Holder != me && last.Age < s.lease+2*orderTimeout {
+		return 0, mangomodel.Faultf(mangomodel.StepConfigure, mangomodel.PeerName(last.Holder), mangomodel.CodeConflict, mangomodel.RunNot,
+			"it ordered %v ago", last.Age)
+	}
+	report, err := s.engines.Report(ctx, m.Server)
+	if err != nil {
+		return 0, err
+	}
+	fence, err := s.fences.Take(ctx, m.Service, me, last)
+	if err != nil {
+		return 0, err
+	}
+	return fence, s.orders.Order(ctx, m.Server, Order{Holder: me, Fence: fence, To: m.To, Sequence: report.Orders})
+}
--- a/core/mangobroker/move_test.go
+++ b/core/mangostage/move_test.go
@@ -1,9 +1,10 @@
-package mangobroker
+package mangostage
 
 import (
 	"context"
 	"errors"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/onsi/gomega"
@@ -60,13 +61,12 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			bubble(t, func(g *gomega.WithT, ctx context.Context, m *mesh) {
-				d := m.start("a", 1)
-				d.know(g)
+			synctest.Test(t, func(t *testing.T) {
+				g := gomega.NewWithT(t)
 				p := test.platform
-				b := New(d.broker.self, d.fleet, nil, WithEngines(&p), WithMoves(&p, &p, lease))
+				steward := New(mangomodel.Holder{Daemon: "a"}, nil, &p, &p, &p, WithLease(lease))
 				before := p.claim.Version
-				fence, err := b.order(ctx, mangopool.Move{Service: service, Server: mangotraffic.Server{ID: "p"}, To: mangotraffic.StageDecode})
+				fence, err := steward.order(t.Context(), mangopool.Move{Service: "llm", Server: mangotraffic.Server{ID: "p"}, To: mangotraffic.StageDecode})
 				g.Expect(err == nil).To(gomega.Equal(test.ok))
 				if !test.ordered {
 					g.Expect(p.orders).To(gomega.BeEmpty())
--- /dev/null
+++ b/core/mangostage/stage.go
@@ -0,0 +1,137 @@
+// Package mangostage asks the model engines that a daemon schedules what they
+// run, and moves them between the stages.
+//
+// What the engines run besides the known leases is told to the fleet. Whether
+// an engine should change its stage is the fleet's decision; a [Steward] carries
+// it out, under a fence that the platform keeps, if no other daemon has ordered
+// within the lease.
+//
+// # Usage
+//
+//	s := mangostage.New(self, fleet, engines, fences, orders, mangostage.WithLease(3*time.Second))
+//	go s.Run(ctx)
+package mangostage
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"mangolane/core/mangofleet"
+	"mangolane/core/mangomodel"
+	"mangolane/core/mangopool"
+	"mangolane/core/mangotraffic"
+)
+
+// defaultLease is the lease of the users' sheets.
+const defaultLease = 3 * time.Second
+
+// Fleet is the control state of this daemon.
+type Fleet interface {
+	Do(ctx context.Context, cmd mangofleet.Command) error
+	View() *mangofleet.View
+}
+
+// Engines are asked for reports.
+type Engines interface {
+	Report(ctx context.Context, server mangotraffic.Server) (mangotraffic.LoadReport, error)
+}
+
+// Fence numbers orders. A later order has a higher one.
+type Fence uint64
+
+// Claim is who ordered last, as the platform has it.
+type Claim struct {
+	// Holder is empty if nobody has ordered yet.
+	Holder mangomodel.DaemonID
+	// Age is the time since then, by the platform's clock.
+	Age time.Duration
+	// Now is the platform's clock at the reading.
+	Now time.Duration
+	// Version changes with every claim.
+	Version uint64
+}
+
+// Fences keeps the claims to order on the platform.
+type Fences interface {
+	// Claimed returns the last claim of a service.
+	Claimed(ctx context.Context, service mangotraffic.ServiceName) (Claim, error)
+	// Take claims the service if the claim is still the last one.
+	Take(ctx context.Context, service mangotraffic.ServiceName, holder mangomodel.DaemonID, last Claim) (Fence, error)
+}
+
+// Order tells an engine to change its stage.
+type Order struct {
+	Holder mangomodel.DaemonID
+	Fence  Fence
+	To     mangotraffic.Stage
+	// Sequence is the number of orders that the engine has accepted; one that
+	// has accepted more refuses.
+	Sequence int64
+}
+
+// Orders gives orders to engines.
+type Orders interface {
+	Order(ctx context.Context, server mangotraffic.Server, o Order) error
+}
+
+// Observer is told about engines.
+type Observer interface {
+	// Ordered is called when an engine was told to change its stage, or not.
+	Ordered(m mangopool.Move, fence Fence, err error)
+	// ReportFailed is called when an engine did not say what it runs.
+	ReportFailed(server mangotraffic.Server, err error)
+}
+
+// Steward asks and moves engines.
+type Steward struct {
+	self    mangomodel.Holder
+	fleet   Fleet
+	engines Engines
+	fences  Fences
+	orders  Orders
+	lease   time.Duration
+	log     Observer
+}
+
+// Option configures a Steward.
+type Option func(*Steward)
+
+// WithLease sets for how long another daemon's order keeps this one from
+// ordering.
+func WithLease(d time.Duration) Option { return func(s *Steward) { s.lease = d } }
+
+// WithObserver sets who is told about engines.
+func WithObserver(o Observer) Option { return func(s *Steward) { s.log = o } }
+
+// New returns a Steward.
+func New(self mangomodel.Holder, fleet Fleet, e Engines, f Fences, o Orders, opts ...Option) *Steward {
+	s := &Steward{self: self, fleet: fleet, engines: e, fences: f, orders: o, lease: defaultLease, log: silent{}}
+	for _, opt := range opts {
+		opt(s)
+	}
+	return s
+}
+
+// Run asks and moves engines until ctx ends.
+func (s *Steward) Run(ctx context.Context) {
+	var running sync.WaitGroup
+	running.Go(func() { s.inspect(ctx) })
+	running.Go(func() { s.move(ctx) })
+	running.Wait()
+}
+
+// schedules reports whether this daemon schedules a service: it does if it
+// knows of no other.
+func (s *Steward) schedules(name mangotraffic.ServiceName) bool {
+	m, ok := s.fleet.View().Scheduler(name)
+	return !ok || m.Holder == s.self
+}
+
+// tell applies a command that cannot fail but by the end of the process.
+func (s *Steward) tell(cmd mangofleet.Command) { _ = s.fleet.Do(context.Background(), cmd) }
+
+type silent struct{}
+
+func (silent) Ordered(mangopool.Move, Fence, error)    {}
+func (silent) ReportFailed(mangotraffic.Server, error) {}
--- a/mangolaned/mangogateway/gateway.go
+++ b/mangolaned/mangogateway/gateway.go
@@ -27,6 +27,7 @@
 	"mangolane/core/mangorelay"
 	"mangolane/core/mangorest"
 	"mangolane/core/mangoroster"
+	"mangolane/core/mangostage"
 	"mangolane/mangolaned/mangolog"
 	"mangolane/mangolaned/mangomesh"
 	"mangolane/mangolaned/mangosettings"
@@ -45,14 +46,14 @@
 // Servers makes exchanges with backend servers.
 type Servers interface {
 	mangorelay.Servers
-	mangobroker.Engines
-	mangobroker.Orders
+	mangostage.Engines
+	mangostage.Orders
 }
 
 // Store is what the platform keeps.
 type Store interface {
 	mangofollow.Source
-	mangobroker.Fences
+	mangostage.Fences
 }
 
 // Gateway is one daemon.
@@ -66,6 +67,7 @@
 	broker   *mangobroker.Broker
 	relay    *mangorelay.Relay
 	follower *mangofollow.Follower
+	steward  *mangostage.Steward
 	metrics  *metrics
 	recorder *mangotrace.Recorder
 }
@@ -85,13 +87,14 @@
 		return current.Load().Retries(time.Since(started))
 	}, mangofleet.WithObserver(o))
 	recorder := mangotrace.NewRecorder(s.TraceSpans)
-	broker := mangobroker.New(self, fleet, mangomesh.NewPeers(), mangobroker.WithSeeds(s.Seeds), mangobroker.WithObserver(o), mangobroker.WithEngines(servers),
-		mangobroker.WithRegions(s.Regions),
-		mangobroker.WithMoves(source, servers, s.OrderLease.Std()))
+	broker := mangobroker.New(self, fleet, mangomesh.NewPeers(), mangobroker.WithSeeds(s.Seeds), mangobroker.WithObserver(o),
+		mangobroker.WithRegions(s.Regions))
 	return &Gateway{
 		settings: s, current: current, level: level, logger: logger, fleet: fleet, broker: broker, metrics: m, recorder: recorder,
 		relay:    mangorelay.New(fleet, broker, servers, mangorelay.WithObserver(o), mangorelay.WithTracer(mangotrace.Install(recorder, s.Daemon))),
 		follower: mangofollow.New(fleet, source, o),
+		steward: mangostage.New(self.Holder, fleet, servers, source, servers,
+			mangostage.WithLease(s.OrderLease.Std()), mangostage.WithObserver(o)),
 	}
 }
 
@@ -129,6 +132,7 @@
 	running.Go(func() { g.fleet.Run(workCtx) })
 	running.Go(func() { g.follower.Run(workCtx) })
 	running.Go(func() { g.broker.Run(workCtx) })
+	running.Go(func() { g.steward.Run(workCtx) })
 	running.Go(func() { g.recorder.Run(workCtx) })
 	go g.servePeers(peerServer, listener)
 	for _, s := range []*mangorest.Server{frontServer, readyServer, metricsServer} {
--- a/mangolaned/mangogateway/metrics.go
+++ b/mangolaned/mangogateway/metrics.go
@@ -6,8 +6,8 @@
 	gometrics "github.com/rcrowley/go-metrics"
 	"github.com/zeromicro/go-zero/rest"
 
+	"mangolane/core/mangoexchange"
 	"mangolane/core/mangomodel"
-	"mangolane/core/mangorelay"
 	"mangolane/core/mangorest"
 	"mangolane/mangolaned/mangotrace"
 )
@@ -44,7 +44,7 @@
 	})
 }
 
-func (m *metrics) exchanged(e mangorelay.Exchange) {
+func (m *metrics) exchanged(e mangoexchange.Exchange) {
 	name := "Exchanges." + e.Phase.String()
 	if e.Err != nil {
 		m.count(name+".Failed."+mangomodel.AsFault(e.Err, mangomodel.StepCall).Code.String(), 1)
@@ -54,7 +54,7 @@
 	m.sample(name+".Microseconds", e.Took.Microseconds())
 }
 
-func (m *metrics) finished(r mangorelay.Result) {
+func (m *metrics) finished(r mangoexchange.Result) {
 	kind := "NoRoute"
 	if r.Route != nil {
 		kind = r.Route.Kind.String()
@@ -65,7 +65,7 @@
 	}
 }
 
-func outcome(r mangorelay.Result) string {
+func outcome(r mangoexchange.Result) string {
 	switch {
 	case r.OnTime():
 		return "OnTime"
--- a/mangolaned/mangogateway/observe.go
+++ b/mangolaned/mangogateway/observe.go
@@ -6,13 +6,13 @@
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 
-	"mangolane/core/mangobroker"
+	"mangolane/core/mangoexchange"
 	"mangolane/core/mangofleet"
 	"mangolane/core/mangofollow"
 	"mangolane/core/mangohealth"
 	"mangolane/core/mangomodel"
 	"mangolane/core/mangopool"
-	"mangolane/core/mangorelay"
+	"mangolane/core/mangostage"
 	"mangolane/core/mangotraffic"
 	"mangolane/mangolaned/mangolog"
 )
@@ -24,7 +24,7 @@
 }
 
 // Exchanged logs one exchange with a server.
-func (o observer) Exchanged(e mangorelay.Exchange) {
+func (o observer) Exchanged(e mangoexchange.Exchange) {
 	o.metrics.exchanged(e)
 	fields := []zap.Field{
 		zap.String("Request", string(e.Call.ID)), zap.Stringer("Phase", e.Phase),
@@ -40,7 +40,7 @@
 }
 
 // Finished logs the outcome of a call.
-func (o observer) Finished(r mangorelay.Result) {
+func (o observer) Finished(r mangoexchange.Result) {
 	o.metrics.finished(r)
 	fields := []zap.Field{
 		zap.String("Request", string(r.Call.ID)), zap.Uint64("Revision", uint64(r.Revision)),
@@ -147,7 +147,7 @@
 }
 
 // Ordered logs that an engine was told to change its stage, or why not.
-func (o observer) Ordered(m mangopool.Move, fence mangobroker.Fence, err error) {
+func (o observer) Ordered(m mangopool.Move, fence mangostage.Fence, err error) {
 	fields := []zap.Field{
 		zap.String("Server", string(m.Server.ID)), zap.Stringer("To", m.To), zap.Uint64("Fence", uint64(fence)),
 		zap.Int("Prefillers", m.Prefillers), zap.Int("Decoders", m.Decoders), zap.Int("Wanted", m.Wanted),
--- a/mangolaned/mangomesh/peers.go
+++ b/mangolaned/mangomesh/peers.go
@@ -17,8 +17,8 @@
 
 	"mangolane/core/mangobroker"
 	"mangolane/core/mangofleet"
+	"mangolane/core/mangolease"
 	"mangolane/core/mangomodel"
-	"mangolane/core/mangopool"
 	"mangolane/core/mangoroster"
 	"mangolane/core/mangowire"
 	"mangolane/mangolaned/mangoconn"
@@ -39,19 +39,19 @@
 
 // AcquireArgs is a demand.
 type AcquireArgs struct {
-	ID     mangopool.LeaseID
-	Demand mangopool.Demand
+	ID     mangolease.ID
+	Demand mangolease.Demand
 }
 
 // AcquireReply is the granted lease, or why there is none.
 type AcquireReply struct {
-	Lease mangopool.Lease
+	Lease mangolease.Lease
 	Fault *mangowire.FaultBody
 }
 
 // PrefillDoneArgs says how long a prefill took.
 type PrefillDoneArgs struct {
-	ID   mangopool.LeaseID
+	ID   mangolease.ID
 	Took time.Duration
 }
 
@@ -65,16 +65,16 @@
 func NewPeers() *Peers { return &Peers{pool: mangoconn.New(mangoconn.TCP)} }
 
 // Acquire asks a scheduler for a lease.
-func (p *Peers) Acquire(ctx context.Context, at mangoroster.Member, id mangopool.LeaseID, d mangopool.Demand) (mangopool.Lease, error) {
+func (p *Peers) Acquire(ctx context.Context, at mangoroster.Member, id mangolease.ID, d mangolease.Demand) (mangolease.Lease, error) {
 	ctx, cancel := context.WithTimeout(ctx, d.Patience+acquireSlack)
 	defer cancel()
 	var reply AcquireReply
 	to := mangoconn.Endpoint{Address: at.Address, Lane: mangoconn.LaneAdmission}
 	if err := p.pool.Call(ctx, to, mangomodel.StepAdmission, methodAcquire, AcquireArgs{ID: id, Demand: d}, &reply); err != nil {
-		return mangopool.Lease{}, err
+		return mangolease.Lease{}, err
 	}
 	if reply.Fault != nil {
-		return mangopool.Lease{}, reply.Fault.Fault()
+		return mangolease.Lease{}, reply.Fault.Fault()
 	}
 	return reply.Lease, nil
 }
@@ -85,7 +85,7 @@
 }
 
 // PrefillDone tells that a lease's prefill server is free again.
-func (p *Peers) PrefillDone(ctx context.Context, at mangoroster.Member, id mangopool.LeaseID, took time.Duration) error {
+func (p *Peers) PrefillDone(ctx context.Context, at mangoroster.Member, id mangolease.ID, took time.Duration) error {
 	return p.control(ctx, at.Address, mangomodel.StepRelease, methodPrefill, PrefillDoneArgs{ID: id, Took: took}, &Empty{})
 }
 
