Demands whose KV cache was computed go first in the queue

A prefill for nothing costs nearly as much as a request in time earns.

Change: such demands go before all others, whatever their rank; there are few.

--- a/core/mangofleet/admission.go
+++ b/core/mangofleet/admission.go
@@ -96,16 +96,25 @@
 	s.queue = kept
 }
 
-// compareWaiters orders demands that can still be on time before those that
-// cannot, then by priority, then by age.
+// compareWaiters orders demands whose KV cache was computed already first, since
+// it lapses soon; then those that can still be on time before those that cannot;
+// then by priority, then by age.
 func compareWaiters(a, b *waiter, now time.Time) int {
 	return cmp.Or(
+		cmp.Compare(unprefilled(a), unprefilled(b)),
 		cmp.Compare(lateness(a, now), lateness(b, now)),
 		cmp.Compare(a.Demand.Priority, b.Demand.Priority),
 		a.Since.Compare(b.Since),
 	)
 }
 
+func unprefilled(w *waiter) int {
+	if w.Demand.Prefilled {
+		return 0
+	}
+	return 1
+}
+
 func lateness(w *waiter, now time.Time) int {
 	if w.Late(now) {
 		return 1
--- a/core/mangofleet/admission_test.go
+++ b/core/mangofleet/admission_test.go
@@ -59,6 +59,8 @@
 	late.OnTimeFor = -time.Millisecond
 	basic := generation(9000, 100)
 	basic.Priority = 2
+	prefilled := late
+	prefilled.Priority, prefilled.Prefilled = 2, true
 	tests := []struct {
 		name          string
 		first, second mangolease.Demand
@@ -67,6 +69,7 @@
 		{"older first", generation(9000, 100), generation(9000, 100), 0},
 		{"more urgent first", basic, generation(9000, 100), 1},
 		{"late last, also if more urgent", late, basic, 1},
+		{"a computed cache first, also if late and less urgent", generation(9000, 100), prefilled, 1},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
