Only a service's scheduler allows retries

Cause, found by reading: every exchange of news took the allowances of the answer, also those of a seed that was only looked at and of the scheduler of another service. Neither counts the repeats of all daemons, so that together they could allow more than the budget of the service, and a seed's word of nothing left replaced the scheduler's.

Change: a renewal takes the allowances of the services that its peer schedules; looking for lost daemons takes none.

--- a/core/mangobroker/news.go
+++ b/core/mangobroker/news.go
@@ -42,7 +42,8 @@
 	// Leases are those of the sender at the receiver's services.
 	Leases []mangolease.Progress
 	// Usages is what the sender has used of the retry budgets. An answer's
-	// Allowances is what the other daemon may use next.
+	// Allowances is what the other daemon may use next, of the services that the
+	// sender schedules.
 	Usages     mangobudget.Usages
 	Allowances mangobudget.Allowances
 	// Members are the daemons that the sender knows.
@@ -105,28 +106,40 @@
 func (b *Broker) renewAt(ctx context.Context, m mangoroster.Member) {
 	if m.Holder == b.self.Holder {
 		b.tell(mangofleet.Renew{Holder: b.self.Holder, Leases: b.progress()})
-		b.tell(mangofleet.Allow{Allowances: b.fleet.View().Allowances(b.self.Holder)})
+		b.allow(m, b.fleet.View().Allowances(b.self.Holder))
 		return
 	}
-	if err := b.exchange(ctx, m.Address, b.progress()); err != nil && ctx.Err() == nil {
+	answer, err := b.exchange(ctx, m.Address)
+	if err == nil {
+		b.allow(m, answer.Allowances)
+		return
+	}
+	if ctx.Err() == nil {
 		b.lose(m, err)
 	}
 }
 
+// allow takes the allowances of the services that a daemon schedules. One that
+// does not schedule a service does not hear of all repeats there.
+func (b *Broker) allow(m mangoroster.Member, allowances mangobudget.Allowances) {
+	own := maps.Clone(allowances)
+	maps.DeleteFunc(own, func(name mangotraffic.ServiceName, _ int) bool {
+		return b.scheduler(name).Holder.Daemon != m.Holder.Daemon
+	})
+	b.tell(mangofleet.Allow{Allowances: own})
+}
+
 // exchange sends news and takes in the answer.
-func (b *Broker) exchange(ctx context.Context, at mangomodel.Address, leases []mangolease.Progress) error {
+func (b *Broker) exchange(ctx context.Context, at mangomodel.Address) (News, error) {
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
 	news := b.Compose(News{})
-	news.Leases = leases
+	news.Leases = b.progress()
 	answer, err := b.peers.Exchange(ctx, at, news)
 	if err != nil {
-		return err
-	}
-	if len(leases) > 0 || answer.Allowances != nil {
-		b.tell(mangofleet.Allow{Allowances: answer.Allowances})
+		return News{}, err
 	}
-	return b.take(ctx, answer)
+	return answer, b.take(ctx, answer)
 }
 
 // join looks for daemons that no exchange reaches: the seeds, and those that
@@ -210,7 +223,7 @@
 	)
 	for _, addr := range addrs {
 		running.Go(func() {
-			err := b.exchange(ctx, addr, b.progress())
+			_, err := b.exchange(ctx, addr)
 			mu.Lock()
 			defer mu.Unlock()
 			errs[addr] = err
