A whole list of servers is logged in one line

Cause, from a play of 300 daemons before 2,000 servers: each daemon wrote a line for each server of a list, 570,000 lines within two seconds, encoded on the control goroutine. Change: lists, and more than 64 changes, are one line with their number, age and source; single changes keep a line each. TestServersChangedIsBounded fails without it.

--- a/mangolanectl/mangoexplain/explain.go
+++ b/mangolanectl/mangoexplain/explain.go
@@ -78,7 +78,7 @@
 // contextMessages are the messages about something else than one request.
 var contextMessages = []string{
 	"platform lost", "platform regained", "daemon lost", "daemon regained", "scheduler chosen",
-	"configuration in force", "configuration not applied", "server listed", "server set aside", "server used again",
+	"configuration in force", "configuration not applied", "server listed", "servers listed", "server set aside", "server used again",
 	"engine moved", "engine not moved", "draining", "started", "log lines dropped", "settings reloaded",
 }
 
--- a/mangolaned/mangogateway/observe.go
+++ b/mangolaned/mangogateway/observe.go
@@ -93,11 +93,22 @@
 	o.logger.Info("server set aside", append(fields, zap.Duration("For", r.Until.Sub(now)))...)
 }
 
-// ServersChanged logs changes of the list of servers.
+// mostListed is how many changes of the list are logged one by one. Thousands at
+// once would hold the control goroutine up.
+const mostListed = 64
+
+// ServersChanged logs changes of the list of servers, and a whole list in one
+// line.
 func (o observer) ServersChanged(c mangofleet.ChangeServers) {
+	from := []zap.Field{
+		zap.Duration("Grace", max(c.Grace, 0)), zap.Duration("Age", c.Age), zap.String("From", string(c.From)),
+	}
+	if c.Full || len(c.Changes) > mostListed {
+		o.logger.Info("servers listed", append(from, zap.Int("Servers", len(c.Changes)), zap.Bool("Full", c.Full))...)
+		return
+	}
 	for _, change := range c.Changes {
-		o.logger.Info("server listed", zap.Object("Server", listing(change)), zap.Bool("Full", c.Full),
-			zap.Duration("Grace", max(c.Grace, 0)), zap.Duration("Age", c.Age), zap.String("From", string(c.From)))
+		o.logger.Info("server listed", append(from, zap.Object("Server", listing(change)))...)
 	}
 }
 
--- /dev/null
+++ b/mangolaned/mangogateway/observe_test.go
@@ -0,0 +1,41 @@
+package mangogateway
+
+import (
+	"fmt"
+	"testing"
+
+	"go.uber.org/zap"
+	zapobserver "go.uber.org/zap/zaptest/observer"
+
+	"mangolane/core/mangofleet"
+	"mangolane/core/mangomodel"
+	"mangolane/core/mangotraffic"
+)
+
+// TestServersChangedIsBounded checks that a large list costs one line.
+func TestServersChangedIsBounded(t *testing.T) {
+	tests := []struct {
+		changes int
+		full    bool
+		lines   int
+		message string
+	}{
+		{1, false, 1, "server listed"},
+		{mostListed, false, mostListed, "server listed"},
+		{mostListed + 1, false, 1, "servers listed"},
+		{2, true, 1, "servers listed"},
+	}
+	for _, test := range tests {
+		t.Run(fmt.Sprint(test.changes, test.full), func(t *testing.T) {
+			core, logs := zapobserver.New(zap.InfoLevel)
+			cmd := mangofleet.ChangeServers{Full: test.full}
+			for i := range test.changes {
+				cmd.Changes = append(cmd.Changes, mangotraffic.ServerChange{ID: mangomodel.ServerID(fmt.Sprint(i))})
+			}
+			observer{logger: zap.New(core), metrics: newMetrics()}.ServersChanged(cmd)
+			if logs.Len() != test.lines || logs.FilterMessage(test.message).Len() != test.lines {
+				t.Errorf("%d lines: %v", logs.Len(), logs.All())
+			}
+		})
+	}
+}
