An uninformed daemon waits for both records from others

Change: it waits and asks until it knows both, for up to 3 s. TestStartWaitsForOthers fails without the change (the list is read at once).

--- a/core/mangofleet/fleet.go
+++ b/core/mangofleet/fleet.go
@@ -141,11 +141,15 @@
 	return true
 }
 
+// Uninformed reports whether the daemon has yet to learn the configuration or
+// the list of servers.
+func (v *View) Uninformed() bool { return v.Routing == nil || v.ListRead.IsZero() }
+
 // Follows reports whether others read the platform's records first while this
-// daemon knows no configuration: weak ones are many, and leave it to the strong
-// ones even before they have heard of any.
+// daemon is uninformed: weak ones are many, and leave it to the strong ones even
+// before they have heard of any.
 func (v *View) Follows() bool {
-	return v.Routing == nil && (!v.reader.Strong || v.reader.Holder.Daemon != v.self)
+	return v.Uninformed() && (!v.reader.Strong || v.reader.Holder.Daemon != v.self)
 }
 
 // Sightings returns all members with the time since they were heard.
@@ -176,7 +180,7 @@
 func (v *View) Lease(id mangolease.ID) (mangolease.Lease, bool) { return v.granted.Get(id) }
 
 // Ready reports whether the daemon can route calls and wants more of them.
-func (v *View) Ready() bool { return v.Routing != nil && !v.ListRead.IsZero() && !v.Draining }
+func (v *View) Ready() bool { return !v.Uninformed() && !v.Draining }
 
 // MayUse reports whether this daemon's own list allows new work at a server.
 // A scheduler's list may be older. Without a list every server is allowed.
--- a/core/mangofollow/follow.go
+++ b/core/mangofollow/follow.go
@@ -37,10 +37,11 @@
 	// headStart is how long a daemon that starts waits to hear of others: a
 	// connection and a round trip between regions.
 	headStart = 100 * time.Millisecond
-	// othersFirst is how long a daemon that starts waits for a configuration
-	// from others before it reads by itself. They start up to half a second
-	// later, read it, are asked four times a second and are fetched from.
-	othersFirst = 1200 * time.Millisecond
+	// othersFirst is how long a daemon that starts waits for the records from
+	// others before it reads by itself. They start up to half a second later,
+	// read them, are asked four times a second, and hundreds of daemons fetch
+	// some hundred KB from a few.
+	othersFirst = 3 * time.Second
 	// gatherTime is the pause after a change. Servers are often listed one
 	// after the other.
 	gatherTime = 100 * time.Millisecond
