--- a/core/mangofleet/fleet.go
+++ b/core/mangofleet/fleet.go
@@ -9,6 +9,7 @@
 	"mangolane/core/mangobudget"
 	"mangolane/core/mangocrash"
 	"mangolane/core/mangohealth"
+	"mangolane/core/mangojournal"
 	"mangolane/core/mangolease"
 	"mangolane/core/mangoloop"
 	"mangolane/core/mangomodel"
@@ -115,14 +116,13 @@
 
 	schedulers map[mangotraffic.ServiceName][]mangoroster.Member
 	// lapsed are those of Listed whose entries have vanished.
-	lapsed      map[mangomodel.ServerID]bool
-	moves       map[mangotraffic.ServiceName]mangopool.Move
-	granted     mangoquery.Index[mangolease.ID, mangolease.Lease]
-	crashes     []mangocrash.Crash
-	allowances  map[mangomodel.Holder]mangobudget.Allowances
-	journal     []ListChange
-	journalBase mangotraffic.Cursor
-	self        mangomodel.DaemonID
+	lapsed     map[mangomodel.ServerID]bool
+	moves      map[mangotraffic.ServiceName]mangopool.Move
+	granted    mangoquery.Index[mangolease.ID, mangolease.Lease]
+	crashes    []mangocrash.Crash
+	allowances map[mangomodel.Holder]mangobudget.Allowances
+	journal    mangojournal.Journal
+	self       mangomodel.DaemonID
 	// reader is who reads the platform's records first.
 	reader mangoroster.Member
 }
--- a/core/mangofleet/list.go
+++ b/core/mangofleet/list.go
@@ -1,17 +1,13 @@
 package mangofleet
 
 import (
-	"slices"
 	"time"
 
+	"mangolane/core/mangojournal"
 	"mangolane/core/mangomodel"
 	"mangolane/core/mangotraffic"
 )
 
-// journalLength is how many changes of the list are kept for daemons that
-// learn of them from this one. A daemon asks four times a second.
-const journalLength = 256
-
 // InstallRouting puts a revision in force. An older one than the one in force
 // is a conflict.
 type InstallRouting struct {
@@ -105,42 +101,24 @@
 		return
 	}
 	s.listCursor = c.Cursor
-	if c.Full {
-		s.journal, s.journalBase = nil, c.Cursor
-		return
-	}
-	if len(c.Changes) == 0 {
-		return
-	}
-	s.journal = append(slices.Clone(s.journal), ListChange{Changes: c.Changes, Grace: c.Grace, Cursor: c.Cursor})
-	if extra := len(s.journal) - journalLength; extra > 0 {
-		s.journalBase = s.journal[extra-1].Cursor
-		s.journal = s.journal[extra:]
+	switch {
+	case c.Full:
+		s.journal = s.journal.Reset(c.Cursor)
+	case len(c.Changes) > 0:
+		s.journal = s.journal.With(mangojournal.Entry{Changes: c.Changes, Grace: c.Grace, Cursor: c.Cursor})
 	}
 }
 
-// ListChange is some changes with the position after them.
-type ListChange struct {
-	Changes []mangotraffic.ServerChange
-	Grace   time.Duration
-	Cursor  mangotraffic.Cursor
-}
-
 // ChangesAfter returns the command that brings a daemon from a position to this
 // one's. It reports false for one that is too far behind for that.
 func (v *View) ChangesAfter(after mangotraffic.Cursor, now time.Time) (ChangeServers, bool) {
-	if after < v.journalBase {
+	news, ok := v.journal.After(after)
+	if !ok {
 		return ChangeServers{}, false
 	}
-	cmd := ChangeServers{After: min(after, v.ListCursor), Cursor: v.ListCursor, Age: now.Sub(v.ListRead)}
-	for _, c := range v.journal {
-		if c.Cursor <= after {
-			continue
-		}
-		cmd.Changes = append(cmd.Changes, c.Changes...)
-		cmd.Grace = max(cmd.Grace, c.Grace)
-	}
-	return cmd, true
+	return ChangeServers{
+		Changes: news.Changes, Grace: news.Grace, Age: now.Sub(v.ListRead), After: min(after, v.ListCursor), Cursor: v.ListCursor,
+	}, true
 }
 
 // List returns the command that gives a daemon the whole list, without the
--- a/core/mangofleet/state.go
+++ b/core/mangofleet/state.go
@@ -5,6 +5,7 @@
 
 	"mangolane/core/mangobudget"
 	"mangolane/core/mangocrash"
+	"mangolane/core/mangojournal"
 	"mangolane/core/mangolease"
 	"mangolane/core/mangoloop"
 	"mangolane/core/mangomodel"
@@ -34,12 +35,10 @@
 	suspects   *mangocrash.Suspects
 	listRead   time.Time
 	// listCursor and routingCursor are the positions that were read, and
-	// journal the last changes of the list; it is copied when changed.
+	// journal the last changes of the list.
 	listCursor, routingCursor mangotraffic.Cursor
-	journal                   []ListChange
-	// journalBase is the position before the first change of the journal.
-	journalBase mangotraffic.Cursor
-	changed     parts
+	journal                   mangojournal.Journal
+	changed                   parts
 	// actedAt is when a renewal last came, and actingSince when the first came
 	// after a time without: this daemon became a scheduler then.
 	actedAt, actingSince time.Time
@@ -102,7 +101,7 @@
 	v := &View{
 		Routing: s.routing, Draining: s.draining, Waiting: len(s.queue), Leases: s.pool.Leases(),
 		ListRead: s.listRead, granted: s.pool.Granted(), allowances: s.allowances,
-		ListCursor: s.listCursor, RoutingCursor: s.routingCursor, journal: s.journal, journalBase: s.journalBase, self: s.self.Holder.Daemon,
+		ListCursor: s.listCursor, RoutingCursor: s.routingCursor, journal: s.journal, self: s.self.Holder.Daemon,
 	}
 	if last != nil {
 		v.Listed, v.Members, v.schedulers, v.crashes = last.Listed, last.Members, last.schedulers, last.crashes
--- /dev/null
+++ b/core/mangojournal/journal.go
@@ -0,0 +1,68 @@
+// Package mangojournal keeps the last changes of the list of servers, for the
+// daemons that learn of them from this one.
+//
+// A [Journal] is immutable, so that it can be published. The zero Journal knows
+// nothing.
+//
+// # Usage
+//
+//	j := mangojournal.Journal{}.Reset(7)
+//	j = j.With(mangojournal.Entry{Changes: changes, Cursor: 8})
+//	entry, ok := j.After(7)
+package mangojournal
+
+import (
+	"slices"
+	"time"
+
+	"mangolane/core/mangotraffic"
+)
+
+// length is how many entries are kept. A daemon asks four times a second.
+const length = 256
+
+// Entry is some changes with the position after them.
+type Entry struct {
+	Changes []mangotraffic.ServerChange
+	// Grace is how long entries that are gone are still used.
+	Grace  time.Duration
+	Cursor mangotraffic.Cursor
+}
+
+// Journal is the changes after a position.
+type Journal struct {
+	entries []Entry
+	base    mangotraffic.Cursor
+}
+
+// Reset returns a journal that knows the changes from a position on.
+func (Journal) Reset(to mangotraffic.Cursor) Journal { return Journal{base: to} }
+
+// With returns the journal with one more entry. It drops the oldest one when it
+// is full.
+func (j Journal) With(e Entry) Journal {
+	j.entries = append(slices.Clone(j.entries), e)
+	if extra := len(j.entries) - length; extra > 0 {
+		j.base = j.entries[extra-1].Cursor
+		j.entries = j.entries[extra:]
+	}
+	return j
+}
+
+// After returns all changes after a position as one entry, with the longest
+// grace. It reports false if some of them are not known.
+func (j Journal) After(cursor mangotraffic.Cursor) (Entry, bool) {
+	if cursor < j.base {
+		return Entry{}, false
+	}
+	var sum Entry
+	for _, e := range j.entries {
+		if e.Cursor <= cursor {
+			continue
+		}
+		sum.Changes = append(sum.Changes, e.Changes...)
+		sum.Grace = max(sum.Grace, e.Grace)
+		sum.Cursor = e.Cursor
+	}
+	return sum, true
+}
--- a/core/mangorelay/stream.go
+++ b/core/mangorelay/stream.go
@@ -11,6 +11,7 @@
 	"mangolane/core/mangoexchange"
 	"mangolane/core/mangolease"
 	"mangolane/core/mangomodel"
+	"mangolane/core/mangostall"
 	"mangolane/core/mangotraffic"
 )
 
@@ -175,7 +176,7 @@
 	}
 	runCtx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	stall := &stallWatch{job: j, server: server, cancel: func() { cancel(errStalled) }}
+	stall := j.watch(server, func() { cancel(errStalled) })
 	stall.Reset(firstEventTimeout)
 	defer stall.Stop()
 	runCtx, end := j.relay.tracer.Start(runCtx, mangomodel.StepDecode, mangomodel.PeerName(server.ID))
@@ -191,6 +192,26 @@
 	return err
 }
 
+// silenceTimer watches an engine while an event is awaited.
+type silenceTimer interface {
+	Stop() bool
+	Reset(d time.Duration) bool
+}
+
+// nobody watches nothing.
+type nobody struct{}
+
+func (nobody) Stop() bool               { return true }
+func (nobody) Reset(time.Duration) bool { return true }
+
+// watch watches an engine if the stream can go on at another one.
+func (j *job) watch(server mangotraffic.Server, cancel func()) silenceTimer {
+	if !j.picked.Repeatable() {
+		return nobody{}
+	}
+	return mangostall.New(j.relay.servers, server, cancel)
+}
+
 // settleSource keeps a KV cache that was not fetched for another server.
 func (j *job) settleSource(err error) {
 	if j.source == nil {
