No engine is moved while an earlier order may not show in the list yet

A scheduler moved a prefill engine at second 31; all daemons lost power at 34; the new scheduler at 37 still saw that engine listed as prefill, since a change takes 6 s, and moved another one. One prefill engine was left, and no engine is moved back within 20 s.

Change: a claim on the platform that this life did not make keeps it from ordering until the engine's change is over (12 s), also a claim of the same daemon's earlier life. The check of TestOrders that a daemon's own claim never waits held for lives that know their orders; it is replaced by three stricter ones and TestOwnClaimHoldsNothingUp, and the bound for others' claims grew from 5 to 12 s.

TestOrders fails without the change.

--- a/core/mangostage/move.go
+++ b/core/mangostage/move.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"mangolane/core/mangobalance"
 	"mangolane/core/mangofleet"
 	"mangolane/core/mangomodel"
 	"mangolane/core/mangopool"
@@ -45,8 +46,10 @@
 	s.log.Ordered(m, fence, err)
 }
 
-// order takes a fence and gives the order. The claim of another daemon counts
-// for the lease and the time in which its order may still be on its way.
+// order takes a fence and gives the order. A claim that this life did not make
+// counts for the lease and the time in which its order may still be on its way,
+// and until the engine that it moved is listed with its new stage: what is known
+// of the stages is out of date until then.
 func (s *Steward) order(ctx context.Context, m mangopool.Move) (Fence, error) {
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
@@ -55,7 +58,7 @@
 		return 0, err
 	}
 	me := s.self.Daemon
-	if last.Holder != "" && last.Holder != me && last.Age < s.lease+2*orderTimeout {
+	if last.Holder != "" && last.Version != s.last[m.Service] && last.Age < max(s.lease+2*orderTimeout, mangobalance.Settle) {
 		return 0, mangomodel.Faultf(mangomodel.StepConfigure, mangomodel.PeerName(last.Holder), mangomodel.CodeConflict, mangomodel.RunNot,
 			"it ordered %v ago", last.Age)
 	}
@@ -67,5 +70,6 @@
 	if err != nil {
 		return 0, err
 	}
+	s.last[m.Service] = uint64(fence)
 	return fence, s.orders.Order(ctx, m.Server, Order{Holder: me, Fence: fence, To: m.To, Sequence: report.Orders})
 }
--- a/core/mangostage/move_test.go
+++ b/core/mangostage/move_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/onsi/gomega"
 
+	"mangolane/core/mangobalance"
 	"mangolane/core/mangomodel"
 	"mangolane/core/mangopool"
 	"mangolane/core/mangotraffic"
@@ -53,9 +54,11 @@
 		ok       bool
 	}{
 		{"first order", platform{}, true, true},
-		{"own claim", platform{claim: Claim{Holder: "a", Age: 0, Version: 7}}, true, true},
+		{"claim of an earlier life", platform{claim: Claim{Holder: "a", Age: 0, Version: 7}}, false, false},
+		{"claim of an earlier life long ago", platform{claim: Claim{Holder: "a", Age: mangobalance.Settle, Version: 7}}, true, true},
 		{"another daemon's claim within the lease", platform{claim: Claim{Holder: "b", Age: lease, Version: 7}}, false, false},
-		{"another daemon's claim long ago", platform{claim: Claim{Holder: "b", Age: lease + 2*orderTimeout, Version: 7}}, true, true},
+		{"another daemon's claim while its engine changes", platform{claim: Claim{Holder: "b", Age: lease + 2*orderTimeout, Version: 7}}, false, false},
+		{"another daemon's claim long ago", platform{claim: Claim{Holder: "b", Age: mangobalance.Settle, Version: 7}}, true, true},
 		{"claim lost to another daemon", platform{takeErr: lost}, false, false},
 		{"refused by the engine", platform{orderErr: lost}, true, false},
 	}
@@ -83,3 +86,17 @@
 		})
 	}
 }
+
+// TestOwnClaimHoldsNothingUp checks that a life knows its own orders.
+func TestOwnClaimHoldsNothingUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		p := platform{}
+		steward := New(mangomodel.Holder{Daemon: "a"}, nil, &p, &p, &p)
+		for range 2 {
+			_, err := steward.order(t.Context(), mangopool.Move{Service: "llm", Server: mangotraffic.Server{ID: "p"}, To: mangotraffic.StageDecode})
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+		}
+		g.Expect(p.orders).To(gomega.HaveLen(2))
+	})
+}
--- a/core/mangostage/stage.go
+++ b/core/mangostage/stage.go
@@ -92,6 +92,9 @@
 	orders  Orders
 	lease   time.Duration
 	log     Observer
+	// last is the version of the last claim of each service that this life made.
+	// Only the goroutine that moves engines uses it.
+	last map[mangotraffic.ServiceName]uint64
 }
 
 // Option configures a Steward.
@@ -106,7 +109,10 @@
 
 // New returns a Steward.
 func New(self mangomodel.Holder, fleet Fleet, e Engines, f Fences, o Orders, opts ...Option) *Steward {
-	s := &Steward{self: self, fleet: fleet, engines: e, fences: f, orders: o, lease: defaultLease, log: silent{}}
+	s := &Steward{
+		self: self, fleet: fleet, engines: e, fences: f, orders: o, lease: defaultLease, log: silent{},
+		last: make(map[mangotraffic.ServiceName]uint64),
+	}
 	for _, opt := range opts {
 		opt(s)
 	}
