Rename: the part that moves engines is a Controller

Cause: 'steward' is no term of the field. Change: the name only, in mangostage and the gateway. Measured: nothing, no behaviour changes; tests of both packages green.

--- a/core/mangostage/inspect.go
+++ b/core/mangostage/inspect.go
@@ -21,13 +21,13 @@
 )
 
 // inspect asks until ctx ends.
-func (s *Steward) inspect(ctx context.Context) {
+func (c *Controller) inspect(ctx context.Context) {
 	ticker := time.NewTicker(mangopool.InspectInterval)
 	defer ticker.Stop()
 	for first := 0; ; first += inspectMost {
 		var running sync.WaitGroup
-		for _, server := range turn(s.scheduled(), first, inspectMost) {
-			running.Go(func() { s.inspectOne(ctx, server) })
+		for _, server := range turn(c.scheduled(), first, inspectMost) {
+			running.Go(func() { c.inspectOne(ctx, server) })
 		}
 		running.Wait()
 		select {
@@ -50,10 +50,10 @@
 
 // scheduled returns the decode servers of the services that this daemon
 // schedules.
-func (s *Steward) scheduled() []mangotraffic.Server {
+func (c *Controller) scheduled() []mangotraffic.Server {
 	var list []mangotraffic.Server
-	for _, server := range s.fleet.View().Listed {
-		if server.Stage == mangotraffic.StageDecode && s.schedules(server.Service) {
+	for _, server := range c.fleet.View().Listed {
+		if server.Stage == mangotraffic.StageDecode && c.schedules(server.Service) {
 			list = append(list, server)
 		}
 	}
@@ -62,13 +62,13 @@
 
 // inspectOne asks one server. A server that does not answer keeps the belief
 // that the calls to it have made.
-func (s *Steward) inspectOne(ctx context.Context, server mangotraffic.Server) {
+func (c *Controller) inspectOne(ctx context.Context, server mangotraffic.Server) {
 	ctx, cancel := context.WithTimeout(ctx, inspectTimeout)
 	defer cancel()
-	report, err := s.engines.Report(ctx, server)
+	report, err := c.engines.Report(ctx, server)
 	if err != nil {
-		s.log.ReportFailed(server, err)
+		c.log.ReportFailed(server, err)
 		return
 	}
-	s.tell(mangofleet.Inspected{Server: server.ID, Report: report})
+	c.tell(mangofleet.Inspected{Server: server.ID, Report: report})
 }
--- a/core/mangostage/move.go
+++ b/core/mangostage/move.go
@@ -20,13 +20,13 @@
 )
 
 // move changes stages until ctx ends.
-func (s *Steward) move(ctx context.Context) {
+func (c *Controller) move(ctx context.Context) {
 	ticker := time.NewTicker(moveInterval)
 	defer ticker.Stop()
 	for {
-		for _, name := range s.fleet.View().Services() {
-			if m, ok := s.fleet.View().Move(name); ok && s.schedules(name) {
-				s.moveOne(ctx, m)
+		for _, name := range c.fleet.View().Services() {
+			if m, ok := c.fleet.View().Move(name); ok && c.schedules(name) {
+				c.moveOne(ctx, m)
 			}
 		}
 		select {
@@ -37,39 +37,39 @@
 	}
 }
 
-func (s *Steward) moveOne(ctx context.Context, m mangopool.Move) {
-	s.tell(mangofleet.OrderBegun{Server: m.Server.ID, To: m.To})
-	fence, err := s.order(ctx, m)
+func (c *Controller) moveOne(ctx context.Context, m mangopool.Move) {
+	c.tell(mangofleet.OrderBegun{Server: m.Server.ID, To: m.To})
+	fence, err := c.order(ctx, m)
 	if err != nil {
-		s.tell(mangofleet.OrderFailed{Server: m.Server.ID})
+		c.tell(mangofleet.OrderFailed{Server: m.Server.ID})
 	}
-	s.log.Ordered(m, fence, err)
+	c.log.Ordered(m, fence, err)
 }
 
 // order takes a fence and gives the order. A claim that this life did not make
 // counts for the lease and the time in which its order may still be on its way,
 // and until the engine that it moved is listed with its new stage: what is known
 // of the stages is out of date until then.
-func (s *Steward) order(ctx context.Context, m mangopool.Move) (Fence, error) {
+func (c *Controller) order(ctx context.Context, m mangopool.Move) (Fence, error) {
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
-	last, err := s.fences.Claimed(ctx, m.Service)
+	last, err := c.fences.Claimed(ctx, m.Service)
 	if err != nil {
 		return 0, err
 	}
-	me := s.self.Daemon
-	if last.Holder != "" && last.Version != s.last[m.Service] && last.Age < max(s.lease+2*orderTimeout, mangobalance.Settle) {
+	me := c.self.Daemon
+	if last.Holder != "" && last.Version != c.last[m.Service] && last.Age < max(c.lease+2*orderTimeout, mangobalance.Settle) {
 		return 0, mangomodel.Faultf(mangomodel.StepConfigure, mangomodel.PeerName(last.Holder), mangomodel.CodeConflict, mangomodel.RunNot,
 			"it ordered %v ago", last.Age)
 	}
-	report, err := s.engines.Report(ctx, m.Server)
+	report, err := c.engines.Report(ctx, m.Server)
 	if err != nil {
 		return 0, err
 	}
-	fence, err := s.fences.Take(ctx, m.Service, me, last)
+	fence, err := c.fences.Take(ctx, m.Service, me, last)
 	if err != nil {
 		return 0, err
 	}
-	s.last[m.Service] = uint64(fence)
-	return fence, s.orders.Order(ctx, m.Server, Order{Holder: me, Fence: fence, To: m.To, Sequence: report.Orders})
+	c.last[m.Service] = uint64(fence)
+	return fence, c.orders.Order(ctx, m.Server, Order{Holder: me, Fence: fence, To: m.To, Sequence: report.Orders})
 }
--- a/core/mangostage/move_test.go
+++ b/core/mangostage/move_test.go
@@ -67,9 +67,9 @@
 			synctest.Test(t, func(t *testing.T) {
 				g := gomega.NewWithT(t)
 				p := test.platform
-				steward := New(mangomodel.Holder{Daemon: "a"}, nil, &p, &p, &p, WithLease(lease))
+				controller := New(mangomodel.Holder{Daemon: "a"}, nil, &p, &p, &p, WithLease(lease))
 				before := p.claim.Version
-				fence, err := steward.order(t.Context(), mangopool.Move{Service: "llm", Server: mangotraffic.Server{ID: "p"}, To: mangotraffic.StageDecode})
+				fence, err := controller.order(t.Context(), mangopool.Move{Service: "llm", Server: mangotraffic.Server{ID: "p"}, To: mangotraffic.StageDecode})
 				g.Expect(err == nil).To(gomega.Equal(test.ok))
 				if !test.ordered {
 					g.Expect(p.orders).To(gomega.BeEmpty())
@@ -92,9 +92,9 @@
 	synctest.Test(t, func(t *testing.T) {
 		g := gomega.NewWithT(t)
 		p := platform{}
-		steward := New(mangomodel.Holder{Daemon: "a"}, nil, &p, &p, &p)
+		controller := New(mangomodel.Holder{Daemon: "a"}, nil, &p, &p, &p)
 		for range 2 {
-			_, err := steward.order(t.Context(), mangopool.Move{Service: "llm", Server: mangotraffic.Server{ID: "p"}, To: mangotraffic.StageDecode})
+			_, err := controller.order(t.Context(), mangopool.Move{Service: "llm", Server: mangotraffic.Server{ID: "p"}, To: mangotraffic.StageDecode})
 			g.Expect(err).NotTo(gomega.HaveOccurred())
 		}
 		g.Expect(p.orders).To(gomega.HaveLen(2))
--- a/core/mangostage/stage.go
+++ b/core/mangostage/stage.go
@@ -2,14 +2,14 @@
 // run, and moves them between the stages.
 //
 // What the engines run besides the known leases is told to the fleet. Whether
-// an engine should change its stage is the fleet's decision; a [Steward] carries
+// an engine should change its stage is the fleet's decision; a [Controller] carries
 // it out, under a fence that the platform keeps, if no other daemon has ordered
 // within the lease.
 //
 // # Usage
 //
-//	s := mangostage.New(self, fleet, engines, fences, orders, mangostage.WithLease(3*time.Second))
-//	go s.Run(ctx)
+//	c := mangostage.New(self, fleet, engines, fences, orders, mangostage.WithLease(3*time.Second))
+//	go c.Run(ctx)
 package mangostage
 
 import (
@@ -83,8 +83,8 @@
 	ReportFailed(server mangotraffic.Server, err error)
 }
 
-// Steward asks and moves engines.
-type Steward struct {
+// Controller asks and moves engines.
+type Controller struct {
 	self    mangomodel.Holder
 	fleet   Fleet
 	engines Engines
@@ -97,45 +97,45 @@
 	last map[mangotraffic.ServiceName]uint64
 }
 
-// Option configures a Steward.
-type Option func(*Steward)
+// Option configures a Controller.
+type Option func(*Controller)
 
 // WithLease sets for how long another daemon's order keeps this one from
 // ordering.
-func WithLease(d time.Duration) Option { return func(s *Steward) { s.lease = d } }
+func WithLease(d time.Duration) Option { return func(c *Controller) { c.lease = d } }
 
 // WithObserver sets who is told about engines.
-func WithObserver(o Observer) Option { return func(s *Steward) { s.log = o } }
+func WithObserver(o Observer) Option { return func(c *Controller) { c.log = o } }
 
-// New returns a Steward.
-func New(self mangomodel.Holder, fleet Fleet, e Engines, f Fences, o Orders, opts ...Option) *Steward {
-	s := &Steward{
+// New returns a Controller.
+func New(self mangomodel.Holder, fleet Fleet, e Engines, f Fences, o Orders, opts ...Option) *Controller {
+	c := &Controller{
 		self: self, fleet: fleet, engines: e, fences: f, orders: o, lease: defaultLease, log: silent{},
 		last: make(map[mangotraffic.ServiceName]uint64),
 	}
 	for _, opt := range opts {
-		opt(s)
+		opt(c)
 	}
-	return s
+	return c
 }
 
 // Run asks and moves engines until ctx ends.
-func (s *Steward) Run(ctx context.Context) {
+func (c *Controller) Run(ctx context.Context) {
 	var running sync.WaitGroup
-	running.Go(func() { s.inspect(ctx) })
-	running.Go(func() { s.move(ctx) })
+	running.Go(func() { c.inspect(ctx) })
+	running.Go(func() { c.move(ctx) })
 	running.Wait()
 }
 
 // schedules reports whether this daemon schedules a service: it does if it
 // knows of no other.
-func (s *Steward) schedules(name mangotraffic.ServiceName) bool {
-	m, ok := s.fleet.View().Scheduler(name)
-	return !ok || m.Holder == s.self
+func (c *Controller) schedules(name mangotraffic.ServiceName) bool {
+	m, ok := c.fleet.View().Scheduler(name)
+	return !ok || m.Holder == c.self
 }
 
 // tell applies a command that cannot fail but by the end of the process.
-func (s *Steward) tell(cmd mangofleet.Command) { _ = s.fleet.Do(context.Background(), cmd) }
+func (c *Controller) tell(cmd mangofleet.Command) { _ = c.fleet.Do(context.Background(), cmd) }
 
 type silent struct{}
 
--- a/mangolaned/mangogateway/gateway.go
+++ b/mangolaned/mangogateway/gateway.go
@@ -67,7 +67,7 @@
 	broker   *mangobroker.Broker
 	relay    *mangorelay.Relay
 	follower *mangofollow.Follower
-	steward  *mangostage.Steward
+	stages   *mangostage.Controller
 	metrics  *metrics
 	recorder *mangotrace.Recorder
 }
@@ -93,7 +93,7 @@
 		settings: s, current: current, level: level, logger: logger, fleet: fleet, broker: broker, metrics: m, recorder: recorder,
 		relay:    mangorelay.New(fleet, broker, servers, mangorelay.WithObserver(o), mangorelay.WithTracer(mangotrace.Install(recorder, s.Daemon))),
 		follower: mangofollow.New(fleet, source, o),
-		steward: mangostage.New(self.Holder, fleet, servers, source, servers,
+		stages: mangostage.New(self.Holder, fleet, servers, source, servers,
 			mangostage.WithLease(s.OrderLease.Std()), mangostage.WithObserver(o)),
 	}
 }
@@ -132,7 +132,7 @@
 	running.Go(func() { g.fleet.Run(workCtx) })
 	running.Go(func() { g.follower.Run(workCtx) })
 	running.Go(func() { g.broker.Run(workCtx) })
-	running.Go(func() { g.steward.Run(workCtx) })
+	running.Go(func() { g.stages.Run(workCtx) })
 	running.Go(func() { g.recorder.Run(workCtx) })
 	go g.servePeers(peerServer, listener)
 	for _, s := range []*mangorest.Server{frontServer, readyServer, metricsServer} {
