Relay: a resumed stream takes only events that belong to it

Cause: a server that answered a resumption with a body instead of events made the relay send a second head and append the body ("12oops"). Any event, also a comment or an old one, reset the stall timer, so that a stalled server that sent one now and then was never given up. A call without Deadline-Ms had a zero deadline and timed out before it was sent. Change: after the head was sent only numbered events and the end of the stream are taken, everything else fails the attempt; only events that are new to the client count as progress; a stream with unnumbered events is not resumed; the route's timeout bounds a call whose client sends no deadline. Parts of a long body are 32 KiB.

--- a/core/mangorelay/fake_test.go
+++ b/core/mangorelay/fake_test.go
@@ -1,6 +1,7 @@
 package mangorelay
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -35,6 +36,10 @@
 	events  []mangotraffic.EventID
 	aborted bool
 	stalls  bool
+	// comments marks the events with id 0 as comments.
+	comments bool
+	// interval is the time between two events; zero means eventInterval.
+	interval time.Duration
 	// pause is the idle time after the event pauseAfter.
 	pauseAfter mangotraffic.EventID
 	pause      time.Duration
@@ -129,7 +134,7 @@
 	if len(s.step.events) > 0 {
 		id := s.step.events[0]
 		s.step.events = s.step.events[1:]
-		if err := sleep(s.ctx, eventInterval); err != nil {
+		if err := sleep(s.ctx, cmp.Or(s.step.interval, eventInterval)); err != nil {
 			return mangotraffic.Event{}, err
 		}
 		if s.step.pause > 0 && id == s.step.pauseAfter+1 {
@@ -137,7 +142,7 @@
 				return mangotraffic.Event{}, err
 			}
 		}
-		return mangotraffic.Event{ID: id, Raw: []byte{byte('0' + id)}}, nil
+		return mangotraffic.Event{ID: id, Raw: []byte{byte('0' + id)}, Comment: id == 0 && s.step.comments}, nil
 	}
 	if s.step.stalls {
 		<-s.ctx.Done()
--- a/core/mangorelay/plain.go
+++ b/core/mangorelay/plain.go
@@ -20,6 +20,9 @@
 	// maxBufferedBody is the largest response body, in bytes, that is buffered
 	// before it is sent, which allows a retry if it is truncated.
 	maxBufferedBody = 256 << 10
+	// relayPart is the size in bytes of the parts in which the rest of a larger
+	// body is relayed.
+	relayPart = 32 << 10
 	// queueTimeoutShare is the share of the target latency that a call may be
 	// queued before it is refused.
 	queueTimeoutShare = 0.5
@@ -50,7 +53,7 @@
 	if f.Run == mangomodel.RunNot {
 		return true
 	}
-	return j.route.Retryable() && j.runs < j.route.MaxAttempts
+	return j.route.Retryable() && !j.unnumbered && j.runs < j.route.MaxAttempts
 }
 
 func (j *job) attemptPlain(ctx context.Context) error {
@@ -118,7 +121,7 @@
 }
 
 func (j *job) relayRest(ctx context.Context, server mangotraffic.Server, resp *mangoexchange.Response) error {
-	part := make([]byte, maxBufferedBody)
+	part := make([]byte, relayPart)
 	for {
 		n, err := resp.Body.Read(part)
 		if n > 0 {
@@ -148,6 +151,15 @@
 		"status %d, not run", resp.Head.Status)
 }
 
+// handleForeign handles a response that cannot continue a stream whose head was
+// sent: one without events, or with an event that has no place in it.
+func (j *job) handleForeign(server mangotraffic.Server, resp *mangoexchange.Response, what string) error {
+	j.observe(server.ID, mangolease.OutcomeFailure, resp.Load)
+	j.avoid = append(j.avoid, server.ID)
+	return mangomodel.Faultf(mangomodel.StepCall, mangomodel.PeerName(server.ID), mangomodel.CodeBackend, mangomodel.RunUnknown,
+		"status %d with %s cannot continue a stream after event %d", resp.Head.Status, what, j.lastEventID)
+}
+
 // handleSendError handles a call that received no response.
 func (j *job) handleSendError(ctx context.Context, server mangotraffic.Server, err error) error {
 	f := mangomodel.AsFault(err, mangomodel.StepCall)
--- a/core/mangorelay/relay.go
+++ b/core/mangorelay/relay.go
@@ -53,6 +53,9 @@
 // defaultMaxOutput is assumed for generations whose client sets no bound.
 const defaultMaxOutput mangomodel.Tokens = 4096
 
+// defaultTimeout bounds a call if neither its client nor its route does.
+const defaultTimeout = time.Minute
+
 // errClientDisconnected is joined to a failed write to the client.
 var errClientDisconnected = errors.New("client disconnected")
 
@@ -104,7 +107,10 @@
 	// lastEventID is the last event that was sent to the client.
 	lastEventID mangotraffic.EventID
 	lastEventAt time.Time
-	result      mangoexchange.Result
+	// unnumbered is set once an event without an id was sent to the client, after
+	// which the stream cannot be resumed.
+	unnumbered bool
+	result     mangoexchange.Result
 }
 
 // resolveRoute determines the call's route and service.
@@ -131,15 +137,10 @@
 	return nil
 }
 
-// serve applies the route's timeout and serves the call.
+// serve applies the deadlines of the client and of the route and serves the call.
 func (j *job) serve(ctx context.Context) error {
-	j.clientDeadline = j.call.Deadline
-	end := j.call.Deadline
-	if t := j.call.Arrived.Add(j.route.Timeout); j.route.Timeout > 0 && t.Before(end) {
-		end = t
-	}
-	j.call.Deadline = end
-	ctx, cancel := context.WithDeadlineCause(ctx, end, errTimeout)
+	j.applyDeadlines()
+	ctx, cancel := context.WithDeadlineCause(ctx, j.call.Deadline, errTimeout)
 	defer cancel()
 	if err := j.relay.fleet.Do(ctx, mangofleet.AdmitCall{Service: j.service.Name, Call: j.call.Fingerprint}); err != nil {
 		return j.finalFault(ctx, err)
@@ -150,6 +151,23 @@
 	return j.finalFault(ctx, j.servePlain(ctx))
 }
 
+// applyDeadlines sets the call's deadline to the earlier one of the client's and
+// the route's. A client without a deadline waits for as long as the route allows.
+func (j *job) applyDeadlines() {
+	timeout := j.route.Timeout
+	if timeout <= 0 {
+		timeout = defaultTimeout
+	}
+	end := j.call.Arrived.Add(timeout)
+	j.clientDeadline = j.call.Deadline
+	if j.clientDeadline.IsZero() {
+		j.clientDeadline = end
+	}
+	if j.route.Timeout > 0 && end.Before(j.clientDeadline) || j.call.Deadline.IsZero() {
+		j.call.Deadline = end
+	}
+}
+
 // finalFault converts an error to the fault that Serve returns. Run is RunNot
 // only if no server can have run the call. A passed deadline or a client's
 // disconnect takes precedence over the error that it caused.
--- a/core/mangorelay/relay_test.go
+++ b/core/mangorelay/relay_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -135,6 +136,8 @@
 		lastEventID mangotraffic.EventID
 	}{
 		{"continues at another server", "/resume/1", step{events: events(1, 2), aborted: true}, step{events: events(3, 4)}, "1234", true, 2},
+		{"had no further event", "/resume/1", step{events: events(1, 2), aborted: true}, step{events: events(1, 0)}, "12", true, 2},
+		{"fails unless all its events have ids", "/resume/1", step{events: []mangotraffic.EventID{0, 1}, aborted: true}, step{events: events(2, 3)}, "01", false, 0},
 		{"drops duplicate events", "/resume/1", step{events: events(1, 2), aborted: true}, step{events: events(1, 4)}, "1234", true, 2},
 		{"continues after a stall", "/resume/1", step{events: events(1, 2), stalls: true}, step{events: events(3, 4)}, "1234", true, 2},
 		{"restarts before the first event", "/resume/1", step{err: errNoReply}, step{events: events(1, 2)}, "12", true, 0},
@@ -161,6 +164,100 @@
 	}
 }
 
+// TestResumedStreamIgnoresForeignAnswers guards against a second response head and
+// a foreign body within a stream: the server that a stream continues at may answer
+// with a plain body, an error status or events without ids.
+func TestResumedStreamIgnoresForeignAnswers(t *testing.T) {
+	tests := []struct {
+		name   string
+		second step
+		body   string
+	}{
+		{"plain body", step{body: "oops"}, "12"},
+		{"error status", step{status: 500, body: "oops"}, "12"},
+		{"events without ids", step{events: []mangotraffic.EventID{0, 0}}, "12"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			withHarness(t, func(h *harness) {
+				h.newCall("/resume/1")
+				h.servers.runs["d1"] = []step{{events: events(1, 2), aborted: true}}
+				h.servers.runs["d2"] = []step{test.second}
+				fault := h.serve()
+				h.Expect(h.client.begun).To(gomega.Equal(1))
+				h.Expect(h.client.body).To(gomega.Equal(test.body))
+				h.Expect(fault).NotTo(gomega.BeNil())
+				h.Expect(fault.Run).To(gomega.Equal(mangomodel.RunUnknown))
+			})
+		})
+	}
+}
+
+// TestEventsWithoutProgressDoNotKeepAStreamAlive guards against a stalled server
+// that sends a comment or an old event now and then: only a new event counts as
+// progress. A stream that cannot continue elsewhere ends at its route's timeout.
+func TestEventsWithoutProgressDoNotKeepAStreamAlive(t *testing.T) {
+	const boundOfStall = 5 * time.Second
+	tests := []struct {
+		name     string
+		id       mangotraffic.EventID
+		comments bool
+		// complete is set if the stream can continue at another server.
+		complete bool
+	}{
+		{"comments", 0, true, true},
+		{"an old event", 2, false, true},
+		{"events without ids", 0, false, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			withHarness(t, func(h *harness) {
+				first := step{events: events(1, 2), comments: test.comments}
+				for range 10_000 {
+					first.events = append(first.events, test.id)
+				}
+				h.newCall("/resume/1")
+				h.servers.runs["d1"], h.servers.runs["d2"] = []step{first}, []step{{events: events(3, 4)}}
+				began := time.Now()
+				fault := h.serve()
+				h.Expect(time.Since(began)).To(gomega.BeNumerically("<", boundOfStall))
+				h.Expect(fault == nil).To(gomega.Equal(test.complete))
+				h.Expect(h.client.begun).To(gomega.Equal(1))
+				h.Expect(strings.HasSuffix(h.client.body, "34")).To(gomega.Equal(test.complete))
+			})
+		})
+	}
+}
+
+// TestSlowStreamIsNotCut plays a server that sends an event each 2.5 times the
+// longest pause and answers load reports.
+func TestSlowStreamIsNotCut(t *testing.T) {
+	for _, target := range []string{"/resume/1", "/once/1"} {
+		withHarness(t, func(h *harness) {
+			h.newCall(target)
+			h.servers.runs["d1"] = []step{{events: events(1, 9), interval: 750 * time.Millisecond}}
+			h.Expect(h.serve()).To(gomega.BeNil())
+			h.Expect(h.client.body).To(gomega.Equal("123456789"))
+			h.Expect(h.servers.sent).To(gomega.Equal(ids("p1", "d1")))
+		})
+	}
+}
+
+// TestCallWithoutDeadline covers a client that sends no deadline: the route's
+// timeout bounds its call.
+func TestCallWithoutDeadline(t *testing.T) {
+	withHarness(t, func(h *harness) {
+		h.call.Deadline = time.Time{}
+		h.servers.runs["s1"] = []step{{responseDelay: 500 * time.Millisecond, body: "a"}, {responseDelay: time.Minute}}
+		h.Expect(h.serve()).To(gomega.BeNil())
+		h.newCall("/call/1")
+		h.call.Deadline = time.Time{}
+		began := time.Now()
+		h.Expect(h.serve().Code).To(gomega.Equal(mangomodel.CodeTimeout))
+		h.Expect(time.Since(began)).To(gomega.Equal(time.Second))
+	})
+}
+
 func TestFullDecodeServerKeepsPrefill(t *testing.T) {
 	withHarness(t, func(h *harness) {
 		h.newCall("/once/1")
--- a/core/mangorelay/stream.go
+++ b/core/mangorelay/stream.go
@@ -283,31 +283,55 @@
 	}
 	j.runs++
 	j.recordCacheFetched()
+	if resp.Events == nil && j.headSent {
+		return j.handleForeign(server, resp, "a body")
+	}
 	if resp.Events == nil {
 		return j.relayBody(ctx, server, resp)
 	}
 	return j.relayEvents(ctx, server, resp, stall)
 }
 
-// relayEvents relays whole events until the stream is complete.
+// relayEvents relays whole events until the stream is complete. Only progress
+// stops the stall timer, so a server that repeats itself or sends comments has
+// stalled.
 func (j *job) relayEvents(ctx context.Context, server mangotraffic.Server, resp *mangoexchange.Response, stall stallTimer) error {
+	resumed := j.headSent
 	for {
 		event, err := resp.Events.Next()
-		stall.Stop()
 		if errors.Is(err, io.EOF) {
+			stall.Stop()
 			j.observe(server.ID, mangolease.OutcomeSuccess, resp.Load)
 			return j.finishStream(resp.Head)
 		}
 		if err != nil {
 			return j.handleAborted(ctx, server, err)
 		}
-		if event.ID > j.lastEventID || event.ID == 0 {
+		if resumed && event.ID == 0 && !event.Comment {
+			return j.handleForeign(server, resp, "an event without an id")
+		}
+		progress := j.isProgress(event)
+		if progress {
+			stall.Stop()
+		}
+		if progress || event.ID == 0 && !resumed {
 			if err := j.relayEvent(resp.Head, event); err != nil {
 				return err
 			}
 		}
-		stall.Reset(j.stallTimeout())
+		if progress {
+			stall.Reset(j.stallTimeout())
+		}
+	}
+}
+
+// isProgress reports whether an event is new to the client. An event without an
+// id is, unless the stream numbers its events.
+func (j *job) isProgress(event mangotraffic.Event) bool {
+	if event.ID == 0 {
+		return j.lastEventID == 0 && !event.Comment
 	}
+	return event.ID > j.lastEventID
 }
 
 // finishStream sends the head of a stream that had no event.
@@ -324,6 +348,14 @@
 			return err
 		}
 	}
+	if !event.Comment {
+		j.recordEvent(event.ID)
+	}
+	return clientFault(j.sink.Write(event.Raw))
+}
+
+// recordEvent records an event with data that is sent to the client.
+func (j *job) recordEvent(id mangotraffic.EventID) {
 	now := time.Now()
 	j.result.LongestPause = max(j.result.LongestPause, now.Sub(j.lastEventAt))
 	j.lastEventAt = now
@@ -331,8 +363,8 @@
 	if j.service.Engine != nil {
 		j.grant.AddGenerated(max(j.service.Engine.TokensPerEvent, 1))
 	}
-	j.lastEventID = max(j.lastEventID, event.ID)
-	return clientFault(j.sink.Write(event.Raw))
+	j.unnumbered = j.unnumbered || id == 0
+	j.lastEventID = max(j.lastEventID, id)
 }
 
 func (j *job) stallTimeout() time.Duration {
--- a/core/mangotraffic/call.go
+++ b/core/mangotraffic/call.go
@@ -74,8 +74,11 @@
 
 // Event is one event of a stream with its encoded bytes.
 type Event struct {
+	// ID is zero for an event without an id.
 	ID  EventID
 	Raw []byte
+	// Comment is set if the event carries no data.
+	Comment bool
 }
 
 // LoadReport is the load that a server reports.
