--- a/core/mangorest/client.go
+++ b/core/mangorest/client.go
@@ -25,8 +25,11 @@
 	maxIdleConnections = 64
 	// idleTimeout is how long an idle connection is kept.
 	idleTimeout = 30 * time.Second
+	// maxResponseHeader bounds the bytes read before a response's body, those of
+	// interim responses included.
+	maxResponseHeader = 32 << 10
 	// maxResponseBody bounds the bytes read of a response's body.
-	maxResponseBody = 64 << 20
+	maxResponseBody = 16 << 20
 )
 
 // Client makes HTTP requests to one peer.
@@ -63,6 +66,8 @@
 		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
 		MaxIdleConnsPerHost: maxIdleConnections,
 		IdleConnTimeout:     idleTimeout,
+
+		MaxResponseHeaderBytes: maxResponseHeader,
 	}
 	for _, opt := range opts {
 		opt(transport)
@@ -112,9 +117,9 @@
 // sent no data in time.
 var errNoData = errors.New("no data received from the peer in time")
 
-// Fetch sends a request that the caller has built and reads the response, at most
-// maxResponseBody bytes of its body. It fails if the response does not begin within
-// responseTimeout, or if no data is received for dataTimeout within it. A large
+// Fetch sends a request that the caller has built and reads the response. It fails
+// if the response does not begin within responseTimeout, if no data is received for
+// dataTimeout within it, or if its body exceeds maxResponseBody bytes. A large
 // response over a slow link thus completes, and an unresponsive connection does
 // not block the caller.
 func (c *Client) Fetch(step mangomodel.Step, req *http.Request, responseTimeout, dataTimeout time.Duration) (int, []byte, error) {
@@ -129,13 +134,23 @@
 	defer resp.Body.Close()
 	watchdog.Reset(dataTimeout)
 	body := io.TeeReader(resp.Body, onWrite(func() { watchdog.Reset(dataTimeout) }))
-	data, err := io.ReadAll(io.LimitReader(body, maxResponseBody))
+	data, err := readLimited(body, maxResponseBody)
 	if err != nil {
 		return 0, nil, mangomodel.NewFault(step, c.peer, mangomodel.CodeUnavailable, mangomodel.RunUnknown, err)
 	}
 	return resp.StatusCode, data, nil
 }
 
+// readLimited reads a body of at most limit bytes. A longer one is an error, since
+// a truncated body must not be taken for a whole one.
+func readLimited(body io.Reader, limit int64) ([]byte, error) {
+	data, err := io.ReadAll(io.LimitReader(body, limit+1))
+	if err == nil && int64(len(data)) > limit {
+		err = mangomodel.Errors.New("response body exceeds %d bytes", limit)
+	}
+	return data, err
+}
+
 // onWrite calls a function for each write.
 type onWrite func()
 
@@ -159,7 +174,7 @@
 		return err
 	}
 	defer resp.Body.Close()
-	data, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBody))
+	data, err := readLimited(resp.Body, maxResponseBody)
 	if err != nil {
 		return mangomodel.NewFault(step, c.peer, mangomodel.CodeUnavailable, mangomodel.RunUnknown, err)
 	}
