Permissions end when they run out; budgets, crashes and incarnations count right

Cause, each shown by a test that failed: a daemon that stood still between its claim and its order sent the order (all ten pauses of 1 to 10 s); a lease was used after its scheduler had released it; a host that was suspended took its list and its retry allowance for current, since the steady clock does not count that time. Retry allowances ignored what their holder reported with the same renewal (13 of 10), and a refund raised an allowance that had been replaced. Daemons kept a quarantine alive for each other (236 s, Retention is 60 s). A server that restarted under its id kept the leases and rates of the process before. An order that the engine rejected started the reversal cooldown. A demand's wait limit counted its earlier attempts twice, and a service that the configuration no longer has was asked for in a loop without a pause.

--- a/core/mangobroker/broker.go
+++ b/core/mangobroker/broker.go
@@ -9,6 +9,7 @@
 	"mangolane/core/mangofleet"
 	"mangolane/core/mangolease"
 	"mangolane/core/mangomodel"
+	"mangolane/core/mangopool"
 	"mangolane/core/mangoroster"
 	"mangolane/core/mangotraffic"
 )
@@ -104,6 +105,8 @@
 	demand    mangolease.Demand
 	generated atomic.Int64
 	prefilled atomic.Bool
+	// renewedAt is when the lease was granted or a scheduler last renewed it.
+	renewedAt atomic.Pointer[time.Time]
 
 	mu       sync.Mutex
 	observed []mangolease.Observation
@@ -120,6 +123,12 @@
 	g.observed = append(g.observed, o)
 }
 
+// Valid reports whether the lease has not run out: a scheduler releases the leases
+// that their holder has not renewed in time.
+func (g *Grant) Valid() bool {
+	return g.demand.Generation == nil || mangomodel.Elapsed(*g.renewedAt.Load(), time.Now()) < mangopool.HolderTimeout
+}
+
 // AddGenerated adds n to the number of generated tokens.
 func (g *Grant) AddGenerated(n mangomodel.Tokens) { g.generated.Add(int64(n)) }
 
@@ -154,28 +163,28 @@
 
 // Acquire waits until servers are leased for the demand. If the scheduler of a
 // generation is unreachable, it requests the lease from the next one with the
-// remaining wait limit. It returns the error if less than minWaitLimit remains, or
-// if all attempts together took longer than the wait limit of the last one.
+// remaining wait limit. It returns the error if less than minWaitLimit remains. A
+// refusal by this daemon itself is final.
 func (b *Broker) Acquire(ctx context.Context, d mangolease.Demand) (*Grant, error) {
 	d.Origin = b.self.DataCentre
 	id := mangolease.ID{Holder: b.self.Holder, Number: b.lastLease.Add(1)}
 	if d.Generation == nil {
 		return b.acquireLocal(ctx, id, d)
 	}
-	start := time.Now()
 	for {
 		attemptStart := time.Now()
-		grant, err := b.acquireFrom(ctx, id, b.scheduler(d.Service), d)
+		scheduler := b.scheduler(d.Service)
+		grant, err := b.acquireFrom(ctx, id, scheduler, d)
 		if err == nil {
 			b.hold(grant)
 			return grant, nil
 		}
-		if !mangomodel.HasCode(err, mangomodel.CodeUnavailable) || ctx.Err() != nil {
+		if !mangomodel.HasCode(err, mangomodel.CodeUnavailable) || scheduler.Holder == b.self.Holder || ctx.Err() != nil {
 			return nil, err
 		}
 		spent := time.Since(attemptStart)
 		d.Age, d.OnTimeFor, d.Patience = d.Age+spent, d.OnTimeFor-spent, d.Patience-spent
-		if d.Patience < minWaitLimit || time.Since(start) > d.Patience+spent {
+		if d.Patience < minWaitLimit {
 			return nil, err
 		}
 	}
@@ -216,6 +225,8 @@
 }
 
 func (b *Broker) hold(g *Grant) {
+	now := time.Now()
+	g.renewedAt.Store(&now)
 	g.prefilled.Store(g.Lease.Prefill == nil)
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/core/mangobroker/broker_test.go
+++ b/core/mangobroker/broker_test.go
@@ -14,6 +14,7 @@
 	"mangolane/core/mangofleet"
 	"mangolane/core/mangolease"
 	"mangolane/core/mangomodel"
+	"mangolane/core/mangopool"
 	"mangolane/core/mangoroster"
 	"mangolane/core/mangotraffic"
 )
@@ -336,3 +337,79 @@
 		g.Expect(a.fleet.View().Leases).To(gomega.Equal(2))
 	})
 }
+
+// slowPeers fails every request for a lease after a delay.
+type slowPeers struct {
+	link
+	delay time.Duration
+}
+
+func (p slowPeers) Acquire(context.Context, mangoroster.Member, mangolease.ID, mangolease.Demand) (mangolease.Lease, error) {
+	time.Sleep(p.delay)
+	return mangolease.Lease{}, errUnreachable
+}
+
+// TestWaitLimitCountsOnce guards against a wait limit from which earlier attempts
+// are subtracted twice: a demand of 3 s was given up after 2.4 s.
+func TestWaitLimitCountsOnce(t *testing.T) {
+	const limit, delay = 3 * time.Second, 800 * time.Millisecond
+	bubble(t, func(g *gomega.WithT, ctx context.Context, m *mesh) {
+		list := []*daemon{m.start(lowCapacity, 1)}
+		for _, id := range []mangomodel.DaemonID{"a", "b", "c", "d", "e", "f"} {
+			list = append(list, m.start(id, 1, "weak"))
+		}
+		for _, d := range list {
+			d.configure(g)
+		}
+		keepCurrent(g, ctx, list...)
+		time.Sleep(2 * time.Second)
+		caller := list[0].broker
+		caller.peers = slowPeers{link: link{m, caller.self.Address}, delay: delay}
+		began, d := time.Now(), demand()
+		d.Patience = limit
+		_, err := caller.Acquire(ctx, d)
+		g.Expect(err).To(gomega.HaveOccurred())
+		g.Expect(time.Since(began)).To(gomega.BeNumerically(">=", limit))
+		g.Expect(time.Since(began)).To(gomega.BeNumerically("<=", limit+delay))
+	})
+}
+
+// TestUnconfiguredServiceIsRefusedAtOnce guards against a loop that asks this daemon
+// for the servers of a service that its configuration no longer has, without a pause
+// and until the wait limit.
+func TestUnconfiguredServiceIsRefusedAtOnce(t *testing.T) {
+	bubble(t, func(g *gomega.WithT, ctx context.Context, m *mesh) {
+		a := m.start("a", 1)
+		a.configure(g)
+		keepCurrent(g, ctx, a)
+		time.Sleep(time.Second)
+		began, d := time.Now(), demand()
+		d.Service = "gone"
+		_, err := a.broker.Acquire(ctx, d)
+		g.Expect(mangomodel.AsFault(err, 0).Run).To(gomega.Equal(mangomodel.RunNot))
+		g.Expect(time.Since(began)).To(gomega.BeNumerically("<", 100*time.Millisecond))
+	})
+}
+
+// TestLeaseOfAPausedHolderIsInvalid guards against the use of a lease that ran out
+// while its holder stood still or could not renew it.
+func TestLeaseOfAPausedHolderIsInvalid(t *testing.T) {
+	bubble(t, func(g *gomega.WithT, ctx context.Context, m *mesh) {
+		a, b := m.start("a", 1), m.start(lowCapacity, 1, "a")
+		a.configure(g)
+		b.configure(g)
+		reads, stopReads := context.WithCancel(ctx)
+		keepCurrent(g, reads, a, b)
+		time.Sleep(2 * time.Second)
+		grant, err := b.broker.Acquire(ctx, demand())
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		time.Sleep(5 * time.Second)
+		g.Expect(grant.Valid()).To(gomega.BeTrue(), "renewed")
+		// Nothing renews the lease any more, as in a process that stands still.
+		stopReads()
+		synctest.Wait()
+		b.stop()
+		time.Sleep(mangopool.HolderTimeout)
+		g.Expect(grant.Valid()).To(gomega.BeFalse())
+	})
+}
--- a/core/mangobroker/exchange.go
+++ b/core/mangobroker/exchange.go
@@ -109,13 +109,18 @@
 }
 
 func (b *Broker) renewAt(ctx context.Context, m mangoroster.Member) {
+	began := time.Now()
 	if m.Holder == b.self.Holder {
-		b.apply(mangofleet.Renew{Holder: b.self.Holder, Leases: b.progress()})
+		leases := b.progress()
+		b.apply(mangofleet.Renew{Holder: b.self.Holder, Leases: leases})
+		b.markRenewed(m, leases, began)
 		b.setAllowances(m, b.fleet.View().Allowances(b.self.Holder))
 		return
 	}
-	response, err := b.exchange(ctx, m.Address)
+	leases := b.progress()
+	response, err := b.exchange(ctx, m.Address, leases)
 	if err == nil {
+		b.markRenewed(m, leases, began)
 		b.setAllowances(m, response.Allowances)
 		return
 	}
@@ -124,6 +129,19 @@
 	}
 }
 
+// markRenewed records that m has renewed the leases of the services it schedules
+// with a message that was sent at a time.
+func (b *Broker) markRenewed(m mangoroster.Member, leases []mangolease.Progress, at time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, x := range leases {
+		g, ok := b.held[mangolease.ID{Holder: b.self.Holder, Number: x.Number}]
+		if ok && b.scheduler(x.Service).Holder == m.Holder && at.After(*g.renewedAt.Load()) {
+			g.renewedAt.Store(&at)
+		}
+	}
+}
+
 // setAllowances applies the allowances of the services that m schedules. A daemon
 // that does not schedule a service has not counted all retries of that service.
 func (b *Broker) setAllowances(m mangoroster.Member, allowances mangobudget.Allowances) {
@@ -134,12 +152,12 @@
 	b.apply(mangofleet.SetAllowances{Allowances: own})
 }
 
-// exchange sends a message and applies the response.
-func (b *Broker) exchange(ctx context.Context, at mangomodel.Address) (ExchangeMessage, error) {
+// exchange sends a message with the progress of leases and applies the response.
+func (b *Broker) exchange(ctx context.Context, at mangomodel.Address, leases []mangolease.Progress) (ExchangeMessage, error) {
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
 	msg := b.Compose(ExchangeMessage{})
-	msg.Leases = b.progress()
+	msg.Leases = leases
 	response, err := b.peers.Exchange(ctx, at, msg)
 	if err != nil {
 		return ExchangeMessage{}, err
@@ -230,7 +248,7 @@
 	)
 	for _, addr := range addrs {
 		running.Go(func() {
-			_, err := b.exchange(ctx, addr)
+			_, err := b.exchange(ctx, addr, b.progress())
 			mu.Lock()
 			defer mu.Unlock()
 			errs[addr] = err
--- a/core/mangobudget/budget.go
+++ b/core/mangobudget/budget.go
@@ -13,7 +13,11 @@
 //	allowances := l.Renew(holder, usages, daemons, counting, now)
 package mangobudget
 
-import "time"
+import (
+	"time"
+
+	"mangolane/core/mangomodel"
+)
 
 // windowParts is the number of parts in which a window is counted. The end of the
 // window is accurate to one part.
@@ -37,9 +41,10 @@
 	parts  [windowParts]part
 	// newest is the number of the newest part, counted from the Unix epoch.
 	newest int64
-	// allowance is how many retries may be taken until allowanceUntil.
-	allowance      int
-	allowanceUntil time.Time
+	// allowance is how many more retries may be taken until allowanceUntil, and
+	// taken how many were.
+	allowance, taken int
+	allowanceUntil   time.Time
 }
 
 // New returns an unused budget.
@@ -60,18 +65,19 @@
 // SetAllowance sets how many retries may be taken until a time. Until then it
 // replaces the daemon's own part of the limits.
 func (b *Budget) SetAllowance(retries int, until time.Time) {
-	b.allowance, b.allowanceUntil = retries, until
+	b.allowance, b.taken, b.allowanceUntil = retries, 0, until
 }
 
 // Take counts a retry and reports true if the allowance permits it, or, without an
 // allowance, this daemon's part of the limits.
 func (b *Budget) Take(now time.Time, daemons int) bool {
 	p := b.at(now)
-	if now.Before(b.allowanceUntil) {
+	if b.allowed(now) {
 		if b.allowance <= 0 {
 			return false
 		}
 		b.allowance--
+		b.taken++
 		p.retries++
 		return true
 	}
@@ -85,17 +91,24 @@
 
 // RemainingAllowance returns how many retries the allowance still permits.
 func (b *Budget) RemainingAllowance(now time.Time) int {
-	if now.Before(b.allowanceUntil) {
+	if b.allowed(now) {
 		return b.allowance
 	}
 	return 0
 }
 
-// Refund reverses a retry that was counted a moment ago.
+// allowed reports whether the allowance is in force.
+func (b *Budget) allowed(now time.Time) bool { return mangomodel.Elapsed(b.allowanceUntil, now) < 0 }
+
+// Refund reverses a retry that was counted a moment ago. It returns the retry to
+// the allowance only if it was taken from that.
 func (b *Budget) Refund(now time.Time) {
 	p := b.at(now)
 	p.retries = max(p.retries-1, 0)
-	b.allowance++
+	if b.taken > 0 {
+		b.taken--
+		b.allowance++
+	}
 }
 
 // Usage is how many calls and retries (Repeats) one daemon has counted within a
--- a/core/mangobudget/budget_test.go
+++ b/core/mangobudget/budget_test.go
@@ -5,6 +5,9 @@
 	"time"
 
 	"github.com/onsi/gomega"
+
+	"mangolane/core/mangomodel"
+	"mangolane/core/mangotraffic"
 )
 
 var limits = Limits{Ratio: 0.2, Fixed: 10, Window: 10 * time.Second}
@@ -76,3 +79,34 @@
 	g.Expect(Remaining(limits, []Usage{{Calls: 100, Repeats: 5}, {Calls: 50, Repeats: 10}})).To(gomega.Equal(25))
 	g.Expect(Remaining(limits, []Usage{{Repeats: 11}})).To(gomega.Equal(0))
 }
+
+// TestRefundOfAnEarlierAllowance guards against a refund that raises an allowance
+// from which the retry was not taken: the allowance was replaced in between.
+func TestRefundOfAnEarlierAllowance(t *testing.T) {
+	g := gomega.NewWithT(t)
+	b, now := New(limits), time.Now()
+	b.SetAllowance(1, now.Add(time.Second))
+	g.Expect(b.Take(now, 1)).To(gomega.BeTrue())
+	b.SetAllowance(2, now.Add(time.Second))
+	b.Refund(now)
+	g.Expect(take(b, now, 1, 100)).To(gomega.Equal(2))
+}
+
+// TestReportedRetriesCountAtOnce guards against allowances that ignore what their
+// holder reports with the same renewal: two daemons took 13 of 10 retries.
+func TestReportedRetriesCountAtOnce(t *testing.T) {
+	g := gomega.NewWithT(t)
+	now := time.Now()
+	l := NewLedger(mangomodel.Holder{Daemon: "scheduler"}, func() Limits { return Limits{Fixed: 10, Window: 10 * time.Second} })
+	const name mangotraffic.ServiceName = "llm"
+	used := map[mangomodel.DaemonID]int{}
+	for range 5 {
+		for _, id := range []mangomodel.DaemonID{"a", "b"} {
+			allowances := l.Renew(mangomodel.Holder{Daemon: id}, Usages{name: {Repeats: used[id]}}, 3, 10*time.Second, now)
+			used[id] += allowances[name]
+			now = now.Add(100 * time.Millisecond)
+		}
+	}
+	g.Expect(used["a"] + used["b"]).To(gomega.BeNumerically("<=", 10))
+	g.Expect(used["a"] + used["b"]).To(gomega.BeNumerically(">=", 9))
+}
--- a/core/mangobudget/ledger.go
+++ b/core/mangobudget/ledger.go
@@ -74,14 +74,16 @@
 // Renew records the usage of a daemon's incarnation and returns its allowances
 // until the next renewal. The given number of daemons shares the budgets. The
 // allowances of the others count as used until their renewal, to keep the total
-// within what remains, and a share of the rest is allowed. The usage that this
-// renewal reports counts from the next renewal on; until then the last reported one
-// counts. The usage of ended incarnations counts for one window. A ledger that has
+// within what remains, and a share of the rest is allowed. The usage of ended
+// incarnations counts for one window. A ledger that has
 // been counting for less than a window has no record of what ended incarnations
 // used before, so the fixed number grows with the counting time.
 func (l *Ledger) Renew(holder mangomodel.Holder, used Usages, daemons int, counting time.Duration, now time.Time) Allowances {
 	limits := l.limits()
 	limits.Fixed *= min(counting.Seconds()/limits.Window.Seconds(), 1)
+	if holder != l.self {
+		l.peers[holder] = peerUsage{usages: used, at: now}
+	}
 	lists := make(map[mangotraffic.ServiceName][]Usage)
 	for name, u := range l.Usage(now) {
 		if holder != l.self {
@@ -95,9 +97,7 @@
 			continue
 		}
 		for name, u := range p.usages {
-			if h != holder {
-				u.Repeats += p.allowances[name]
-			}
+			u.Repeats += p.allowances[name]
 			lists[name] = append(lists[name], u)
 		}
 	}
--- a/core/mangocrash/crash.go
+++ b/core/mangocrash/crash.go
@@ -37,7 +37,8 @@
 type suspect struct {
 	own   int
 	peers map[mangomodel.DaemonID]int
-	last  time.Time
+	// ownLast is when this daemon recorded a crash, last when any daemon did.
+	ownLast, last time.Time
 }
 
 // Suspects holds the calls that may have crashed servers.
@@ -49,14 +50,17 @@
 func New() *Suspects { return &Suspects{calls: make(map[mangomodel.Fingerprint]*suspect)} }
 
 // RecordCrash records that a server ended a call of this daemon before completion.
-func (s *Suspects) RecordCrash(call mangomodel.Fingerprint, now time.Time) { s.get(call, now).own++ }
+func (s *Suspects) RecordCrash(call mangomodel.Fingerprint, now time.Time) {
+	x := s.get(call, now)
+	x.own++
+	x.ownLast, x.last = now, now
+}
 
-// get returns the record of a call, which it creates if needed, and extends its
+// get returns the record of a call, which it creates if there is none within its
 // retention.
 func (s *Suspects) get(call mangomodel.Fingerprint, now time.Time) *suspect {
 	x, ok := s.calls[call]
-	if ok {
-		x.last = now
+	if ok && now.Sub(x.last) <= Retention {
 		return x
 	}
 	if len(s.calls) >= maxSuspects {
@@ -79,10 +83,14 @@
 	}
 }
 
-// Merge merges the crash count of another daemon.
+// Merge merges the crash count of another daemon. Only a count that has grown
+// extends the retention, since daemons repeat their counts.
 func (s *Suspects) Merge(from mangomodel.DaemonID, c Crash, now time.Time) {
 	x := s.get(c.Call, now)
-	x.peers[from] = max(x.peers[from], c.Count)
+	if c.Count > x.peers[from] {
+		x.peers[from] = c.Count
+		x.last = now
+	}
 }
 
 // Crashes returns the recorded number of crashes of a call on all daemons.
@@ -102,7 +110,7 @@
 func (s *Suspects) Recent(now time.Time) []Crash {
 	var list []Crash
 	for call, x := range s.calls {
-		if x.own > 0 && now.Sub(x.last) < Retention && len(list) < maxRecent {
+		if x.own > 0 && now.Sub(x.ownLast) < Retention && len(list) < maxRecent {
 			list = append(list, Crash{Call: call, Count: x.own})
 		}
 	}
--- a/core/mangofleet/balance_test.go
+++ b/core/mangofleet/balance_test.go
@@ -90,3 +90,22 @@
 		x.Expect(ok).To(gomega.BeTrue())
 	})
 }
+
+// TestRejectedOrderLeavesNoCooldown guards against an order that no engine took and
+// that keeps engines from changing the other way for the reversal cooldown. An order
+// without an answer may still be carried out.
+func TestRejectedOrderLeavesNoCooldown(t *testing.T) {
+	for _, test := range []struct {
+		run      mangomodel.Run
+		proposed bool
+	}{{mangomodel.RunNot, true}, {mangomodel.RunUnknown, false}} {
+		bubble(t, func(x *fixture) {
+			x.list(1, decode("d1", "a1"), prefill("p1", "a1"), prefill("p2", "a2"), prefill("p3", "a2"))
+			x.do(OrderBegun{Server: "p3", To: mangotraffic.StagePrefill})
+			x.do(OrderFailed{Server: "p3", Run: test.run})
+			x.addPressure()
+			_, ok := x.fleet.View().StageChange(engines)
+			x.Expect(ok).To(gomega.Equal(test.proposed))
+		})
+	}
+}
--- a/core/mangofleet/fleet.go
+++ b/core/mangofleet/fleet.go
@@ -131,7 +131,7 @@
 // FollowsScheduler reports whether this daemon receives changes from a scheduler
 // and need not read the platform's records itself.
 func (v *View) FollowsScheduler(now time.Time) bool {
-	if v.Routing == nil || now.Sub(v.ListRead) > maxReceivedListAge {
+	if v.Routing == nil || mangomodel.Elapsed(v.ListRead, now) > maxReceivedListAge {
 		return false
 	}
 	for _, list := range v.schedulers {
@@ -197,7 +197,7 @@
 }
 
 // Stale reports whether the server list may be out of date.
-func (v *View) Stale(now time.Time) bool { return now.Sub(v.ListRead) > maxListAge }
+func (v *View) Stale(now time.Time) bool { return mangomodel.Elapsed(v.ListRead, now) > maxListAge }
 
 // Scheduler returns the daemon that grants the leases on a service's servers.
 func (v *View) Scheduler(name mangotraffic.ServiceName) (mangoroster.Member, bool) {
@@ -223,7 +223,6 @@
 	return names
 }
 
-// Crashes returns the calls of this daemon that servers ended before completion.
-// The list is as recent as the last of these calls: calls past
-// [mangocrash.Retention] are removed only when another one is recorded.
+// Crashes returns the calls of this daemon that servers ended before completion
+// within [mangocrash.Retention].
 func (v *View) Crashes() []mangocrash.Crash { return v.crashes }
--- a/core/mangofleet/list_test.go
+++ b/core/mangofleet/list_test.go
@@ -118,3 +118,21 @@
 		x.Expect(x.fleet.View().Stale(time.Now().Add(maxListAge))).To(gomega.BeFalse())
 	})
 }
+
+// TestRestartedServerIsEmpty guards against leases and measurements of an earlier
+// process that count against a server which restarted under the same id.
+func TestRestartedServerIsEmpty(t *testing.T) {
+	bubble(t, func(x *fixture) {
+		d := decode("d", "a1")
+		x.list(1, d, prefill("p", "a1"))
+		for range 4 {
+			id, _ := x.mustAcquire(generation(100, 100))
+			x.do(PrefillDone{Lease: id})
+		}
+		d.Born = time.Now()
+		x.list(2, d, prefill("p", "a1"))
+		_, lease := x.mustAcquire(generation(100, 100))
+		x.Expect(lease.Running).To(gomega.Equal(0))
+		x.Expect(lease.Free).To(gomega.Equal(4))
+	})
+}
--- a/core/mangofleet/member.go
+++ b/core/mangofleet/member.go
@@ -46,6 +46,6 @@
 // selfMember returns this daemon as it appears to the others.
 func (s *state) selfMember(now time.Time) mangoroster.Member {
 	m := s.self.Member
-	m.Draining, m.Stale = s.draining, now.Sub(s.listRead) > maxListAge
+	m.Draining, m.Stale = s.draining, mangomodel.Elapsed(s.listRead, now) > maxListAge
 	return m
 }
--- a/core/mangofleet/member_test.go
+++ b/core/mangofleet/member_test.go
@@ -8,6 +8,7 @@
 	"github.com/onsi/gomega"
 
 	"mangolane/core/mangobudget"
+	"mangolane/core/mangocrash"
 	"mangolane/core/mangolease"
 	"mangolane/core/mangomodel"
 	"mangolane/core/mangopool"
@@ -201,3 +202,15 @@
 		x.do(TakeRetry{Service: app})
 	})
 }
+
+// TestPublishedCrashesExpire guards against a view that names crashes past their
+// retention, which the other daemons would count again.
+func TestPublishedCrashesExpire(t *testing.T) {
+	bubble(t, func(x *fixture) {
+		x.do(CallAborted{Call: 7})
+		x.Expect(x.fleet.View().Crashes()).To(gomega.HaveLen(1))
+		time.Sleep(mangocrash.Retention + time.Second)
+		x.do(AdmitCall{Service: app, Call: 8})
+		x.Expect(x.fleet.View().Crashes()).To(gomega.BeEmpty())
+	})
+}
--- a/core/mangofleet/renew.go
+++ b/core/mangofleet/renew.go
@@ -106,10 +106,14 @@
 
 // OrderFailed records that an order was not sent, was rejected by the engine, or
 // got no response.
-type OrderFailed struct{ Server mangomodel.ServerID }
+type OrderFailed struct {
+	Server mangomodel.ServerID
+	// Run is RunNot if the engine will not carry the order out.
+	Run mangomodel.Run
+}
 
 // Apply implements [Command].
 func (c OrderFailed) Apply(s *state, _ time.Time) error {
-	s.pool.OrderFailed(c.Server)
+	s.pool.OrderFailed(c.Server, c.Run)
 	return nil
 }
--- a/core/mangofleet/state.go
+++ b/core/mangofleet/state.go
@@ -116,12 +116,12 @@
 		v.Listed, v.expired = list.Servers, list.Expired
 		s.changed.members = true
 	}
-	if s.changed.crashes {
-		v.crashes = s.suspects.Recent(now)
-	}
 	if s.changed.usage {
 		v.Usages = s.retries.Usage(now)
 	}
+	if s.changed.crashes || now.Sub(s.membersAt) >= membersInterval {
+		v.crashes = s.suspects.Recent(now)
+	}
 	s.changed.crashes, s.changed.usage = false, false
 	if s.changed.members || now.Sub(s.membersAt) >= membersInterval {
 		self := s.selfMember(now)
--- a/core/mangopool/balance.go
+++ b/core/mangopool/balance.go
@@ -28,8 +28,15 @@
 	// waitedAt is when a demand last found no server.
 	waitedAt time.Time
 	// changedTo is the stage that an engine was last ordered to change to.
-	changedTo mangotraffic.Stage
-	changedAt time.Time
+	changed lastChange
+	// before is the change before the last one.
+	before lastChange
+}
+
+// lastChange is the direction and the time of a stage change.
+type lastChange struct {
+	to mangotraffic.Stage
+	at time.Time
 }
 
 func (p *Pool) statsOf(name mangotraffic.ServiceName) *serviceStats {
@@ -102,7 +109,7 @@
 	if wanted > prefillers {
 		change.To, from = mangotraffic.StagePrefill, mangotraffic.StageDecode
 	}
-	if stats.changedTo != mangotraffic.StageNone && stats.changedTo != change.To && now.Sub(stats.changedAt) < mangobalance.ReversalCooldown {
+	if last := stats.changed; last.to != mangotraffic.StageNone && last.to != change.To && now.Sub(last.at) < mangobalance.ReversalCooldown {
 		return StageChange{}, false
 	}
 	b := p.leastLoaded(name, from, now)
@@ -187,15 +194,22 @@
 	if b, ok := p.backends[id]; ok {
 		b.orderedTo, b.orderedUntil = to, now.Add(mangobalance.SettleTime)
 		stats := p.statsOf(b.server.Service)
-		stats.changedTo, stats.changedAt = to, now
+		stats.before, stats.changed = stats.changed, lastChange{to, now}
 	}
 }
 
 // OrderFailed records that an order was not sent, was rejected by the engine, or
-// got no response. The engine gets new work of its listed stage again; the
-// reversal cooldown that OrderBegun started continues.
-func (p *Pool) OrderFailed(id mangomodel.ServerID) {
-	if b, ok := p.backends[id]; ok {
-		b.orderedUntil = time.Time{}
+// got no response. The engine gets new work of its listed stage again. The reversal
+// cooldown that OrderBegun started ends unless the engine may still carry out the
+// order.
+func (p *Pool) OrderFailed(id mangomodel.ServerID, run mangomodel.Run) {
+	b, ok := p.backends[id]
+	if !ok {
+		return
+	}
+	b.orderedUntil = time.Time{}
+	if run == mangomodel.RunNot {
+		stats := p.statsOf(b.server.Service)
+		stats.changed = stats.before
 	}
 }
--- a/core/mangopool/list.go
+++ b/core/mangopool/list.go
@@ -3,13 +3,13 @@
 import (
 	"time"
 
-	"mangolane/core/mangohealth"
 	"mangolane/core/mangomodel"
 	"mangolane/core/mangotraffic"
 )
 
-// PutServer adds or updates a server. A new incarnation starts with an empty health
-// record and without backoff; leases, measured rates and load counts stay.
+// PutServer adds or updates a server. A new incarnation has none of the work of the
+// earlier one, whose measurements do not apply to it. The holders of its leases
+// release them when their exchanges end.
 func (p *Pool) PutServer(server mangotraffic.Server) {
 	p.changed, p.groups = true, nil
 	b, ok := p.backends[server.ID]
@@ -19,8 +19,8 @@
 		return
 	}
 	if !b.server.SameIncarnation(&server) {
-		b.health = mangohealth.Record{}
-		b.fullUntil = time.Time{}
+		p.backends[server.ID] = newBackend(server)
+		return
 	}
 	if b.server.Stage != server.Stage {
 		b.orderedUntil = time.Time{}
--- a/core/mangorelay/fake_test.go
+++ b/core/mangorelay/fake_test.go
@@ -161,7 +161,7 @@
 	x := nextStep(s.prefills, to.ID)
 	s.sent = append(s.sent, to.ID)
 	s.mu.Unlock()
-	if err := sleep(ctx, 20*time.Millisecond); err != nil {
+	if err := sleep(ctx, max(x.responseDelay, 20*time.Millisecond)); err != nil {
 		return mangotraffic.KVSource{}, err
 	}
 	return mangotraffic.KVSource{Server: mangomodel.Address(to.ID), Handle: "h"}, x.err
@@ -206,6 +206,14 @@
 	return nil
 }
 
+// lastResult keeps the record of the last call.
+type lastResult struct {
+	nopObserver
+	result mangoexchange.Result
+}
+
+func (r *lastResult) CallFinished(x mangoexchange.Result) { r.result = x }
+
 // harness is a daemon with scripted servers in a synctest bubble.
 type harness struct {
 	*gomega.WithT
--- a/core/mangorelay/relay.go
+++ b/core/mangorelay/relay.go
@@ -225,6 +225,15 @@
 		"server is leaving or no longer listed")
 }
 
+// checkLease returns a fault if the lease in use has run out.
+func (j *job) checkLease() error {
+	if j.grant.Valid() {
+		return nil
+	}
+	return mangomodel.Faultf(mangomodel.StepCall, mangomodel.PeerName(j.grant.Lease.Server.ID), mangomodel.CodeUnavailable, mangomodel.RunNot,
+		"the lease was not renewed in time")
+}
+
 // apply applies a command that fails only when the process exits.
 func (j *job) apply(cmd mangofleet.Command) {
 	_ = j.relay.fleet.Do(context.Background(), cmd)
--- a/core/mangorelay/relay_test.go
+++ b/core/mangorelay/relay_test.go
@@ -11,6 +11,7 @@
 
 	"mangolane/core/mangofleet"
 	"mangolane/core/mangomodel"
+	"mangolane/core/mangopool"
 	"mangolane/core/mangotraffic"
 )
 
@@ -311,6 +312,22 @@
 	}
 }
 
+// TestExpiredLeaseIsNotUsed covers a prefill that outlasts the lease, which nothing
+// renews here: the decode server is leased again before the call is sent there.
+func TestExpiredLeaseIsNotUsed(t *testing.T) {
+	withHarness(t, func(h *harness) {
+		last := &lastResult{}
+		h.relay.observer = last
+		h.newCall("/once/1")
+		h.call.Arrived = time.Now().Add(time.Second)
+		h.servers.prefills["p1"] = []step{{responseDelay: mangopool.HolderTimeout}}
+		h.servers.runs["d1"] = []step{{events: events(1, 1)}}
+		h.Expect(h.serve()).To(gomega.BeNil())
+		h.Expect(h.servers.sent).To(gomega.Equal(ids("p1", "d1")))
+		h.Expect(last.result.Attempts).To(gomega.BeEquivalentTo(2))
+	})
+}
+
 func TestFailedPrefillIsRetried(t *testing.T) {
 	withHarness(t, func(h *harness) {
 		h.newCall("/once/1")
--- a/core/mangorelay/stream.go
+++ b/core/mangorelay/stream.go
@@ -122,7 +122,7 @@
 func (j *job) prefill(ctx context.Context, grant *mangobroker.Grant) error {
 	began := time.Now()
 	server := *grant.Lease.Prefill
-	if err := j.checkUsable(server.ID); err != nil {
+	if err := errors.Join(j.checkLease(), j.checkUsable(server.ID)); err != nil {
 		return err
 	}
 	if err := j.takeRetry(ctx, mangoexchange.PhasePrefill); err != nil {
@@ -167,7 +167,7 @@
 func (j *job) generate(ctx context.Context, grant *mangobroker.Grant) error {
 	began := time.Now()
 	server := grant.Lease.Server
-	if err := j.checkUsable(server.ID); err != nil {
+	if err := errors.Join(j.checkLease(), j.checkUsable(server.ID)); err != nil {
 		return err
 	}
 	if err := j.takeRetry(ctx, mangoexchange.PhaseRun); err != nil {
--- a/core/mangostage/change.go
+++ b/core/mangostage/change.go
@@ -41,7 +41,8 @@
 	c.apply(mangofleet.OrderBegun{Server: change.Server.ID, To: change.To})
 	token, err := c.order(ctx, change)
 	if err != nil {
-		c.apply(mangofleet.OrderFailed{Server: change.Server.ID})
+		run := mangomodel.AsFault(err, mangomodel.StepConfigure).Run
+		c.apply(mangofleet.OrderFailed{Server: change.Server.ID, Run: run})
 	}
 	c.log.StageChangeOrdered(change, token, err)
 }
@@ -54,9 +55,10 @@
 func (c *Controller) order(ctx context.Context, change mangopool.StageChange) (FencingToken, error) {
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
+	began := time.Now()
 	last, err := c.claims.LastClaim(ctx, change.Service)
 	if err != nil {
-		return 0, err
+		return 0, notSent(err)
 	}
 	me := c.self.Daemon
 	if last.Holder != "" && last.Version != c.lastVersion[change.Service] && last.Age < max(c.orderLease+2*orderTimeout, mangobalance.SettleTime) {
@@ -65,12 +67,23 @@
 	}
 	report, err := c.reporter.Report(ctx, change.Server)
 	if err != nil {
-		return 0, err
+		return 0, notSent(err)
 	}
 	token, err := c.claims.TakeClaim(ctx, change.Service, me, last)
 	if err != nil {
-		return 0, err
+		return 0, notSent(err)
 	}
 	c.lastVersion[change.Service] = uint64(token)
+	if took := mangomodel.Elapsed(began, time.Now()); took >= orderTimeout {
+		return token, mangomodel.Faultf(mangomodel.StepConfigure, mangomodel.PeerName(change.Server.ID), mangomodel.CodeTimeout, mangomodel.RunNot,
+			"the claim was taken %v after it was begun, and an order may follow within %v", took, orderTimeout)
+	}
 	return token, c.orders.Order(ctx, change.Server, Order{Holder: me, Fence: token, To: change.To, Sequence: report.Orders})
 }
+
+// notSent returns the fault of a step before the order, which was not sent.
+func notSent(err error) error {
+	f := *mangomodel.AsFault(err, mangomodel.StepConfigure)
+	f.Run = mangomodel.RunNot
+	return &f
+}
--- a/core/mangostage/change_test.go
+++ b/core/mangostage/change_test.go
@@ -21,6 +21,8 @@
 	takeErr  error
 	orderErr error
 	orders   []Order
+	// pause is how long the process stands still after it took the claim.
+	pause time.Duration
 }
 
 func (p *platform) LastClaim(context.Context, mangotraffic.ServiceName) (Claim, error) {
@@ -31,6 +33,7 @@
 	if p.takeErr != nil {
 		return 0, p.takeErr
 	}
+	time.Sleep(p.pause)
 	p.claim = Claim{Holder: holder, Version: last.Version + 1}
 	return FencingToken(p.claim.Version), nil
 }
@@ -101,3 +104,18 @@
 		g.Expect(p.orders).To(gomega.HaveLen(2))
 	})
 }
+
+// TestPausedDaemonSendsNoOrder guards against an order on a claim that has run out:
+// the daemon stood still between its claim and its order.
+func TestPausedDaemonSendsNoOrder(t *testing.T) {
+	for pause := time.Second; pause <= 10*time.Second; pause += time.Second {
+		synctest.Test(t, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			p := platform{pause: pause}
+			controller := New(mangomodel.Holder{Daemon: "a"}, nil, &p, &p, &p)
+			_, err := controller.order(t.Context(), mangopool.StageChange{Service: "llm", Server: mangotraffic.Server{ID: "p"}, To: mangotraffic.StageDecode})
+			g.Expect(mangomodel.AsFault(err, 0).Run).To(gomega.Equal(mangomodel.RunNot))
+			g.Expect(p.orders).To(gomega.BeEmpty())
+		})
+	}
+}
