A stop answers the requests of connections that were just accepted

TestAcceptedConnectionIsAnsweredDuringAStop failed with a request sent 0 s after the stop began. A connection without any request held the stop up until its deadline (TestStopEndsWithSilentConnections, 3 s). Change: a proxy server first closes its idle connections itself, marked so that a request crossing the close is not served, gives new connections a second for their first request, closes its listener, waits for the rest and only then shuts http.Server down.

--- /dev/null
+++ b/core/mangorest/drain_test.go
@@ -0,0 +1,151 @@
+package mangorest
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"mangolane/core/mangomodel"
+)
+
+// stopUnderLoad starts a proxy server, sends requests over kept and over new
+// connections, and stops the server in between. It returns how many requests were
+// served and how many of those were answered.
+func stopUnderLoad(t *testing.T, g *gomega.WithT, random *rand.Rand) (served, answered int64) {
+	var handled, complete atomic.Int64
+	server, addr := startForStop(g)
+	handler := server.limiter.handler
+	server.limiter.handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		handled.Add(1)
+		handler.ServeHTTP(w, r)
+	})
+	var clients sync.WaitGroup
+	for i := range 16 {
+		// Half of the clients open a connection for each request.
+		perConn := 1
+		if i%2 == 0 {
+			perConn = 1 << 20
+		}
+		clients.Go(func() {
+			for request(addr, perConn, &complete) == nil {
+			}
+		})
+	}
+	time.Sleep(time.Duration(random.IntN(4_000)) * time.Microsecond)
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	g.Expect(server.Shutdown(ctx)).To(gomega.Succeed())
+	clients.Wait()
+	return handled.Load(), complete.Load()
+}
+
+// request opens a connection, sends requests one after the other and counts the
+// complete responses.
+func request(addr string, n int, complete *atomic.Int64) error {
+	conn, err := net.Dial("tcp", addr)
+	if err != nil {
+		return err
+	}
+	defer conn.Close()
+	r := bufio.NewReader(conn)
+	for range n {
+		if _, err := io.WriteString(conn, "GET / HTTP/1.1\r\nHost: x\r\n\r\n"); err != nil {
+			return err
+		}
+		resp, err := http.ReadResponse(r, nil)
+		if err != nil {
+			return err
+		}
+		body, err := io.ReadAll(resp.Body)
+		if err != nil || string(body) != "ok" {
+			return fmt.Errorf("body %q: %w", body, err)
+		}
+		complete.Add(1)
+		if resp.Close {
+			return nil
+		}
+	}
+	return nil
+}
+
+// freeAddress returns an address on which nothing listens.
+func freeAddress(g *gomega.WithT) mangomodel.Address {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	defer l.Close()
+	return mangomodel.Address(l.Addr().String())
+}
+
+// TestStopUnderLoadAnswersWhatItServes guards against a stop that closes a kept
+// connection as idle whose next request is being read: the request would be served,
+// and its response lost.
+func TestStopUnderLoadAnswersWhatItServes(t *testing.T) {
+	g := gomega.NewWithT(t)
+	random := rand.New(rand.NewPCG(1, 1))
+	for round := range 200 {
+		served, answered := stopUnderLoad(t, g, random)
+		g.Expect(answered).To(gomega.Equal(served), "round %d", round)
+	}
+}
+
+// startForStop starts a proxy server whose handler answers "ok", and returns its
+// address.
+func startForStop(g *gomega.WithT) (*Server, string) {
+	s, err := NewProxyServer("front", freeAddress(g), http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		fmt.Fprint(w, "ok")
+	}), func() time.Duration { return 0 })
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	go s.Serve()
+	<-s.started
+	var complete atomic.Int64
+	g.Eventually(func() error { return request(s.httpServer.Addr, 1, &complete) }).Should(gomega.Succeed())
+	g.Eventually(s.limiter.open).Should(gomega.Equal(0))
+	return s, s.httpServer.Addr
+}
+
+// TestAcceptedConnectionIsAnsweredDuringAStop guards against a stop that cuts off the
+// first request of a connection that was accepted right before: http.Server drops it.
+func TestAcceptedConnectionIsAnsweredDuringAStop(t *testing.T) {
+	for _, delay := range []time.Duration{0, time.Millisecond, 100 * time.Millisecond} {
+		g := gomega.NewWithT(t)
+		s, addr := startForStop(g)
+		conn, err := net.Dial("tcp", addr)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		defer conn.Close()
+		g.Eventually(s.limiter.open).Should(gomega.Equal(1))
+		ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+		defer cancel()
+		stopped := make(chan error, 1)
+		go func() { stopped <- s.Shutdown(ctx) }()
+		time.Sleep(delay)
+		_, err = io.WriteString(conn, "GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(conn.SetReadDeadline(time.Now().Add(time.Second))).To(gomega.Succeed())
+		resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		g.Expect(err).NotTo(gomega.HaveOccurred(), "delay %v", delay)
+		resp.Body.Close()
+		g.Expect(<-stopped).To(gomega.Succeed())
+	}
+}
+
+// TestStopEndsWithSilentConnections covers connections that never carry a request.
+func TestStopEndsWithSilentConnections(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s, addr := startForStop(g)
+	conn, err := net.Dial("tcp", addr)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	defer conn.Close()
+	ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+	defer cancel()
+	g.Expect(s.Shutdown(ctx)).To(gomega.Succeed())
+}
--- a/core/mangorest/server.go
+++ b/core/mangorest/server.go
@@ -17,10 +17,12 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/zeromicro/go-zero/core/logx"
@@ -51,7 +53,8 @@
 	rest      *rest.Server
 	startOnce sync.Once
 	// limiter is nil for servers without an idle limit.
-	limiter *idleLimiter
+	limiter   *idleLimiter
+	listening listening
 	// started is closed once httpServer is set.
 	started    chan struct{}
 	httpServer *http.Server
@@ -124,8 +127,15 @@
 // Serve serves until Shutdown. It must be called once, on a goroutine of its
 // own, and does not return after a Shutdown.
 func (s *Server) Serve() {
+	defer func() {
+		// go-zero panics if its listener fails, also after close.
+		if v := recover(); v != nil && !s.listening.closed.Load() {
+			panic(v)
+		}
+	}()
 	s.rest.StartWithOpts(func(svr *http.Server) {
 		svr.ReadHeaderTimeout = headerTimeout
+		s.listening.install(svr)
 		if s.limiter != nil {
 			s.limiter.install(svr)
 		}
@@ -137,12 +147,44 @@
 }
 
 // Shutdown stops listening and waits until every request has completed or ctx
-// ends.
+// ends. http.Server drops every request that it reads after the start of its own
+// shutdown, also the first one of a connection that was accepted before. A proxy
+// server therefore closes its connections itself first.
 func (s *Server) Shutdown(ctx context.Context) error {
 	select {
 	case <-s.started:
-		return mangomodel.Errors.Wrap(s.httpServer.Shutdown(ctx))
 	case <-ctx.Done():
 		return context.Cause(ctx)
 	}
+	if s.limiter != nil {
+		s.limiter.drain()
+		s.listening.close()
+		s.limiter.waitUntilClosed(ctx)
+	}
+	err := s.httpServer.Shutdown(ctx)
+	if errors.Is(err, net.ErrClosed) {
+		// The listener was closed above.
+		err = nil
+	}
+	return mangomodel.Errors.Wrap(err)
+}
+
+// listening holds the listener of a server.
+type listening struct {
+	listener net.Listener
+	closed   atomic.Bool
+}
+
+// install records the listener once the server starts.
+func (l *listening) install(s *http.Server) {
+	s.BaseContext = func(listener net.Listener) context.Context {
+		l.listener = listener
+		return context.Background()
+	}
+}
+
+func (l *listening) close() {
+	l.closed.Store(true)
+	// The listener is not used again in any case.
+	_ = l.listener.Close()
 }
