A malformed message or a panic ends one request, exchange or round

Cause: a panic in a method of net/rpc, in a command, a timer or a background goroutine ended the process; one in a call closed its connection without an answer or a line in the log. A peer that sends one message without end made the decoder collect it (gob allows gigabytes). An error of one method closed the connection that other calls share. Change: mangopanic recovers, reports (log line with the stack, metric Panics) and fails the one call; loops are run again.

--- a/core/mangobroker/broker.go
+++ b/core/mangobroker/broker.go
@@ -9,6 +9,7 @@
 	"mangolane/core/mangofleet"
 	"mangolane/core/mangolease"
 	"mangolane/core/mangomodel"
+	"mangolane/core/mangopanic"
 	"mangolane/core/mangopool"
 	"mangolane/core/mangoroster"
 	"mangolane/core/mangotraffic"
@@ -67,6 +68,7 @@
 
 // Observer receives events about other daemons.
 type Observer interface {
+	mangopanic.Observer
 	PeerLost(at mangomodel.Address, err error)
 	PeerRegained(at mangomodel.Address)
 	SchedulerChanged(service mangotraffic.ServiceName, to mangomodel.DaemonID)
@@ -249,13 +251,14 @@
 // same effect.
 func (b *Broker) callAsync(call func(ctx context.Context) error) {
 	go func() {
+		defer mangopanic.Catch(b.log, "call to a scheduler")
 		ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
 		defer cancel()
 		_ = call(ctx)
 	}()
 }
 
-type nopObserver struct{}
+type nopObserver struct{ mangopanic.Nop }
 
 func (nopObserver) PeerLost(mangomodel.Address, error)                             {}
 func (nopObserver) PeerRegained(mangomodel.Address)                                {}
--- a/core/mangobroker/exchange.go
+++ b/core/mangobroker/exchange.go
@@ -12,6 +12,7 @@
 	"mangolane/core/mangofleet"
 	"mangolane/core/mangolease"
 	"mangolane/core/mangomodel"
+	"mangolane/core/mangopanic"
 	"mangolane/core/mangopool"
 	"mangolane/core/mangoroster"
 	"mangolane/core/mangotraffic"
@@ -62,9 +63,9 @@
 // Run exchanges state with the other daemons until ctx ends.
 func (b *Broker) Run(ctx context.Context) {
 	var running sync.WaitGroup
-	running.Go(func() { b.renew(ctx) })
-	running.Go(func() { b.join(ctx) })
-	running.Go(func() { b.fetch(ctx) })
+	running.Go(func() { mangopanic.Repeat(ctx, b.log, "renewals", b.renew) })
+	running.Go(func() { mangopanic.Repeat(ctx, b.log, "joins", b.join) })
+	running.Go(func() { mangopanic.Repeat(ctx, b.log, "snapshot fetches", b.fetch) })
 	running.Wait()
 }
 
@@ -81,7 +82,10 @@
 			renewed = time.Now()
 			var exchanges sync.WaitGroup
 			for _, m := range targets {
-				exchanges.Go(func() { b.renewAt(ctx, m) })
+				exchanges.Go(func() {
+					defer mangopanic.Catch(b.log, "renewal")
+					b.renewAt(ctx, m)
+				})
 			}
 			exchanges.Wait()
 		}
@@ -158,10 +162,13 @@
 	defer cancel()
 	msg := b.Compose(ExchangeMessage{})
 	msg.Leases = leases
+	began := time.Now()
 	response, err := b.peers.Exchange(ctx, at, msg)
 	if err != nil {
 		return ExchangeMessage{}, err
 	}
+	// The list may have aged for as long as the call took.
+	response.List.Age += mangomodel.Elapsed(began, time.Now())
 	return response, b.applyMessage(ctx, response)
 }
 
@@ -248,6 +255,7 @@
 	)
 	for _, addr := range addrs {
 		running.Go(func() {
+			defer mangopanic.Catch(b.log, "exchange")
 			_, err := b.exchange(ctx, addr, b.progress())
 			mu.Lock()
 			defer mu.Unlock()
--- a/core/mangobroker/fetch.go
+++ b/core/mangobroker/fetch.go
@@ -176,7 +176,7 @@
 	from := mangomodel.PeerName(m.Holder.Daemon)
 	if snapshot.List.Cursor > 0 {
 		// The list may have aged for as long as the call took.
-		snapshot.List.Age += time.Since(start)
+		snapshot.List.Age += mangomodel.Elapsed(start, time.Now())
 		snapshot.List.From = from
 		if err := b.fleet.Do(ctx, snapshot.List); err != nil {
 			return err
--- a/core/mangofleet/fleet.go
+++ b/core/mangofleet/fleet.go
@@ -13,6 +13,7 @@
 	"mangolane/core/mangolease"
 	"mangolane/core/mangoloop"
 	"mangolane/core/mangomodel"
+	"mangolane/core/mangopanic"
 	"mangolane/core/mangopool"
 	"mangolane/core/mangoquery"
 	"mangolane/core/mangoroster"
@@ -39,6 +40,7 @@
 // Observer is notified of state changes. Its methods run on the control
 // goroutine and must not block.
 type Observer interface {
+	mangopanic.Observer
 	// RoutingChanged is called when a new configuration becomes active.
 	RoutingChanged(rev mangomodel.Revision, from mangomodel.PeerName)
 	// ServersChanged is called with changes of the server list.
@@ -60,10 +62,12 @@
 	for _, opt := range opts {
 		opt(s)
 	}
-	return &Fleet{loop: mangoloop.New[*state, View](s)}
+	loop := mangoloop.New[*state, View](s)
+	loop.ObservePanics(s.observer)
+	return &Fleet{loop: loop}
 }
 
-type nopObserver struct{}
+type nopObserver struct{ mangopanic.Nop }
 
 func (nopObserver) RoutingChanged(mangomodel.Revision, mangomodel.PeerName)          {}
 func (nopObserver) ServersChanged(ChangeServers)                                     {}
--- a/core/mangofleet/fleet_test.go
+++ b/core/mangofleet/fleet_test.go
@@ -12,6 +12,7 @@
 	"mangolane/core/mangohealth"
 	"mangolane/core/mangolease"
 	"mangolane/core/mangomodel"
+	"mangolane/core/mangopanic"
 	"mangolane/core/mangoroster"
 	"mangolane/core/mangotraffic"
 )
@@ -36,6 +37,7 @@
 // recordingObserver keeps the notifications of an Observer. The control goroutine
 // writes them, and the tests read them while that goroutine waits.
 type recordingObserver struct {
+	mangopanic.Nop
 	revisions []mangomodel.Revision
 	lists     []ChangeServers
 	usable    []bool
--- a/core/mangofollow/follow.go
+++ b/core/mangofollow/follow.go
@@ -23,6 +23,7 @@
 
 	"mangolane/core/mangofleet"
 	"mangolane/core/mangomodel"
+	"mangolane/core/mangopanic"
 	"mangolane/core/mangotraffic"
 )
 
@@ -88,6 +89,7 @@
 
 // Observer receives events about the platform and the records.
 type Observer interface {
+	mangopanic.Observer
 	// PlatformLost and PlatformRegained are called when reads of a record begin
 	// to fail and succeed again.
 	PlatformLost(r Record, err error)
@@ -166,7 +168,9 @@
 	}
 }
 
-func (f *Follower) readOnce(ctx context.Context, until time.Time, next read) (bool, error) {
+// readOnce makes one read. A panic counts as a failed read.
+func (f *Follower) readOnce(ctx context.Context, until time.Time, next read) (changed bool, err error) {
+	defer mangopanic.CatchError(f.observer, "read of the platform's records", &err)
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
 	return next(ctx, until)
--- a/core/mangofollow/follow_test.go
+++ b/core/mangofollow/follow_test.go
@@ -13,6 +13,7 @@
 	"mangolane/core/mangobudget"
 	"mangolane/core/mangofleet"
 	"mangolane/core/mangomodel"
+	"mangolane/core/mangopanic"
 	"mangolane/core/mangoroster"
 	"mangolane/core/mangotraffic"
 )
@@ -27,6 +28,8 @@
 	oldestCursor mangotraffic.Cursor
 	down         bool
 	reads        int
+	// panics is how many of the next reads panic.
+	panics int
 }
 
 var errDown = errors.New("down")
@@ -39,7 +42,12 @@
 	s.mu.Lock()
 	s.reads++
 	down, expired, changed := s.down, after != 0 && after < s.oldestCursor, after < s.cursor
+	panics := s.panics > 0
+	s.panics--
 	s.mu.Unlock()
+	if panics {
+		panic("malformed record")
+	}
 	switch {
 	case down:
 		sleep(ctx, wait+sourceTimeout)
@@ -123,6 +131,7 @@
 }
 
 type watcher struct {
+	mangopanic.Nop
 	mu             sync.Mutex
 	lost, regained int
 }
@@ -185,6 +194,20 @@
 	})
 }
 
+// TestPanicCountsAsAFailedRead guards against a malformed record that ends the
+// process or the goroutine that reads it.
+func TestPanicCountsAsAFailedRead(t *testing.T) {
+	follow(t, func(g *gomega.WithT, s *source, fleet *mangofleet.Fleet, _ *watcher) {
+		s.mu.Lock()
+		s.panics = 6
+		s.mu.Unlock()
+		time.Sleep(3 * time.Second)
+		s.change(func() { s.revision = 2 })
+		time.Sleep(2 * time.Second)
+		g.Expect(fleet.View().Routing.Revision).To(gomega.BeEquivalentTo(2))
+	})
+}
+
 func TestExpiredCursorReadsWholeRecord(t *testing.T) {
 	follow(t, func(g *gomega.WithT, s *source, fleet *mangofleet.Fleet, w *watcher) {
 		s.change(func() {
--- a/core/mangoloop/loop.go
+++ b/core/mangoloop/loop.go
@@ -11,6 +11,8 @@
 //   - The goroutine sleeps until a command arrives or a timer is due.
 //   - Delivery of a result never blocks the goroutine and never loses the
 //     result.
+//   - A panic ends the command, the timer or the view in which it happens, and
+//     nothing else.
 //
 // # Usage
 //
@@ -23,8 +25,11 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sync/atomic"
 	"time"
+
+	"mangolane/core/mangopanic"
 )
 
 const (
@@ -94,16 +99,21 @@
 	view     atomic.Pointer[V]
 
 	// The fields below are confined to the loop's goroutine.
-	state   S
-	results []result
+	state    S
+	results  []result
+	observer mangopanic.Observer
 }
 
+// ObservePanics sets the observer of panics. It must be called before Run.
+func (l *Loop[S, V]) ObservePanics(o mangopanic.Observer) { l.observer = o }
+
 // New returns a loop over a state. The view can be read immediately.
 func New[S State[V], V any](state S) *Loop[S, V] {
 	l := &Loop[S, V]{
 		requests: make(chan request[S], queueCapacity),
 		done:     make(chan struct{}),
 		state:    state,
+		observer: mangopanic.Nop{},
 	}
 	l.publish()
 	return l
@@ -146,7 +156,7 @@
 		case r := <-l.requests:
 			l.handleBatch(r)
 		case <-timer.C:
-			l.state.Tick(time.Now())
+			l.tick()
 		}
 		l.publish()
 		l.deliver()
@@ -173,13 +183,24 @@
 	if ok {
 		d.Await(l.state, reply)
 	}
-	err := r.command.Apply(l.state, time.Now())
+	err := l.apply(r.command)
 	if !ok || err != nil {
 		reply.Send(err)
 	}
 }
 
+func (l *Loop[S, V]) apply(cmd Command[S]) (err error) {
+	defer mangopanic.CatchError(l.observer, fmt.Sprintf("command %T", cmd), &err)
+	return cmd.Apply(l.state, time.Now())
+}
+
+func (l *Loop[S, V]) tick() {
+	defer mangopanic.Catch(l.observer, "timer")
+	l.state.Tick(time.Now())
+}
+
 func (l *Loop[S, V]) publish() {
+	defer mangopanic.Catch(l.observer, "view")
 	l.view.Store(l.state.View(l.view.Load(), time.Now()))
 }
 
--- a/core/mangorelay/port.go
+++ b/core/mangorelay/port.go
@@ -29,6 +29,7 @@
 	"mangolane/core/mangofleet"
 	"mangolane/core/mangolease"
 	"mangolane/core/mangomodel"
+	"mangolane/core/mangopanic"
 	"mangolane/core/mangotraffic"
 )
 
@@ -74,6 +75,7 @@
 
 // Observer is notified of finished exchanges and calls.
 type Observer interface {
+	mangopanic.Observer
 	ExchangeFinished(e mangoexchange.Exchange)
 	CallFinished(r mangoexchange.Result)
 }
--- a/core/mangorelay/relay.go
+++ b/core/mangorelay/relay.go
@@ -12,6 +12,7 @@
 	"mangolane/core/mangofleet"
 	"mangolane/core/mangolease"
 	"mangolane/core/mangomodel"
+	"mangolane/core/mangopanic"
 	"mangolane/core/mangotraffic"
 )
 
@@ -295,7 +296,7 @@
 	return mangomodel.Faultf(mangomodel.StepAdmission, "", code, mangomodel.RunNot, format, args...)
 }
 
-type nopObserver struct{}
+type nopObserver struct{ mangopanic.Nop }
 
 func (nopObserver) ExchangeFinished(mangoexchange.Exchange) {}
 func (nopObserver) CallFinished(mangoexchange.Result)       {}
--- a/core/mangorelay/stream.go
+++ b/core/mangorelay/stream.go
@@ -11,6 +11,7 @@
 	"mangolane/core/mangoexchange"
 	"mangolane/core/mangolease"
 	"mangolane/core/mangomodel"
+	"mangolane/core/mangopanic"
 	"mangolane/core/mangostall"
 	"mangolane/core/mangotraffic"
 )
@@ -214,7 +215,7 @@
 	if !j.route.Retryable() {
 		return nopTimer{}
 	}
-	return mangostall.New(j.relay.servers, server, cancel)
+	return mangostall.New(j.relay.servers, server, cancel, j.relay.observer)
 }
 
 // keepUnfetchedCache keeps the KV cache for another server if the call did not
@@ -382,6 +383,7 @@
 	source, server := j.cache.source, j.cache.server
 	j.cache = nil
 	go func() {
+		defer mangopanic.Catch(j.relay.observer, "release of a cache")
 		ctx, cancel := context.WithTimeout(context.Background(), cleanupTimeout)
 		defer cancel()
 		began := time.Now()
--- a/core/mangostage/report.go
+++ b/core/mangostage/report.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"mangolane/core/mangofleet"
+	"mangolane/core/mangopanic"
 	"mangolane/core/mangopool"
 	"mangolane/core/mangotraffic"
 )
@@ -27,7 +28,10 @@
 	for first := 0; ; first += maxReports {
 		var running sync.WaitGroup
 		for _, server := range rotate(c.scheduled(), first, maxReports) {
-			running.Go(func() { c.collectReport(ctx, server) })
+			running.Go(func() {
+				defer mangopanic.Catch(c.log, "load report")
+				c.collectReport(ctx, server)
+			})
 		}
 		running.Wait()
 		select {
--- a/core/mangostage/stage.go
+++ b/core/mangostage/stage.go
@@ -19,6 +19,7 @@
 
 	"mangolane/core/mangofleet"
 	"mangolane/core/mangomodel"
+	"mangolane/core/mangopanic"
 	"mangolane/core/mangopool"
 	"mangolane/core/mangotraffic"
 )
@@ -78,6 +79,7 @@
 
 // Observer receives events about engines.
 type Observer interface {
+	mangopanic.Observer
 	// StageChangeOrdered is called after an attempt to order a stage change; err
 	// is nil if the engine accepted the order.
 	StageChangeOrdered(change mangopool.StageChange, token FencingToken, err error)
@@ -124,8 +126,8 @@
 // Run requests load reports and orders stage changes until ctx ends.
 func (c *Controller) Run(ctx context.Context) {
 	var running sync.WaitGroup
-	running.Go(func() { c.collectReports(ctx) })
-	running.Go(func() { c.changeStages(ctx) })
+	running.Go(func() { mangopanic.Repeat(ctx, c.log, "load reports", c.collectReports) })
+	running.Go(func() { mangopanic.Repeat(ctx, c.log, "stage changes", c.changeStages) })
 	running.Wait()
 }
 
@@ -140,7 +142,7 @@
 // dropped.
 func (c *Controller) apply(cmd mangofleet.Command) { _ = c.fleet.Do(context.Background(), cmd) }
 
-type nopObserver struct{}
+type nopObserver struct{ mangopanic.Nop }
 
 func (nopObserver) StageChangeOrdered(mangopool.StageChange, FencingToken, error) {}
 func (nopObserver) ReportFailed(mangotraffic.Server, error)                       {}
--- a/core/mangostall/stall.go
+++ b/core/mangostall/stall.go
@@ -8,7 +8,7 @@
 //
 // # Usage
 //
-//	w := mangostall.New(reporter, server, func() { cancel(errStalled) })
+//	w := mangostall.New(reporter, server, func() { cancel(errStalled) }, observer)
 //	w.Reset(2 * time.Second)
 //	event, err := events.Next()
 //	w.Stop()
@@ -19,6 +19,7 @@
 	"sync"
 	"time"
 
+	"mangolane/core/mangopanic"
 	"mangolane/core/mangotraffic"
 )
 
@@ -42,6 +43,7 @@
 	reporter LoadReporter
 	server   mangotraffic.Server
 	cancel   func()
+	observer mangopanic.Observer
 
 	mu      sync.Mutex
 	timer   *time.Timer
@@ -52,9 +54,10 @@
 }
 
 // New returns a stopped Watchdog that calls cancel if no event arrives in time and
-// the engine does not respond or has stalled too often.
-func New(r LoadReporter, server mangotraffic.Server, cancel func()) *Watchdog {
-	return &Watchdog{reporter: r, server: server, cancel: cancel}
+// the engine does not respond or has stalled too often. Panics of its own goroutine
+// are reported to o.
+func New(r LoadReporter, server mangotraffic.Server, cancel func(), o mangopanic.Observer) *Watchdog {
+	return &Watchdog{reporter: r, server: server, cancel: cancel, observer: o}
 }
 
 // Stop ends the current wait.
@@ -94,7 +97,10 @@
 	w.timer = time.AfterFunc(w.timeout, func() { w.handleTimeout(epoch) })
 }
 
+// responsive reports whether the engine returns a load report. A panic counts as
+// none.
 func (w *Watchdog) responsive() bool {
+	defer mangopanic.Catch(w.observer, "load report of a stalled engine")
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
 	_, err := w.reporter.Report(ctx, w.server)
--- a/mangolaned/mangoconn/pool.go
+++ b/mangolaned/mangoconn/pool.go
@@ -13,6 +13,7 @@
 	"net/rpc"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"mangolane/core/mangomodel"
@@ -60,9 +61,10 @@
 // New returns an empty pool.
 func New(dial Dial) *Pool { return &Pool{dial: dial, clients: make(map[Endpoint]*rpc.Client)} }
 
-// Call makes one call. Any failure of the call, also an error that the method
-// returned, closes the connection and is reported as an unreachable daemon. If ctx
-// ends first, the connection is closed unless its calls may wait for a grant. After
+// Call makes one call. Any failure of the call is reported as an unreachable daemon.
+// It closes the connection, which other calls share, unless the method itself
+// returned the error. If ctx ends first, the connection is closed unless its calls
+// may wait for a grant. After
 // an error the caller must not access reply, since a late response may still be
 // written to it.
 func (p *Pool) Call(ctx context.Context, to Endpoint, step mangomodel.Step, method string, args, reply any) error {
@@ -73,7 +75,9 @@
 	select {
 	case <-call.Done:
 		if call.Error != nil {
-			p.closeClient(to, client)
+			if _, ok := call.Error.(rpc.ServerError); !ok {
+				p.closeClient(to, client)
+			}
 			return UnreachableFault(step, to.Address, mangomodel.RunUnknown, call.Error)
 		}
 		return nil
@@ -122,7 +126,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return p.put(to, rpc.NewClient(WithWriteTimeout(conn))), nil
+	return p.put(to, rpc.NewClient(Bounded(conn))), nil
 }
 
 const (
@@ -133,17 +137,38 @@
 	// writeChunk is the number of bytes that a link of 10 Mbit/s, shared with a
 	// dozen others, carries within writeTimeout.
 	writeChunk = 32 << 10
+	// maxUnanswered bounds the bytes that are received between two writes. Every
+	// message is a request or the response to one, so more bytes without a write
+	// are no sequence of messages, and the decoder would collect them without end.
+	// A snapshot for some thousand routes and servers takes about 200 KB.
+	maxUnanswered = 2 << 20
 )
 
-// WithWriteTimeout wraps a connection so that the write of each chunk times out
-// after writeTimeout.
-func WithWriteTimeout(conn net.Conn) net.Conn { return writeTimeoutConn{conn} }
+var errUnanswered = errors.New("the peer sends without waiting for responses")
+
+// Bounded wraps a connection so that the write of each chunk times out after
+// writeTimeout, and a read fails after maxUnanswered bytes without a write.
+func Bounded(conn net.Conn) net.Conn { return &boundedConn{Conn: conn} }
 
-type writeTimeoutConn struct{ net.Conn }
+type boundedConn struct {
+	net.Conn
+	// received counts the bytes since the last write.
+	received atomic.Int64
+}
+
+// Read fails once the peer has sent too much without a write in between.
+func (c *boundedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if c.received.Add(int64(n)) > maxUnanswered {
+		return 0, errUnanswered
+	}
+	return n, err
+}
 
 // Write writes p in chunks. It fails if a chunk is not written within
 // writeTimeout.
-func (c writeTimeoutConn) Write(p []byte) (int, error) {
+func (c *boundedConn) Write(p []byte) (int, error) {
+	c.received.Store(0)
 	written := 0
 	for chunk := range slices.Chunk(p, writeChunk) {
 		if err := c.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
--- a/mangolaned/mangoconn/pool_test.go
+++ b/mangolaned/mangoconn/pool_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/rpc"
 	"os"
@@ -24,6 +25,9 @@
 	return nil
 }
 
+// Fail is a method that always fails.
+func (Echo) Fail([]byte, *[]byte) error { return errors.New("failed") }
+
 type server struct {
 	listener net.Listener
 	conns    chan net.Conn
@@ -81,10 +85,10 @@
 		g := gomega.NewWithT(t)
 		data := make([]byte, 8*writeChunk+1)
 		slow := &slowConn{pause: writeTimeout / 2}
-		n, err := WithWriteTimeout(slow).Write(data)
+		n, err := Bounded(slow).Write(data)
 		g.Expect(err).NotTo(gomega.HaveOccurred())
 		g.Expect([]int{n, slow.written}).To(gomega.Equal([]int{len(data), len(data)}))
-		_, err = WithWriteTimeout(&slowConn{pause: 2 * writeTimeout}).Write(data)
+		_, err = Bounded(&slowConn{pause: 2 * writeTimeout}).Write(data)
 		g.Expect(err).To(gomega.MatchError(os.ErrDeadlineExceeded))
 	})
 }
@@ -178,6 +182,57 @@
 	g.Expect(returned.Sub(lastWrite)).To(gomega.BeNumerically("<", 5*writeTimeout))
 }
 
+// TestErrorOfAMethodKeepsTheConnection guards against an error of one call that
+// cancels the others on the connection.
+func TestErrorOfAMethodKeepsTheConnection(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := serve(t, "127.0.0.1:0")
+	defer s.stop()
+	to := Endpoint{Address: mangomodel.Address(s.listener.Addr().String())}
+	dials := 0
+	p := New(func(ctx context.Context, addr mangomodel.Address) (net.Conn, error) {
+		dials++
+		return TCP(ctx, addr)
+	})
+	for range 3 {
+		err := p.Call(t.Context(), to, mangomodel.StepProbe, "Command.Fail", []byte("a"), &[]byte{})
+		g.Expect(mangomodel.HasCode(err, mangomodel.CodeUnavailable)).To(gomega.BeTrue())
+		g.Expect(echo(p, to, []byte("a"), time.Second)).To(gomega.Succeed())
+	}
+	g.Expect(dials).To(gomega.Equal(1))
+}
+
+// endless is a connection on which bytes arrive without end.
+type endless struct {
+	net.Conn
+	read int
+}
+
+func (c *endless) Read(p []byte) (int, error) {
+	for i := range p {
+		p[i] = 0x7f
+	}
+	c.read += len(p)
+	return len(p), nil
+}
+
+func (c *endless) Close() error                       { return nil }
+func (c *endless) Write(p []byte) (int, error)        { return len(p), nil }
+func (c *endless) SetWriteDeadline(_ time.Time) error { return nil }
+
+// TestBytesWithoutEndCloseTheConnection guards against a peer that sends one message
+// without end, at a server and at a client of it.
+func TestBytesWithoutEndCloseTheConnection(t *testing.T) {
+	g := gomega.NewWithT(t)
+	conn := &endless{}
+	rpc.NewServer().ServeConn(Bounded(conn))
+	g.Expect(conn.read).To(gomega.BeNumerically("<=", 2*maxUnanswered))
+	conn = &endless{}
+	client := rpc.NewClient(Bounded(conn))
+	g.Expect(client.Call("Command.Say", []byte("a"), &[]byte{})).NotTo(gomega.Succeed())
+	g.Expect(conn.read).To(gomega.BeNumerically("<=", 2*maxUnanswered))
+}
+
 func TestUnreachableIsNotRun(t *testing.T) {
 	s := serve(t, "127.0.0.1:0")
 	to := Endpoint{Address: mangomodel.Address(s.listener.Addr().String())}
--- a/mangolaned/mangogateway/gateway.go
+++ b/mangolaned/mangogateway/gateway.go
@@ -24,6 +24,7 @@
 	"mangolane/core/mangofleet"
 	"mangolane/core/mangofollow"
 	"mangolane/core/mangomodel"
+	"mangolane/core/mangopanic"
 	"mangolane/core/mangorelay"
 	"mangolane/core/mangorest"
 	"mangolane/core/mangoroster"
@@ -70,6 +71,7 @@
 	follower        *mangofollow.Follower
 	stageController *mangostage.Controller
 	metrics         *metrics
+	observer        observer
 	recorder        *mangotrace.Recorder
 }
 
@@ -91,7 +93,7 @@
 	broker := mangobroker.New(self, fleet, mangomesh.NewPeers(), mangobroker.WithSeeds(s.Seeds), mangobroker.WithObserver(o),
 		mangobroker.WithRegions(s.Regions))
 	return &Gateway{
-		settings: s, current: current, level: level, logger: logger, fleet: fleet, broker: broker, metrics: m, recorder: recorder,
+		settings: s, current: current, level: level, logger: logger, fleet: fleet, broker: broker, metrics: m, observer: o, recorder: recorder,
 		relay:    mangorelay.New(fleet, broker, servers, mangorelay.WithObserver(o), mangorelay.WithTracer(mangotrace.Install(recorder, s.Daemon))),
 		follower: mangofollow.New(fleet, source, o),
 		stageController: mangostage.New(self.Holder, fleet, servers, source, servers,
@@ -102,6 +104,9 @@
 // Fleet returns the control state.
 func (g *Gateway) Fleet() *mangofleet.Fleet { return g.fleet }
 
+// PanicObserver returns the observer that logs and counts panics.
+func (g *Gateway) PanicObserver() mangopanic.Observer { return g.observer }
+
 // Relay returns the relay that serves calls.
 func (g *Gateway) Relay() *mangorelay.Relay { return g.relay }
 
@@ -119,7 +124,7 @@
 	if err != nil {
 		return err
 	}
-	peerServer, err := mangomesh.NewServer(g.fleet, g.broker)
+	peerServer, err := mangomesh.NewServer(g.fleet, g.broker, g.observer)
 	if err != nil {
 		return err
 	}
--- a/mangolaned/mangogateway/observe.go
+++ b/mangolaned/mangogateway/observe.go
@@ -23,6 +23,12 @@
 	metrics *metrics
 }
 
+// Panicked logs and counts a panic.
+func (o observer) Panicked(where string, value any, stack []byte) {
+	o.metrics.count("Panics", 1)
+	o.logger.Error("panic", zap.String("Where", where), zap.Any("Value", value), zap.ByteString("Stack", stack))
+}
+
 // ExchangeFinished logs and counts an exchange with a server.
 func (o observer) ExchangeFinished(e mangoexchange.Exchange) {
 	o.metrics.exchangeFinished(e)
--- a/mangolaned/mangomesh/server.go
+++ b/mangolaned/mangomesh/server.go
@@ -10,6 +10,7 @@
 	"mangolane/core/mangobroker"
 	"mangolane/core/mangofleet"
 	"mangolane/core/mangomodel"
+	"mangolane/core/mangopanic"
 	"mangolane/core/mangowire"
 	"mangolane/mangolaned/mangoconn"
 )
@@ -32,13 +33,14 @@
 // Server serves calls from other daemons.
 type Server struct{ rpc *rpc.Server }
 
-// NewServer returns a Server that is not listening yet.
-func NewServer(fleet Fleet, broker Broker) (*Server, error) {
+// NewServer returns a Server that is not listening yet. A panic in a call fails that
+// call and is reported to o.
+func NewServer(fleet Fleet, broker Broker, o mangopanic.Observer) (*Server, error) {
 	s := &Server{rpc: rpc.NewServer()}
-	if err := s.rpc.RegisterName("Command", &Command{fleet, broker}); err != nil {
+	if err := s.rpc.RegisterName("Command", &Command{fleet, broker, o}); err != nil {
 		return nil, mangomodel.Errors.Wrap(err)
 	}
-	if err := s.rpc.RegisterName("Query", &Query{broker: broker}); err != nil {
+	if err := s.rpc.RegisterName("Query", &Query{broker: broker, observer: o}); err != nil {
 		return nil, mangomodel.Errors.Wrap(err)
 	}
 	return s, nil
@@ -54,22 +56,23 @@
 		if err != nil {
 			return mangomodel.Errors.Wrap(err)
 		}
-		go s.rpc.ServeConn(mangoconn.WithWriteTimeout(conn))
+		go s.rpc.ServeConn(mangoconn.Bounded(conn))
 	}
 }
 
 // Command serves the calls that change the control state.
 type Command struct {
-	fleet  Fleet
-	broker Broker
+	fleet    Fleet
+	broker   Broker
+	observer mangopanic.Observer
 }
 
 // Acquire acquires a lease from this daemon.
-func (c *Command) Acquire(args AcquireArgs, reply *AcquireReply) error {
+func (c *Command) Acquire(args AcquireArgs, reply *AcquireReply) (err error) {
+	defer mangopanic.CatchError(c.observer, methodAcquire, &err)
 	ctx, cancel := context.WithTimeout(context.Background(), args.Demand.Patience+commandTimeout)
 	defer cancel()
-	err := c.fleet.Do(ctx, mangofleet.Acquire{Lease: args.ID, Demand: args.Demand})
-	if err != nil {
+	if err := c.fleet.Do(ctx, mangofleet.Acquire{Lease: args.ID, Demand: args.Demand}); err != nil {
 		body := mangowire.FaultBodyOf(mangomodel.AsFault(err, mangomodel.StepAdmission))
 		reply.Fault = &body
 		return nil
@@ -89,15 +92,16 @@
 }
 
 // Exchange applies an exchange message of another daemon and replies with one.
-func (c *Command) Exchange(msg mangobroker.ExchangeMessage, reply *mangobroker.ExchangeMessage) error {
+func (c *Command) Exchange(msg mangobroker.ExchangeMessage, reply *mangobroker.ExchangeMessage) (err error) {
+	defer mangopanic.CatchError(c.observer, methodExchange, &err)
 	ctx, cancel := context.WithTimeout(context.Background(), commandTimeout)
 	defer cancel()
-	var err error
 	*reply, err = c.broker.Receive(ctx, msg)
 	return err
 }
 
-func (c *Command) do(cmd mangofleet.Command) error {
+func (c *Command) do(cmd mangofleet.Command) (err error) {
+	defer mangopanic.CatchError(c.observer, "command of another daemon", &err)
 	ctx, cancel := context.WithTimeout(context.Background(), commandTimeout)
 	defer cancel()
 	return c.fleet.Do(ctx, cmd)
--- a/mangolaned/mangomesh/snapshot.go
+++ b/mangolaned/mangomesh/snapshot.go
@@ -10,12 +10,13 @@
 
 	"mangolane/core/mangobroker"
 	"mangolane/core/mangomodel"
+	"mangolane/core/mangopanic"
 )
 
 const (
 	// maxSnapshotBytes bounds an unpacked snapshot. The largest expected one has some
 	// thousand routes and servers of about 200 bytes each.
-	maxSnapshotBytes = 64 << 20
+	maxSnapshotBytes = 8 << 20
 	// packedTTL is how long a packed snapshot is reused for requests with the same
 	// state version. It is added to the age of the packed server list, of whose
 	// permitted age it is a small part.
@@ -31,13 +32,14 @@
 
 // Query serves the calls that do not change the control state.
 type Query struct {
-	broker Broker
-	cache  packedCache
+	broker   Broker
+	observer mangopanic.Observer
+	cache    packedCache
 }
 
 // Snapshot returns the state of this daemon beyond another one's state version.
-func (q *Query) Snapshot(version mangobroker.StateVersion, reply *SnapshotReply) error {
-	var err error
+func (q *Query) Snapshot(version mangobroker.StateVersion, reply *SnapshotReply) (err error) {
+	defer mangopanic.CatchError(q.observer, methodSnapshot, &err)
 	reply.Packed, err = q.cache.get(version, q.broker)
 	return err
 }
--- a/mangolaned/mangomesh/snapshot_test.go
+++ b/mangolaned/mangomesh/snapshot_test.go
@@ -13,6 +13,7 @@
 	"mangolane/core/mangobudget"
 	"mangolane/core/mangofleet"
 	"mangolane/core/mangomodel"
+	"mangolane/core/mangopanic"
 	"mangolane/core/mangoroster"
 	"mangolane/core/mangotraffic"
 )
@@ -70,7 +71,7 @@
 	fleet := mangofleet.New(mangofleet.Self{Member: self}, func() mangobudget.Limits { return mangobudget.Limits{Window: time.Second} })
 	go fleet.Run(t.Context())
 	broker := mangobroker.New(self, fleet, NewPeers())
-	server, err := NewServer(fleet, broker)
+	server, err := NewServer(fleet, broker, mangopanic.Nop{})
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	g.Expect(err).NotTo(gomega.HaveOccurred())
--- a/mangolaned/mangopeer/server.go
+++ b/mangolaned/mangopeer/server.go
@@ -53,7 +53,7 @@
 		if err != nil {
 			return mangomodel.Errors.Wrap(err)
 		}
-		go s.rpc.ServeConn(mangoconn.WithWriteTimeout(conn))
+		go s.rpc.ServeConn(mangoconn.Bounded(conn))
 	}
 }
 
