Servers that tell how slow their host is are read, and get fewer plain calls

Cause: the parser of Instance-Load expected exactly three figures and dropped the whole report of the servers of further/, which add a fourth. For 300 ms it weighs against a plain server; the figure changes many times a second.

--- a/core/mangofleet/list_test.go
+++ b/core/mangofleet/list_test.go
@@ -119,6 +119,30 @@
 	})
 }
 
+// TestSlowHostGetsFewerCalls plays two servers of which one says with its responses
+// that work takes 2.5 times as long as usual there. What it said is used only for a
+// moment.
+func TestSlowHostGetsFewerCalls(t *testing.T) {
+	bubble(t, func(x *fixture) {
+		x.list(1, plain("slow", "a1"), plain("fast", "a1"))
+		x.do(Observe{Observation: mangolease.Observation{Server: "slow", Load: &mangotraffic.LoadReport{Slowdown: 2.5}}})
+		counts := make(map[mangomodel.ServerID]int)
+		for range 20 {
+			id, lease := x.mustAcquire(call())
+			counts[lease.Server.ID]++
+			x.do(Release{Lease: id})
+		}
+		x.Expect(counts).To(gomega.Equal(map[mangomodel.ServerID]int{"fast": 20}))
+		time.Sleep(time.Second)
+		for range 20 {
+			id, lease := x.mustAcquire(call())
+			counts[lease.Server.ID]++
+			x.do(Release{Lease: id})
+		}
+		x.Expect(counts["slow"]).To(gomega.BeNumerically(">", 0))
+	})
+}
+
 // TestRestartedServerIsEmpty guards against leases and measurements of an earlier
 // process that count against a server which restarted under the same id.
 func TestRestartedServerIsEmpty(t *testing.T) {
--- a/core/mangopool/backend.go
+++ b/core/mangopool/backend.go
@@ -38,6 +38,10 @@
 	// that a refusal implied, at untrackedAt.
 	untracked   int
 	untrackedAt time.Time
+	// slowdown is how long work took on the server's host at slowdownAt, relative to
+	// the usual time.
+	slowdown   float64
+	slowdownAt time.Time
 	// ended holds the recently ended generations, oldest first. orphans and
 	// orphanMemory are the number and the KV memory of the requests that the
 	// server's load report shows besides runs and ended.
@@ -162,3 +166,12 @@
 	generated = min(generated, max(g.MaxOutput, l.generated))
 	return mangokv.Generation{Held: g.Prompt + generated, Remaining: max(g.ExpectedOutput(l.generated)-generated, 0)}
 }
+
+// slower returns by how much work takes longer than usual on the server's host,
+// relative to the usual time, or 0 if that is not known now.
+func (b *backend) slower(now time.Time) float64 {
+	if now.Sub(b.slowdownAt) >= slowdownTTL {
+		return 0
+	}
+	return max(b.slowdown-1, 0)
+}
--- a/core/mangopool/observe.go
+++ b/core/mangopool/observe.go
@@ -23,6 +23,7 @@
 	before := b.health.Until
 	if c.Load != nil {
 		b.untracked, b.untrackedAt = max(c.Load.Running+c.Load.Waiting-len(b.runs), 0), now
+		b.slowdown, b.slowdownAt = c.Load.Slowdown, now
 	}
 	switch c.Saw {
 	case mangolease.OutcomeSuccess:
--- a/core/mangopool/placement.go
+++ b/core/mangopool/placement.go
@@ -14,6 +14,9 @@
 	// plainLoadTTL is how long a plain server's own load report is used; it is
 	// out of date after a few calls.
 	plainLoadTTL = 300 * time.Millisecond
+	// slowdownTTL is how long a host's reported slowdown is used, which changes many
+	// times a second.
+	slowdownTTL = 300 * time.Millisecond
 	// untrackedTTL is how long an engine's untracked generations are counted
 	// after a refusal has implied them. Generations whose responses were lost
 	// continue for some seconds; a shorter time only costs another refusal.
@@ -85,15 +88,20 @@
 	return best
 }
 
-// plainCost returns the load of a plain server plus its weighted distance, and
-// whether the server has room.
+// plainCost returns the load of a plain server, the new call included and weighted
+// by how slow the server's host is now, plus its weighted distance, and whether the
+// server has room.
 func (p *Pool) plainCost(b *backend, d *mangolease.Demand, now time.Time) (float64, bool) {
 	used := float64(len(b.runs))
 	if now.Sub(b.untrackedAt) < plainLoadTTL {
 		used += float64(b.untracked)
 	}
 	slots := float64(max(b.server.Slots, 1))
-	return used/slots + distanceLoad*float64(p.distance(d.Origin, b.server.DataCentre)), used < slots*(1+plainQueue)
+	cost := used / slots
+	if slower := b.slower(now); slower > 0 {
+		cost += slower * (used + 1) / slots
+	}
+	return cost + distanceLoad*float64(p.distance(d.Origin, b.server.DataCentre)), used < slots*(1+plainQueue)
 }
 
 // decodeCost prefers near servers, and among those the one with the lowest
--- a/core/mangotraffic/call.go
+++ b/core/mangotraffic/call.go
@@ -87,6 +87,9 @@
 	Slots            mangomodel.Slots
 	// KVUsed is the KV memory in use at an engine.
 	KVUsed mangomodel.Tokens
+	// Slowdown is how long work takes on the server's host at this moment, relative
+	// to the usual time; zero if the server does not say.
+	Slowdown float64
 	// Orders is the number of orders that an engine has accepted since its start.
 	Orders int64
 }
