--- a/core/mangobroker/exchange.go
+++ b/core/mangobroker/exchange.go
@@ -12,6 +12,7 @@
 	"mangolane/core/mangofleet"
 	"mangolane/core/mangolease"
 	"mangolane/core/mangomodel"
+	"mangolane/core/mangopanic"
 	"mangolane/core/mangopool"
 	"mangolane/core/mangoroster"
 	"mangolane/core/mangotraffic"
@@ -62,9 +63,9 @@
 // Run exchanges state with the other daemons until ctx ends.
 func (b *Broker) Run(ctx context.Context) {
 	var running sync.WaitGroup
-	running.Go(func() { b.renew(ctx) })
-	running.Go(func() { b.join(ctx) })
-	running.Go(func() { b.fetch(ctx) })
+	running.Go(func() { mangopanic.Repeat(ctx, b.log, "renewals", b.renew) })
+	running.Go(func() { mangopanic.Repeat(ctx, b.log, "joins", b.join) })
+	running.Go(func() { mangopanic.Repeat(ctx, b.log, "snapshot fetches", b.fetch) })
 	running.Wait()
 }
 
@@ -81,7 +82,10 @@
 			renewed = time.Now()
 			var exchanges sync.WaitGroup
 			for _, m := range targets {
-				exchanges.Go(func() { b.renewAt(ctx, m) })
+				exchanges.Go(func() {
+					defer mangopanic.Catch(b.log, "renewal")
+					b.renewAt(ctx, m)
+				})
 			}
 			exchanges.Wait()
 		}
@@ -109,13 +113,18 @@
 }
 
 func (b *Broker) renewAt(ctx context.Context, m mangoroster.Member) {
+	began := time.Now()
 	if m.Holder == b.self.Holder {
-		b.apply(mangofleet.Renew{Holder: b.self.Holder, Leases: b.progress()})
+		leases := b.progress()
+		b.apply(mangofleet.Renew{Holder: b.self.Holder, Leases: leases})
+		b.markRenewed(m, leases, began)
 		b.setAllowances(m, b.fleet.View().Allowances(b.self.Holder))
 		return
 	}
-	response, err := b.exchange(ctx, m.Address)
+	leases := b.progress()
+	response, err := b.exchange(ctx, m.Address, leases)
 	if err == nil {
+		b.markRenewed(m, leases, began)
 		b.setAllowances(m, response.Allowances)
 		return
 	}
@@ -124,6 +133,19 @@
 	}
 }
 
+// markRenewed records that m has renewed the leases of the services it schedules
+// with a message that was sent at a time.
+func (b *Broker) markRenewed(m mangoroster.Member, leases []mangolease.Progress, at time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, x := range leases {
+		g, ok := b.held[mangolease.ID{Holder: b.self.Holder, Number: x.Number}]
+		if ok && b.scheduler(x.Service).Holder == m.Holder && at.After(*g.renewedAt.Load()) {
+			g.renewedAt.Store(&at)
+		}
+	}
+}
+
 // setAllowances applies the allowances of the services that m schedules. A daemon
 // that does not schedule a service has not counted all retries of that service.
 func (b *Broker) setAllowances(m mangoroster.Member, allowances mangobudget.Allowances) {
@@ -134,16 +156,19 @@
 	b.apply(mangofleet.SetAllowances{Allowances: own})
 }
 
-// exchange sends a message and applies the response.
-func (b *Broker) exchange(ctx context.Context, at mangomodel.Address) (ExchangeMessage, error) {
+// exchange sends a message with the progress of leases and applies the response.
+func (b *Broker) exchange(ctx context.Context, at mangomodel.Address, leases []mangolease.Progress) (ExchangeMessage, error) {
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
 	msg := b.Compose(ExchangeMessage{})
-	msg.Leases = b.progress()
+	msg.Leases = leases
+	began := time.Now()
 	response, err := b.peers.Exchange(ctx, at, msg)
 	if err != nil {
 		return ExchangeMessage{}, err
 	}
+	// The list may have aged for as long as the call took.
+	response.List.Age += mangomodel.Elapsed(began, time.Now())
 	return response, b.applyMessage(ctx, response)
 }
 
@@ -230,7 +255,8 @@
 	)
 	for _, addr := range addrs {
 		running.Go(func() {
-			_, err := b.exchange(ctx, addr)
+			defer mangopanic.Catch(b.log, "exchange")
+			_, err := b.exchange(ctx, addr, b.progress())
 			mu.Lock()
 			defer mu.Unlock()
 			errs[addr] = err
--- a/core/mangofleet/fleet.go
+++ b/core/mangofleet/fleet.go
@@ -13,6 +13,7 @@
 	"mangolane/core/mangolease"
 	"mangolane/core/mangoloop"
 	"mangolane/core/mangomodel"
+	"mangolane/core/mangopanic"
 	"mangolane/core/mangopool"
 	"mangolane/core/mangoquery"
 	"mangolane/core/mangoroster"
@@ -39,6 +40,7 @@
 // Observer is notified of state changes. Its methods run on the control
 // goroutine and must not block.
 type Observer interface {
+	mangopanic.Observer
 	// RoutingChanged is called when a new configuration becomes active.
 	RoutingChanged(rev mangomodel.Revision, from mangomodel.PeerName)
 	// ServersChanged is called with changes of the server list.
@@ -60,10 +62,12 @@
 	for _, opt := range opts {
 		opt(s)
 	}
-	return &Fleet{loop: mangoloop.New[*state, View](s)}
+	loop := mangoloop.New[*state, View](s)
+	loop.ObservePanics(s.observer)
+	return &Fleet{loop: loop}
 }
 
-type nopObserver struct{}
+type nopObserver struct{ mangopanic.Nop }
 
 func (nopObserver) RoutingChanged(mangomodel.Revision, mangomodel.PeerName)          {}
 func (nopObserver) ServersChanged(ChangeServers)                                     {}
@@ -131,7 +135,7 @@
 // FollowsScheduler reports whether this daemon receives changes from a scheduler
 // and need not read the platform's records itself.
 func (v *View) FollowsScheduler(now time.Time) bool {
-	if v.Routing == nil || now.Sub(v.ListRead) > maxReceivedListAge {
+	if v.Routing == nil || mangomodel.Elapsed(v.ListRead, now) > maxReceivedListAge {
 		return false
 	}
 	for _, list := range v.schedulers {
@@ -197,7 +201,7 @@
 }
 
 // Stale reports whether the server list may be out of date.
-func (v *View) Stale(now time.Time) bool { return now.Sub(v.ListRead) > maxListAge }
+func (v *View) Stale(now time.Time) bool { return mangomodel.Elapsed(v.ListRead, now) > maxListAge }
 
 // Scheduler returns the daemon that grants the leases on a service's servers.
 func (v *View) Scheduler(name mangotraffic.ServiceName) (mangoroster.Member, bool) {
@@ -223,7 +227,6 @@
 	return names
 }
 
-// Crashes returns the calls of this daemon that servers ended before completion.
-// The list is as recent as the last of these calls: calls past
-// [mangocrash.Retention] are removed only when another one is recorded.
+// Crashes returns the calls of this daemon that servers ended before completion
+// within [mangocrash.Retention].
 func (v *View) Crashes() []mangocrash.Crash { return v.crashes }
--- a/core/mangofleet/list_test.go
+++ b/core/mangofleet/list_test.go
@@ -118,3 +118,45 @@
 		x.Expect(x.fleet.View().Stale(time.Now().Add(maxListAge))).To(gomega.BeFalse())
 	})
 }
+
+// TestSlowHostGetsFewerCalls plays two servers of which one says with its responses
+// that work takes 2.5 times as long as usual there. What it said is used only for a
+// moment.
+func TestSlowHostGetsFewerCalls(t *testing.T) {
+	bubble(t, func(x *fixture) {
+		x.list(1, plain("slow", "a1"), plain("fast", "a1"))
+		x.do(Observe{Observation: mangolease.Observation{Server: "slow", Load: &mangotraffic.LoadReport{Slowdown: 2.5}}})
+		counts := make(map[mangomodel.ServerID]int)
+		for range 20 {
+			id, lease := x.mustAcquire(call())
+			counts[lease.Server.ID]++
+			x.do(Release{Lease: id})
+		}
+		x.Expect(counts).To(gomega.Equal(map[mangomodel.ServerID]int{"fast": 20}))
+		time.Sleep(time.Second)
+		for range 20 {
+			id, lease := x.mustAcquire(call())
+			counts[lease.Server.ID]++
+			x.do(Release{Lease: id})
+		}
+		x.Expect(counts["slow"]).To(gomega.BeNumerically(">", 0))
+	})
+}
+
+// TestRestartedServerIsEmpty guards against leases and measurements of an earlier
+// process that count against a server which restarted under the same id.
+func TestRestartedServerIsEmpty(t *testing.T) {
+	bubble(t, func(x *fixture) {
+		d := decode("d", "a1")
+		x.list(1, d, prefill("p", "a1"))
+		for range 4 {
+			id, _ := x.mustAcquire(generation(100, 100))
+			x.do(PrefillDone{Lease: id})
+		}
+		d.Born = time.Now()
+		x.list(2, d, prefill("p", "a1"))
+		_, lease := x.mustAcquire(generation(100, 100))
+		x.Expect(lease.Running).To(gomega.Equal(0))
+		x.Expect(lease.Free).To(gomega.Equal(4))
+	})
+}
