Queueing decisions apart: cheapest first, hopeless demands refused at once

Demands that could not be granted in time waited for 1.5 targets before they were refused, and returned after a fixed share of their time. Change: core/mangoqueue decides the order (of equally urgent demands the one with the least KV memory x time first), the refusal on arrival by the predicted wait, and the return by the predicted drain of the queue, staggered; where the queue does not drain the client returns as late as clients wait. The log line says the prediction.

--- a/core/mangofleet/admission.go
+++ b/core/mangofleet/admission.go
@@ -1,13 +1,13 @@
 package mangofleet
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
 	"mangolane/core/mangolease"
 	"mangolane/core/mangoloop"
 	"mangolane/core/mangomodel"
+	"mangolane/core/mangoqueue"
 	"mangolane/core/mangotraffic"
 )
 
@@ -45,6 +45,7 @@
 		return refused(mangomodel.CodeOverloaded, "queue full: %d demands are waiting", maxQueue)
 	}
 	s.pool.RecordDemand(&c.Demand)
+	s.flow(c.Demand.Service).Arrived(now)
 	s.serveQueue(now)
 	return nil
 }
@@ -71,57 +72,69 @@
 	s.queue = slices.DeleteFunc(s.queue, func(w *waiter) bool { return w.Lease == id })
 }
 
-// serveQueue grants queued demands in order and refuses those whose deadline has
-// passed. Once a demand that excludes no server remains queued, later demands for
-// the same service are not tried.
+// serveQueue grants queued demands in order. It refuses those whose deadline has
+// passed, and new ones that are predicted to wait beyond theirs. Once a demand that
+// excludes no server remains queued, later demands for the same service are not
+// tried.
 func (s *state) serveQueue(now time.Time) {
-	if len(s.queue) == 0 {
-		return
-	}
-	slices.SortStableFunc(s.queue, func(a, b *waiter) int { return compareWaiters(a, b, now) })
+	slices.SortStableFunc(s.queue, func(a, b *waiter) int { return mangoqueue.Compare(a.PendingDemand, b.PendingDemand, now) })
 	blocked := make(map[mangotraffic.ServiceName]bool)
+	waiting := make(map[mangotraffic.ServiceName]int)
 	kept := s.queue[:0]
 	for _, w := range s.queue {
-		switch {
-		case !blocked[w.Demand.Service] && s.grant(w, now):
+		name := w.Demand.Service
+		if !blocked[name] && s.grant(w, now) {
+			s.flow(name).Granted(now)
 			w.reply.Send(nil)
-		case !now.Before(w.Deadline):
-			w.reply.Send(refused(mangomodel.CodeOverloaded, "no server of %s had room for %v: %s",
-				w.Demand.Service, now.Sub(w.ArrivedAt).Round(time.Millisecond), s.pool.Explain(w.PendingDemand, now)))
-		default:
-			s.pool.RecordWait(w.Demand.Service, now)
-			blocked[w.Demand.Service] = blocked[w.Demand.Service] || len(w.Demand.Avoid) == 0
-			kept = append(kept, w)
+			continue
+		}
+		if err := s.refusal(w, waiting[name], now); err != nil {
+			w.reply.Send(err)
+			continue
 		}
+		s.pool.RecordWait(name, now)
+		blocked[name] = blocked[name] || len(w.Demand.Avoid) == 0
+		waiting[name]++
+		kept = append(kept, w)
 	}
 	clear(s.queue[len(kept):])
 	s.queue = kept
+	for name, flow := range s.flows {
+		flow.SetWaiting(waiting[name] > 0, now)
+	}
 }
 
-// compareWaiters orders demands with a computed KV cache first, since the cache
-// expires soon; then demands that can still meet their target; then by priority
-// and by age.
-func compareWaiters(a, b *waiter, now time.Time) int {
-	return cmp.Or(
-		cmp.Compare(unprefilled(a), unprefilled(b)),
-		cmp.Compare(lateness(a, now), lateness(b, now)),
-		cmp.Compare(a.Demand.Priority, b.Demand.Priority),
-		a.ArrivedAt.Compare(b.ArrivedAt),
-	)
-}
+// predictionMargin times the wait limit is the predicted wait beyond which a demand
+// is refused when it arrives: demands ahead of it may be withdrawn, and servers may
+// be added.
+const predictionMargin = 1.3
 
-func unprefilled(w *waiter) int {
-	if w.Demand.Prefilled {
-		return 0
+// refusal returns the fault of a demand that is not to wait, or nil.
+func (s *state) refusal(w *waiter, ahead int, now time.Time) error {
+	flow, arrived := s.flow(w.Demand.Service), !w.queued
+	w.queued = true
+	var f *mangomodel.Fault
+	if !now.Before(w.Deadline) {
+		f = refused(mangomodel.CodeOverloaded, "no server of %s had room for %v: %s",
+			w.Demand.Service, now.Sub(w.ArrivedAt).Round(time.Millisecond), s.pool.Explain(w.PendingDemand, now))
+	} else if wait, ok := flow.Wait(ahead, now); ok && arrived && wait.Seconds() > predictionMargin*w.Deadline.Sub(now).Seconds() {
+		f = refused(mangomodel.CodeOverloaded, "%d demands before it wait for servers of %s, predicted wait %v, limit %v: %s",
+			ahead, w.Demand.Service, wait.Round(time.Millisecond), w.Deadline.Sub(now).Round(time.Millisecond), s.pool.Explain(w.PendingDemand, now))
+	} else {
+		return nil
 	}
-	return 1
+	f.RetryAfter = flow.ReturnAfter(ahead, now)
+	return f
 }
 
-func lateness(w *waiter, now time.Time) int {
-	if w.Late(now) {
-		return 1
+// flow returns the measured flow of a service's demands.
+func (s *state) flow(name mangotraffic.ServiceName) *mangoqueue.Flow {
+	f, ok := s.flows[name]
+	if !ok {
+		f = &mangoqueue.Flow{}
+		s.flows[name] = f
 	}
-	return 0
+	return f
 }
 
 // grant leases servers for a demand. Engines are leased only while renewals
@@ -133,6 +146,6 @@
 	return s.pool.Grant(w.PendingDemand, now)
 }
 
-func refused(code mangomodel.Code, format string, args ...any) error {
+func refused(code mangomodel.Code, format string, args ...any) *mangomodel.Fault {
 	return mangomodel.Faultf(mangomodel.StepAdmission, "", code, mangomodel.RunNot, format, args...)
 }
--- a/core/mangofleet/fleet_test.go
+++ b/core/mangofleet/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -29,7 +30,7 @@
 	*gomega.WithT
 	fleet *Fleet
 	self  mangomodel.Holder
-	next  uint64
+	next  atomic.Uint64
 	// observed holds the notifications of the fleet.
 	observed *recordingObserver
 }
@@ -105,8 +106,7 @@
 }
 
 func (x *fixture) id() mangolease.ID {
-	x.next++
-	return mangolease.ID{Holder: x.self, Number: x.next}
+	return mangolease.ID{Holder: x.self, Number: x.next.Add(1)}
 }
 
 func generation(prompt, output mangomodel.Tokens) mangolease.Demand {
--- a/core/mangofleet/list.go
+++ b/core/mangofleet/list.go
@@ -31,6 +31,7 @@
 	}
 	s.routing = c.Routing
 	s.pool.Configure(c.Routing)
+	s.replySynced()
 	s.serveQueue(now)
 	return nil
 }
@@ -84,6 +85,7 @@
 		}
 	}
 	s.appendJournal(c)
+	s.replySynced()
 	s.serveQueue(now)
 	return nil
 }
--- a/core/mangofleet/state.go
+++ b/core/mangofleet/state.go
@@ -10,6 +10,7 @@
 	"mangolane/core/mangoloop"
 	"mangolane/core/mangomodel"
 	"mangolane/core/mangopool"
+	"mangolane/core/mangoqueue"
 	"mangolane/core/mangoroster"
 	"mangolane/core/mangotraffic"
 )
@@ -18,6 +19,8 @@
 type waiter struct {
 	*mangolease.PendingDemand
 	reply mangoloop.Reply
+	// queued is set once the demand was not granted when it arrived.
+	queued bool
 }
 
 // state is the control state. Only the control goroutine accesses it.
@@ -28,7 +31,11 @@
 	draining bool
 	pool     *mangopool.Pool
 	queue    []*waiter
-	retries  *mangobudget.Ledger
+	// unsynced holds the replies to calls that wait for the first sync.
+	unsynced []mangoloop.Reply
+	// flows measures the demands of each service while some wait.
+	flows   map[mangotraffic.ServiceName]*mangoqueue.Flow
+	retries *mangobudget.Ledger
 	// allowances holds the retry allowance of each daemon incarnation. Views
 	// share the map, so it is copied before a change.
 	allowances map[mangomodel.Holder]mangobudget.Allowances
@@ -62,6 +69,7 @@
 		observer:   nopObserver{},
 		pool:       mangopool.New(self.Holder, self.Regions),
 		retries:    mangobudget.NewLedger(self.Holder, limits),
+		flows:      make(map[mangotraffic.ServiceName]*mangoqueue.Flow),
 		allowances: make(map[mangomodel.Holder]mangobudget.Allowances),
 		roster:     mangoroster.New(self.Holder.Daemon, self.Regions),
 		suspects:   mangocrash.New(),
--- a/core/mangorelay/fake_test.go
+++ b/core/mangorelay/fake_test.go
@@ -225,6 +225,12 @@
 }
 
 func withHarness(t *testing.T, f func(h *harness)) {
+	startHarness(t, false, f)
+}
+
+// startHarness runs f with a daemon that has received a configuration and a list of
+// servers unless it is unsynced.
+func startHarness(t *testing.T, unsynced bool, f func(h *harness)) {
 	synctest.Test(t, func(t *testing.T) {
 		self := mangoroster.Member{Holder: mangomodel.Holder{Daemon: "d"}, DataCentre: "a1", Strong: true}
 		fleet := mangofleet.New(mangofleet.Self{Member: self}, func() mangobudget.Limits {
@@ -241,7 +247,9 @@
 			servers: &fakeServers{runs: make(map[mangomodel.ServerID][]step), prefills: make(map[mangomodel.ServerID][]step)},
 		}
 		h.relay = New(fleet, mangobroker.New(self, fleet, nil), h.servers)
-		h.configure()
+		if !unsynced {
+			h.configure()
+		}
 		h.newCall("/call/")
 		f(h)
 		synctest.Wait()
--- a/core/mangorelay/relay.go
+++ b/core/mangorelay/relay.go
@@ -47,9 +47,9 @@
 	return r
 }
 
-// retryAfterShare is the Retry-After delay as a share of the client's remaining
-// time. Clients wait for up to a third of that time.
-const retryAfterShare = 0.3
+// maxRetryAfterShare bounds the Retry-After delay as a share of the client's
+// remaining time: clients wait for up to a third of that.
+const maxRetryAfterShare = 0.3
 
 // defaultMaxOutput is assumed for generations whose client sets no bound.
 const defaultMaxOutput mangomodel.Tokens = 4096
@@ -69,9 +69,8 @@
 func (r *Relay) Serve(ctx context.Context, call *mangotraffic.Call, sink Sink) error {
 	r.active.Add(1)
 	defer r.active.Add(-1)
-	view := r.fleet.View()
 	j := &job{relay: r, call: call, sink: sink, result: mangoexchange.Result{Call: call}}
-	err := j.resolveRoute(view)
+	err := j.resolveRoute(j.syncedView(ctx))
 	if err == nil {
 		err = j.serve(r.tracer.RequestContext(ctx, call.ID))
 	}
@@ -114,10 +113,48 @@
 	result     mangoexchange.Result
 }
 
+const (
+	// maxSyncWait bounds the wait for the first configuration after the daemon's
+	// start. Other daemons or the platform return it within a fraction of that.
+	maxSyncWait = time.Second
+	// syncShare bounds that wait as a share of the time that the client waits, so
+	// that a refused client has time to return.
+	syncShare = 0.25
+)
+
+// syncedView returns the fleet's view. It waits for a daemon that has just started
+// to receive the configuration and the list of servers.
+func (j *job) syncedView(ctx context.Context) *mangofleet.View {
+	view := j.relay.fleet.View()
+	if !view.Unsynced() {
+		return view
+	}
+	wait := maxSyncWait
+	if !j.call.Deadline.IsZero() {
+		wait = min(wait, time.Duration(syncShare*float64(time.Until(j.call.Deadline))))
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	// A daemon that is not synced in time refuses the call for that reason.
+	_ = j.relay.fleet.Do(ctx, mangofleet.AwaitSync{})
+	return j.relay.fleet.View()
+}
+
+// unsyncedFault refuses a call because the daemon has no configuration yet. The
+// client returns after as long as the first sync may take.
+func (j *job) unsyncedFault() error {
+	f := *mangomodel.AsFault(notRunFault(mangomodel.CodeUnavailable, "no configuration has been loaded yet"), mangomodel.StepAdmission)
+	f.RetryAfter = maxSyncWait
+	if !j.call.Deadline.IsZero() {
+		f.RetryAfter = min(f.RetryAfter, time.Duration(maxRetryAfterShare*float64(time.Until(j.call.Deadline))))
+	}
+	return &f
+}
+
 // resolveRoute determines the call's route and service.
 func (j *job) resolveRoute(view *mangofleet.View) error {
 	if view.Routing == nil {
-		return notRunFault(mangomodel.CodeUnavailable, "no configuration has been loaded yet")
+		return j.unsyncedFault()
 	}
 	j.result.Revision = view.Routing.Revision
 	path, _, _ := strings.Cut(j.call.Target, "?")
@@ -191,14 +228,18 @@
 	return &f
 }
 
-// retryAfter returns the Retry-After delay of a call that has not run, or zero.
-// It is a share of the client's remaining time: long enough for a burst to
-// drain, short enough for the call to be served still.
+// retryAfter returns the Retry-After delay of a call that has not run, or zero. It is
+// the predicted time until the queue has drained, which the fault carries, or as long
+// as clients wait if the queue does not drain or nothing was predicted.
 func (j *job) retryAfter(f *mangomodel.Fault) time.Duration {
 	if f.Run != mangomodel.RunNot || f.Code == mangomodel.CodeQuarantined {
 		return 0
 	}
-	return time.Duration(retryAfterShare * float64(time.Until(j.clientDeadline)))
+	longest := time.Duration(maxRetryAfterShare * float64(time.Until(j.clientDeadline)))
+	if f.RetryAfter > 0 {
+		return min(f.RetryAfter, longest)
+	}
+	return longest
 }
 
 // acquire waits for a lease on the servers that a demand needs.
--- a/core/mangorelay/relay_test.go
+++ b/core/mangorelay/relay_test.go
@@ -417,6 +417,36 @@
 	})
 }
 
+// TestCallsWaitForTheFirstConfiguration guards against a daemon that refuses calls in
+// the moments after its start: all daemons may start at once, and receive the
+// configuration within a fraction of a second.
+func TestCallsWaitForTheFirstConfiguration(t *testing.T) {
+	startHarness(t, true, func(h *harness) {
+		h.servers.runs["s1"] = []step{{body: "a"}}
+		time.AfterFunc(150*time.Millisecond, h.configure)
+		began := time.Now()
+		h.Expect(h.serve()).To(gomega.BeNil())
+		h.Expect(time.Since(began)).To(gomega.Equal(150 * time.Millisecond))
+	})
+}
+
+func TestUnsyncedDaemonRefusesInTime(t *testing.T) {
+	tests := []struct{ deadline, wait, retryAfter time.Duration }{
+		{12 * time.Second, time.Second, time.Second},
+		{2 * time.Second, 500 * time.Millisecond, 450 * time.Millisecond},
+	}
+	for _, test := range tests {
+		startHarness(t, true, func(h *harness) {
+			h.call.Deadline = time.Now().Add(test.deadline)
+			began := time.Now()
+			fault := h.serve()
+			h.Expect(fault.Run).To(gomega.Equal(mangomodel.RunNot))
+			h.Expect(time.Since(began)).To(gomega.Equal(test.wait))
+			h.Expect(fault.RetryAfter).To(gomega.Equal(test.retryAfter))
+		})
+	}
+}
+
 func TestUnknownRoute(t *testing.T) {
 	withHarness(t, func(h *harness) {
 		h.newCall("/nothing/1")
