Memory is planned with the deviation of the outputs, not with a fixed share

Cause: placement left a tenth of every engine's memory free for outputs longer than expected. Change: mangokv adds one standard deviation of what all generations still generate to the predicted peak; a deviation is half of the expected output or of what is left.

--- a/core/mangokv/peak.go
+++ b/core/mangokv/peak.go
@@ -4,7 +4,10 @@
 // The memory of a generation grows with each token and is freed at its end, so the
 // need of several is greatest at the end of one of them. Reserving the maximum of
 // each would leave much of a server unused, and planning with the present use would
-// cause preemptions later.
+// cause preemptions later. What generations will still generate is an estimate, so
+// one standard deviation of their sum is added to the peak: estimates err
+// independently, and many generations need a smaller part of the memory for that
+// than few.
 //
 // # Usage
 //
@@ -14,6 +17,7 @@
 package mangokv
 
 import (
+	"math"
 	"slices"
 
 	"mangolane/core/mangomodel"
@@ -25,16 +29,23 @@
 	Held mangomodel.Tokens
 	// Remaining is how many more tokens it is expected to generate.
 	Remaining mangomodel.Tokens
+	// Deviation is the standard deviation of Remaining.
+	Deviation mangomodel.Tokens
 }
 
+// variance returns the square of the deviation.
+func (g Generation) variance() float64 { return float64(g.Deviation) * float64(g.Deviation) }
+
 // Profile holds the generations of one server. The zero Profile is empty.
 type Profile struct {
 	// generations are sorted by Remaining, largest first.
 	generations []Generation
+	// variance is the sum of the variances of generations.
+	variance float64
 }
 
 // Reset removes all generations and keeps the allocated memory.
-func (p *Profile) Reset() { p.generations = p.generations[:0] }
+func (p *Profile) Reset() { p.generations, p.variance = p.generations[:0], 0 }
 
 // Add inserts a generation in the order of Remaining.
 func (p *Profile) Add(g Generation) {
@@ -43,10 +54,12 @@
 		i--
 	}
 	p.generations = slices.Insert(p.generations, i, g)
+	p.variance += g.variance()
 }
 
 // PeakWith returns the maximum memory that the generations and one more need at
-// any time, if all of them generate at the same rate.
+// any time, if all of them generate at the same rate, plus one standard deviation of
+// what they generate.
 func (p *Profile) PeakWith(next Generation) mangomodel.Tokens {
 	var s peakSum
 	pending := true
@@ -60,7 +73,7 @@
 	if pending {
 		s.add(next)
 	}
-	return s.peak
+	return s.peak + mangomodel.Tokens(math.Sqrt(p.variance+next.variance()))
 }
 
 // peakSum adds up generations in the order of Remaining, largest first.
--- a/core/mangokv/peak_test.go
+++ b/core/mangokv/peak_test.go
@@ -32,6 +32,8 @@
 		{"one at its end", []Generation{{Held: 100, Remaining: 50}}, 150},
 		{"one ends before the other has grown", []Generation{{Held: 100, Remaining: 10}, {Held: 100, Remaining: 100}}, 220},
 		{"longer one peaks after the other has ended", []Generation{{Held: 10, Remaining: 1}, {Held: 100, Remaining: 500}}, 600},
+		{"with its deviation", []Generation{{Held: 100, Remaining: 50, Deviation: 20}}, 170},
+		{"deviations of two are independent", []Generation{{Held: 10, Remaining: 0, Deviation: 30}, {Held: 10, Remaining: 0, Deviation: 40}}, 70},
 		{"nothing remaining", []Generation{{Held: 7}, {Held: 8}}, 15},
 	}
 	for _, test := range tests {
@@ -41,6 +43,22 @@
 	}
 }
 
+// TestMoreGenerationsNeedASmallerReserve checks the part of the peak that is kept for
+// longer outputs than expected: its share falls with the number of generations.
+func TestMoreGenerationsNeedASmallerReserve(t *testing.T) {
+	share := func(n int) float64 {
+		certain, uncertain := make([]Generation, n), make([]Generation, n)
+		for i := range n {
+			certain[i] = Generation{Held: 1000, Remaining: 1000}
+			uncertain[i] = Generation{Held: 1000, Remaining: 1000, Deviation: 500}
+		}
+		return float64(peakOf(uncertain))/float64(peakOf(certain)) - 1
+	}
+	g := gomega.NewWithT(t)
+	g.Expect(share(4)).To(gomega.BeNumerically("~", share(1)/2, 0.001))
+	g.Expect(share(16)).To(gomega.BeNumerically("~", share(1)/4, 0.001))
+}
+
 // TestPeakAgainstSteps compares with a simulation in which each step generates one
 // token of every generation.
 func TestPeakAgainstSteps(t *testing.T) {
--- a/core/mangopool/backend.go
+++ b/core/mangopool/backend.go
@@ -117,7 +117,8 @@
 		}
 		b.profiledAt = now
 	}
-	peak := b.profile.PeakWith(mangokv.Generation{Held: g.Prompt, Remaining: g.ExpectedOutput(0)})
+	expected := g.ExpectedOutput(0)
+	peak := b.profile.PeakWith(mangokv.Generation{Held: g.Prompt, Remaining: expected, Deviation: deviation(expected, g.MaxOutput)})
 	if b.orphanMemory > 0 && now.Sub(b.orphansAt) < OrphanReportTTL {
 		peak += b.orphanMemory
 	}
@@ -164,7 +165,17 @@
 	// A preempted generation makes no progress for a while, so the estimate is
 	// limited to the maximum output.
 	generated = min(generated, max(g.MaxOutput, l.generated))
-	return mangokv.Generation{Held: g.Prompt + generated, Remaining: max(g.ExpectedOutput(l.generated)-generated, 0)}
+	expected := g.ExpectedOutput(l.generated)
+	return mangokv.Generation{
+		Held: g.Prompt + generated, Remaining: max(expected-generated, 0), Deviation: deviation(expected, g.MaxOutput-generated),
+	}
+}
+
+// deviation returns the standard deviation of an output of which so much is expected
+// and at most so much is left. Outputs, and what clients estimate of them, are off by
+// about a half.
+func deviation(expected, left mangomodel.Tokens) mangomodel.Tokens {
+	return max(min(expected, left)/2, 0)
 }
 
 // slower returns by how much work takes longer than usual on the server's host,
--- a/core/mangopool/balance.go
+++ b/core/mangopool/balance.go
@@ -15,6 +15,9 @@
 	PressureWindow = 2 * time.Second
 	// meanWeight is the weight of a new request in the mean request.
 	meanWeight = 0.02
+	// usedMemory is the share of an engine's memory that generations fill on
+	// average. The rest is kept for those that become longer than expected.
+	usedMemory = 0.9
 	// MinRequests is how many requests must have been recorded before their mean
 	// is used.
 	MinRequests = 20
@@ -127,7 +130,7 @@
 func (p *Pool) engines(name mangotraffic.ServiceName, stats *serviceStats, e *mangotraffic.Engine, now time.Time) (mangobalance.Workload, int, int, bool) {
 	work := mangobalance.Workload{
 		Prompt: mangomodel.Tokens(stats.prompt), Output: mangomodel.Tokens(stats.output), Slots: e.Slots,
-		KVTokens: mangomodel.Tokens(memoryShare * float64(e.KVTokens)),
+		KVTokens: mangomodel.Tokens(usedMemory * float64(e.KVTokens)),
 	}
 	prefillers, decoders, settling := 0, 0, false
 	for _, b := range p.backends {
--- a/core/mangopool/placement.go
+++ b/core/mangopool/placement.go
@@ -35,9 +35,6 @@
 	// transferPenalty is the cost that each step of distance between the prefill
 	// and the decode server adds to a prefill server: about half a mean prefill.
 	transferPenalty = 50 * time.Millisecond
-	// memoryShare is the share of a decode server's memory that placement uses.
-	// The rest absorbs generations longer than expected.
-	memoryShare = 0.9
 )
 
 // placement holds the servers chosen for a demand.
@@ -118,12 +115,11 @@
 	if !ok || free < needed {
 		return 0, false
 	}
-	total := mangomodel.Tokens(memoryShare * float64(engine.KVTokens))
 	peak := b.peak(pending.Demand.Generation, now)
-	if peak > total && len(b.runs) > 0 {
+	if peak > engine.KVTokens && len(b.runs) > 0 {
 		return 0, false
 	}
-	return float64(p.distance(pending.Demand.Origin, b.server.DataCentre)) + float64(peak)/float64(total), true
+	return float64(p.distance(pending.Demand.Origin, b.server.DataCentre)) + float64(peak)/float64(engine.KVTokens), true
 }
 
 // prefillCost returns the predicted wait in seconds, with a penalty for a transfer
