--- a/mangolaned/mangomesh/server_test.go
+++ b/mangolaned/mangomesh/server_test.go
@@ -25,7 +25,9 @@
 	panic("malformed message")
 }
 
-func (brokenBroker) Snapshot(mangobroker.StateVersion) mangobroker.Snapshot { panic("malformed version") }
+func (brokenBroker) Snapshot(mangobroker.StateVersion) mangobroker.Snapshot {
+	panic("malformed version")
+}
 
 // TestPanicFailsOneCall guards against a message of another daemon that ends the
 // process: net/rpc does not recover from panics of its methods.
