Slots that are granted twice, refused demands that are granted, settings without effect

Cause, each shown by a test that failed: a server that was removed and added again forgot its active grants (mangosched), so its slot was granted twice; a retry that met a shard without servers was refused as not run while the demand stayed queued; changed GracePeriod, OrderLease, TraceSpans, Cores, CoreShare and LinkRate were logged as NeedsRestart=false and had no effect. Change: active grants are counted again; the refused demand leaves the queue; every setting but those that a reload applies needs a restart.

--- a/core/mangosched/scheduler.go
+++ b/core/mangosched/scheduler.go
@@ -121,8 +121,7 @@
 
 // Acquire requests a grant. The result is a Decision effect, which follows at
 // once or later. A retry of a waiting demand is refused if the shard has no
-// servers; the demand stays in its queue and is granted if servers are configured
-// again.
+// servers, and the demand leaves its queue.
 func (s *Scheduler) Acquire(now time.Time, id mangomodel.ShardID, d mangomodel.Demand) {
 	if _, ok := s.grants[d.Grant]; ok {
 		s.effects = append(s.effects, Decision{Grant: d.Grant})
@@ -135,6 +134,9 @@
 	}
 	sh, ok := s.shards[id]
 	if !ok || len(sh.Servers) == 0 {
+		if w, ok := s.waiting[d.Grant]; ok {
+			w.Done = true
+		}
 		s.refuse(d.Grant, mangomodel.Faultf(mangomodel.StepAdmission, mangoshard.PeerOf(id),
 			mangomodel.CodeUnavailable, mangomodel.RunNot, "no server of the shard is configured"))
 		return
@@ -297,11 +299,21 @@
 	if !ok {
 		sv = mangoshard.NewServer(id, host)
 		s.servers[id] = sv
+		s.countGrants(sv)
 	}
 	sv.Host = host
 	return sv
 }
 
+// countGrants counts the active grants on a server that was removed before.
+func (s *Scheduler) countGrants(sv *mangoshard.Server) {
+	for _, ag := range s.grants {
+		if ag.grant.Decode == sv.ID {
+			sv.AddGrant(ag.grant)
+		}
+	}
+}
+
 func (s *Scheduler) refuse(id mangomodel.GrantID, err error) {
 	delete(s.waiting, id)
 	s.effects = append(s.effects, Decision{Grant: id, Err: err})
--- a/core/mangosched/scheduler_test.go
+++ b/core/mangosched/scheduler_test.go
@@ -22,6 +22,12 @@
 // of decode servers.
 func newScheduler(decode int, slots mangomodel.Slots) *Scheduler {
 	s := New(self)
+	s.Configure(start, []mangoconfig.Shard{shardOf(decode, slots)})
+	return s
+}
+
+// shardOf returns a shard with one prefill server and decode servers.
+func shardOf(decode int, slots mangomodel.Slots) mangoconfig.Shard {
 	cfg := mangoconfig.Shard{ID: shard0, Pool: mangoconfig.DefaultPool("m")}
 	cfg.Servers = append(cfg.Servers, mangoconfig.Host{ID: "p0", Role: mangomodel.RolePrefill, Slots: 1})
 	for i := range decode {
@@ -29,8 +35,7 @@
 			ID: mangomodel.HostID(fmt.Sprint("d", i)), Role: mangomodel.RoleDecode, Slots: slots, Pieces: 100,
 		})
 	}
-	s.Configure(start, []mangoconfig.Shard{cfg})
-	return s
+	return cfg
 }
 
 // grantID returns the grant id of a holder's demand with the given name.
@@ -85,6 +90,40 @@
 	g.Expect(s.Status()[0].Used).To(gomega.Equal([mangomodel.Ranks]int{}))
 }
 
+// TestServerThatIsAddedAgainKeepsItsGrants guards against a slot that is granted
+// twice: the grants on a server that was removed and added again still run there.
+func TestServerThatIsAddedAgainKeepsItsGrants(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := newScheduler(1, 1)
+	s.Acquire(start, shard0, demand("x", mangomodel.RankUrgent))
+	s.Configure(start, nil)
+	s.Configure(start, []mangoconfig.Shard{shardOf(1, 1)})
+	s.Acquire(start, shard0, demand("y", mangomodel.RankUrgent))
+	g.Expect(s.Grants()).To(gomega.HaveLen(1))
+	g.Expect(s.Release(start, grantID(self, "x"), mangomodel.Usage{})).To(gomega.Succeed())
+	g.Expect(s.Grants()).To(gomega.HaveLen(1))
+	g.Expect(s.Grants()[0].ID).To(gomega.Equal(grantID(self, "y")))
+	g.Expect(s.Release(start, grantID(self, "y"), mangomodel.Usage{})).To(gomega.Succeed())
+	g.Expect(s.Status()[0].Used).To(gomega.Equal([mangomodel.Ranks]int{}))
+}
+
+// TestRefusedRetryLeavesNoDemand guards against a demand that was refused as not run
+// and is granted later: its retry met a shard without servers.
+func TestRefusedRetryLeavesNoDemand(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := newScheduler(1, 1)
+	s.Acquire(start, shard0, demand("x", mangomodel.RankUrgent))
+	s.Acquire(start, shard0, demand("y", mangomodel.RankUrgent))
+	s.Configure(start, nil)
+	decisions(s)
+	s.Acquire(start, shard0, demand("y", mangomodel.RankUrgent))
+	_, refused := decisions(s)
+	g.Expect(refused).To(gomega.ConsistOf(grantID(self, "y")))
+	s.Configure(start, []mangoconfig.Shard{shardOf(2, 1)})
+	granted, _ := decisions(s)
+	g.Expect(granted).To(gomega.BeEmpty())
+}
+
 func TestRanks(t *testing.T) {
 	tests := []struct {
 		name                       string
--- a/mangolaned/mangogateway/reload.go
+++ b/mangolaned/mangogateway/reload.go
@@ -50,13 +50,9 @@
 	g.logger.Info("settings reloaded", zap.Bool("NeedsRestart", !sameStartupSettings(next, g.settings)))
 }
 
-// sameStartupSettings reports whether the identity, the addresses, Seeds, Regions,
-// MemoryLimit and LogRate are unchanged. They are read only at startup. So are
-// GracePeriod, OrderLease, TraceSpans, Cores, CoreShare and LinkRate, which are not
-// compared.
+// sameStartupSettings reports whether the settings that are read only at startup are
+// unchanged: all but those that a reload applies.
 func sameStartupSettings(a, b mangosettings.Gateway) bool {
-	return a.Front == b.Front && a.Readiness == b.Readiness && a.Peer == b.Peer && a.Metrics == b.Metrics &&
-		a.Platform == b.Platform && a.DataCentre == b.DataCentre && a.Daemon == b.Daemon &&
-		reflect.DeepEqual(a.Seeds, b.Seeds) && reflect.DeepEqual(a.Regions, b.Regions) &&
-		a.MemoryLimit == b.MemoryLimit && a.LogRate == b.LogRate
+	a.LogLevel, a.RetryRatio, a.RetryFixed, a.RetryWindow = b.LogLevel, b.RetryRatio, b.RetryFixed, b.RetryWindow
+	return reflect.DeepEqual(a, b)
 }
