Panics of mangolaned's calls and commands are caught and logged

Change: a loop recovers only if it has an observer; mangolaned logs panics of its commands and of its methods and fails the one call.

--- a/core/mangocommand/control.go
+++ b/core/mangocommand/control.go
@@ -7,6 +7,7 @@
 	"mangolane/core/mangoloop"
 	"mangolane/core/mangomember"
 	"mangolane/core/mangomodel"
+	"mangolane/core/mangopanic"
 	"mangolane/core/mangoquery"
 	"mangolane/core/mangosched"
 )
@@ -35,6 +36,9 @@
 	}
 }
 
+// ObservePanics sets the observer of panics. It must be called before Run.
+func (c *Control) ObservePanics(o mangopanic.Observer) { c.loop.ObservePanics(o) }
+
 // Run applies commands until ctx is done.
 func (c *Control) Run(ctx context.Context) { c.loop.Run(ctx) }
 
--- a/core/mangoloop/loop.go
+++ b/core/mangoloop/loop.go
@@ -11,8 +11,8 @@
 //   - The goroutine sleeps until a command arrives or a timer is due.
 //   - Delivery of a result never blocks the goroutine and never loses the
 //     result.
-//   - A panic ends the command, the timer or the view in which it happens, and
-//     nothing else.
+//   - With an observer of panics, a panic ends the command, the timer or the view
+//     in which it happens, and nothing else.
 //
 // # Usage
 //
@@ -104,7 +104,8 @@
 	observer mangopanic.Observer
 }
 
-// ObservePanics sets the observer of panics. It must be called before Run.
+// ObservePanics sets the observer of panics. It must be called before Run. Without
+// one, a panic ends the process.
 func (l *Loop[S, V]) ObservePanics(o mangopanic.Observer) { l.observer = o }
 
 // New returns a loop over a state. The view can be read immediately.
@@ -113,7 +114,7 @@
 		requests: make(chan request[S], queueCapacity),
 		done:     make(chan struct{}),
 		state:    state,
-		observer: mangopanic.Nop{},
+		observer: mangopanic.Rethrow{},
 	}
 	l.publish()
 	return l
--- a/core/mangopanic/panic.go
+++ b/core/mangopanic/panic.go
@@ -32,6 +32,12 @@
 // Panicked implements [Observer].
 func (Nop) Panicked(string, any, []byte) {}
 
+// Rethrow is an Observer for programs without one: the panic goes on.
+type Rethrow struct{}
+
+// Panicked implements [Observer].
+func (Rethrow) Panicked(_ string, value any, _ []byte) { panic(value) }
+
 // Catch recovers from a panic and reports it. It must be deferred directly.
 func Catch(o Observer, where string) {
 	if v := recover(); v != nil {
--- a/mangolaned/mangodaemon/daemon.go
+++ b/mangolaned/mangodaemon/daemon.go
@@ -79,7 +79,8 @@
 		mangoagent.NewCanceller(d.control, backend, d.control.Cancels()),
 		mangoagent.NewHostWatcher(d.control, platform, failureLog{logger}, s.HostListInterval.Std()),
 	}
-	d.peers = mangopeer.NewServer(d.control, peers, follower, tracer)
+	d.control.ObservePanics(panicLog{logger})
+	d.peers = mangopeer.NewServer(d.control, peers, follower, tracer, mangopeer.WithPanicObserver(panicLog{logger}))
 
 	generator := mangoroute.New(d.control, peers, backend,
 		mangoroute.WithTracer(tracer), mangoroute.WithObserver(observers{metrics, faultLog{logger}}))
--- a/mangolaned/mangodaemon/group.go
+++ b/mangolaned/mangodaemon/group.go
@@ -75,3 +75,11 @@
 func (l failureLog) ExchangeFailed(_ mangomodel.Step, err error) {
 	l.logger.Warn("exchange failed", mangolog.FaultFields(err)...)
 }
+
+// panicLog logs panics.
+type panicLog struct{ logger *zap.Logger }
+
+// Panicked logs one panic with its stack.
+func (l panicLog) Panicked(where string, value any, stack []byte) {
+	l.logger.Error("panic", zap.String("Where", where), zap.Any("Value", value), zap.ByteString("Stack", stack))
+}
--- a/mangolaned/mangopeer/server.go
+++ b/mangolaned/mangopeer/server.go
@@ -11,6 +11,7 @@
 	"mangolane/core/mangocommand"
 	"mangolane/core/mangomember"
 	"mangolane/core/mangomodel"
+	"mangolane/core/mangopanic"
 	"mangolane/core/mangoquery"
 	"mangolane/core/mangowire"
 	"mangolane/mangolaned/mangoconn"
@@ -34,12 +35,23 @@
 // Server serves the calls of other daemons.
 type Server struct{ rpc *rpc.Server }
 
+// ServerOption configures a Server.
+type ServerOption func(*Command)
+
+// WithPanicObserver sets the observer of panics. A panic then fails the one call in
+// which it happens; without an observer it ends the process.
+func WithPanicObserver(o mangopanic.Observer) ServerOption { return func(c *Command) { c.panics = o } }
+
 // NewServer returns a server over a daemon's control state.
-func NewServer(control Control, peers *Peers, follower *mangoagent.Follower, tracer Tracer) *Server {
+func NewServer(control Control, peers *Peers, follower *mangoagent.Follower, tracer Tracer, opts ...ServerOption) *Server {
 	s := &Server{rpc: rpc.NewServer()}
+	command := &Command{control: control, peers: peers, follower: follower, tracer: tracer, panics: mangopanic.Rethrow{}}
+	for _, opt := range opts {
+		opt(command)
+	}
 	// Registration fails only for a type without suitable methods.
-	must(s.rpc.RegisterName("Command", &Command{control, peers, follower, tracer}))
-	must(s.rpc.RegisterName("Query", &Query{control, peers}))
+	must(s.rpc.RegisterName("Command", command))
+	must(s.rpc.RegisterName("Query", &Query{control, peers, command.panics}))
 	return s
 }
 
@@ -69,10 +81,12 @@
 	peers    *Peers
 	follower *mangoagent.Follower
 	tracer   Tracer
+	panics   mangopanic.Observer
 }
 
 // Probe applies the exchange message of a daemon and replies with this daemon's.
-func (c *Command) Probe(args ProbeArgs, reply *ProbeReply) error {
+func (c *Command) Probe(args ProbeArgs, reply *ProbeReply) (err error) {
+	defer mangopanic.CatchError(c.panics, "Probe", &err)
 	ctx := context.Background()
 	sender := mangomember.Member{}
 	if len(args.News.Members) > 0 {
@@ -87,7 +101,8 @@
 
 // Acquire requests a grant from this daemon's scheduler, or forwards the demand
 // to the owner of the shard.
-func (c *Command) Acquire(args AcquireArgs, reply *AcquireReply) error {
+func (c *Command) Acquire(args AcquireArgs, reply *AcquireReply) (err error) {
+	defer mangopanic.CatchError(c.panics, "Acquire", &err)
 	ctx, cancel := context.WithTimeout(mangotrace.Extract(context.Background(), args.Trace), args.Timeout)
 	defer cancel()
 	ctx, end := c.tracer.Start(ctx, mangomodel.StepAdmission, mangomodel.PeerName(args.Shard.String()))
@@ -122,7 +137,8 @@
 
 // Release releases a grant or withdraws a demand, here or at the owner of the
 // shard.
-func (c *Command) Release(args ReleaseArgs, reply *ReleaseReply) error {
+func (c *Command) Release(args ReleaseArgs, reply *ReleaseReply) (err error) {
+	defer mangopanic.CatchError(c.panics, "Release", &err)
 	ctx, cancel := context.WithTimeout(mangotrace.Extract(context.Background(), args.Trace), releaseTimeout)
 	defer cancel()
 	if err := c.release(ctx, args); err != nil {
@@ -146,7 +162,8 @@
 // Renew renews a holder's grants. Those of shards that other daemons schedule
 // are forwarded to them, since a holder in another data centre has recorded only
 // some members of this one.
-func (c *Command) Renew(args RenewArgs, reply *RenewReply) error {
+func (c *Command) Renew(args RenewArgs, reply *RenewReply) (err error) {
+	defer mangopanic.CatchError(c.panics, "Renew", &err)
 	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
 	defer cancel()
 	shardOf := func(l mangomodel.ShardGrants) mangomodel.ShardID { return l.Shard }
@@ -167,7 +184,8 @@
 }
 
 // Adopt takes over grants, or forwards them to the owners of their shards.
-func (c *Command) Adopt(args AdoptArgs, _ *Empty) error {
+func (c *Command) Adopt(args AdoptArgs, _ *Empty) (err error) {
+	defer mangopanic.CatchError(c.panics, "Adopt", &err)
 	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
 	defer cancel()
 	local, others := splitByOwner(c, args.Grants, args.Forwarded, func(g mangomodel.Grant) mangomodel.ShardID { return g.Shard })
@@ -205,28 +223,32 @@
 type Query struct {
 	control Control
 	peers   *Peers
+	panics  mangopanic.Observer
 }
 
 // Ping returns an empty reply, which shows that the daemon is reachable.
 func (q *Query) Ping(_ Empty, _ *Empty) error { return nil }
 
 // Reach probes a daemon on behalf of another one.
-func (q *Query) Reach(args ReachArgs, reply *ReachReply) error {
+func (q *Query) Reach(args ReachArgs, reply *ReachReply) (err error) {
+	defer mangopanic.CatchError(q.panics, "Reach", &err)
 	ctx, cancel := context.WithTimeout(context.Background(), reachTimeout)
 	defer cancel()
-	_, err := q.peers.Probe(ctx, args.Target, mangoagent.ExchangeMessage{})
-	reply.Reached = err == nil
+	_, reached := q.peers.Probe(ctx, args.Target, mangoagent.ExchangeMessage{})
+	reply.Reached = reached == nil
 	return nil
 }
 
 // Changes returns the changes after a revision that this daemon keeps.
-func (q *Query) Changes(args ChangesArgs, reply *ChangesReply) error {
+func (q *Query) Changes(args ChangesArgs, reply *ChangesReply) (err error) {
+	defer mangopanic.CatchError(q.panics, "Changes", &err)
 	reply.Changes, reply.Known = q.control.Snapshot().ChangesAfter(args.After)
 	return nil
 }
 
 // Catalog returns all active documents.
-func (q *Query) Catalog(_ Empty, reply *CatalogReply) error {
+func (q *Query) Catalog(_ Empty, reply *CatalogReply) (err error) {
+	defer mangopanic.CatchError(q.panics, "Catalog", &err)
 	reply.Documents = q.control.Snapshot().Catalog.Documents()
 	return nil
 }
