A stop right after the start finds no listener

A SIGTERM in between ended the process with a nil pointer (TestStopRightAfterTheStart, with a data race beside it). Change: a lock guards the listener, and one that opens after the stop is closed at once.

--- a/core/mangorest/drain_test.go
+++ b/core/mangorest/drain_test.go
@@ -138,6 +138,30 @@
 	}
 }
 
+// TestStopRightAfterTheStart covers a stop that begins before the server listens.
+func TestStopRightAfterTheStart(t *testing.T) {
+	for range 20 {
+		g := gomega.NewWithT(t)
+		s, err := NewProxyServer("front", freeAddress(g), http.NotFoundHandler(), func() time.Duration { return 0 })
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		served := make(chan struct{})
+		go func() {
+			defer close(served)
+			s.Serve()
+		}()
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		g.Expect(s.Shutdown(ctx)).To(gomega.Succeed())
+		g.Eventually(func() error {
+			conn, err := net.Dial("tcp", s.httpServer.Addr)
+			if err == nil {
+				conn.Close()
+			}
+			return err
+		}).Should(gomega.HaveOccurred(), "the listener is closed")
+	}
+}
+
 // TestStopEndsWithSilentConnections covers connections that never carry a request.
 func TestStopEndsWithSilentConnections(t *testing.T) {
 	g := gomega.NewWithT(t)
--- a/core/mangorest/server.go
+++ b/core/mangorest/server.go
@@ -22,7 +22,6 @@
 	"net/http"
 	"strconv"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/zeromicro/go-zero/core/logx"
@@ -129,7 +128,7 @@
 func (s *Server) Serve() {
 	defer func() {
 		// go-zero panics if its listener fails, also after close.
-		if v := recover(); v != nil && !s.listening.closed.Load() {
+		if v := recover(); v != nil && !s.listening.stopped() {
 			panic(v)
 		}
 	}()
@@ -169,22 +168,43 @@
 	return mangomodel.Errors.Wrap(err)
 }
 
-// listening holds the listener of a server.
+// listening holds the listener of a server. The goroutines that serve and that shut
+// down share it, so a lock guards it.
 type listening struct {
+	mu       sync.Mutex
 	listener net.Listener
-	closed   atomic.Bool
+	closed   bool
 }
 
-// install records the listener once the server starts.
+// install records the listener once the server listens.
 func (l *listening) install(s *http.Server) {
 	s.BaseContext = func(listener net.Listener) context.Context {
+		l.mu.Lock()
+		defer l.mu.Unlock()
 		l.listener = listener
+		l.closeIfStopped()
 		return context.Background()
 	}
 }
 
+// close closes the listener, or the one that the server opens later.
 func (l *listening) close() {
-	l.closed.Store(true)
-	// The listener is not used again in any case.
-	_ = l.listener.Close()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.closed = true
+	l.closeIfStopped()
+}
+
+func (l *listening) closeIfStopped() {
+	if l.closed && l.listener != nil {
+		// The listener is not used again in any case.
+		_ = l.listener.Close()
+	}
+}
+
+// stopped reports whether close was called.
+func (l *listening) stopped() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.closed
 }
