--- a/core/mangofleet/admission.go
+++ b/core/mangofleet/admission.go
@@ -104,22 +104,19 @@
 	}
 }
 
-// predictionMargin times the wait limit is the predicted wait beyond which a demand
-// is refused when it arrives: demands ahead of it may be withdrawn, and servers may
-// be added.
-const predictionMargin = 1.3
-
-// refusal returns the fault of a demand that is not to wait, or nil.
+// refusal returns the fault of a demand that is not to wait, with others before it,
+// or nil. Waits are predicted for new demands only.
 func (s *state) refusal(w *waiter, ahead int, now time.Time) error {
 	flow, arrived := s.flow(w.Demand.Service), !w.queued
 	w.queued = true
+	limit := w.Deadline.Sub(now)
 	var f *mangomodel.Fault
-	if !now.Before(w.Deadline) {
+	if limit <= 0 {
 		f = refused(mangomodel.CodeOverloaded, "no server of %s had room for %v: %s",
 			w.Demand.Service, now.Sub(w.ArrivedAt).Round(time.Millisecond), s.pool.Explain(w.PendingDemand, now))
-	} else if wait, ok := flow.Wait(ahead, now); ok && arrived && wait.Seconds() > predictionMargin*w.Deadline.Sub(now).Seconds() {
+	} else if wait, ok := flow.Hopeless(ahead, limit, now); ok && arrived {
 		f = refused(mangomodel.CodeOverloaded, "%d demands before it wait for servers of %s, predicted wait %v, limit %v: %s",
-			ahead, w.Demand.Service, wait.Round(time.Millisecond), w.Deadline.Sub(now).Round(time.Millisecond), s.pool.Explain(w.PendingDemand, now))
+			ahead, w.Demand.Service, wait.Round(time.Millisecond), limit.Round(time.Millisecond), s.pool.Explain(w.PendingDemand, now))
 	} else {
 		return nil
 	}
--- a/core/mangoqueue/queue.go
+++ b/core/mangoqueue/queue.go
@@ -12,7 +12,7 @@
 //
 //	slices.SortStableFunc(queue, func(a, b *mangolease.PendingDemand) int { return mangoqueue.Compare(a, b, now) })
 //	flow.Arrived(now)
-//	if wait, ok := flow.Wait(ahead, now); ok && wait > limit { ... flow.ReturnAfter(waiting, now) ... }
+//	if wait, ok := flow.Hopeless(ahead, limit, now); ok { ... flow.ReturnAfter(ahead, now) ... }
 package mangoqueue
 
 import (
@@ -64,6 +64,9 @@
 	minObserved = 300 * time.Millisecond
 	// observedWindow is how long counts have full weight; older ones fade.
 	observedWindow = 2 * time.Second
+	// predictionMargin times the limit is the predicted wait beyond which a demand
+	// is refused: demands ahead of it may be withdrawn, and servers may be added.
+	predictionMargin = 1.3
 	// minSpare is the share of the rate of grants that must be left beyond new
 	// demands for the queue to count as draining.
 	minSpare = 0.1
@@ -138,6 +141,13 @@
 	return seconds(float64(ahead+1) / rate), true
 }
 
+// Hopeless reports whether a demand that arrives with others before it will wait
+// beyond its limit, and how long it would wait.
+func (f *Flow) Hopeless(ahead int, limit time.Duration, now time.Time) (time.Duration, bool) {
+	wait, ok := f.Wait(ahead, now)
+	return wait, ok && wait.Seconds() > predictionMargin*limit.Seconds()
+}
+
 // ReturnAfter returns when the queue and the clients that were told to return before
 // are expected to be served, and counts one more such client. It is zero if the
 // queue does not drain: demands arrive as fast as they are granted.
--- a/core/mangoqueue/queue_test.go
+++ b/core/mangoqueue/queue_test.go
@@ -102,6 +102,28 @@
 	}
 }
 
+func TestHopeless(t *testing.T) {
+	tests := []struct {
+		name  string
+		ahead int
+		limit time.Duration
+		want  bool
+	}{
+		{"within the limit", 9, time.Second, false},
+		{"a little beyond it", 9, 450 * time.Millisecond, false},
+		{"far beyond it", 39, time.Second, true},
+		{"without a limit left", 0, 0, true},
+	}
+	for _, test := range tests {
+		f := &Flow{}
+		now := play(f, time.Second, 40, 20)
+		_, got := f.Hopeless(test.ahead, test.limit, now)
+		gomega.NewWithT(t).Expect(got).To(gomega.Equal(test.want), test.name)
+	}
+	_, unknown := (&Flow{}).Hopeless(1000, time.Millisecond, start)
+	gomega.NewWithT(t).Expect(unknown).To(gomega.BeFalse(), "nothing measured")
+}
+
 // TestRateFollowsTheLoad guards against a rate from the beginning of a long burst:
 // when servers take an eighth of the demands that they took, the predicted wait at
 // least doubles within observedWindow.
