Servers that fail for hundreds of daemons are ejected by what all of them see

Change: daemons report the outcomes of their calls to plain servers of the last one to two seconds with their renewals. core/mangooutlier decides on the scheduler which server is an outlier: 4 failures, 15% of its calls, three times the share of the others, at most a third of the servers; it gets no calls for 5 s, and responses tell the others. A data race of the new TestWaitLimitCountsOnce, found by the race detector, is gone.

--- a/core/mangobroker/broker_test.go
+++ b/core/mangobroker/broker_test.go
@@ -363,8 +363,8 @@
 		}
 		keepCurrent(g, ctx, list...)
 		time.Sleep(2 * time.Second)
-		caller := list[0].broker
-		caller.peers = slowPeers{link: link{m, caller.self.Address}, delay: delay}
+		self := list[0].broker.self
+		caller := New(self, list[0].fleet, slowPeers{link: link{m, self.Address}, delay: delay})
 		began, d := time.Now(), demand()
 		d.Patience = limit
 		_, err := caller.Acquire(ctx, d)
@@ -413,3 +413,58 @@
 		g.Expect(grant.Valid()).To(gomega.BeFalse())
 	})
 }
+
+// TestGreyServerIsEjectedByAll plays a plain server that fails part of the calls of
+// three daemons, none of which sees three failures in a row.
+func TestGreyServerIsEjectedByAll(t *testing.T) {
+	bubble(t, func(g *gomega.WithT, ctx context.Context, m *mesh) {
+		list := []*daemon{m.start("a", 1), m.start("b", 1, "a"), m.start("c", 1, "a")}
+		read := func() {
+			cmd := mangofleet.ChangeServers{Full: true, Cursor: 9}
+			for _, id := range []mangomodel.ServerID{"s1", "s2", "s3"} {
+				cmd.Changes = append(cmd.Changes, mangotraffic.ServerChange{ID: id, Server: &mangotraffic.Server{ID: id, Service: service, DataCentre: "a1", Slots: 2}})
+			}
+			for _, d := range list {
+				g.Expect(d.fleet.Do(ctx, cmd)).To(gomega.Succeed())
+			}
+		}
+		for _, d := range list {
+			d.configure(g)
+		}
+		for range 6 {
+			read()
+			time.Sleep(500 * time.Millisecond)
+		}
+		saw := func(d *daemon, id mangomodel.ServerID, outcome mangolease.Outcome) {
+			g.Expect(d.fleet.Do(ctx, mangofleet.Observe{Observation: mangolease.Observation{Server: id, Saw: outcome}})).To(gomega.Succeed())
+		}
+		for range 2 {
+			read()
+			for _, d := range list {
+				saw(d, "s1", mangolease.OutcomeFailure)
+				saw(d, "s1", mangolease.OutcomeSuccess)
+				saw(d, "s2", mangolease.OutcomeSuccess)
+				saw(d, "s3", mangolease.OutcomeSuccess)
+			}
+			time.Sleep(500 * time.Millisecond)
+		}
+		used := func(d *daemon) map[mangomodel.ServerID]bool {
+			used := make(map[mangomodel.ServerID]bool)
+			for range 12 {
+				grant, err := d.broker.Acquire(ctx, mangolease.Demand{Service: service, OnTimeFor: time.Second, Patience: time.Second})
+				g.Expect(err).NotTo(gomega.HaveOccurred())
+				used[grant.Lease.Server.ID] = true
+				grant.Release()
+			}
+			return used
+		}
+		for _, d := range list {
+			g.Expect(used(d)).NotTo(gomega.HaveKey(mangomodel.ServerID("s1")), "at %v", d.broker.self.Holder.Daemon)
+		}
+		for range 14 {
+			read()
+			time.Sleep(500 * time.Millisecond)
+		}
+		g.Expect(used(list[1])).To(gomega.HaveKey(mangomodel.ServerID("s1")), "it is tried again")
+	})
+}
--- a/core/mangobroker/exchange.go
+++ b/core/mangobroker/exchange.go
@@ -12,6 +12,7 @@
 	"mangolane/core/mangofleet"
 	"mangolane/core/mangolease"
 	"mangolane/core/mangomodel"
+	"mangolane/core/mangooutlier"
 	"mangolane/core/mangopanic"
 	"mangolane/core/mangopool"
 	"mangolane/core/mangoroster"
@@ -48,6 +49,10 @@
 	// applies only those of the services that the sender schedules.
 	Usages     mangobudget.Usages
 	Allowances mangobudget.Allowances
+	// Outcomes are the recent outcomes of the sender's calls to plain servers, in a
+	// request only. In a response, Ejections are the outliers among these servers.
+	Outcomes  map[mangomodel.ServerID]mangooutlier.Counts
+	Ejections []mangofleet.Ejection
 	// Members are the scheduler candidates that the sender has recorded.
 	Members []mangoroster.Sighting
 	// Crashes are those of the sender's own calls.
@@ -116,7 +121,7 @@
 	began := time.Now()
 	if m.Holder == b.self.Holder {
 		leases := b.progress()
-		b.apply(mangofleet.Renew{Holder: b.self.Holder, Leases: leases})
+		b.apply(mangofleet.Renew{Holder: b.self.Holder, Leases: leases, Outcomes: b.fleet.View().Outcomes})
 		b.markRenewed(m, leases, began)
 		b.setAllowances(m, b.fleet.View().Allowances(b.self.Holder))
 		return
@@ -126,6 +131,9 @@
 	if err == nil {
 		b.markRenewed(m, leases, began)
 		b.setAllowances(m, response.Allowances)
+		if len(response.Ejections) > 0 {
+			b.apply(mangofleet.EjectServers{Ejections: response.Ejections})
+		}
 		return
 	}
 	if ctx.Err() == nil {
@@ -161,7 +169,7 @@
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
 	msg := b.Compose(ExchangeMessage{})
-	msg.Leases = leases
+	msg.Leases, msg.Outcomes = leases, b.fleet.View().Outcomes
 	began := time.Now()
 	response, err := b.peers.Exchange(ctx, at, msg)
 	if err != nil {
@@ -345,11 +353,13 @@
 		return ExchangeMessage{}, err
 	}
 	msg.List.Cursor = position
-	if err := b.fleet.Do(ctx, mangofleet.Renew{Holder: msg.From.Holder, Leases: msg.Leases, Usages: msg.Usages}); err != nil {
+	renew := mangofleet.Renew{Holder: msg.From.Holder, Leases: msg.Leases, Usages: msg.Usages, Outcomes: msg.Outcomes}
+	if err := b.fleet.Do(ctx, renew); err != nil {
 		return ExchangeMessage{}, err
 	}
 	response := b.Compose(msg)
 	response.Allowances = b.fleet.View().Allowances(msg.From.Holder)
+	response.Ejections = b.fleet.View().Ejections
 	return response, nil
 }
 
--- a/core/mangofleet/fleet.go
+++ b/core/mangofleet/fleet.go
@@ -13,6 +13,7 @@
 	"mangolane/core/mangolease"
 	"mangolane/core/mangoloop"
 	"mangolane/core/mangomodel"
+	"mangolane/core/mangooutlier"
 	"mangolane/core/mangopanic"
 	"mangolane/core/mangopool"
 	"mangolane/core/mangoquery"
@@ -117,6 +118,11 @@
 	Members []mangoroster.Entry
 	// Usages is this daemon's use of the retry budgets.
 	Usages mangobudget.Usages
+	// Outcomes are the recent outcomes of this daemon's calls to plain servers, and
+	// Ejections the servers that it has found to be outliers among those of all
+	// daemons.
+	Outcomes  map[mangomodel.ServerID]mangooutlier.Counts
+	Ejections []Ejection
 
 	schedulers map[mangotraffic.ServiceName][]mangoroster.Member
 	// expired marks the servers of Listed whose entries have vanished and whose
--- a/core/mangofleet/renew.go
+++ b/core/mangofleet/renew.go
@@ -7,6 +7,7 @@
 	"mangolane/core/mangobudget"
 	"mangolane/core/mangolease"
 	"mangolane/core/mangomodel"
+	"mangolane/core/mangooutlier"
 	"mangolane/core/mangopool"
 	"mangolane/core/mangotraffic"
 )
@@ -21,6 +22,8 @@
 	Leases []mangolease.Progress
 	// Usages is the holder's use of the retry budgets.
 	Usages mangobudget.Usages
+	// Outcomes are the recent outcomes of the holder's calls to plain servers.
+	Outcomes map[mangomodel.ServerID]mangooutlier.Counts
 }
 
 // Apply implements [Command].
@@ -30,6 +33,8 @@
 	}
 	s.lastRenewal = now
 	s.pool.Renew(c.Holder, c.Leases, now)
+	s.board.Record(c.Holder, c.Outcomes, now)
+	s.ejectOutliers(now)
 	s.allowances = maps.Clone(s.allowances)
 	maps.DeleteFunc(s.allowances, func(h mangomodel.Holder, _ mangobudget.Allowances) bool {
 		return h.Daemon == c.Holder.Daemon && h.Incarnation < c.Holder.Incarnation
@@ -68,6 +73,7 @@
 
 // Apply implements [Command].
 func (c Observe) Apply(s *state, now time.Time) error {
+	s.countOutcome(c.Observation, now)
 	s.observe(c.Observation, now)
 	return nil
 }
--- a/core/mangofleet/state.go
+++ b/core/mangofleet/state.go
@@ -9,6 +9,7 @@
 	"mangolane/core/mangolease"
 	"mangolane/core/mangoloop"
 	"mangolane/core/mangomodel"
+	"mangolane/core/mangooutlier"
 	"mangolane/core/mangopool"
 	"mangolane/core/mangoqueue"
 	"mangolane/core/mangoroster"
@@ -39,9 +40,14 @@
 	// allowances holds the retry allowance of each daemon incarnation. Views
 	// share the map, so it is copied before a change.
 	allowances map[mangomodel.Holder]mangobudget.Allowances
-	roster     *mangoroster.Roster
-	suspects   *mangocrash.Suspects
-	listRead   time.Time
+	// outcomes counts this daemon's calls to plain servers, board holds the counts
+	// of all daemons that renew here, and ejected the outliers found with it.
+	outcomes mangooutlier.Window
+	board    *mangooutlier.Board
+	ejected  map[mangomodel.ServerID]time.Time
+	roster   *mangoroster.Roster
+	suspects *mangocrash.Suspects
+	listRead time.Time
 	// listCursor and routingCursor are the positions reached in the platform's
 	// records; journal holds the latest changes of the list.
 	listCursor, routingCursor mangotraffic.Cursor
@@ -56,7 +62,7 @@
 }
 
 // viewParts marks the parts of the published view that are out of date.
-type viewParts struct{ members, crashes, usage bool }
+type viewParts struct{ members, crashes, usage, outcomes bool }
 
 // membersInterval is how often views determine the members anew: short against
 // [mangoroster.AliveTimeout], long against the interval between the exchanges of
@@ -71,6 +77,8 @@
 		retries:    mangobudget.NewLedger(self.Holder, limits),
 		flows:      make(map[mangotraffic.ServiceName]*mangoqueue.Flow),
 		allowances: make(map[mangomodel.Holder]mangobudget.Allowances),
+		board:      mangooutlier.NewBoard(),
+		ejected:    make(map[mangomodel.ServerID]time.Time),
 		roster:     mangoroster.New(self.Holder.Daemon, self.Regions),
 		suspects:   mangocrash.New(),
 		changed:    viewParts{members: true},
@@ -118,8 +126,9 @@
 		v.Listed, v.Members, v.schedulers, v.crashes = last.Listed, last.Members, last.schedulers, last.crashes
 		v.expired = last.expired
 		v.stageChanges, v.defaultScheduler = last.stageChanges, last.defaultScheduler
-		v.Usages = last.Usages
+		v.Usages, v.Outcomes = last.Usages, last.Outcomes
 	}
+	v.Ejections = s.ejections(now)
 	if list, ok := s.pool.Listed(); ok {
 		v.Listed, v.expired = list.Servers, list.Expired
 		s.changed.members = true
@@ -130,7 +139,10 @@
 	if s.changed.crashes || now.Sub(s.membersAt) >= membersInterval {
 		v.crashes = s.suspects.Recent(now)
 	}
-	s.changed.crashes, s.changed.usage = false, false
+	if s.changed.outcomes || now.Sub(s.membersAt) >= membersInterval {
+		v.Outcomes = s.outcomes.Counts(now)
+	}
+	s.changed.crashes, s.changed.usage, s.changed.outcomes = false, false, false
 	if s.changed.members || now.Sub(s.membersAt) >= membersInterval {
 		self := s.selfMember(now)
 		v.Members, v.stageChanges = s.roster.Members(self, now), s.pool.StageChanges(now)
--- a/core/mangopool/observe.go
+++ b/core/mangopool/observe.go
@@ -39,6 +39,27 @@
 	return !b.health.Until.Equal(before)
 }
 
+// Eject ejects a server until a time. It reports whether that is later than before.
+func (p *Pool) Eject(id mangomodel.ServerID, until time.Time) bool {
+	b, ok := p.backends[id]
+	if !ok || !until.After(b.health.Until) {
+		return false
+	}
+	b.health = b.health.EjectedUntil(until)
+	return true
+}
+
+// PlainServers returns the servers of each plain service.
+func (p *Pool) PlainServers() map[mangotraffic.ServiceName][]mangomodel.ServerID {
+	servers := make(map[mangotraffic.ServiceName][]mangomodel.ServerID)
+	for id, b := range p.backends {
+		if b.server.Stage == mangotraffic.StageNone {
+			servers[b.server.Service] = append(servers[b.server.Service], id)
+		}
+	}
+	return servers
+}
+
 // Health returns a listed server and its health record.
 func (p *Pool) Health(id mangomodel.ServerID) (mangotraffic.Server, mangohealth.Record) {
 	b, ok := p.backends[id]
