After a loss of all daemons engines report before they get work; unanswered orders go to the same engine

The sum of all reports for outliers was made with every renewal, which grows with the square of the fleet.

--- a/core/mangofleet/balance_test.go
+++ b/core/mangofleet/balance_test.go
@@ -91,6 +91,21 @@
 	})
 }
 
+// TestUnansweredOrderIsRepeatedAtTheSameEngine guards against two engines that change
+// although one should: an order that got no answer is carried out late, and the next
+// one went to another engine.
+func TestUnansweredOrderIsRepeatedAtTheSameEngine(t *testing.T) {
+	bubble(t, func(x *fixture) {
+		x.list(1, decode("d1", "a1"), prefill("p1", "a1"), prefill("p2", "a2"), prefill("p3", "a2"))
+		x.do(OrderBegun{Server: "p1", To: mangotraffic.StageDecode})
+		x.do(OrderFailed{Server: "p1", Run: mangomodel.RunUnknown})
+		x.addPressure()
+		change, ok := x.fleet.View().StageChange(engines)
+		x.Expect(ok).To(gomega.BeTrue())
+		x.Expect(change.Server.ID).To(gomega.BeEquivalentTo("p1"))
+	})
+}
+
 // TestRejectedOrderLeavesNoCooldown guards against an order that no engine took and
 // that keeps engines from changing the other way for the reversal cooldown. An order
 // without an answer may still be carried out.
--- a/core/mangofleet/outlier.go
+++ b/core/mangofleet/outlier.go
@@ -48,9 +48,17 @@
 	}
 }
 
+// outlierInterval is how often a scheduler looks for outliers. Each look adds up the
+// reports of all daemons, of which hundreds arrive in that time.
+const outlierInterval = 250 * time.Millisecond
+
 // ejectOutliers ejects the outliers among the plain servers of all services, as far as
 // the reports of the daemons show them to this one.
 func (s *state) ejectOutliers(now time.Time) {
+	if now.Sub(s.outliersAt) < outlierInterval {
+		return
+	}
+	s.outliersAt = now
 	maps.DeleteFunc(s.ejected, func(_ mangomodel.ServerID, until time.Time) bool { return !now.Before(until) })
 	for _, servers := range s.pool.PlainServers() {
 		for _, id := range s.board.Outliers(servers, now) {
--- a/core/mangofleet/renew.go
+++ b/core/mangofleet/renew.go
@@ -30,6 +30,7 @@
 func (c Renew) Apply(s *state, now time.Time) error {
 	if now.Sub(s.lastRenewal) > mangopool.HolderTimeout {
 		s.schedulerSince = now
+		s.pool.AwaitReports(now)
 	}
 	s.lastRenewal = now
 	s.pool.Renew(c.Holder, c.Leases, now)
@@ -119,7 +120,7 @@
 }
 
 // Apply implements [Command].
-func (c OrderFailed) Apply(s *state, _ time.Time) error {
-	s.pool.OrderFailed(c.Server, c.Run)
+func (c OrderFailed) Apply(s *state, now time.Time) error {
+	s.pool.OrderFailed(c.Server, c.Run, now)
 	return nil
 }
--- a/core/mangofleet/state.go
+++ b/core/mangofleet/state.go
@@ -42,12 +42,13 @@
 	allowances map[mangomodel.Holder]mangobudget.Allowances
 	// outcomes counts this daemon's calls to plain servers, board holds the counts
 	// of all daemons that renew here, and ejected the outliers found with it.
-	outcomes mangooutlier.Window
-	board    *mangooutlier.Board
-	ejected  map[mangomodel.ServerID]time.Time
-	roster   *mangoroster.Roster
-	suspects *mangocrash.Suspects
-	listRead time.Time
+	outcomes   mangooutlier.Window
+	board      *mangooutlier.Board
+	ejected    map[mangomodel.ServerID]time.Time
+	outliersAt time.Time
+	roster     *mangoroster.Roster
+	suspects   *mangocrash.Suspects
+	listRead   time.Time
 	// listCursor and routingCursor are the positions reached in the platform's
 	// records; journal holds the latest changes of the list.
 	listCursor, routingCursor mangotraffic.Cursor
--- a/core/mangooutlier/outlier.go
+++ b/core/mangooutlier/outlier.go
@@ -104,7 +104,6 @@
 
 // Record replaces the report of a daemon.
 func (b *Board) Record(from mangomodel.Holder, counts map[mangomodel.ServerID]Counts, now time.Time) {
-	maps.DeleteFunc(b.reports, func(_ mangomodel.Holder, r report) bool { return now.Sub(r.at) > reportTTL })
 	if len(counts) == 0 {
 		delete(b.reports, from)
 		return
@@ -117,8 +116,9 @@
 func (b *Board) Outliers(servers []mangomodel.ServerID, now time.Time) []mangomodel.ServerID {
 	sums := make(map[mangomodel.ServerID]Counts, len(servers))
 	var all Counts
-	for _, r := range b.reports {
+	for from, r := range b.reports {
 		if now.Sub(r.at) > reportTTL {
+			delete(b.reports, from)
 			continue
 		}
 		for _, id := range servers {
--- a/core/mangopool/backend.go
+++ b/core/mangopool/backend.go
@@ -57,6 +57,9 @@
 	// change may not be complete before orderedUntil.
 	orderedTo    mangotraffic.Stage
 	orderedUntil time.Time
+	// unansweredTo is the stage of the last order that got no answer, at unansweredAt.
+	unansweredTo mangotraffic.Stage
+	unansweredAt time.Time
 	// removeAt is the end of the grace period of an entry that vanished during an
 	// outage of the list; zero while the server is listed.
 	removeAt time.Time
--- a/core/mangopool/balance.go
+++ b/core/mangopool/balance.go
@@ -115,7 +115,7 @@
 	if last := stats.changed; last.to != mangotraffic.StageNone && last.to != change.To && now.Sub(last.at) < mangobalance.ReversalCooldown {
 		return StageChange{}, false
 	}
-	b := p.leastLoaded(name, from, now)
+	b := p.leastLoaded(name, from, change.To, now)
 	if b == nil {
 		return StageChange{}, false
 	}
@@ -158,9 +158,11 @@
 // orderInterval is the minimum time between two stage changes of one service.
 const orderInterval = 1500 * time.Millisecond
 
-// leastLoaded returns the engine to take from a stage: in the data centre that
-// has most engines of the stage, the one with the fewest leases.
-func (p *Pool) leastLoaded(name mangotraffic.ServiceName, stage mangotraffic.Stage, now time.Time) *backend {
+// leastLoaded returns the engine to take from a stage to another one: in the data
+// centre that has most engines of the stage, the one with the fewest leases. An engine
+// that did not answer the same order goes first, since it may still carry it out; an
+// order to a second engine would then change two.
+func (p *Pool) leastLoaded(name mangotraffic.ServiceName, stage, to mangotraffic.Stage, now time.Time) *backend {
 	perCentre := make(map[mangomodel.DataCentreID]int)
 	candidates := make([]*backend, 0, len(p.backends))
 	for _, b := range p.backends {
@@ -171,6 +173,9 @@
 	}
 	var best *backend
 	for _, b := range candidates {
+		if b.unansweredTo == to && now.Sub(b.unansweredAt) < mangobalance.SettleTime {
+			return b
+		}
 		if best == nil || b.preferredOver(best, perCentre) {
 			best = b
 		}
@@ -205,7 +210,7 @@
 // got no response. The engine gets new work of its listed stage again. The reversal
 // cooldown that OrderBegun started ends unless the engine may still carry out the
 // order.
-func (p *Pool) OrderFailed(id mangomodel.ServerID, run mangomodel.Run) {
+func (p *Pool) OrderFailed(id mangomodel.ServerID, run mangomodel.Run, now time.Time) {
 	b, ok := p.backends[id]
 	if !ok {
 		return
@@ -214,5 +219,7 @@
 	if run == mangomodel.RunNot {
 		stats := p.statsOf(b.server.Service)
 		stats.changed = stats.before
+		return
 	}
+	b.unansweredTo, b.unansweredAt = b.orderedTo, now
 }
