--- a/core/mangobroker/fetch.go
+++ b/core/mangobroker/fetch.go
@@ -133,7 +133,7 @@
 	best := slices.MinFunc(slices.Collect(maps.Values(b.offers)), func(x, y offer) int {
 		return cmp.Or(
 			cmp.Compare(b.distance(x.from), b.distance(y.from)),
-			compareTrue(x.from.Strong, y.from.Strong),
+			mangomodel.TrueFirst(x.from.Strong, y.from.Strong),
 			cmp.Compare(y.version.Revision, x.version.Revision),
 		)
 	})
@@ -153,18 +153,6 @@
 	}
 }
 
-// compareTrue orders true before false.
-func compareTrue(x, y bool) int {
-	switch {
-	case x == y:
-		return 0
-	case x:
-		return -1
-	default:
-		return 1
-	}
-}
-
 func (b *Broker) fetchFrom(ctx context.Context, m mangoroster.Member) error {
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
--- a/core/mangoqueue/queue.go
+++ b/core/mangoqueue/queue.go
@@ -20,6 +20,7 @@
 	"time"
 
 	"mangolane/core/mangolease"
+	"mangolane/core/mangomodel"
 	"mangolane/core/mangotraffic"
 )
 
@@ -28,26 +29,14 @@
 // by age.
 func Compare(a, b *mangolease.PendingDemand, now time.Time) int {
 	return cmp.Or(
-		compareFalse(a.Demand.Prefilled, b.Demand.Prefilled),
-		-compareFalse(a.Late(now), b.Late(now)),
+		mangomodel.TrueFirst(a.Demand.Prefilled, b.Demand.Prefilled),
+		mangomodel.TrueFirst(!a.Late(now), !b.Late(now)),
 		cmp.Compare(a.Demand.Priority, b.Demand.Priority),
 		cmp.Compare(cost(a.Demand.Generation), cost(b.Demand.Generation)),
 		a.ArrivedAt.Compare(b.ArrivedAt),
 	)
 }
 
-// compareFalse orders true before false.
-func compareFalse(a, b bool) int {
-	switch {
-	case a == b:
-		return 0
-	case a:
-		return -1
-	default:
-		return 1
-	}
-}
-
 // cost returns the KV memory that a generation is expected to occupy, multiplied by
 // the tokens that it takes to generate. It is zero for other calls.
 func cost(g *mangotraffic.Generation) float64 {
