An outlier stays ejected while calls in progress succeed, and is logged once

Cause: found while reading: responses repeat an ejection with each renewal, which logged a line each time on every daemon, and a success of a call in progress at a server that fails half of them ended its ejection. Change: the end of an outlier's ejection is kept apart from the health record. Result: TestOutlierIsLoggedOnce.

--- a/core/mangofleet/observer_test.go
+++ b/core/mangofleet/observer_test.go
@@ -52,3 +52,23 @@
 		x.Expect(x.observed.usable).To(gomega.Equal([]bool{false, true}))
 	})
 }
+
+// TestOutlierIsLoggedOnce guards against a line for each renewal that repeats an
+// ejection, and against calls in progress whose success ends it.
+func TestOutlierIsLoggedOnce(t *testing.T) {
+	bubble(t, func(x *fixture) {
+		x.list(1, plain("grey", "a1"), plain("sound", "b1"))
+		for left := 2 * time.Second; left > 0; left -= 250 * time.Millisecond {
+			x.do(EjectServers{Ejections: []Ejection{{Server: "grey", For: left + time.Millisecond}}})
+			x.do(Observe{Observation: mangolease.Observation{Server: "grey", Saw: mangolease.OutcomeSuccess}})
+			id, lease := x.mustAcquire(call())
+			x.Expect(lease.Server.ID).To(gomega.BeEquivalentTo("sound"))
+			x.do(Release{Lease: id})
+			time.Sleep(250 * time.Millisecond)
+		}
+		x.Expect(x.observed.usable).To(gomega.Equal([]bool{false}))
+		time.Sleep(time.Second)
+		_, lease := x.mustAcquire(call())
+		x.Expect(lease.Server.ID).To(gomega.BeEquivalentTo("grey"))
+	})
+}
--- a/core/mangofleet/outlier.go
+++ b/core/mangofleet/outlier.go
@@ -30,8 +30,9 @@
 
 // eject ejects a plain server until a time.
 func (s *state) eject(id mangomodel.ServerID, until, now time.Time) {
-	if s.pool.Eject(id, until) {
+	if s.pool.Eject(id, until, now) {
 		server, health := s.pool.Health(id)
+		health.Until = until
 		s.observer.HealthChanged(server, health, now)
 	}
 }
--- a/core/mangohealth/health.go
+++ b/core/mangohealth/health.go
@@ -59,13 +59,6 @@
 	return r.eject(now)
 }
 
-// EjectedUntil returns the record of a server that is ejected until a time for what
-// other daemons saw of it.
-func (r Record) EjectedUntil(until time.Time) Record {
-	r.Until = until
-	return r
-}
-
 func (r Record) eject(now time.Time) Record {
 	if now.Before(r.Until) {
 		return r
--- a/core/mangopool/backend.go
+++ b/core/mangopool/backend.go
@@ -53,6 +53,8 @@
 	// showed some.
 	fullUntil time.Time
 	health    mangohealth.Record
+	// outlierUntil is the end of the server's ejection as an outlier.
+	outlierUntil time.Time
 	// orderedTo is the stage that the server was ordered to change to. The
 	// change may not be complete before orderedUntil.
 	orderedTo    mangotraffic.Stage
@@ -77,7 +79,7 @@
 
 // usable reports whether the server may get new work.
 func (b *backend) usable(now time.Time) bool {
-	return b.server.State == mangotraffic.StateReady && b.health.Usable(now) &&
+	return b.server.State == mangotraffic.StateReady && b.health.Usable(now) && !now.Before(b.outlierUntil) &&
 		!now.Before(b.fullUntil) && !now.Before(b.orderedUntil)
 }
 
--- a/core/mangopool/observe.go
+++ b/core/mangopool/observe.go
@@ -39,14 +39,16 @@
 	return !b.health.Until.Equal(before)
 }
 
-// Eject ejects a server until a time. It reports whether that is later than before.
-func (p *Pool) Eject(id mangomodel.ServerID, until time.Time) bool {
+// Eject ejects an outlier until a time, also if calls in progress succeed. It reports
+// whether the server was not ejected as one before.
+func (p *Pool) Eject(id mangomodel.ServerID, until, now time.Time) bool {
 	b, ok := p.backends[id]
-	if !ok || !until.After(b.health.Until) {
+	if !ok || !until.After(b.outlierUntil) {
 		return false
 	}
-	b.health = b.health.EjectedUntil(until)
-	return true
+	before := b.outlierUntil
+	b.outlierUntil = until
+	return !now.Before(before)
 }
 
 // PlainServers returns the servers of each plain service.
