--- a/core/mangopool/backend.go
+++ b/core/mangopool/backend.go
@@ -11,12 +11,12 @@
 )
 
 const (
-	// initialPrefillRate is used until the rate of a server of the service is
-	// measured. It is slightly below the rate in the users' engine specifications
-	// (55 tokens per ms).
+	// initialPrefillRate is used until a server's own rate is measured. It is
+	// slightly below the rate in the users' engine specifications (55 tokens per
+	// ms).
 	initialPrefillRate mangomodel.TokensPerSecond = 50_000
-	// initialDecodeRate is used until the decode rate of a server of the service is
-	// measured; the specified engines generate a token in 0.6 to 0.7 ms.
+	// initialDecodeRate is used until a server's own decode rate is measured; the
+	// specified engines generate a token in 0.6 to 0.7 ms.
 	initialDecodeRate mangomodel.TokensPerSecond = 1_450
 	// rateWeight is the weight of a new measurement in the moving average of a
 	// rate.
@@ -66,49 +66,15 @@
 	// outage of the list; zero while the server is listed.
 	removeAt time.Time
 
-	prefillRate, decodeRate rate
+	prefillRate mangomodel.TokensPerSecond
+	decodeRate  mangomodel.TokensPerSecond
 }
 
-// rate is a moving average. Until the first measurement it holds an assumed value.
-type rate struct {
-	value    mangomodel.TokensPerSecond
-	measured bool
-}
-
-// measure adds a measurement. The first one replaces the assumed value.
-func (r *rate) measure(value mangomodel.TokensPerSecond) {
-	if !r.measured {
-		*r = rate{value, true}
-		return
-	}
-	r.value += rateWeight * (value - r.value)
-}
-
-// newBackend returns the record of a server without work. Its rates are assumed to
-// be those of the service's other servers.
-func (p *Pool) newBackend(server mangotraffic.Server) *backend {
+func newBackend(server mangotraffic.Server) *backend {
 	return &backend{
 		server: server, runs: make(map[mangolease.ID]*lease), prefills: make(map[mangolease.ID]*lease),
-		prefillRate: p.meanRate(server.Service, initialPrefillRate, func(b *backend) rate { return b.prefillRate }),
-		decodeRate:  p.meanRate(server.Service, initialDecodeRate, func(b *backend) rate { return b.decodeRate }),
-	}
-}
-
-// meanRate returns the mean of the measured rates of a service's servers as an assumed
-// rate, or initial if none was measured.
-func (p *Pool) meanRate(name mangotraffic.ServiceName, initial mangomodel.TokensPerSecond, of func(*backend) rate) rate {
-	var sum mangomodel.TokensPerSecond
-	n := 0
-	for _, b := range p.backends {
-		if r := of(b); b.server.Service == name && r.measured {
-			sum += r.value
-			n++
-		}
-	}
-	if n == 0 {
-		return rate{value: initial}
+		prefillRate: initialPrefillRate, decodeRate: initialDecodeRate,
 	}
-	return rate{value: sum / mangomodel.TokensPerSecond(n)}
 }
 
 // usable reports whether the server may get new work.
@@ -127,7 +93,7 @@
 			oldest = l.grantedAt
 		}
 	}
-	left := time.Duration(float64(tokens)/float64(b.prefillRate.value)*float64(time.Second)) - now.Sub(oldest)
+	left := time.Duration(float64(tokens)/float64(b.prefillRate)*float64(time.Second)) - now.Sub(oldest)
 	return max(left, 0)
 }
 
@@ -152,7 +118,7 @@
 	if now.Sub(b.profiledAt) > profileTTL {
 		b.profile.Reset()
 		for _, l := range b.runs {
-			b.profile.Add(l.generation(b.decodeRate.value, now))
+			b.profile.Add(l.generation(b.decodeRate, now))
 		}
 		b.profiledAt = now
 	}
--- a/core/mangopool/balance.go
+++ b/core/mangopool/balance.go
@@ -123,8 +123,8 @@
 	return change, true
 }
 
-// engines returns the workload of a service with the mean of the measured rates of
-// its engines, and counts the engines of each stage. An engine that was ordered to
+// engines returns the workload of a service with the averaged rates of its
+// engines, and counts the engines of each stage. An engine that was ordered to
 // change its stage counts under the new one; settling is set for orderInterval
 // after the order.
 func (p *Pool) engines(name mangotraffic.ServiceName, stats *serviceStats, e *mangotraffic.Engine, now time.Time) (mangobalance.Workload, int, int, bool) {
@@ -144,12 +144,14 @@
 		}
 		if stage == mangotraffic.StagePrefill {
 			prefillers++
+			work.PrefillRate += b.prefillRate
 		} else {
 			decoders++
+			work.DecodeRate += b.decodeRate
 		}
 	}
-	work.PrefillRate = p.meanRate(name, initialPrefillRate, func(b *backend) rate { return b.prefillRate }).value
-	work.DecodeRate = p.meanRate(name, initialDecodeRate, func(b *backend) rate { return b.decodeRate }).value
+	work.PrefillRate /= mangomodel.TokensPerSecond(max(prefillers, 1))
+	work.DecodeRate /= mangomodel.TokensPerSecond(max(decoders, 1))
 	return work, prefillers, decoders, settling
 }
 
--- a/core/mangopool/lease.go
+++ b/core/mangopool/lease.go
@@ -62,7 +62,7 @@
 		return
 	}
 	rate := mangomodel.TokensPerSecond(float64(generated-l.generated) / now.Sub(l.generatedAt).Seconds())
-	b.decodeRate.measure(rate)
+	b.decodeRate += rateWeight * (rate - b.decodeRate)
 }
 
 func (p *Pool) adopt(id mangolease.ID, x mangolease.Progress, now time.Time) *lease {
@@ -161,5 +161,5 @@
 // twice the initial rate.
 func (b *backend) measurePrefillRate(g *mangotraffic.Generation, took time.Duration) {
 	rate := mangomodel.TokensPerSecond(float64(g.Prompt) * float64(len(b.prefills)) / took.Seconds())
-	b.prefillRate.measure(min(rate, 2*initialPrefillRate))
+	b.prefillRate += rateWeight * (min(rate, 2*initialPrefillRate) - b.prefillRate)
 }
--- a/core/mangopool/list.go
+++ b/core/mangopool/list.go
@@ -14,12 +14,12 @@
 	p.changed, p.groups = true, nil
 	b, ok := p.backends[server.ID]
 	if !ok {
-		p.backends[server.ID] = p.newBackend(server)
+		p.backends[server.ID] = newBackend(server)
 		p.attach(server.ID)
 		return
 	}
 	if !b.server.SameIncarnation(&server) {
-		p.backends[server.ID] = p.newBackend(server)
+		p.backends[server.ID] = newBackend(server)
 		return
 	}
 	if b.server.Stage != server.Stage {
--- a/core/mangopool/load.go
+++ b/core/mangopool/load.go
@@ -39,7 +39,7 @@
 	}
 	running, held := len(b.runs), mangomodel.Tokens(0)
 	for _, l := range b.runs {
-		held += l.generation(b.decodeRate.value, now).Held
+		held += l.generation(b.decodeRate, now).Held
 	}
 	for _, e := range b.ended {
 		if now.Sub(e.at) < reportLag {
@@ -68,5 +68,5 @@
 	for len(b.ended) > 0 && now.Sub(b.ended[0].at) >= reportLag {
 		b.ended = b.ended[1:]
 	}
-	b.ended = append(b.ended, endedGeneration{held: l.generation(b.decodeRate.value, now).Held, at: now})
+	b.ended = append(b.ended, endedGeneration{held: l.generation(b.decodeRate, now).Held, at: now})
 }
