--- a/core/mangofleet/member_test.go
+++ b/core/mangofleet/member_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/onsi/gomega"
@@ -117,44 +116,6 @@
 	})
 }
 
-// TestNewSchedulerAwaitsLoadReports guards against prompts that are computed for
-// nothing after a loss of all daemons: the engines still run what the lost ones sent,
-// and refuse more.
-func TestNewSchedulerAwaitsLoadReports(t *testing.T) {
-	tests := []struct {
-		name   string
-		report *mangotraffic.LoadReport
-		server mangomodel.ServerID
-		waited time.Duration
-	}{
-		{"an engine without room", &mangotraffic.LoadReport{Running: 4, KVUsed: 4000}, "d2", takeoverTime},
-		{"no report", nil, "d2", 600 * time.Millisecond},
-	}
-	for _, test := range tests {
-		bubble(t, func(x *fixture) {
-			x.list(1, decode("d1", "a1"), decode("d2", "a2"), prefill("p", "a1"))
-			x.update(peer("d9", 1), 0)
-			x.do(Renew{Holder: x.self})
-			granted := make(chan mangolease.Lease, 1)
-			began := time.Now()
-			go func() {
-				_, lease := x.mustAcquire(generation(100, 100))
-				granted <- lease
-			}()
-			synctest.Wait()
-			if test.report != nil {
-				x.do(RecordLoad{Server: "d1", Report: *test.report})
-				x.do(RecordLoad{Server: "d2"})
-			}
-			lease := <-granted
-			x.Expect(time.Since(began)).To(gomega.BeNumerically("~", test.waited, queueInterval))
-			if test.report != nil {
-				x.Expect(lease.Server.ID).To(gomega.Equal(test.server))
-			}
-		})
-	}
-}
-
 func TestLeasesOfUnresponsiveAndOldHoldersExpire(t *testing.T) {
 	bubble(t, func(x *fixture) {
 		x.list(1, decode("d1", "a1"), prefill("p", "a1"))
--- a/core/mangofleet/renew.go
+++ b/core/mangofleet/renew.go
@@ -30,7 +30,6 @@
 func (c Renew) Apply(s *state, now time.Time) error {
 	if now.Sub(s.lastRenewal) > mangopool.HolderTimeout {
 		s.schedulerSince = now
-		s.pool.AwaitReports(now)
 	}
 	s.lastRenewal = now
 	s.pool.Renew(c.Holder, c.Leases, now)
--- a/core/mangopool/load.go
+++ b/core/mangopool/load.go
@@ -15,20 +15,6 @@
 	reportLag = 1200 * time.Millisecond
 )
 
-// reportWait is how long a new scheduler waits for the load report of an engine
-// before it uses the engine without one.
-const reportWait = 600 * time.Millisecond
-
-// AwaitReports makes the engines wait for their load reports, which a daemon that has
-// become scheduler has not seen yet. Engines go on with the generations of daemons
-// that were lost, and refuse what exceeds their slots once its prompt is computed.
-func (p *Pool) AwaitReports(now time.Time) { p.schedulingSince = now }
-
-// unreported reports whether an engine still has to report its load.
-func (p *Pool) unreported(b *backend, now time.Time) bool {
-	return now.Sub(p.schedulingSince) < reportWait && b.orphansAt.Before(p.schedulingSince)
-}
-
 // RecordLoad records the load report of an engine. Requests beyond the recorded and
 // the recently ended leases are orphaned: their holder has ended or has lost the
 // response.
--- a/core/mangopool/placement.go
+++ b/core/mangopool/placement.go
@@ -102,8 +102,8 @@
 }
 
 // decodeCost prefers near servers, and among those the one with the lowest
-// predicted memory. It reports false if the server has no room, or has not reported
-// its load to a new scheduler. The memory of a server without leases is not checked.
+// predicted memory. It reports false if the server has no room. The memory of a
+// server without leases is not checked.
 func (p *Pool) decodeCost(b *backend, pending *mangolease.PendingDemand, now time.Time) (float64, bool) {
 	slots := float64(b.server.Slots)
 	free := float64(b.free(now))
@@ -112,7 +112,7 @@
 		needed += math.Floor(slots * lateReserve)
 	}
 	engine, ok := p.engine(pending.Demand.Service)
-	if !ok || free < needed || p.unreported(b, now) {
+	if !ok || free < needed {
 		return 0, false
 	}
 	peak := b.peak(pending.Demand.Generation, now)
--- a/core/mangopool/pool.go
+++ b/core/mangopool/pool.go
@@ -34,8 +34,6 @@
 	// groups indexes the backends by service and stage; nil after a change of
 	// the list.
 	groups map[group][]*backend
-	// schedulingSince is when this daemon last became scheduler.
-	schedulingSince time.Time
 	// changed is set while the list differs from the last result of Listed.
 	changed bool
 }
--- a/core/mangostage/report.go
+++ b/core/mangostage/report.go
@@ -16,29 +16,24 @@
 const (
 	// reportTimeout bounds one report.
 	reportTimeout = 300 * time.Millisecond
-	// takeoverInterval is how often a daemon checks whether it has become scheduler.
-	takeoverInterval = 100 * time.Millisecond
 	// maxReports is how many engines are queried in one interval. Each report
 	// takes a connection, so the engines of larger fleets take turns.
 	maxReports = 64
 )
 
-// collectReports requests load reports until ctx ends: in intervals, and at once when
-// this daemon becomes the scheduler of a service.
+// collectReports requests load reports until ctx ends.
 func (c *Controller) collectReports(ctx context.Context) {
-	ticker := time.NewTicker(takeoverInterval)
+	ticker := time.NewTicker(mangopool.LoadReportInterval)
 	defer ticker.Stop()
-	var (
-		collected time.Time
-		first     int
-		before    = make(map[mangotraffic.ServiceName]bool)
-	)
-	for {
-		if c.becameScheduler(before) || time.Since(collected) >= mangopool.LoadReportInterval {
-			collected = time.Now()
-			c.collectOnce(ctx, rotate(c.scheduled(), first, maxReports))
-			first += maxReports
+	for first := 0; ; first += maxReports {
+		var running sync.WaitGroup
+		for _, server := range rotate(c.scheduled(), first, maxReports) {
+			running.Go(func() {
+				defer mangopanic.Catch(c.log, "load report")
+				c.collectReport(ctx, server)
+			})
 		}
+		running.Wait()
 		select {
 		case <-ticker.C:
 		case <-ctx.Done():
@@ -47,30 +42,6 @@
 	}
 }
 
-// becameScheduler reports whether this daemon schedules a service that it did not
-// schedule before, and updates before.
-func (c *Controller) becameScheduler(before map[mangotraffic.ServiceName]bool) bool {
-	became := false
-	for _, name := range c.fleet.View().Services() {
-		now := c.schedules(name)
-		became = became || now && !before[name]
-		before[name] = now
-	}
-	return became
-}
-
-// collectOnce requests one load report of each server.
-func (c *Controller) collectOnce(ctx context.Context, servers []mangotraffic.Server) {
-	var running sync.WaitGroup
-	for _, server := range servers {
-		running.Go(func() {
-			defer mangopanic.Catch(c.log, "load report")
-			c.collectReport(ctx, server)
-		})
-	}
-	running.Wait()
-}
-
 // rotate returns at most n servers of a list, from position first with
 // wrap-around. It sorts longer lists by ID.
 func rotate(list []mangotraffic.Server, first, n int) []mangotraffic.Server {
