An exchange ages the list only if the host was suspended; outliers cost what is reported

Change: the time is added only beyond the timeout of an exchange, which a suspended host alone can exceed; the sum goes over what was reported.

--- a/core/mangobroker/exchange.go
+++ b/core/mangobroker/exchange.go
@@ -175,8 +175,10 @@
 	if err != nil {
 		return ExchangeMessage{}, err
 	}
-	// The list may have aged for as long as the call took.
-	response.List.Age += mangomodel.Elapsed(began, time.Now())
+	// A response that is older than a call may take lay in a suspended host.
+	if took := mangomodel.Elapsed(began, time.Now()); took > exchangeTimeout {
+		response.List.Age += took
+	}
 	return response, b.applyMessage(ctx, response)
 }
 
--- a/core/mangooutlier/outlier.go
+++ b/core/mangooutlier/outlier.go
@@ -115,15 +115,20 @@
 // largest share of failures first.
 func (b *Board) Outliers(servers []mangomodel.ServerID, now time.Time) []mangomodel.ServerID {
 	sums := make(map[mangomodel.ServerID]Counts, len(servers))
+	for _, id := range servers {
+		sums[id] = Counts{}
+	}
 	var all Counts
 	for from, r := range b.reports {
 		if now.Sub(r.at) > reportTTL {
 			delete(b.reports, from)
 			continue
 		}
-		for _, id := range servers {
-			sums[id] = sums[id].add(r.counts[id])
-			all = all.add(r.counts[id])
+		for id, c := range r.counts {
+			if sum, ok := sums[id]; ok {
+				sums[id] = sum.add(c)
+				all = all.add(c)
+			}
 		}
 	}
 	outliers := slices.DeleteFunc(slices.Clone(servers), func(id mangomodel.ServerID) bool {
