Metrics: count responses that were broken off

Cause: Calls.*.Failed counted refusals with 5xx and responses that had begun alike, so that cut streams could not be told from failed calls. Change: the outcome Aborted, also on the operators' page.

--- a/mangolaned/mangogateway/metrics.go
+++ b/mangolaned/mangogateway/metrics.go
@@ -74,6 +74,8 @@
 		return "Late"
 	case mangomodel.HasCode(r.Err, mangomodel.CodeCancelled):
 		return "Cancelled"
+	case r.Status != 0:
+		return "Aborted"
 	case mangomodel.AsFault(r.Err, mangomodel.StepCall).Run == mangomodel.RunNot:
 		return "Refused"
 	default:
