Idle limit: a connection is not closed under a request

Callers saw: beside a raise of the idle limit, a request on a kept connection ended with a closed connection, without an answer or a refusal, and nothing was logged. Cause: the idle timer of a connection ran with the limit of the moment at which the connection became idle, while clients go by the new one, and closed the connection also while a request was being read; ServeHTTP then dropped the request. Change: the timer looks at the limit again when it fires, and ends an idle connection by its read deadline, so that a request that has been read is served. While the server drains each response ends its connection.

--- a/core/mangorest/limits.go
+++ b/core/mangorest/limits.go
@@ -10,8 +10,10 @@
 
 // idleLimiter closes connections that are idle for longer than a limit, or at once
 // while the server drains. The limit may change at any time, while that of
-// http.Server is fixed at its start. A request that arrives while its connection is
-// being closed is not served, since no response could be sent.
+// http.Server is fixed at its start.
+//
+// A connection is closed by means of its read deadline, so that a request that has
+// been read is served.
 type idleLimiter struct {
 	// limit returns the current limit; zero means no limit.
 	limit   func() time.Duration
@@ -27,38 +29,31 @@
 type trackedConn struct {
 	timer *time.Timer
 	state http.ConnState
-	// closed is set when the limiter has closed the connection.
-	closed bool
+	// since is when the connection entered its state.
+	since time.Time
+	// expired is set while the read deadline of an idle connection is set.
+	expired bool
 }
 
-// connKey is the key of a connection in a request's context.
-type connKey struct{}
-
 func newIdleLimiter(limit func() time.Duration, handler http.Handler) *idleLimiter {
 	return &idleLimiter{limit: limit, handler: handler, conns: make(map[net.Conn]*trackedConn)}
 }
 
-// install sets the connection hooks of a server.
-func (l *idleLimiter) install(s *http.Server) {
-	s.ConnState = l.connState
-	s.ConnContext = func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) }
-}
+// install sets the connection hook of a server.
+func (l *idleLimiter) install(s *http.Server) { s.ConnState = l.connState }
 
-// ServeHTTP serves a request. It aborts one whose connection the limiter has
-// closed, since no response could be sent.
+// ServeHTTP serves a request, the last one of its connection while the server drains.
 func (l *idleLimiter) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if c, ok := r.Context().Value(connKey{}).(net.Conn); ok && !l.isOpen(c) {
-		panic(http.ErrAbortHandler)
+	if l.isDraining() {
+		w.Header().Set("Connection", "close")
 	}
 	l.handler.ServeHTTP(w, r)
 }
 
-// isOpen reports whether the limiter has not closed a connection.
-func (l *idleLimiter) isOpen(c net.Conn) bool {
+func (l *idleLimiter) isDraining() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	tc, ok := l.conns[c]
-	return !ok || !tc.closed
+	return l.draining
 }
 
 func (l *idleLimiter) connState(c net.Conn, state http.ConnState) {
@@ -70,10 +65,16 @@
 		l.conns[c] = tc
 	}
 	tc.stop()
-	tc.state = state
+	tc.state, tc.since = state, time.Now()
 	switch state {
 	case http.StateNew, http.StateIdle:
-		l.arm(c, tc, l.idleTime(state))
+		l.arm(c, tc)
+	case http.StateActive:
+		if tc.expired {
+			tc.expired = false
+			// An error shows in the reads.
+			_ = c.SetReadDeadline(time.Time{})
+		}
 	case http.StateClosed, http.StateHijacked:
 		delete(l.conns, c)
 	}
@@ -106,10 +107,12 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.draining = true
+	now := time.Now()
 	for c, tc := range l.conns {
 		if tc.state == http.StateNew || tc.state == http.StateIdle {
 			tc.stop()
-			l.arm(c, tc, l.idleTime(tc.state))
+			tc.since = now
+			l.arm(c, tc)
 		}
 	}
 }
@@ -134,42 +137,51 @@
 func (l *idleLimiter) open() int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	n := 0
-	for _, tc := range l.conns {
-		if !tc.closed {
-			n++
-		}
-	}
-	return n
+	return len(l.conns)
 }
 
-// arm closes a connection after d, unless stop is called before. It is a no-op if d
-// is unlimited or the connection is closed.
-func (l *idleLimiter) arm(c net.Conn, tc *trackedConn, d time.Duration) {
-	if d < 0 || tc.closed {
+// arm closes an idle connection once its idle time has passed, unless stop is
+// called before.
+func (l *idleLimiter) arm(c net.Conn, tc *trackedConn) {
+	limit := l.idleTime(tc.state)
+	if limit < 0 {
 		return
 	}
-	if d == 0 {
-		tc.close(c)
+	left := limit - time.Since(tc.since)
+	if left <= 0 {
+		l.expire(c, tc)
 		return
 	}
+	// The limit may have been raised when the timer fires.
+	l.schedule(tc, left, func() { l.arm(c, tc) })
+}
+
+// lastRequestTime is how long a connection beyond its idle time may take to
+// complete a request that is on its way.
+const lastRequestTime = 250 * time.Millisecond
+
+// expire lets the server's read of the next request fail after lastRequestTime.
+// http.Server sets a read deadline of its own after it has announced the idle
+// state, so expire is repeated until the state changes.
+func (l *idleLimiter) expire(c net.Conn, tc *trackedConn) {
+	tc.expired = true
+	_ = c.SetReadDeadline(time.Now().Add(lastRequestTime))
+	l.schedule(tc, 2*lastRequestTime, func() { l.expire(c, tc) })
+}
+
+// schedule calls f with the lock held after d, unless stop is called before.
+func (l *idleLimiter) schedule(tc *trackedConn, d time.Duration, f func()) {
 	var timer *time.Timer
 	timer = time.AfterFunc(d, func() {
 		l.mu.Lock()
 		defer l.mu.Unlock()
 		if tc.timer == timer {
-			tc.close(c)
+			f()
 		}
 	})
 	tc.timer = timer
 }
 
-// close closes a connection, which is abandoned in any case.
-func (tc *trackedConn) close(c net.Conn) {
-	tc.closed = true
-	_ = c.Close()
-}
-
 func (tc *trackedConn) stop() {
 	if tc.timer != nil {
 		tc.timer.Stop()
