A silent engine's stream is given up only once it can continue elsewhere

Callers saw: a stream that ended in the middle, or before its first event with a closed connection, while its engine was sound and only silent for a second; beside a change of the configuration, too, which is the only thing that then happens (LOST). Cause: after three pauses without an event (0.9 s) and one load query without an answer within 0.3 s the exchange was cancelled. Only then a lease, a retry and an attempt were looked for, and without one of them the stream ended. A silence was taken for a loss, and what ran was given up before its replacement was there. Change: mangostall tolerates 1.5 s of complete silence, and cancels only after a successor has secured a lease and the retries that a continuation takes; until then, and if there is none, the exchange goes on. What was secured is returned if an event comes first. A server that sends comments or old events is not silent but broken, and is left after the same time as before. Stalls are logged ('exchange stalled', with Responsive and Secured). Evidence: on the code before, TestSilentSecondOfASoundEngineMovesNoStream and both cases of TestStalledStreamGoesOnWithoutASuccessor fail (the stream ends after its first event).

--- a/core/mangorelay/fake_test.go
+++ b/core/mangorelay/fake_test.go
@@ -69,8 +69,10 @@
 	sent           []mangomodel.ServerID
 	options        []mangoexchange.RunOptions
 	releasedCaches []mangotraffic.KVSource
-	// unreachable servers fail load reports.
+	// unreachable servers fail load reports, and those of silent ones are delayed
+	// until a time.
 	unreachable map[mangomodel.ServerID]bool
+	silentUntil map[mangomodel.ServerID]time.Time
 }
 
 func nextStep(scripts map[mangomodel.ServerID][]step, id mangomodel.ServerID) step {
@@ -167,9 +169,12 @@
 	return mangotraffic.KVSource{Server: mangomodel.Address(to.ID), Handle: "h"}, x.err
 }
 
-func (s *fakeServers) Report(_ context.Context, server mangotraffic.Server) (mangotraffic.LoadReport, error) {
+func (s *fakeServers) Report(ctx context.Context, server mangotraffic.Server) (mangotraffic.LoadReport, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if err := sleep(ctx, time.Until(s.silentUntil[server.ID])); err != nil {
+		return mangotraffic.LoadReport{}, err
+	}
 	if s.unreachable[server.ID] {
 		return mangotraffic.LoadReport{}, errNoConn
 	}
--- /dev/null
+++ b/core/mangorelay/handover.go
@@ -0,0 +1,147 @@
+package mangorelay
+
+import (
+	"context"
+	"time"
+
+	"mangolane/core/mangobroker"
+	"mangolane/core/mangoexchange"
+	"mangolane/core/mangofleet"
+	"mangolane/core/mangolease"
+	"mangolane/core/mangomodel"
+	"mangolane/core/mangostall"
+	"mangolane/core/mangotraffic"
+)
+
+// handover secures the continuation of a stalled exchange at another server: a
+// lease, and the retries that the continuation takes from the budget. An exchange
+// that nothing can replace is not given up. Its methods are called on the
+// watchdog's goroutine, so it does not access the job's changing state.
+type handover struct {
+	ctx    context.Context
+	relay  *Relay
+	demand mangolease.Demand
+	// phases are those of the continuation, each of which takes a retry.
+	phases []mangoexchange.Phase
+	began  time.Time
+	grant  *mangobroker.Grant
+	// done is set once the exchange was cancelled in favour of the continuation.
+	done bool
+}
+
+// newHandover returns the handover of an exchange with a server that begins now.
+func (j *job) newHandover(ctx context.Context, server mangomodel.ServerID) *handover {
+	d := j.completeDemand(mangolease.Demand{OnTimeFor: defaultStallTimeout, Patience: defaultStallTimeout})
+	d.Avoid = append(append([]mangomodel.ServerID(nil), j.avoid...), server)
+	h := &handover{ctx: ctx, relay: j.relay, demand: d, phases: []mangoexchange.Phase{mangoexchange.PhaseRun}, began: time.Now()}
+	if j.service.Engine != nil {
+		h.demand.Generation = j.call.Generation
+		h.phases = append(h.phases, mangoexchange.PhasePrefill)
+	}
+	return h
+}
+
+// Secure implements [mangostall.Successor].
+func (h *handover) Secure() bool {
+	for i := range h.phases {
+		if err := h.relay.fleet.Do(h.ctx, mangofleet.TakeRetry{Service: h.demand.Service}); err != nil {
+			h.refund(i)
+			return false
+		}
+	}
+	d := h.demand
+	d.Age += time.Since(h.began)
+	grant, err := h.relay.broker.Acquire(h.ctx, d)
+	if err != nil {
+		h.refund(len(h.phases))
+		return false
+	}
+	h.grant = grant
+	return true
+}
+
+// Withdraw implements [mangostall.Successor].
+func (h *handover) Withdraw() {
+	h.grant.Release()
+	h.refund(len(h.phases))
+}
+
+func (h *handover) refund(n int) {
+	for range n {
+		// It fails only when the process ends.
+		_ = h.relay.fleet.Do(context.WithoutCancel(h.ctx), mangofleet.RefundRetry{Service: h.demand.Service})
+	}
+}
+
+// stallTimer monitors an exchange for the time without an event.
+type stallTimer interface {
+	Stop() bool
+	Reset(d time.Duration) bool
+}
+
+// nopTimer never expires.
+type nopTimer struct{}
+
+func (nopTimer) Stop() bool               { return true }
+func (nopTimer) Reset(time.Duration) bool { return true }
+
+// watch returns a watchdog that cancels an exchange with cause once a handover is
+// secured, or nil if the call may not be sent to another server.
+func (j *job) watch(h *handover, server mangotraffic.Server, cancel context.CancelCauseFunc, cause error, opts ...mangostall.Option) *mangostall.Watchdog {
+	if !j.route.Retryable() || int(j.attempts) >= maxLeases || j.runs+1 >= j.route.MaxAttempts {
+		return nil
+	}
+	opts = append(opts, mangostall.WithObserver(stallObserver{j.relay.observer, j.call.ID}))
+	return mangostall.New(server, h, func() {
+		h.done = true
+		cancel(cause)
+	}, opts...)
+}
+
+// stallObserver adds the request to the stalls of its exchanges.
+type stallObserver struct {
+	Observer
+	request mangomodel.RequestID
+}
+
+// Stalled implements [mangostall.Observer].
+func (o stallObserver) Stalled(s mangostall.Stall) { o.ExchangeStalled(o.request, s) }
+
+// keep keeps what a handover has secured for the next attempt. The exchange's
+// watchdog has been stopped.
+func (j *job) keep(h *handover) {
+	if h.done {
+		j.next = h
+	}
+}
+
+// takeNext returns the secured lease, if there is one that has not run out.
+func (j *job) takeNext() *mangobroker.Grant {
+	h := j.next
+	if h == nil {
+		return nil
+	}
+	j.next = nil
+	if !h.grant.Valid() {
+		h.Withdraw()
+		return nil
+	}
+	for _, phase := range h.phases {
+		j.paid[phase] = true
+	}
+	return h.grant
+}
+
+// releaseNext returns a secured lease and paid retries that were not used.
+func (j *job) releaseNext() {
+	if j.next != nil {
+		j.next.Withdraw()
+		j.next = nil
+	}
+	for phase, paid := range j.paid {
+		if paid {
+			j.paid[phase] = false
+			j.apply(mangofleet.RefundRetry{Service: j.service.Name})
+		}
+	}
+}
--- /dev/null
+++ b/core/mangorelay/handover_test.go
@@ -0,0 +1,77 @@
+package mangorelay
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"mangolane/core/mangofleet"
+	"mangolane/core/mangomodel"
+	"mangolane/core/mangotraffic"
+)
+
+// remove takes servers off the list, so that no call can continue there.
+func (h *harness) remove(list ...mangomodel.ServerID) {
+	cmd := mangofleet.ChangeServers{Cursor: 2}
+	for _, id := range list {
+		cmd.Changes = append(cmd.Changes, mangotraffic.ServerChange{ID: id})
+	}
+	h.Expect(h.fleet.Do(context.Background(), cmd)).To(gomega.Succeed())
+}
+
+// useUpRetries takes the whole retry budget of a service.
+func (h *harness) useUpRetries(service mangotraffic.ServiceName) {
+	for h.fleet.Do(context.Background(), mangofleet.TakeRetry{Service: service}) == nil {
+	}
+}
+
+func TestSilentSecondOfASoundEngineMovesNoStream(t *testing.T) {
+	for _, silence := range []time.Duration{time.Second, 1400 * time.Millisecond} {
+		withHarness(t, func(h *harness) {
+			h.newCall("/resume/1")
+			h.servers.runs["d1"] = []step{{events: events(1, 3), pauseAfter: 1, pause: silence}}
+			h.servers.silentUntil = map[mangomodel.ServerID]time.Time{"d1": time.Now().Add(20*time.Millisecond + eventInterval + silence)}
+			h.Expect(h.serve()).To(gomega.BeNil())
+			h.Expect(h.client.body).To(gomega.Equal("123"))
+			h.Expect(h.servers.sent).To(gomega.Equal(ids("p1", "d1")))
+		})
+	}
+}
+
+func TestStalledStreamGoesOnWithoutASuccessor(t *testing.T) {
+	tests := []struct {
+		name    string
+		prepare func(h *harness)
+	}{
+		{"no other server", func(h *harness) { h.remove("d2") }},
+		{"no retry left", func(h *harness) { h.useUpRetries("llm") }},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			withHarness(t, func(h *harness) {
+				test.prepare(h)
+				h.newCall("/resume/1")
+				h.servers.unreachable = map[mangomodel.ServerID]bool{"d1": true}
+				h.servers.runs["d1"] = []step{{events: events(1, 3), pauseAfter: 1, pause: 4 * time.Second}}
+				h.Expect(h.serve()).To(gomega.BeNil())
+				h.Expect(h.client.body).To(gomega.Equal("123"))
+			})
+		})
+	}
+}
+
+// A handover takes a retry for the prefill and one for the run; the next one finds
+// the budget as it was.
+func TestHandoverTakesEachRetryOnce(t *testing.T) {
+	withHarness(t, func(h *harness) {
+		h.servers.unreachable = map[mangomodel.ServerID]bool{"d1": true}
+		for range retryBudget / 2 {
+			h.newCall("/resume/1")
+			h.servers.runs["d1"] = []step{{events: events(1, 1), stalls: true}}
+			h.servers.runs["d2"] = []step{{events: events(2, 2)}}
+			h.Expect(h.serve()).To(gomega.BeNil())
+		}
+	})
+}
--- a/core/mangorelay/port.go
+++ b/core/mangorelay/port.go
@@ -30,6 +30,7 @@
 	"mangolane/core/mangolease"
 	"mangolane/core/mangomodel"
 	"mangolane/core/mangopanic"
+	"mangolane/core/mangostall"
 	"mangolane/core/mangotraffic"
 )
 
@@ -77,5 +78,8 @@
 type Observer interface {
 	mangopanic.Observer
 	ExchangeFinished(e mangoexchange.Exchange)
+	// ExchangeStalled is called on a goroutine of its own while the exchange goes
+	// on.
+	ExchangeStalled(id mangomodel.RequestID, s mangostall.Stall)
 	CallFinished(r mangoexchange.Result)
 }
--- a/core/mangorelay/relay.go
+++ b/core/mangorelay/relay.go
@@ -13,6 +13,7 @@
 	"mangolane/core/mangolease"
 	"mangolane/core/mangomodel"
 	"mangolane/core/mangopanic"
+	"mangolane/core/mangostall"
 	"mangolane/core/mangotraffic"
 )
 
@@ -102,6 +103,10 @@
 	cache *pendingCache
 	// grant is the lease in use.
 	grant *mangobroker.Grant
+	// next is the secured continuation of an exchange that was cancelled, and paid
+	// marks the phases whose next request is charged to the retry budget already.
+	next *handover
+	paid [mangoexchange.NumPhases]bool
 	// headSent is set once the response head was passed to the sink.
 	headSent bool
 	// lastEventID is the last event that was sent to the client.
@@ -145,6 +150,7 @@
 	if err := j.relay.fleet.Do(ctx, mangofleet.AdmitCall{Service: j.service.Name, Call: j.call.Fingerprint}); err != nil {
 		return j.finalFault(ctx, err)
 	}
+	defer j.releaseNext()
 	if j.service.Engine != nil {
 		return j.finalFault(ctx, j.serveStream(ctx))
 	}
@@ -204,13 +210,22 @@
 	return longest
 }
 
-// acquire waits for a lease on the servers that a demand needs.
-func (j *job) acquire(ctx context.Context, d mangolease.Demand) (*mangobroker.Grant, error) {
+// completeDemand sets the fields of a demand that follow from the call.
+func (j *job) completeDemand(d mangolease.Demand) mangolease.Demand {
 	d.Request, d.Service, d.Priority, d.Avoid = j.call.ID, j.service.Name, j.route.Priority, j.avoid
 	d.Age = time.Since(j.call.Arrived)
-	grant, err := j.relay.broker.Acquire(ctx, d)
-	if err != nil {
-		return nil, err
+	return d
+}
+
+// acquire returns the lease that a handover has secured, or waits for one on the
+// servers that a demand needs.
+func (j *job) acquire(ctx context.Context, d mangolease.Demand) (*mangobroker.Grant, error) {
+	grant := j.takeNext()
+	if grant == nil {
+		var err error
+		if grant, err = j.relay.broker.Acquire(ctx, j.completeDemand(d)); err != nil {
+			return nil, err
+		}
 	}
 	j.grant = grant
 	j.attempts++
@@ -252,12 +267,16 @@
 }
 
 // takeRetry charges a request to the retry budget unless it is the first of its
-// phase.
+// phase or paid already.
 func (j *job) takeRetry(ctx context.Context, phase mangoexchange.Phase) error {
 	j.sends[phase]++
 	if j.sends[phase] == 1 {
 		return nil
 	}
+	if j.paid[phase] {
+		j.paid[phase] = false
+		return nil
+	}
 	return j.relay.fleet.Do(ctx, mangofleet.TakeRetry{Service: j.service.Name})
 }
 
@@ -301,8 +320,9 @@
 
 type nopObserver struct{ mangopanic.Nop }
 
-func (nopObserver) ExchangeFinished(mangoexchange.Exchange) {}
-func (nopObserver) CallFinished(mangoexchange.Result)       {}
+func (nopObserver) ExchangeFinished(mangoexchange.Exchange)                {}
+func (nopObserver) ExchangeStalled(mangomodel.RequestID, mangostall.Stall) {}
+func (nopObserver) CallFinished(mangoexchange.Result)                      {}
 
 type nopTracer struct{}
 
--- a/core/mangorelay/stream.go
+++ b/core/mangorelay/stream.go
@@ -30,6 +30,9 @@
 	// stallFactor times the route's MaxPause is the stall timeout within a
 	// stream. Preempted streams pause for about the time of a prefill.
 	stallFactor = 3
+	// maxRepetition times the stall timeout is how long a server may repeat events
+	// or send comments before its stream continues elsewhere.
+	maxRepetition = 3
 	// defaultStallTimeout is used for routes without a MaxPause.
 	defaultStallTimeout = 2 * time.Second
 	// cacheLifetimeShare is the share of a KV cache's lifetime after which it is
@@ -181,9 +184,9 @@
 	}
 	runCtx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	stall := j.newStallTimer(server, func() { cancel(errStalled) })
+	h := j.newHandover(runCtx, server.ID)
+	stall := j.newStallTimer(h, server, cancel)
 	stall.Reset(firstEventTimeout)
-	defer stall.Stop()
 	runCtx, end := j.relay.tracer.Start(runCtx, mangomodel.StepDecode, mangomodel.PeerName(server.ID))
 	resp, err := j.relay.servers.Run(runCtx, server, j.call, opts)
 	if err == nil {
@@ -191,31 +194,21 @@
 	} else {
 		err = j.handleSendError(runCtx, server, err)
 	}
+	stall.Stop()
+	j.keep(h)
 	end(err)
 	j.reportExchange(mangoexchange.PhaseRun, server, grant.Lease, began, err)
 	j.keepUnfetchedCache(err)
 	return err
 }
 
-// stallTimer cancels an exchange on which no event arrives in time.
-type stallTimer interface {
-	Stop() bool
-	Reset(d time.Duration) bool
-}
-
-// nopTimer never expires.
-type nopTimer struct{}
-
-func (nopTimer) Stop() bool               { return true }
-func (nopTimer) Reset(time.Duration) bool { return true }
-
 // newStallTimer returns a watchdog if the stream can continue at another engine,
 // and otherwise a timer that never expires.
-func (j *job) newStallTimer(server mangotraffic.Server, cancel func()) stallTimer {
-	if !j.route.Retryable() {
-		return nopTimer{}
+func (j *job) newStallTimer(h *handover, server mangotraffic.Server, cancel context.CancelCauseFunc) stallTimer {
+	if w := j.watch(h, server, cancel, errStalled, mangostall.WithReports(j.relay.servers)); w != nil {
+		return w
 	}
-	return mangostall.New(j.relay.servers, server, cancel, j.relay.observer)
+	return nopTimer{}
 }
 
 // keepUnfetchedCache keeps the KV cache for another server if the call did not
@@ -294,10 +287,10 @@
 }
 
 // relayEvents relays whole events until the stream is complete. Only progress
-// stops the stall timer, so a server that repeats itself or sends comments has
-// stalled.
+// stops the stall timer. A server that repeats itself or sends comments without
+// progress is not silent, but broken.
 func (j *job) relayEvents(ctx context.Context, server mangotraffic.Server, resp *mangoexchange.Response, stall stallTimer) error {
-	resumed := j.headSent
+	resumed, progressAt := j.headSent, time.Now()
 	for {
 		event, err := resp.Events.Next()
 		if errors.Is(err, io.EOF) {
@@ -314,6 +307,9 @@
 		progress := j.isProgress(event)
 		if progress {
 			stall.Stop()
+			progressAt = time.Now()
+		} else if j.route.Retryable() && time.Since(progressAt) > maxRepetition*j.stallTimeout() {
+			return j.handleForeign(server, resp, "no new event")
 		}
 		if progress || event.ID == 0 && !resumed {
 			if err := j.relayEvent(resp.Head, event); err != nil {
--- a/core/mangostall/stall.go
+++ b/core/mangostall/stall.go
@@ -1,14 +1,16 @@
-// Package mangostall cancels an exchange with an engine that has stopped sending
-// events.
+// Package mangostall decides when an exchange with an engine that has stopped
+// sending events continues at another engine.
 //
-// A single timeout does not cancel a stream if the engine still responds to load
-// reports: it is only slow, for example because it preempts streams and computes
-// their prompts again. If the engine does not respond, or further timeouts follow
-// without an event, the connection is considered lost.
+// Silence alone does not end an exchange: a sound engine may send nothing for a
+// while, because it preempts streams and computes their prompts again, or because
+// it is suspended for a second. An exchange has stalled if the engine does not
+// return a load report either within SilenceTolerance, or if further timeouts
+// follow without an event. It is then cancelled only once its continuation
+// elsewhere is secured.
 //
 // # Usage
 //
-//	w := mangostall.New(reporter, server, func() { cancel(errStalled) }, observer)
+//	w := mangostall.New(server, successor, func() { cancel(errStalled) }, mangostall.WithReports(reporter))
 //	w.Reset(2 * time.Second)
 //	event, err := events.Next()
 //	w.Stop()
@@ -24,8 +26,11 @@
 )
 
 const (
-	// probeTimeout bounds the load report that checks whether an engine responds.
-	probeTimeout = 300 * time.Millisecond
+	// SilenceTolerance is how long an engine may send nothing at all.
+	SilenceTolerance = 1500 * time.Millisecond
+	// minProbeTimeout bounds the load report that checks whether an engine
+	// responds, once SilenceTolerance has passed.
+	minProbeTimeout = 300 * time.Millisecond
 	// maxStalls is how many timeouts in a row are tolerated from an engine that
 	// responds, since preemption and repeated prefill delay its events. After
 	// that, the connection must have been lost in the network.
@@ -37,30 +42,72 @@
 	Report(ctx context.Context, server mangotraffic.Server) (mangotraffic.LoadReport, error)
 }
 
+// Successor secures the continuation of an exchange at another server.
+type Successor interface {
+	// Secure reports whether the exchange can continue elsewhere. It may block.
+	Secure() bool
+	// Withdraw returns what Secure secured, since the exchange has not been
+	// cancelled.
+	Withdraw()
+}
+
+// Stall is a timeout of an exchange.
+type Stall struct {
+	Server mangotraffic.Server
+	// Silence is the time since the last event.
+	Silence time.Duration
+	// Responsive is set if the engine returned a load report.
+	Responsive bool
+	// Secured is set if the exchange can continue elsewhere.
+	Secured bool
+}
+
+// Observer is notified of stalls.
+type Observer interface {
+	mangopanic.Observer
+	Stalled(s Stall)
+}
+
+// Option configures a Watchdog.
+type Option func(*Watchdog)
+
+// WithReports makes the watchdog tolerate timeouts of an engine that returns load
+// reports. Without reports, the first timeout counts as a stall.
+func WithReports(r LoadReporter) Option { return func(w *Watchdog) { w.reporter = r } }
+
+// WithObserver sets the observer.
+func WithObserver(o Observer) Option { return func(w *Watchdog) { w.observer = o } }
+
 // Watchdog monitors one exchange. It is guarded by a lock because its timer fires
 // on a separate goroutine.
 type Watchdog struct {
-	reporter LoadReporter
-	server   mangotraffic.Server
-	cancel   func()
-	observer mangopanic.Observer
+	reporter  LoadReporter
+	server    mangotraffic.Server
+	successor Successor
+	cancel    func()
+	observer  Observer
 
 	mu      sync.Mutex
 	timer   *time.Timer
 	timeout time.Duration
-	// epoch identifies the current wait; the probe of an earlier wait is ignored.
+	// since is when the current wait began.
+	since time.Time
+	// epoch identifies the current wait; what an earlier wait decides is dropped.
 	// stalls counts the timeouts since the last Stop.
 	epoch, stalls int
 }
 
-// New returns a stopped Watchdog that calls cancel if no event arrives in time and
-// the engine does not respond or has stalled too often. Panics of its own goroutine
-// are reported to o.
-func New(r LoadReporter, server mangotraffic.Server, cancel func(), o mangopanic.Observer) *Watchdog {
-	return &Watchdog{reporter: r, server: server, cancel: cancel, observer: o}
+// New returns a stopped Watchdog. It calls cancel, with a lock held, once the
+// exchange has stalled and s has secured its continuation.
+func New(server mangotraffic.Server, s Successor, cancel func(), opts ...Option) *Watchdog {
+	w := &Watchdog{server: server, successor: s, cancel: cancel, observer: nopObserver{}}
+	for _, opt := range opts {
+		opt(w)
+	}
+	return w
 }
 
-// Stop ends the current wait.
+// Stop ends the current wait. After it, cancel is not called until the next Reset.
 func (w *Watchdog) Stop() bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -74,35 +121,65 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.epoch++
-	w.timeout = d
-	epoch := w.epoch
-	w.timer = time.AfterFunc(d, func() { w.handleTimeout(epoch) })
+	w.timeout, w.since = d, time.Now()
+	w.arm(w.epoch)
 	return true
 }
 
-// handleTimeout runs after a timeout. It extends the wait if the engine responds to
-// a load report, up to maxStalls times, and cancels the exchange otherwise.
+func (w *Watchdog) arm(epoch int) {
+	w.timer = time.AfterFunc(w.timeout, func() { w.handleTimeout(epoch) })
+}
+
+// handleTimeout runs after a timeout on a goroutine of its own, and may block.
 func (w *Watchdog) handleTimeout(epoch int) {
-	responsive := w.responsive()
+	defer mangopanic.Catch(w.observer, "watchdog")
+	w.mu.Lock()
+	since, stalls, current := w.since, w.stalls, epoch == w.epoch
+	w.mu.Unlock()
+	if !current {
+		return
+	}
+	stall := Stall{Server: w.server, Responsive: w.responsive(since)}
+	if !stall.Responsive || stalls >= maxStalls {
+		stall.Secured = w.successor.Secure()
+	}
+	stall.Silence = time.Since(since)
+	w.observer.Stalled(stall)
+	if !w.conclude(epoch, stall.Secured) && stall.Secured {
+		w.successor.Withdraw()
+	}
+}
+
+// conclude cancels a secured exchange, or waits again. It reports false if the
+// exchange has made progress meanwhile.
+func (w *Watchdog) conclude(epoch int, secured bool) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if epoch != w.epoch {
-		return
+		return false
 	}
 	w.stalls++
-	if !responsive || w.stalls > maxStalls {
+	if secured {
 		w.cancel()
-		return
+	} else {
+		w.arm(epoch)
 	}
-	w.timer = time.AfterFunc(w.timeout, func() { w.handleTimeout(epoch) })
+	return true
 }
 
-// responsive reports whether the engine returns a load report. A panic counts as
-// none.
-func (w *Watchdog) responsive() bool {
-	defer mangopanic.Catch(w.observer, "load report of a stalled engine")
-	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+// responsive reports whether the engine returns a load report before it has been
+// silent for SilenceTolerance.
+func (w *Watchdog) responsive(since time.Time) bool {
+	if w.reporter == nil {
+		return false
+	}
+	timeout := max(SilenceTolerance-time.Since(since), minProbeTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	_, err := w.reporter.Report(ctx, w.server)
 	return err == nil
 }
+
+type nopObserver struct{ mangopanic.Nop }
+
+func (nopObserver) Stalled(Stall) {}
--- /dev/null
+++ b/core/mangostall/stall_test.go
@@ -0,0 +1,110 @@
+package mangostall
+
+import (
+	"context"
+	"errors"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"mangolane/core/mangotraffic"
+)
+
+// silentEngine returns no load report before a time.
+type silentEngine struct{ until time.Time }
+
+func (e silentEngine) Report(ctx context.Context, _ mangotraffic.Server) (mangotraffic.LoadReport, error) {
+	select {
+	case <-time.After(time.Until(e.until)):
+		return mangotraffic.LoadReport{}, nil
+	case <-ctx.Done():
+		return mangotraffic.LoadReport{}, ctx.Err()
+	}
+}
+
+// failingEngine returns no load report.
+type failingEngine struct{}
+
+func (failingEngine) Report(context.Context, mangotraffic.Server) (mangotraffic.LoadReport, error) {
+	return mangotraffic.LoadReport{}, errors.New("connection refused")
+}
+
+// successor takes some time to secure a continuation, or finds none.
+type successor struct {
+	found            bool
+	takes            time.Duration
+	asked, withdrawn int
+}
+
+func (s *successor) Secure() bool {
+	s.asked++
+	time.Sleep(s.takes)
+	return s.found
+}
+
+func (s *successor) Withdraw() { s.withdrawn++ }
+
+func TestExchangeIsCancelledOnlyOnceItsContinuationIsSecured(t *testing.T) {
+	const timeout = 900 * time.Millisecond
+	tests := []struct {
+		name     string
+		reporter LoadReporter
+		silence  time.Duration
+		next     successor
+		// asked and cancelled are after silence.
+		asked     int
+		cancelled bool
+	}{
+		{"silent for a second", nil, 1400 * time.Millisecond, successor{found: true}, 0, false},
+		{"unreachable", failingEngine{}, time.Second, successor{found: true}, 1, true},
+		{"silent beyond the tolerance", nil, SilenceTolerance + time.Millisecond, successor{found: true}, 1, true},
+		{"without a successor", failingEngine{}, 5 * timeout, successor{}, 5, false},
+		{"a successor that takes time", failingEngine{}, 2 * timeout, successor{found: true, takes: 2 * timeout}, 1, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := gomega.NewWithT(t)
+				reporter := test.reporter
+				if reporter == nil {
+					reporter = silentEngine{time.Now().Add(test.silence)}
+				}
+				var cancelled atomic.Bool
+				w := New(mangotraffic.Server{}, &test.next, func() { cancelled.Store(true) }, WithReports(reporter))
+				w.Reset(timeout)
+				time.Sleep(test.silence)
+				synctest.Wait()
+				w.Stop()
+				g.Expect(cancelled.Load()).To(gomega.Equal(test.cancelled))
+				g.Expect(test.next.asked).To(gomega.Equal(test.asked))
+				time.Sleep(4 * timeout)
+				synctest.Wait()
+				g.Expect(cancelled.Load()).To(gomega.Equal(test.cancelled), "nothing happens after Stop")
+				withdrawn := 0
+				if test.next.found && test.asked > 0 && !test.cancelled {
+					withdrawn = 1
+				}
+				g.Expect(test.next.withdrawn).To(gomega.Equal(withdrawn))
+			})
+		})
+	}
+}
+
+func TestEngineThatRespondsButSendsNothingIsLeft(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		var cancelled atomic.Bool
+		next := &successor{found: true}
+		w := New(mangotraffic.Server{}, next, func() { cancelled.Store(true) }, WithReports(silentEngine{}))
+		w.Reset(time.Second)
+		time.Sleep((maxStalls+1)*time.Second - time.Millisecond)
+		synctest.Wait()
+		g.Expect(cancelled.Load()).To(gomega.BeFalse())
+		time.Sleep(time.Millisecond)
+		synctest.Wait()
+		g.Expect(cancelled.Load()).To(gomega.BeTrue())
+	})
+}
--- a/mangolaned/mangogateway/observe.go
+++ b/mangolaned/mangogateway/observe.go
@@ -13,6 +13,7 @@
 	"mangolane/core/mangomodel"
 	"mangolane/core/mangopool"
 	"mangolane/core/mangostage"
+	"mangolane/core/mangostall"
 	"mangolane/core/mangotraffic"
 	"mangolane/mangolaned/mangolog"
 )
@@ -45,6 +46,13 @@
 	o.logger.Debug("exchange", fields...)
 }
 
+// ExchangeStalled logs and counts a timeout of an exchange.
+func (o observer) ExchangeStalled(id mangomodel.RequestID, s mangostall.Stall) {
+	o.metrics.count("Exchanges.Stalled", 1)
+	o.logger.Info("exchange stalled", zap.String("Request", string(id)), zap.String("Server", string(s.Server.ID)),
+		zap.Duration("Silence", s.Silence), zap.Bool("Responsive", s.Responsive), zap.Bool("Secured", s.Secured))
+}
+
 // CallFinished logs and counts the outcome of a call.
 func (o observer) CallFinished(r mangoexchange.Result) {
 	o.metrics.callFinished(r)
