A plain call is not given up before another server can take it

Callers saw: an idempotent call that ended with 502 although its server was about to answer, and a resumable stream of a plain server that was cut one and a half target latencies after its start. Cause: the attempt was cancelled after 1.5 target latencies, its head sent or not, and only then room and a retry were looked for. Change: the same handover as for streams; the watch ends when the response begins. Evidence: TestSlowPlainCallIsNotGivenUpWithoutASuccessor (both cases) and TestResponseTimeoutDoesNotCutAStreamOfAPlainServer fail on the code before the handover.

--- a/core/mangorelay/handover.go
+++ b/core/mangorelay/handover.go
@@ -85,6 +85,12 @@
 func (nopTimer) Stop() bool               { return true }
 func (nopTimer) Reset(time.Duration) bool { return true }
 
+// responseTimer monitors an exchange until its response begins.
+type responseTimer struct{ *mangostall.Watchdog }
+
+// Reset does nothing, since a response that has begun cannot be replaced.
+func (responseTimer) Reset(time.Duration) bool { return true }
+
 // watch returns a watchdog that cancels an exchange with cause once a handover is
 // secured, or nil if the call may not be sent to another server.
 func (j *job) watch(h *handover, server mangotraffic.Server, cancel context.CancelCauseFunc, cause error, opts ...mangostall.Option) *mangostall.Watchdog {
--- a/core/mangorelay/handover_test.go
+++ b/core/mangorelay/handover_test.go
@@ -62,6 +62,36 @@
 	}
 }
 
+func TestSlowPlainCallIsNotGivenUpWithoutASuccessor(t *testing.T) {
+	tests := []struct {
+		name    string
+		prepare func(h *harness)
+	}{
+		{"no other server", func(h *harness) { h.remove("s2") }},
+		{"no retry left", func(h *harness) { h.useUpRetries("app") }},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			withHarness(t, func(h *harness) {
+				test.prepare(h)
+				h.newCall("/read/1")
+				h.servers.runs["s1"] = []step{{responseDelay: 700 * time.Millisecond, body: "a"}}
+				h.Expect(h.serve()).To(gomega.BeNil())
+				h.Expect(h.client.body).To(gomega.Equal("a"))
+			})
+		})
+	}
+}
+
+func TestResponseTimeoutDoesNotCutAStreamOfAPlainServer(t *testing.T) {
+	withHarness(t, func(h *harness) {
+		h.newCall("/feed/1")
+		h.servers.runs["s1"] = []step{{events: events(1, 9), interval: 100 * time.Millisecond}}
+		h.Expect(h.serve()).To(gomega.BeNil())
+		h.Expect(h.client.body).To(gomega.Equal("123456789"))
+	})
+}
+
 // A handover takes a retry for the prefill and one for the run; the next one finds
 // the budget as it was.
 func TestHandoverTakesEachRetryOnce(t *testing.T) {
--- a/core/mangorelay/plain.go
+++ b/core/mangorelay/plain.go
@@ -26,8 +26,8 @@
 	// queueTimeoutShare is the share of the target latency that a call may be
 	// queued before it is refused.
 	queueTimeoutShare = 0.5
-	// responseTimeoutFactor times the target latency is the timeout of an attempt
-	// that can be retried at another server.
+	// responseTimeoutFactor times the target latency is the time after which an
+	// attempt that can be retried is replaced by one at another server.
 	responseTimeoutFactor = 1.5
 )
 
@@ -65,22 +65,28 @@
 	}
 	defer grant.Release()
 	lease := grant.Lease
-	runCtx, cancel := j.withResponseTimeout(ctx)
-	defer cancel()
+	runCtx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	h := j.newHandover(runCtx, lease.Server.ID)
+	timer := j.newResponseTimer(h, lease.Server, cancel)
 	runCtx, end := j.relay.tracer.Start(runCtx, mangomodel.StepCall, mangomodel.PeerName(lease.Server.ID))
-	err = j.exchange(runCtx, lease)
+	err = j.exchange(runCtx, lease, timer)
+	timer.Stop()
+	j.keep(h)
 	end(err)
 	j.reportExchange(mangoexchange.PhaseRun, lease.Server, lease, began, err)
 	return err
 }
 
-// withResponseTimeout sets a timeout on an attempt that can be retried. It covers
-// the head and the body of the response.
-func (j *job) withResponseTimeout(ctx context.Context) (context.Context, context.CancelFunc) {
-	if !j.route.Retryable() || j.runs+1 >= j.route.MaxAttempts {
-		return context.WithCancel(ctx)
-	}
-	return context.WithTimeoutCause(ctx, time.Duration(responseTimeoutFactor*float64(j.route.TargetLatency)), errNoResponse)
+// newResponseTimer returns a timer for an attempt that another server can replace
+// until its response begins, and otherwise one that never expires.
+func (j *job) newResponseTimer(h *handover, server mangotraffic.Server, cancel context.CancelCauseFunc) stallTimer {
+	w := j.watch(h, server, cancel, errNoResponse)
+	if w == nil {
+		return nopTimer{}
+	}
+	w.Reset(time.Duration(responseTimeoutFactor * float64(j.route.TargetLatency)))
+	return responseTimer{w}
 }
 
 // errNoResponse is the cancellation cause of an attempt whose server did not
@@ -88,7 +94,7 @@
 var errNoResponse = errors.New("no response in time")
 
 // exchange sends the call and relays the response.
-func (j *job) exchange(ctx context.Context, lease mangolease.Lease) error {
+func (j *job) exchange(ctx context.Context, lease mangolease.Lease, timer stallTimer) error {
 	if err := j.takeRetry(ctx, mangoexchange.PhaseRun); err != nil {
 		return err
 	}
@@ -97,13 +103,14 @@
 	if err != nil {
 		return j.handleSendError(ctx, lease.Server, err)
 	}
-	return j.relayResponse(ctx, lease.Server, resp, nopTimer{})
+	return j.relayResponse(ctx, lease.Server, resp, timer)
 }
 
 // relayBody relays a response without events. A body smaller than
 // maxBufferedBody is read completely before anything is sent.
-func (j *job) relayBody(ctx context.Context, server mangotraffic.Server, resp *mangoexchange.Response) error {
+func (j *job) relayBody(ctx context.Context, server mangotraffic.Server, resp *mangoexchange.Response, stall stallTimer) error {
 	data, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedBody))
+	stall.Stop()
 	if err != nil {
 		return j.handleAborted(ctx, server, err)
 	}
--- a/core/mangorelay/stream.go
+++ b/core/mangorelay/stream.go
@@ -281,7 +281,7 @@
 		return j.handleForeign(server, resp, "a body")
 	}
 	if resp.Events == nil {
-		return j.relayBody(ctx, server, resp)
+		return j.relayBody(ctx, server, resp, stall)
 	}
 	return j.relayEvents(ctx, server, resp, stall)
 }
