A late demand does not make its scheduler count as lost

Callers saw: streams of a daemon queued anew at a second scheduler, with the waits and double grants that this brings, whenever one stream tried again late, for example after a silent engine. Cause: the wait limit of a second attempt counts from the call's arrival and may have passed by more than the slack of 0.5 s. The demand then timed out before it was sent, which counted as an unreachable scheduler and cancelled all demands that waited there. Change: the timeouts of the call count a passed wait limit as zero; the scheduler grants such a demand at once or refuses it, as it does its own. Evidence: TestLateDemandDoesNotLoseItsScheduler failed before with 'Unavailable: ... i/o timeout' for limits of -1 s and -1 min.

--- a/mangolaned/mangomesh/peers.go
+++ b/mangolaned/mangomesh/peers.go
@@ -66,9 +66,10 @@
 // NewPeers returns Peers without open connections.
 func NewPeers() *Peers { return &Peers{pool: mangoconn.New(mangoconn.TCP)} }
 
-// Acquire requests a lease from a scheduler.
+// Acquire requests a lease from a scheduler. A demand whose wait limit has passed
+// is granted at once or refused there.
 func (p *Peers) Acquire(ctx context.Context, at mangoroster.Member, id mangolease.ID, d mangolease.Demand) (mangolease.Lease, error) {
-	ctx, cancel := context.WithTimeout(ctx, d.Patience+acquireSlack)
+	ctx, cancel := context.WithTimeout(ctx, max(d.Patience, 0)+acquireSlack)
 	defer cancel()
 	var reply AcquireReply
 	to := mangoconn.Endpoint{Address: at.Address, Lane: mangoconn.LaneAdmission}
--- a/mangolaned/mangomesh/server.go
+++ b/mangolaned/mangomesh/server.go
@@ -70,7 +70,7 @@
 // Acquire acquires a lease from this daemon.
 func (c *Command) Acquire(args AcquireArgs, reply *AcquireReply) (err error) {
 	defer mangopanic.CatchError(c.observer, methodAcquire, &err)
-	ctx, cancel := context.WithTimeout(context.Background(), args.Demand.Patience+commandTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), max(args.Demand.Patience, 0)+commandTimeout)
 	defer cancel()
 	if err := c.fleet.Do(ctx, mangofleet.Acquire{Lease: args.ID, Demand: args.Demand}); err != nil {
 		body := mangowire.FaultBodyOf(mangomodel.AsFault(err, mangomodel.StepAdmission))
