A demand that ends at its scheduler is answered, not broken off

Callers could see: a closed connection without an answer for a call whose scheduler gave its demand up; the daemon took the code Cancelled for its own client's leaving. Cause: the fleet says Cancelled when the context of a command ends, and the scheduler passed that on to the daemon that holds the call. Change: the scheduler says Overloaded. Evidence: TestDemandThatEndsAtItsSchedulerIsNotTheClientsLeaving failed before with 'Code:Cancelled'. In the field only a daemon that was suspended while it waited can receive that answer, since its own timeout comes half a second earlier: suspected, not seen.

--- a/mangolaned/mangomesh/acquire_test.go
+++ b/mangolaned/mangomesh/acquire_test.go
@@ -50,3 +50,11 @@
 		}
 	}
 }
+
+func TestDemandThatEndsAtItsSchedulerIsNotTheClientsLeaving(t *testing.T) {
+	var reply AcquireReply
+	c := &Command{fleet: fakeFleet{takes: time.Minute}, observer: mangopanic.Nop{}}
+	if err := c.Acquire(AcquireArgs{}, &reply); err != nil || reply.Fault == nil || reply.Fault.Code == mangomodel.CodeCancelled {
+		t.Errorf("got %v, %+v, want a fault that is answered", err, reply.Fault)
+	}
+}
--- a/mangolaned/mangomesh/server.go
+++ b/mangolaned/mangomesh/server.go
@@ -73,7 +73,12 @@
 	ctx, cancel := context.WithTimeout(context.Background(), max(args.Demand.Patience, 0)+commandTimeout)
 	defer cancel()
 	if err := c.fleet.Do(ctx, mangofleet.Acquire{Lease: args.ID, Demand: args.Demand}); err != nil {
-		body := mangowire.FaultBodyOf(mangomodel.AsFault(err, mangomodel.StepAdmission))
+		fault := *mangomodel.AsFault(err, mangomodel.StepAdmission)
+		if ctx.Err() != nil {
+			// Only the daemon that holds the call knows whether its client has left.
+			fault.Code = mangomodel.CodeOverloaded
+		}
+		body := mangowire.FaultBodyOf(&fault)
 		reply.Fault = &body
 		return nil
 	}
