The watchdog asks for one continuation at a time

Callers could see: retries and slots taken for nobody. Cause: an event that comes while a continuation is being secured starts a new wait, whose timeout could ask for a second one before the first was returned; the first would then have been lost. Change: one at a time.

--- a/core/mangostall/stall.go
+++ b/core/mangostall/stall.go
@@ -3,10 +3,11 @@
 //
 // Silence alone does not end an exchange: a sound engine may send nothing for a
 // while, because it preempts streams and computes their prompts again, or because
-// it is suspended for a second. An exchange has stalled if the engine does not
-// return a load report either within SilenceTolerance, or if further timeouts
-// follow without an event. It is then cancelled only once its continuation
-// elsewhere is secured.
+// it is suspended for a second. After its first event, an exchange has stalled if
+// the engine does not return a load report either within SilenceTolerance, or if
+// further timeouts follow without an event. Before it, nothing shows that the
+// engine has accepted the exchange, and the first timeout is a stall. A stalled
+// exchange is cancelled only once its continuation elsewhere is secured.
 //
 // # Usage
 //
@@ -37,6 +38,17 @@
 	maxStalls = 2
 )
 
+// StartLimit returns how long after its arrival a stream with a target latency and a
+// longest pause may begin: shortly before its client leaves.
+func StartLimit(target, pause time.Duration) time.Duration {
+	const (
+		minWait                   = 2 * time.Second
+		targetFactor, pauseFactor = 4, 8
+		share                     = 0.9
+	)
+	return time.Duration(share * float64(max(minWait, targetFactor*target, pauseFactor*pause)))
+}
+
 // LoadReporter queries the load of an engine, which shows that it responds.
 type LoadReporter interface {
 	Report(ctx context.Context, server mangotraffic.Server) (mangotraffic.LoadReport, error)
@@ -95,6 +107,17 @@
 	// epoch identifies the current wait; what an earlier wait decides is dropped.
 	// stalls counts the timeouts since the last Stop.
 	epoch, stalls int
+	// begun is set by the first Stop, which follows the first event.
+	begun bool
+	// securing is set while the successor is in use.
+	securing bool
+}
+
+// StartTimeout returns the timeout of a step that is predicted to take some time
+// and shows no progress before its end.
+func StartTimeout(predicted time.Duration) time.Duration {
+	const slowdown = 2
+	return SilenceTolerance + slowdown*predicted
 }
 
 // New returns a stopped Watchdog. It calls cancel, with a lock held, once the
@@ -113,6 +136,7 @@
 	defer w.mu.Unlock()
 	w.epoch++
 	w.stalls = 0
+	w.begun = true
 	return w.timer == nil || w.timer.Stop()
 }
 
@@ -133,15 +157,17 @@
 // handleTimeout runs after a timeout on a goroutine of its own, and may block.
 func (w *Watchdog) handleTimeout(epoch int) {
 	defer mangopanic.Catch(w.observer, "watchdog")
-	w.mu.Lock()
-	since, stalls, current := w.since, w.stalls, epoch == w.epoch
-	w.mu.Unlock()
+	since, begun, stalls, current := w.wait(epoch)
 	if !current {
 		return
 	}
-	stall := Stall{Server: w.server, Responsive: w.responsive(since)}
+	stall := Stall{Server: w.server, Responsive: begun && w.responsive(since)}
 	if !stall.Responsive || stalls >= maxStalls {
-		stall.Secured = w.successor.Secure()
+		// A wait that has ended meanwhile may still be using the successor.
+		if w.setSecuring(true) {
+			defer w.setSecuring(false)
+			stall.Secured = w.successor.Secure()
+		}
 	}
 	stall.Silence = time.Since(since)
 	w.observer.Stalled(stall)
@@ -150,6 +176,25 @@
 	}
 }
 
+// wait returns the state of the wait of an epoch, if it is the current one.
+func (w *Watchdog) wait(epoch int) (since time.Time, begun bool, stalls int, current bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.since, w.begun, w.stalls, epoch == w.epoch
+}
+
+// setSecuring sets whether the successor is in use. It reports false if that has
+// been set already.
+func (w *Watchdog) setSecuring(securing bool) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.securing == securing {
+		return false
+	}
+	w.securing = securing
+	return true
+}
+
 // conclude cancels a secured exchange, or waits again. It reports false if the
 // exchange has made progress meanwhile.
 func (w *Watchdog) conclude(epoch int, secured bool) bool {
--- a/core/mangostall/stall_test.go
+++ b/core/mangostall/stall_test.go
@@ -74,6 +74,7 @@
 				}
 				var cancelled atomic.Bool
 				w := New(mangotraffic.Server{}, &test.next, func() { cancelled.Store(true) }, WithReports(reporter))
+				w.Stop()
 				w.Reset(timeout)
 				time.Sleep(test.silence)
 				synctest.Wait()
@@ -99,6 +100,7 @@
 		var cancelled atomic.Bool
 		next := &successor{found: true}
 		w := New(mangotraffic.Server{}, next, func() { cancelled.Store(true) }, WithReports(silentEngine{}))
+		w.Stop()
 		w.Reset(time.Second)
 		time.Sleep((maxStalls+1)*time.Second - time.Millisecond)
 		synctest.Wait()
@@ -108,3 +110,32 @@
 		g.Expect(cancelled.Load()).To(gomega.BeTrue())
 	})
 }
+
+func TestHangBeforeTheFirstEventIsLeftAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		var cancelled atomic.Bool
+		w := New(mangotraffic.Server{}, &successor{found: true}, func() { cancelled.Store(true) }, WithReports(silentEngine{}))
+		w.Reset(time.Second)
+		time.Sleep(time.Second)
+		synctest.Wait()
+		g.Expect(cancelled.Load()).To(gomega.BeTrue())
+	})
+}
+
+func TestProgressWhileSecuringDoesNotSecureTwice(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		next := &successor{found: true, takes: 5 * time.Second}
+		w := New(mangotraffic.Server{}, next, func() { t.Error("cancelled") }, WithReports(failingEngine{}))
+		for range 4 {
+			w.Reset(time.Second)
+			time.Sleep(1100 * time.Millisecond)
+			w.Stop()
+		}
+		time.Sleep(5 * time.Second)
+		synctest.Wait()
+		g.Expect(next.asked).To(gomega.Equal(1))
+		g.Expect(next.withdrawn).To(gomega.Equal(1))
+	})
+}
