A hang is left, or answered before its client leaves

Cause: a prefill was not watched at all, and the start of a stream only if the stream may be resumed, against a fixed 2 s and two further ones. Nobody compared with the time for which the client waits. Change: a prefill, which is no run of any call, is given up for a secured successor after the silence that is tolerated and twice its predicted time, which the lease carries; so is the start of a resumable stream at its first timeout. A stream that has not begun at nine tenths of the time for which clients wait ends with a fault: 503 with Retry-After if only a prefill was sent, 504 if it may have run.

--- a/core/mangolease/lease.go
+++ b/core/mangolease/lease.go
@@ -60,6 +60,8 @@
 	Server mangotraffic.Server
 	// Prefill computes the prompt's KV cache; nil if no prefill server is needed.
 	Prefill *mangotraffic.Server
+	// PrefillTime is how long the prefill is predicted to take, with those before it.
+	PrefillTime time.Duration
 	// Waited is how long the demand was queued.
 	Waited time.Duration
 	// Scheduler granted the lease. Before that the server had Running recorded
--- a/core/mangopool/lease.go
+++ b/core/mangopool/lease.go
@@ -148,7 +148,7 @@
 		l.prefill = place.prefill.server.ID
 		place.prefill.prefills[pending.Lease] = l
 		server := place.prefill.server
-		granted.Prefill = &server
+		granted.Prefill, granted.PrefillTime = &server, place.prefill.backlog(now)
 	}
 	p.leases[pending.Lease] = l
 	p.granted = p.granted.With(pending.Lease, granted)
--- a/core/mangorelay/handover.go
+++ b/core/mangorelay/handover.go
@@ -29,16 +29,15 @@
 	done bool
 }
 
-// newHandover returns the handover of an exchange with a server that begins now.
-func (j *job) newHandover(ctx context.Context, server mangomodel.ServerID) *handover {
+// newHandover returns the handover of an exchange with a server that begins now. Its
+// continuation consists of some phases.
+func (j *job) newHandover(ctx context.Context, server mangomodel.ServerID, phases ...mangoexchange.Phase) *handover {
 	d := j.completeDemand(mangolease.Demand{OnTimeFor: defaultStallTimeout, Patience: defaultStallTimeout})
 	d.Avoid = append(append([]mangomodel.ServerID(nil), j.avoid...), server)
-	h := &handover{ctx: ctx, relay: j.relay, demand: d, phases: []mangoexchange.Phase{mangoexchange.PhaseRun}, began: time.Now()}
 	if j.service.Engine != nil {
-		h.demand.Generation = j.call.Generation
-		h.phases = append(h.phases, mangoexchange.PhasePrefill)
+		d.Generation = j.call.Generation
 	}
-	return h
+	return &handover{ctx: ctx, relay: j.relay, demand: d, phases: phases, began: time.Now()}
 }
 
 // Secure implements [mangostall.Successor].
@@ -91,12 +90,14 @@
 // Reset does nothing, since a response that has begun cannot be replaced.
 func (responseTimer) Reset(time.Duration) bool { return true }
 
+// mayRunAgain reports whether a call that is being run may be sent to another server.
+func (j *job) mayRunAgain() bool {
+	return j.route.Retryable() && int(j.attempts) < maxLeases && j.runs+1 < j.route.MaxAttempts
+}
+
 // watch returns a watchdog that cancels an exchange with cause once a handover is
-// secured, or nil if the call may not be sent to another server.
+// secured.
 func (j *job) watch(h *handover, server mangotraffic.Server, cancel context.CancelCauseFunc, cause error, opts ...mangostall.Option) *mangostall.Watchdog {
-	if !j.route.Retryable() || int(j.attempts) >= maxLeases || j.runs+1 >= j.route.MaxAttempts {
-		return nil
-	}
 	opts = append(opts, mangostall.WithObserver(stallObserver{j.relay.observer, j.call.ID}))
 	return mangostall.New(server, h, func() {
 		h.done = true
--- a/core/mangorelay/plain.go
+++ b/core/mangorelay/plain.go
@@ -67,7 +67,7 @@
 	lease := grant.Lease
 	runCtx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	h := j.newHandover(runCtx, lease.Server.ID)
+	h := j.newHandover(runCtx, lease.Server.ID, mangoexchange.PhaseRun)
 	timer := j.newResponseTimer(h, lease.Server, cancel)
 	runCtx, end := j.relay.tracer.Start(runCtx, mangomodel.StepCall, mangomodel.PeerName(lease.Server.ID))
 	err = j.exchange(runCtx, lease, timer)
@@ -81,10 +81,10 @@
 // newResponseTimer returns a timer for an attempt that another server can replace
 // until its response begins, and otherwise one that never expires.
 func (j *job) newResponseTimer(h *handover, server mangotraffic.Server, cancel context.CancelCauseFunc) stallTimer {
-	w := j.watch(h, server, cancel, errNoResponse)
-	if w == nil {
+	if !j.mayRunAgain() {
 		return nopTimer{}
 	}
+	w := j.watch(h, server, cancel, errNoResponse)
 	w.Reset(time.Duration(responseTimeoutFactor * float64(j.route.TargetLatency)))
 	return responseTimer{w}
 }
--- a/core/mangorelay/relay.go
+++ b/core/mangorelay/relay.go
@@ -107,6 +107,8 @@
 	// marks the phases whose next request is charged to the retry budget already.
 	next *handover
 	paid [mangoexchange.NumPhases]bool
+	// start ends a stream that does not begin in time.
+	start *time.Timer
 	// headSent is set once the response head was passed to the sink.
 	headSent bool
 	// lastEventID is the last event that was sent to the client.
@@ -300,6 +302,9 @@
 
 // sendHead passes the response head to the sink.
 func (j *job) sendHead(h mangoexchange.Head) error {
+	if j.start != nil && !j.start.Stop() {
+		return mangomodel.NewFault(mangomodel.StepRespond, "", mangomodel.CodeTimeout, mangomodel.RunUnknown, errTimeout)
+	}
 	j.headSent = true
 	j.result.Status = h.Status
 	j.result.TimeToFirstByte = time.Since(j.call.Arrived)
--- a/core/mangorelay/stream.go
+++ b/core/mangorelay/stream.go
@@ -46,13 +46,20 @@
 // events.
 var errStalled = errors.New("no event in time")
 
-// serveStream serves a call that needs a prefill engine and a decode engine.
+// serveStream serves a call that needs a prefill engine and a decode engine. A
+// stream that has not begun shortly before its client leaves ends with a fault,
+// so that the client is told whether the call may have run.
 func (j *job) serveStream(ctx context.Context) error {
 	defer j.releaseCache()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	limit := mangostall.StartLimit(j.route.TargetLatency, j.route.MaxPause)
+	j.start = time.AfterFunc(limit-time.Since(j.call.Arrived), func() { cancel(errTimeout) })
+	defer j.start.Stop()
 	for {
 		err := j.attemptStream(ctx)
 		if err == nil || ctx.Err() != nil {
-			return err
+			return j.finalFault(ctx, err)
 		}
 		if !j.canRetry(err) {
 			return err
@@ -133,7 +140,7 @@
 		return err
 	}
 	ctx, end := j.relay.tracer.Start(ctx, mangomodel.StepPrefill, mangomodel.PeerName(server.ID))
-	source, err := j.relay.servers.Prefill(ctx, server, j.call)
+	source, err := j.sendPrefill(ctx, grant, server)
 	end(err)
 	j.reportExchange(mangoexchange.PhasePrefill, server, grant.Lease, began, err)
 	if err == nil {
@@ -156,6 +163,23 @@
 	return &f
 }
 
+// sendPrefill requests the KV cache from a server. A prefill is no run of the call,
+// so any call may leave a server that does not respond.
+func (j *job) sendPrefill(ctx context.Context, grant *mangobroker.Grant, server mangotraffic.Server) (mangotraffic.KVSource, error) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	h := j.newHandover(ctx, server.ID, mangoexchange.PhasePrefill)
+	var timer stallTimer = nopTimer{}
+	if int(j.attempts) < maxLeases {
+		timer = j.watch(h, server, cancel, errStalled)
+	}
+	timer.Reset(mangostall.StartTimeout(grant.Lease.PrefillTime))
+	source, err := j.relay.servers.Prefill(ctx, server, j.call)
+	timer.Stop()
+	j.keep(h)
+	return source, err
+}
+
 func prefillOutcome(f *mangomodel.Fault) mangolease.Outcome {
 	switch {
 	case f.Code == mangomodel.CodeOverloaded:
@@ -184,7 +208,7 @@
 	}
 	runCtx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	h := j.newHandover(runCtx, server.ID)
+	h := j.newHandover(runCtx, server.ID, mangoexchange.PhasePrefill, mangoexchange.PhaseRun)
 	stall := j.newStallTimer(h, server, cancel)
 	stall.Reset(firstEventTimeout)
 	runCtx, end := j.relay.tracer.Start(runCtx, mangomodel.StepDecode, mangomodel.PeerName(server.ID))
@@ -205,10 +229,10 @@
 // newStallTimer returns a watchdog if the stream can continue at another engine,
 // and otherwise a timer that never expires.
 func (j *job) newStallTimer(h *handover, server mangotraffic.Server, cancel context.CancelCauseFunc) stallTimer {
-	if w := j.watch(h, server, cancel, errStalled, mangostall.WithReports(j.relay.servers)); w != nil {
-		return w
+	if !j.mayRunAgain() {
+		return nopTimer{}
 	}
-	return nopTimer{}
+	return j.watch(h, server, cancel, errStalled, mangostall.WithReports(j.relay.servers))
 }
 
 // keepUnfetchedCache keeps the KV cache for another server if the call did not
