Prefills and starts are overdue against what they are predicted to take

Callers saw: streams of hanging engines that were continued elsewhere, but only after 1.6 s, twice their target. Cause: one time for a silent engine and for one that has lost a request. An engine that answers a load query at once is not suspended; a request that is overdue there is lost. Change: a prefill is overdue after three times its predicted time and 0.3 s, the start of a stream after the mean and four deviations of the starts that this daemon has seen (as a retransmission timeout is computed) and 0.3 s. If the engine then answers at once, a successor is asked for; if it answers late, it was suspended, and the wait begins again. The log says why none was found. TestExpiredLeaseIsNotUsed takes the second prefill server off the list, since the prefill would now move there; what it asserts is unchanged.

--- a/core/mangorelay/handover.go
+++ b/core/mangorelay/handover.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"mangolane/core/mangobroker"
@@ -41,11 +42,11 @@
 }
 
 // Secure implements [mangostall.Successor].
-func (h *handover) Secure() bool {
+func (h *handover) Secure() error {
 	for i := range h.phases {
 		if err := h.relay.fleet.Do(h.ctx, mangofleet.TakeRetry{Service: h.demand.Service}); err != nil {
 			h.refund(i)
-			return false
+			return err
 		}
 	}
 	d := h.demand
@@ -53,10 +54,10 @@
 	grant, err := h.relay.broker.Acquire(h.ctx, d)
 	if err != nil {
 		h.refund(len(h.phases))
-		return false
+		return err
 	}
 	h.grant = grant
-	return true
+	return nil
 }
 
 // Withdraw implements [mangostall.Successor].
@@ -152,3 +153,34 @@
 		}
 	}
 }
+
+// paces holds how long the streams of each service take to begin. The traffic
+// goroutines share it, so a lock guards it.
+type paces struct {
+	mu   sync.Mutex
+	list map[mangotraffic.ServiceName]*mangostall.Pace
+}
+
+func (p *paces) of(name mangotraffic.ServiceName) *mangostall.Pace {
+	if p.list == nil {
+		p.list = make(map[mangotraffic.ServiceName]*mangostall.Pace)
+	}
+	pace, ok := p.list[name]
+	if !ok {
+		pace = &mangostall.Pace{}
+		p.list[name] = pace
+	}
+	return pace
+}
+
+func (p *paces) add(name mangotraffic.ServiceName, took time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.of(name).Add(took)
+}
+
+func (p *paces) timeout(name mangotraffic.ServiceName) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.of(name).Timeout()
+}
--- a/core/mangorelay/hang_test.go
+++ b/core/mangorelay/hang_test.go
@@ -64,6 +64,7 @@
 	withHarness(t, func(h *harness) {
 		h.newCall("/once/1")
 		h.servers.prefills["p1"] = []step{{responseDelay: 1400 * time.Millisecond}}
+		h.servers.silentUntil = map[mangomodel.ServerID]time.Time{"p1": time.Now().Add(1400 * time.Millisecond)}
 		h.servers.runs["d1"] = []step{{events: events(1, 1)}}
 		h.Expect(h.serve()).To(gomega.BeNil())
 		h.Expect(h.servers.sent).To(gomega.Equal(ids("p1", "d1")))
--- a/core/mangorelay/relay.go
+++ b/core/mangorelay/relay.go
@@ -25,6 +25,7 @@
 	observer Observer
 	tracer   Tracer
 	active   atomic.Int64
+	paces    paces
 }
 
 // Active returns the number of calls in progress.
@@ -107,6 +108,8 @@
 	// marks the phases whose next request is charged to the retry budget already.
 	next *handover
 	paid [mangoexchange.NumPhases]bool
+	// sentAt is when the call was last sent to run.
+	sentAt time.Time
 	// start ends a stream that does not begin in time.
 	start *time.Timer
 	// headSent is set once the response head was passed to the sink.
--- a/core/mangorelay/relay_test.go
+++ b/core/mangorelay/relay_test.go
@@ -313,9 +313,11 @@
 }
 
 // TestExpiredLeaseIsNotUsed covers a prefill that outlasts the lease, which nothing
-// renews here: the decode server is leased again before the call is sent there.
+// renews here: the decode server is leased again before the call is sent there. No
+// other server can take over the prefill.
 func TestExpiredLeaseIsNotUsed(t *testing.T) {
 	withHarness(t, func(h *harness) {
+		h.remove("p2")
 		last := &lastResult{}
 		h.relay.observer = last
 		h.newCall("/once/1")
--- a/core/mangorelay/stream.go
+++ b/core/mangorelay/stream.go
@@ -24,9 +24,6 @@
 	// stream is queued. Clients abandon a stream that has no event after four
 	// target latencies.
 	streamQueueTimeoutFactor = 1.5
-	// firstEventTimeout is the stall timeout from sending the call to its first
-	// event. Engines do not start a transfer that would take over two seconds.
-	firstEventTimeout = 2 * time.Second
 	// stallFactor times the route's MaxPause is the stall timeout within a
 	// stream. Preempted streams pause for about the time of a prefill.
 	stallFactor = 3
@@ -171,9 +168,9 @@
 	h := j.newHandover(ctx, server.ID, mangoexchange.PhasePrefill)
 	var timer stallTimer = nopTimer{}
 	if int(j.attempts) < maxLeases {
-		timer = j.watch(h, server, cancel, errStalled)
+		timer = j.watch(h, server, cancel, errStalled, mangostall.WithReports(j.relay.servers))
 	}
-	timer.Reset(mangostall.StartTimeout(grant.Lease.PrefillTime))
+	timer.Reset(mangostall.PrefillTimeout(grant.Lease.PrefillTime))
 	source, err := j.relay.servers.Prefill(ctx, server, j.call)
 	timer.Stop()
 	j.keep(h)
@@ -210,8 +207,9 @@
 	defer cancel(nil)
 	h := j.newHandover(runCtx, server.ID, mangoexchange.PhasePrefill, mangoexchange.PhaseRun)
 	stall := j.newStallTimer(h, server, cancel)
-	stall.Reset(firstEventTimeout)
+	stall.Reset(j.relay.paces.timeout(j.service.Name))
 	runCtx, end := j.relay.tracer.Start(runCtx, mangomodel.StepDecode, mangomodel.PeerName(server.ID))
+	j.sentAt = time.Now()
 	resp, err := j.relay.servers.Run(runCtx, server, j.call, opts)
 	if err == nil {
 		err = j.relayResponse(runCtx, server, resp, stall)
@@ -314,7 +312,7 @@
 // stops the stall timer. A server that repeats itself or sends comments without
 // progress is not silent, but broken.
 func (j *job) relayEvents(ctx context.Context, server mangotraffic.Server, resp *mangoexchange.Response, stall stallTimer) error {
-	resumed, progressAt := j.headSent, time.Now()
+	resumed, progressAt, events := j.headSent, time.Now(), 0
 	for {
 		event, err := resp.Events.Next()
 		if errors.Is(err, io.EOF) {
@@ -332,6 +330,9 @@
 		if progress {
 			stall.Stop()
 			progressAt = time.Now()
+			if events++; events == 1 {
+				j.relay.paces.add(j.service.Name, progressAt.Sub(j.sentAt))
+			}
 		} else if j.route.Retryable() && time.Since(progressAt) > maxRepetition*j.stallTimeout() {
 			return j.handleForeign(server, resp, "no new event")
 		}
--- a/core/mangostall/stall.go
+++ b/core/mangostall/stall.go
@@ -6,8 +6,9 @@
 // it is suspended for a second. After its first event, an exchange has stalled if
 // the engine does not return a load report either within SilenceTolerance, or if
 // further timeouts follow without an event. Before it, nothing shows that the
-// engine has accepted the exchange, and the first timeout is a stall. A stalled
-// exchange is cancelled only once its continuation elsewhere is secured.
+// engine has the exchange: it has stalled as well if the engine responds at once,
+// and so was not suspended. A stalled exchange is cancelled only once its
+// continuation elsewhere is secured.
 //
 // # Usage
 //
@@ -32,6 +33,9 @@
 	// minProbeTimeout bounds the load report that checks whether an engine
 	// responds, once SilenceTolerance has passed.
 	minProbeTimeout = 300 * time.Millisecond
+	// promptTime is how long the load report of an engine that is not suspended
+	// takes.
+	promptTime = 150 * time.Millisecond
 	// maxStalls is how many timeouts in a row are tolerated from an engine that
 	// responds, since preemption and repeated prefill delay its events. After
 	// that, the connection must have been lost in the network.
@@ -56,8 +60,8 @@
 
 // Successor secures the continuation of an exchange at another server.
 type Successor interface {
-	// Secure reports whether the exchange can continue elsewhere. It may block.
-	Secure() bool
+	// Secure returns nil if the exchange can continue elsewhere. It may block.
+	Secure() error
 	// Withdraw returns what Secure secured, since the exchange has not been
 	// cancelled.
 	Withdraw()
@@ -70,8 +74,10 @@
 	Silence time.Duration
 	// Responsive is set if the engine returned a load report.
 	Responsive bool
-	// Secured is set if the exchange can continue elsewhere.
+	// Secured is set if the exchange can continue elsewhere, and Err if it had to
+	// and cannot.
 	Secured bool
+	Err     error
 }
 
 // Observer is notified of stalls.
@@ -113,13 +119,6 @@
 	securing bool
 }
 
-// StartTimeout returns the timeout of a step that is predicted to take some time
-// and shows no progress before its end.
-func StartTimeout(predicted time.Duration) time.Duration {
-	const slowdown = 2
-	return SilenceTolerance + slowdown*predicted
-}
-
 // New returns a stopped Watchdog. It calls cancel, with a lock held, once the
 // exchange has stalled and s has secured its continuation.
 func New(server mangotraffic.Server, s Successor, cancel func(), opts ...Option) *Watchdog {
@@ -161,12 +160,14 @@
 	if !current {
 		return
 	}
-	stall := Stall{Server: w.server, Responsive: begun && w.responsive(since)}
-	if !stall.Responsive || stalls >= maxStalls {
+	asked := time.Now()
+	stall := Stall{Server: w.server, Responsive: w.responsive(since)}
+	if !stall.Responsive || stalls >= maxStalls || !begun && time.Since(asked) < promptTime {
 		// A wait that has ended meanwhile may still be using the successor.
 		if w.setSecuring(true) {
 			defer w.setSecuring(false)
-			stall.Secured = w.successor.Secure()
+			stall.Err = w.successor.Secure()
+			stall.Secured = stall.Err == nil
 		}
 	}
 	stall.Silence = time.Since(since)
@@ -213,7 +214,7 @@
 }
 
 // responsive reports whether the engine returns a load report before it has been
-// silent for SilenceTolerance.
+// silent for SilenceTolerance. An engine without reports does not.
 func (w *Watchdog) responsive(since time.Time) bool {
 	if w.reporter == nil {
 		return false
--- a/core/mangostall/stall_test.go
+++ b/core/mangostall/stall_test.go
@@ -39,10 +39,13 @@
 	asked, withdrawn int
 }
 
-func (s *successor) Secure() bool {
+func (s *successor) Secure() error {
 	s.asked++
 	time.Sleep(s.takes)
-	return s.found
+	if !s.found {
+		return errors.New("no server has room")
+	}
+	return nil
 }
 
 func (s *successor) Withdraw() { s.withdrawn++ }
--- a/mangolaned/mangogateway/observe.go
+++ b/mangolaned/mangogateway/observe.go
@@ -49,8 +49,14 @@
 // ExchangeStalled logs and counts a timeout of an exchange.
 func (o observer) ExchangeStalled(id mangomodel.RequestID, s mangostall.Stall) {
 	o.metrics.count("Exchanges.Stalled", 1)
-	o.logger.Info("exchange stalled", zap.String("Request", string(id)), zap.String("Server", string(s.Server.ID)),
-		zap.Duration("Silence", s.Silence), zap.Bool("Responsive", s.Responsive), zap.Bool("Secured", s.Secured))
+	fields := []zap.Field{
+		zap.String("Request", string(id)), zap.String("Server", string(s.Server.ID)), zap.Duration("Silence", s.Silence),
+		zap.Bool("Responsive", s.Responsive), zap.Bool("Secured", s.Secured),
+	}
+	if s.Err != nil {
+		fields = append(fields, mangolog.FaultFields(s.Err)...)
+	}
+	o.logger.Info("exchange stalled", fields...)
 }
 
 // CallFinished logs and counts the outcome of a call.
