Engines that lose a part of their calls get work after the others

Cause: an engine is ejected after three failures in a row, which one that fails 30 in 100 of its calls rarely reaches, and outliers are looked for among plain servers only. Nothing is ejected, since the others may lack the room.

--- a/core/mangopool/backend.go
+++ b/core/mangopool/backend.go
@@ -53,6 +53,8 @@
 	// showed some.
 	fullUntil time.Time
 	health    mangohealth.Record
+	// reliability is estimated from the outcomes at engines.
+	reliability mangohealth.Reliability
 	// outlierUntil is the end of the server's ejection as an outlier.
 	outlierUntil time.Time
 	// orderedTo is the stage that the server was ordered to change to. The
--- a/core/mangopool/observe.go
+++ b/core/mangopool/observe.go
@@ -28,8 +28,10 @@
 	switch c.Saw {
 	case mangolease.OutcomeSuccess:
 		b.health = b.health.Succeeded()
+		b.reliability = b.reliability.Record(false, now)
 	case mangolease.OutcomeFailure:
 		b.health = b.health.Failed(now)
+		b.reliability = b.reliability.Record(true, now)
 	case mangolease.OutcomeUnreachable, mangolease.OutcomeCacheLost, mangolease.OutcomeMisdirected:
 		b.health = b.health.Unreachable(now)
 	case mangolease.OutcomeFull:
--- a/core/mangopool/placement.go
+++ b/core/mangopool/placement.go
@@ -35,6 +35,11 @@
 	// transferPenalty is the cost that each step of distance between the prefill
 	// and the decode server adds to a prefill server: about half a mean prefill.
 	transferPenalty = 50 * time.Millisecond
+	// failedPrefill and failedDecode are the costs of a failure: the time until a
+	// lost prefill is repeated, and more than the distance to another data centre
+	// of the region at a failure rate of a quarter.
+	failedPrefill = 1500 * time.Millisecond
+	failedDecode  = 5.0
 )
 
 // placement holds the servers chosen for a demand.
@@ -119,7 +124,8 @@
 	if peak > engine.KVTokens && len(b.runs) > 0 {
 		return 0, false
 	}
-	return float64(p.distance(pending.Demand.Origin, b.server.DataCentre)) + float64(peak)/float64(engine.KVTokens), true
+	cost := float64(p.distance(pending.Demand.Origin, b.server.DataCentre)) + float64(peak)/float64(engine.KVTokens)
+	return cost + failedDecode*b.reliability.FailureRate(now), true
 }
 
 // prefillCost returns the predicted wait in seconds, with a penalty for a transfer
@@ -127,6 +133,7 @@
 func (p *Pool) prefillCost(b, decode *backend, now time.Time) (float64, bool) {
 	wait := b.backlog(now)
 	penalty := transferPenalty * time.Duration(p.distance(decode.server.DataCentre, b.server.DataCentre))
+	penalty += time.Duration(b.reliability.FailureRate(now) * float64(failedPrefill))
 	return (wait + penalty).Seconds(), wait <= maxPrefillWait
 }
 
