Emulated servers: silences, hangs, cuts, unframed responses, announcements

The platform's servers may fall silent for a second, send responses that end with their connection, announce in every response that they leave, and ask for time. The stand-in knew none of these. Its faults are set for each server and can be combined; mangostand worker has flags for them.

Besides, a restart sets Born anew, a crash resets its connections, so that no response without a length looks complete, and a prefill ends when its caller disconnects.

--- a/mangostand/gateway.go
+++ b/mangostand/gateway.go
@@ -52,6 +52,7 @@
 	flags.StringVar(&p.Stage, "stage", "", "stage of a model engine: prefill or decode")
 	flags.StringVar(&p.Zone, "zone", "a1", "data centre")
 	flags.IntVar(&p.Slots, "slots", 8, "maximum number of concurrent requests")
+	b := behaviourFlags(flags)
 	return &ffcli.Command{Name: "worker", FlagSet: flags, ShortHelp: "run a backend server of the users' platform",
 		Exec: func(ctx context.Context, _ []string) error {
 			w := mangoworker.New(p, mangoworker.NewRecorder())
@@ -59,10 +60,69 @@
 				return err
 			}
 			defer w.Crash()
+			ctx, stop := context.WithCancel(ctx)
+			defer stop()
+			go b.run(ctx, w, stop)
 			return keepListed(ctx, w, mangomodel.Address(*tables))
 		}}
 }
 
+// behaviour is the faults of a worker and when it falls silent, refuses requests and
+// leaves.
+type behaviour struct {
+	faults                                                                 mangoworker.Faults
+	silence, silenceInterval, refuseAfter, refuseFor, leaveAfter, leaveFor time.Duration
+}
+
+func behaviourFlags(flags *flag.FlagSet) *behaviour {
+	b := new(behaviour)
+	flags.BoolVar(&b.faults.Unframed, "unframed", false, "send responses that end with their connection")
+	flags.Float64Var((*float64)(&b.faults.Hang), "hang", 0, "share of requests that are never answered")
+	flags.Float64Var((*float64)(&b.faults.CutWithin), "cut-within", 0, "share of streams that are reset within an event")
+	flags.Float64Var((*float64)(&b.faults.CutBetween), "cut-between", 0, "share of streams that are reset between events")
+	flags.DurationVar(&b.silence, "silence", time.Second, "how long the server sends nothing at a time")
+	flags.DurationVar(&b.silenceInterval, "silence-interval", 0, "interval of silences, or zero for none")
+	flags.DurationVar(&b.refuseAfter, "refuse-after", 0, "when the server asks for time, or zero for never")
+	flags.DurationVar(&b.refuseFor, "refuse-for", 2*time.Second, "how long the server refuses requests")
+	flags.DurationVar(&b.leaveAfter, "leave-after", 0, "when the server announces that it leaves, or zero for never")
+	flags.DurationVar(&b.leaveFor, "leave-for", 5*time.Second, "how long the server serves after that")
+	return b
+}
+
+// run applies the behaviour to a worker until ctx ends. It calls stop when the worker
+// has left.
+func (b *behaviour) run(ctx context.Context, w *mangoworker.Worker, stop func()) {
+	w.SetFaults(b.faults)
+	refuse, leave := after(b.refuseAfter), after(b.leaveAfter)
+	var silences <-chan time.Time
+	if b.silenceInterval > 0 {
+		ticker := time.NewTicker(b.silenceInterval)
+		defer ticker.Stop()
+		silences = ticker.C
+	}
+	for {
+		select {
+		case <-silences:
+			w.Silence(b.silence)
+		case <-refuse:
+			w.RefuseFor(b.refuseFor)
+		case <-leave:
+			w.AnnounceLeaving()
+			time.AfterFunc(b.leaveFor, stop)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// after returns a channel that fires after d, or never if d is zero.
+func after(d time.Duration) <-chan time.Time {
+	if d <= 0 {
+		return nil
+	}
+	return time.After(d)
+}
+
 // keepListed retries the write of a worker's entry until the store accepts it,
 // and deletes the entry when ctx ends.
 func keepListed(ctx context.Context, w *mangoworker.Worker, tables mangomodel.Address) error {
--- a/mangostand/mangoworker/doc.go
+++ b/mangostand/mangoworker/doc.go
@@ -7,6 +7,9 @@
 // that a response is complete and belongs to its request: see [ExpectedBody] and
 // [ExpectedStream].
 //
+// A server can be given faults, which can be combined: see [Faults], [Worker.Silence],
+// [Worker.AnnounceLeaving] and [Worker.RefuseFor].
+//
 // # Usage
 //
 //	w := mangoworker.New(mangoworker.Profile{ID: "d-1", Service: "llm", Stage: "decode", Slots: 8}, recorder)
--- a/mangostand/mangoworker/recorder.go
+++ b/mangostand/mangoworker/recorder.go
@@ -20,6 +20,26 @@
 	handles      map[string]handle
 	violations   []string
 	lastArrivals map[string]time.Time
+	arrivals     []Arrival
+	notices      []Notice
+	// hung and cut are the requests that a server did not answer or broke off.
+	hung, cut map[string]bool
+}
+
+// Arrival is a request that reached a server.
+type Arrival struct {
+	Server, Request string
+	// Daemon is the daemon to which the client sent the request.
+	Daemon string
+	At     time.Time
+}
+
+// Notice is a response in which a server announced that it leaves or asked for time.
+type Notice struct {
+	Server, Request, Daemon string
+	At                      time.Time
+	// RetryAfter is zero for an announcement.
+	RetryAfter time.Duration
 }
 
 type handle struct {
@@ -31,7 +51,7 @@
 func NewRecorder() *Recorder {
 	return &Recorder{
 		runCounts: make(map[string]int), active: make(map[string]int), handles: make(map[string]handle),
-		lastArrivals: make(map[string]time.Time),
+		lastArrivals: make(map[string]time.Time), hung: make(map[string]bool), cut: make(map[string]bool),
 	}
 }
 
@@ -65,10 +85,57 @@
 	return r.lastArrivals[server]
 }
 
-func (r *Recorder) recordArrival(server string) {
+// Arrivals returns the requests that reached servers, in order.
+func (r *Recorder) Arrivals() []Arrival {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Clone(r.arrivals)
+}
+
+// Notices returns the announcements and refusals of servers, in order.
+func (r *Recorder) Notices() []Notice {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Clone(r.notices)
+}
+
+// Hung reports whether a server accepted a request and never answered it.
+func (r *Recorder) Hung(id string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.hung[id]
+}
+
+// Cut reports whether a server broke off its response to a request.
+func (r *Recorder) Cut(id string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.cut[id]
+}
+
+func (r *Recorder) recordArrival(a Arrival) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.lastArrivals[a.Server] = a.At
+	r.arrivals = append(r.arrivals, a)
+}
+
+func (r *Recorder) recordNotice(n Notice) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.notices = append(r.notices, n)
+}
+
+func (r *Recorder) recordHang(id string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.hung[id] = true
+}
+
+func (r *Recorder) recordCut(id string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.lastArrivals[server] = time.Now()
+	r.cut[id] = true
 }
 
 func (r *Recorder) beginRun(id string) {
--- a/mangostand/mangoworker/worker.go
+++ b/mangostand/mangoworker/worker.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"mangolane/core/mangomodel"
@@ -37,10 +38,14 @@
 	fieldAfter       = "Last-Event-Id"
 	fieldNotExecuted = "Not-Executed"
 	fieldSignature   = "Server-Signature"
+	fieldLeaving     = "Server-Leaving"
+	fieldRetryAfter  = "Retry-After"
 	stagePrefill     = "prefill"
 	// FieldForged marks requests of test clients that carry a forged Hold field.
 	// That field must not reach a server.
 	FieldForged = "Forged"
+	// FieldDaemon names the daemon to which a test client sent a request.
+	FieldDaemon = "Test-Daemon"
 )
 
 // Profile describes a server.
@@ -56,35 +61,41 @@
 type Worker struct {
 	Profile
 	recorder *Recorder
-	born     time.Time
+	conduct  conduct
+	silence  silence
+
+	mu sync.Mutex
 	// address is set by the first start, so that a crashed server can restart at
 	// the same address.
 	address string
-
-	mu      sync.Mutex
 	running int
 	server  *http.Server
+	// crashed and born belong to the last start.
+	crashed *atomic.Bool
+	born    time.Time
 }
 
 // New returns a server that has not started.
-func New(p Profile, r *Recorder) *Worker { return &Worker{Profile: p, recorder: r, born: time.Now()} }
+func New(p Profile, r *Recorder) *Worker { return &Worker{Profile: p, recorder: r} }
 
 // Start listens on an address. If it is empty, the server listens on the address
 // of the previous start.
 func (w *Worker) Start(address string) error {
 	if address == "" {
-		address = w.address
+		address = w.Address()
 	}
 	l, err := net.Listen("tcp", address)
 	if err != nil {
 		return mangomodel.Errors.Wrap(err)
 	}
-	server := &http.Server{Handler: w}
+	crashed := new(atomic.Bool)
+	server := &http.Server{Handler: w, ConnContext: withConn}
+	w.resetConduct()
 	w.mu.Lock()
-	w.address, w.server = l.Addr().String(), server
+	w.address, w.server, w.crashed, w.born = l.Addr().String(), server, crashed, time.Now()
 	w.mu.Unlock()
 	// Serve returns when Crash closes the server.
-	go func() { _ = server.Serve(l) }()
+	go func() { _ = server.Serve(&listener{Listener: l, silence: &w.silence, crashed: crashed}) }()
 	return nil
 }
 
@@ -95,11 +106,12 @@
 	return w.address
 }
 
-// Crash closes the server and all its connections.
+// Crash closes the server and resets all its connections.
 func (w *Worker) Crash() {
 	w.mu.Lock()
-	server := w.server
+	server, crashed := w.server, w.crashed
 	w.mu.Unlock()
+	crashed.Store(true)
 	// The connections are closed even if Close returns an error.
 	_ = server.Close()
 }
@@ -113,8 +125,7 @@
 	Slots   int    `json:"slots"`
 	State   string `json:"state"`
 	Stage   string `json:"stage,omitempty"`
-	// Born is when New created the server, in Unix milliseconds. A restart after a
-	// crash does not change it.
+	// Born is when the server was last started, in Unix milliseconds.
 	Born int64 `json:"born"`
 	// Sequence counts the heartbeats.
 	Sequence int `json:"sequence"`
@@ -125,12 +136,21 @@
 func (w *Worker) Entry(state, address string) any {
 	return entry{
 		Service: w.Service, Address: address, Zone: w.Zone, Version: "v1", Slots: w.Slots, State: state, Stage: w.Stage,
-		Born: w.born.UnixMilli(),
+		Born: w.startTime().UnixMilli(),
 	}
 }
 
+func (w *Worker) startTime() time.Time {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.born
+}
+
 // ServeHTTP serves one request.
 func (w *Worker) ServeHTTP(rw http.ResponseWriter, r *http.Request) {
+	if w.isLeaving() {
+		rw.Header().Set(fieldLeaving, "1")
+	}
 	if r.URL.Path == pathReport {
 		w.report(rw)
 		return
@@ -149,17 +169,51 @@
 		return
 	}
 	id := r.Header.Get(fieldID)
-	w.recorder.recordArrival(w.ID)
+	w.recorder.recordArrival(Arrival{Server: w.ID, Request: id, Daemon: r.Header.Get(FieldDaemon), At: time.Now()})
 	if r.Header.Get(FieldForged) != "" && r.Header.Get(fieldHold) != "" {
 		w.recorder.addViolation("%s arrived with a forged field", id)
 	}
 	rw.Header().Set(fieldID, id)
+	if left := w.refusalLeft(); left > 0 {
+		w.recorder.recordNotice(Notice{Server: w.ID, Request: id, Daemon: r.Header.Get(FieldDaemon), At: time.Now(), RetryAfter: left})
+		refuseForTime(rw, left)
+		return
+	}
+	if rw.Header().Get(fieldLeaving) != "" {
+		w.recorder.recordNotice(Notice{Server: w.ID, Request: id, Daemon: r.Header.Get(FieldDaemon), At: time.Now()})
+	}
+	faults := w.currentFaults()
+	if faults.Unframed {
+		// net/http then sends neither a length nor chunks.
+		rw.Header().Set("Transfer-Encoding", "identity")
+	}
 	if r.Header.Get(fieldStage) == stagePrefill {
-		time.Sleep(stepTime)
-		fmt.Fprintf(rw, `{"handle":%q,"tokens":1,"version":1}`, w.recorder.addHandle(id))
+		w.prefill(rw, r, id, faults)
 		return
 	}
-	w.run(rw, r, id)
+	w.run(rw, r, id, faults)
+}
+
+func (w *Worker) prefill(rw http.ResponseWriter, r *http.Request, id string, faults Faults) {
+	if faults.Hang.includes(w.ID, id, "hang") {
+		w.recorder.recordHang(id)
+		hang(r)
+	}
+	if !pause(r.Context(), stepTime) {
+		return
+	}
+	// The write fails only if the caller has disconnected.
+	_, _ = fmt.Fprintf(rw, `{"handle":%q,"tokens":1,"version":1}`, w.recorder.addHandle(id))
+}
+
+// pause waits for d. It returns false if ctx ends before.
+func pause(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-time.After(d):
+		return true
+	case <-ctx.Done():
+		return false
+	}
 }
 
 // reportDocument is the JSON of an engine's load report.
@@ -167,17 +221,18 @@
 	Running int   `json:"running"`
 	Waiting int   `json:"waiting"`
 	KVUsed  int64 `json:"kv-used"`
+	Born    int64 `json:"born"`
 }
 
 func (w *Worker) report(rw http.ResponseWriter) {
 	w.mu.Lock()
-	d := reportDocument{Running: w.running}
+	d := reportDocument{Running: w.running, Born: w.born.UnixMilli()}
 	w.mu.Unlock()
 	// The write fails only if the caller has disconnected.
 	_ = json.NewEncoder(rw).Encode(d)
 }
 
-func (w *Worker) run(rw http.ResponseWriter, r *http.Request, id string) {
+func (w *Worker) run(rw http.ResponseWriter, r *http.Request, id string, faults Faults) {
 	if !w.acquireSlot() {
 		refuse(rw)
 		return
@@ -193,13 +248,18 @@
 	}
 	w.recorder.beginRun(id)
 	defer w.recorder.endRun(id)
+	if faults.Hang.includes(w.ID, id, "hang") {
+		w.recorder.recordHang(id)
+		hang(r)
+	}
 	rw.Header().Set(fieldSignature, "s."+w.ID)
 	if w.Stage == "" {
 		time.Sleep(stepTime)
-		fmt.Fprint(rw, ExpectedBody(id, body))
+		// The write fails only if the caller has disconnected.
+		_, _ = fmt.Fprint(rw, ExpectedBody(id, body))
 		return
 	}
-	stream(rw, r, id)
+	w.stream(rw, r, id, faults)
 }
 
 // fetch fetches a KV cache from the server that computed it. source is
@@ -243,21 +303,32 @@
 	rw.WriteHeader(http.StatusServiceUnavailable)
 }
 
-func stream(rw http.ResponseWriter, r *http.Request, id string) {
+// stream sends the events of a request after the one that the caller has received
+// last. A cut ends it after half of them.
+func (w *Worker) stream(rw http.ResponseWriter, r *http.Request, id string, faults Faults) {
 	rw.Header().Set("Content-Type", "text/event-stream")
 	// Without a valid field, the stream begins with its first event.
 	after, _ := strconv.Atoi(r.Header.Get(fieldAfter))
-	for n := after + 1; n <= streamLength(id); n++ {
-		select {
-		case <-time.After(stepTime):
-		case <-r.Context().Done():
+	last := streamLength(id)
+	middle := after + (last-after)/2
+	for n := after + 1; n <= last; n++ {
+		if !pause(r.Context(), stepTime) {
 			return
 		}
-		if _, err := fmt.Fprint(rw, event(id, n)); err != nil {
+		text := event(id, n)
+		within := n == middle && faults.CutWithin.includes(w.ID, id, "within")
+		if within {
+			text = text[:len(text)/2]
+		}
+		if _, err := fmt.Fprint(rw, text); err != nil {
 			return
 		}
 		if err := http.NewResponseController(rw).Flush(); err != nil {
 			return
 		}
+		if within || n == middle && faults.CutBetween.includes(w.ID, id, "between") {
+			w.recorder.recordCut(id)
+			reset(r)
+		}
 	}
 }
