Only lost exchanges wait for room elsewhere; failures weigh less in the placement

Change: a handover from an engine that still responds is granted at once or not at all; the shortest timeout of a start is 0.4 s; a failure costs less.

--- a/core/mangopool/placement.go
+++ b/core/mangopool/placement.go
@@ -36,10 +36,10 @@
 	// and the decode server adds to a prefill server: about half a mean prefill.
 	transferPenalty = 50 * time.Millisecond
 	// failedPrefill and failedDecode are the costs of a failure: the time until a
-	// lost prefill is repeated, and more than the distance to another data centre
-	// of the region at a failure rate of a quarter.
-	failedPrefill = 1500 * time.Millisecond
-	failedDecode  = 5.0
+	// lost prefill is repeated, and twice the distance to another data centre of
+	// the region.
+	failedPrefill = 800 * time.Millisecond
+	failedDecode  = 2.0
 )
 
 // placement holds the servers chosen for a demand.
--- a/core/mangorelay/handover.go
+++ b/core/mangorelay/handover.go
@@ -41,8 +41,9 @@
 	return &handover{ctx: ctx, relay: j.relay, demand: d, phases: phases, began: time.Now()}
 }
 
-// Secure implements [mangostall.Successor].
-func (h *handover) Secure() error {
+// Secure implements [mangostall.Successor]. A demand that waits delays others, so one
+// of a server that still responds is granted at once or refused.
+func (h *handover) Secure(wait bool) error {
 	for i := range h.phases {
 		if err := h.relay.fleet.Do(h.ctx, mangofleet.TakeRetry{Service: h.demand.Service}); err != nil {
 			h.refund(i)
@@ -51,6 +52,9 @@
 	}
 	d := h.demand
 	d.Age += time.Since(h.began)
+	if !wait {
+		d.Patience = 0
+	}
 	grant, err := h.relay.broker.Acquire(h.ctx, d)
 	if err != nil {
 		h.refund(len(h.phases))
--- a/core/mangostall/pace.go
+++ b/core/mangostall/pace.go
@@ -5,7 +5,7 @@
 const (
 	// minStartTimeout is the shortest timeout of the start of an exchange. It
 	// covers pauses of the host and round trips between regions.
-	minStartTimeout = 300 * time.Millisecond
+	minStartTimeout = 400 * time.Millisecond
 	// maxStartTimeout is used while nothing was measured. Engines do not start a
 	// transfer of a KV cache that would take longer.
 	maxStartTimeout = 2 * time.Second
--- a/core/mangostall/stall.go
+++ b/core/mangostall/stall.go
@@ -60,8 +60,9 @@
 
 // Successor secures the continuation of an exchange at another server.
 type Successor interface {
-	// Secure returns nil if the exchange can continue elsewhere. It may block.
-	Secure() error
+	// Secure returns nil if the exchange can continue elsewhere. It may block to
+	// wait for room there if wait is set, and returns at once otherwise.
+	Secure(wait bool) error
 	// Withdraw returns what Secure secured, since the exchange has not been
 	// cancelled.
 	Withdraw()
@@ -166,7 +167,7 @@
 		// A wait that has ended meanwhile may still be using the successor.
 		if w.setSecuring(true) {
 			defer w.setSecuring(false)
-			stall.Err = w.successor.Secure()
+			stall.Err = w.successor.Secure(!stall.Responsive)
 			stall.Secured = stall.Err == nil
 		}
 	}
