A silent engine is asked again until its silence is too long

Callers saw: streams moved from an engine that took no connections for a second, after 1.2 s, and, without a retry in the budget then, not tried again for 0.9 s, in which time their clients left. Cause: a load query that failed at once counted as an answer about the engine, and a failed handover was repeated with the timeout of the stream. Change: the query is repeated until the engine has been silent for SilenceTolerance, unless its host refuses connections, since its process has ended then; a handover is tried again each 0.3 s, as often as the budget is renewed.

--- a/core/mangostall/stall.go
+++ b/core/mangostall/stall.go
@@ -20,7 +20,9 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
+	"syscall"
 	"time"
 
 	"mangolane/core/mangopanic"
@@ -33,6 +35,11 @@
 	// minProbeTimeout bounds the load report that checks whether an engine
 	// responds, once SilenceTolerance has passed.
 	minProbeTimeout = 300 * time.Millisecond
+	// probeInterval is the pause between two load queries to a silent engine.
+	probeInterval = 100 * time.Millisecond
+	// retryInterval is how often the continuation of an exchange with a silent engine
+	// is tried again. The retry budget is renewed about as often.
+	retryInterval = 300 * time.Millisecond
 	// promptTime is how long the load report of an engine that is not suspended
 	// takes.
 	promptTime = 150 * time.Millisecond
@@ -146,12 +153,12 @@
 	defer w.mu.Unlock()
 	w.epoch++
 	w.timeout, w.since = d, time.Now()
-	w.arm(w.epoch)
+	w.arm(w.epoch, d)
 	return true
 }
 
-func (w *Watchdog) arm(epoch int) {
-	w.timer = time.AfterFunc(w.timeout, func() { w.handleTimeout(epoch) })
+func (w *Watchdog) arm(epoch int, d time.Duration) {
+	w.timer = time.AfterFunc(d, func() { w.handleTimeout(epoch) })
 }
 
 // handleTimeout runs after a timeout on a goroutine of its own, and may block.
@@ -173,7 +180,7 @@
 	}
 	stall.Silence = time.Since(since)
 	w.observer.Stalled(stall)
-	if !w.conclude(epoch, stall.Secured) && stall.Secured {
+	if !w.conclude(epoch, stall) && stall.Secured {
 		w.successor.Withdraw()
 	}
 }
@@ -199,32 +206,45 @@
 
 // conclude cancels a secured exchange, or waits again. It reports false if the
 // exchange has made progress meanwhile.
-func (w *Watchdog) conclude(epoch int, secured bool) bool {
+func (w *Watchdog) conclude(epoch int, stall Stall) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if epoch != w.epoch {
 		return false
 	}
 	w.stalls++
-	if secured {
+	if stall.Secured {
 		w.cancel()
-	} else {
-		w.arm(epoch)
+		return true
 	}
+	wait := w.timeout
+	if !stall.Responsive {
+		wait = min(wait, retryInterval)
+	}
+	w.arm(epoch, wait)
 	return true
 }
 
 // responsive reports whether the engine returns a load report before it has been
-// silent for SilenceTolerance. An engine without reports does not.
+// silent for SilenceTolerance. An engine without reports does not, nor does one
+// whose host refuses connections: its process has ended.
 func (w *Watchdog) responsive(since time.Time) bool {
 	if w.reporter == nil {
 		return false
 	}
-	timeout := max(SilenceTolerance-time.Since(since), minProbeTimeout)
-	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	ctx, cancel := context.WithTimeout(context.Background(), max(SilenceTolerance-time.Since(since), minProbeTimeout))
 	defer cancel()
-	_, err := w.reporter.Report(ctx, w.server)
-	return err == nil
+	for {
+		_, err := w.reporter.Report(ctx, w.server)
+		if err == nil || errors.Is(err, syscall.ECONNREFUSED) {
+			return err == nil
+		}
+		select {
+		case <-time.After(probeInterval):
+		case <-ctx.Done():
+			return false
+		}
+	}
 }
 
 type nopObserver struct{ mangopanic.Nop }
--- a/core/mangostall/stall_test.go
+++ b/core/mangostall/stall_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -25,11 +27,21 @@
 	}
 }
 
-// failingEngine returns no load report.
-type failingEngine struct{}
+// endedEngine is one whose process has ended.
+type endedEngine struct{}
 
-func (failingEngine) Report(context.Context, mangotraffic.Server) (mangotraffic.LoadReport, error) {
-	return mangotraffic.LoadReport{}, errors.New("connection refused")
+func (endedEngine) Report(context.Context, mangotraffic.Server) (mangotraffic.LoadReport, error) {
+	return mangotraffic.LoadReport{}, fmt.Errorf("dial: %w", syscall.ECONNREFUSED)
+}
+
+// deafEngine takes no connections before a time.
+type deafEngine struct{ until time.Time }
+
+func (e deafEngine) Report(context.Context, mangotraffic.Server) (mangotraffic.LoadReport, error) {
+	if time.Now().Before(e.until) {
+		return mangotraffic.LoadReport{}, errors.New("dial: i/o timeout")
+	}
+	return mangotraffic.LoadReport{}, nil
 }
 
 // successor takes some time to secure a continuation, or finds none.
@@ -62,18 +74,22 @@
 		cancelled bool
 	}{
 		{"silent for a second", nil, 1400 * time.Millisecond, successor{found: true}, 0, false},
-		{"unreachable", failingEngine{}, time.Second, successor{found: true}, 1, true},
+		{"without connections for a second", deafEngine{}, 1400 * time.Millisecond, successor{found: true}, 0, false},
+		{"ended", endedEngine{}, time.Second, successor{found: true}, 1, true},
 		{"silent beyond the tolerance", nil, SilenceTolerance + time.Millisecond, successor{found: true}, 1, true},
-		{"without a successor", failingEngine{}, 5 * timeout, successor{}, 5, false},
-		{"a successor that takes time", failingEngine{}, 2 * timeout, successor{found: true, takes: 2 * timeout}, 1, false},
+		{"without a successor", endedEngine{}, timeout + 4*retryInterval, successor{}, 5, false},
+		{"a successor that takes time", endedEngine{}, 2 * timeout, successor{found: true, takes: 2 * timeout}, 1, false},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				g := gomega.NewWithT(t)
-				reporter := test.reporter
-				if reporter == nil {
-					reporter = silentEngine{time.Now().Add(test.silence)}
+				reporter, end := test.reporter, time.Now().Add(test.silence)
+				switch reporter.(type) {
+				case nil:
+					reporter = silentEngine{end}
+				case deafEngine:
+					reporter = deafEngine{end}
 				}
 				var cancelled atomic.Bool
 				w := New(mangotraffic.Server{}, &test.next, func() { cancelled.Store(true) }, WithReports(reporter))
@@ -130,7 +146,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		g := gomega.NewWithT(t)
 		next := &successor{found: true, takes: 5 * time.Second}
-		w := New(mangotraffic.Server{}, next, func() { t.Error("cancelled") }, WithReports(failingEngine{}))
+		w := New(mangotraffic.Server{}, next, func() { t.Error("cancelled") }, WithReports(endedEngine{}))
 		for range 4 {
 			w.Reset(time.Second)
 			time.Sleep(1100 * time.Millisecond)
