Unreachable servers do not use up the attempts of a call

Cause: a call may acquire four leases, whether or not its servers can be reached. Change: up to four leases of servers that could not be reached do not count. Evidence: TestUnreachableServersDoNotUseUpTheAttemptsOfAStream failed before.

--- a/core/mangorelay/handover.go
+++ b/core/mangorelay/handover.go
@@ -97,7 +97,7 @@
 
 // mayRunAgain reports whether a call that is being run may be sent to another server.
 func (j *job) mayRunAgain() bool {
-	return j.route.Retryable() && int(j.attempts) < maxLeases && j.runs+1 < j.route.MaxAttempts
+	return j.route.Retryable() && j.mayLease() && j.runs+1 < j.route.MaxAttempts
 }
 
 // watch returns a watchdog that cancels an exchange with cause once a handover is
--- a/core/mangorelay/handover_test.go
+++ b/core/mangorelay/handover_test.go
@@ -105,3 +105,23 @@
 		}
 	})
 }
+
+func TestUnreachableServersDoNotUseUpTheAttemptsOfAStream(t *testing.T) {
+	withHarness(t, func(h *harness) {
+		cmd := mangofleet.ChangeServers{Cursor: 2}
+		for id, centre := range map[mangomodel.ServerID]mangomodel.DataCentreID{"p3": "a2", "p4": "far"} {
+			server := mangotraffic.Server{ID: id, Service: "llm", DataCentre: centre, Slots: 4, Stage: mangotraffic.StagePrefill}
+			cmd.Changes = append(cmd.Changes, mangotraffic.ServerChange{ID: id, Server: &server})
+		}
+		h.Expect(h.fleet.Do(context.Background(), cmd)).To(gomega.Succeed())
+		h.newCall("/resume/1")
+		h.servers.runs["d1"] = []step{{events: events(1, 2), aborted: true}}
+		h.servers.runs["d2"] = []step{{events: events(3, 4)}}
+		h.servers.prefills["p1"] = []step{{}, {err: errNoConn}}
+		for _, id := range ids("p2", "p3") {
+			h.servers.prefills[id] = []step{{err: errNoConn}}
+		}
+		h.Expect(h.serve()).To(gomega.BeNil())
+		h.Expect(h.client.body).To(gomega.Equal("1234"))
+	})
+}
--- a/core/mangorelay/plain.go
+++ b/core/mangorelay/plain.go
@@ -15,8 +15,8 @@
 
 const (
 	// maxLeases bounds the leases that one call acquires, whether or not a server
-	// runs it.
-	maxLeases = 4
+	// runs it, and maxUnreached those beyond it whose server could not be reached.
+	maxLeases, maxUnreached = 4, 4
 	// maxBufferedBody is the largest response body, in bytes, that is buffered
 	// before it is sent, which allows a retry if it is truncated.
 	maxBufferedBody = 256 << 10
@@ -47,7 +47,7 @@
 // canRetry reports whether a failed call may be sent to another server.
 func (j *job) canRetry(err error) bool {
 	f := mangomodel.AsFault(err, mangomodel.StepCall)
-	if f.Step == mangomodel.StepAdmission || int(j.attempts) >= maxLeases {
+	if f.Step == mangomodel.StepAdmission || !j.mayLease() {
 		return false
 	}
 	if f.Run == mangomodel.RunNot {
@@ -56,6 +56,12 @@
 	return j.route.Retryable() && !j.unnumbered && j.runs < j.route.MaxAttempts
 }
 
+// mayLease reports whether the call may acquire another lease. Servers that could not
+// be reached count only up to maxUnreached.
+func (j *job) mayLease() bool {
+	return j.attempts-min(j.unreached, maxUnreached) < maxLeases
+}
+
 func (j *job) attemptPlain(ctx context.Context) error {
 	began := time.Now()
 	queueTimeout := time.Duration(queueTimeoutShare * float64(j.route.TargetLatency))
--- a/core/mangorelay/relay.go
+++ b/core/mangorelay/relay.go
@@ -96,6 +96,8 @@
 	runs int
 	// attempts counts the leases acquired.
 	attempts mangomodel.Attempt
+	// unreached counts those whose server could not be reached.
+	unreached mangomodel.Attempt
 	// sends counts the requests sent in each phase.
 	sends [mangoexchange.NumPhases]int
 	// avoid lists the servers that further demands exclude.
@@ -288,6 +290,7 @@
 // refundRetry returns the charge for a request that reached no server to the
 // retry budget.
 func (j *job) refundRetry(phase mangoexchange.Phase) {
+	j.unreached++
 	j.sends[phase]--
 	if j.sends[phase] > 0 {
 		j.apply(mangofleet.RefundRetry{Service: j.service.Name})
--- a/core/mangorelay/stream.go
+++ b/core/mangorelay/stream.go
@@ -167,7 +167,7 @@
 	defer cancel(nil)
 	h := j.newHandover(ctx, server.ID, mangoexchange.PhasePrefill)
 	var timer stallTimer = nopTimer{}
-	if int(j.attempts) < maxLeases {
+	if j.mayLease() {
 		timer = j.watch(h, server, cancel, errStalled, mangostall.WithReports(j.relay.servers))
 	}
 	timer.Reset(mangostall.PrefillTimeout(grant.Lease.PrefillTime))
