A broken stream waits for a retry

Change: a stream whose client has its head, and so cannot be refused, asks again for up to a second. Evidence: TestBrokenStreamWaitsForTheRetryBudget failed before (the body ended after '12').

--- a/core/mangorelay/handover_test.go
+++ b/core/mangorelay/handover_test.go
@@ -106,6 +106,20 @@
 	})
 }
 
+func TestBrokenStreamWaitsForTheRetryBudget(t *testing.T) {
+	withHarness(t, func(h *harness) {
+		// The budget counts in parts of half a second.
+		time.Sleep(time.Until(time.Now().Truncate(10 * time.Second).Add(10 * time.Second)))
+		h.useUpRetries("llm")
+		time.Sleep(9200 * time.Millisecond)
+		h.newCall("/resume/1")
+		h.servers.runs["d1"] = []step{{events: events(1, 2), aborted: true}}
+		h.servers.runs["d2"] = []step{{events: events(3, 4)}}
+		h.Expect(h.serve()).To(gomega.BeNil())
+		h.Expect(h.client.body).To(gomega.Equal("1234"))
+	})
+}
+
 func TestUnreachableServersDoNotUseUpTheAttemptsOfAStream(t *testing.T) {
 	withHarness(t, func(h *harness) {
 		cmd := mangofleet.ChangeServers{Cursor: 2}
--- a/core/mangorelay/relay.go
+++ b/core/mangorelay/relay.go
@@ -284,7 +284,32 @@
 		j.paid[phase] = false
 		return nil
 	}
-	return j.relay.fleet.Do(ctx, mangofleet.TakeRetry{Service: j.service.Name})
+	return j.awaitRetry(ctx)
+}
+
+const (
+	// budgetWait is how long a stream whose client has received its head waits for a
+	// retry: some renewals of the allowances.
+	budgetWait = time.Second
+	// budgetInterval is how often it asks.
+	budgetInterval = 100 * time.Millisecond
+)
+
+// awaitRetry takes a retry from the budget. A stream that cannot be refused any more
+// waits for one, since many streams of a daemon may lose their engine at once.
+func (j *job) awaitRetry(ctx context.Context) error {
+	end := time.Now().Add(budgetWait)
+	for {
+		err := j.relay.fleet.Do(ctx, mangofleet.TakeRetry{Service: j.service.Name})
+		if err == nil || !j.headSent || time.Now().After(end) {
+			return err
+		}
+		select {
+		case <-time.After(budgetInterval):
+		case <-ctx.Done():
+			return err
+		}
+	}
 }
 
 // refundRetry returns the charge for a request that reached no server to the
