A malformed entry of the host list no longer hides the leaving hosts

Callers saw: calls to a backend server that had announced that it leaves.

Cause: the list was decoded as a whole, so one entry with an unknown state or a field of another type failed each read of it, and the last list that was read stayed in use.

Evidence: TestMalformedHostHidesNoOtherHost failed before for 6 of 8 entries ("Asleep does not belong to ServerState values").

Why this works: each entry is decoded by itself.

--- a/mangolaned/mangoplatform/platform.go
+++ b/mangolaned/mangoplatform/platform.go
@@ -11,6 +11,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"net/http"
 	"net/url"
 
@@ -62,15 +63,17 @@
 	return p.client.Exchange(ctx, mangomodel.StepConfigure, http.MethodPut, mangowire.PathObjects, in, nil)
 }
 
-// Leaving returns the backend servers that are listed as leaving.
+// Leaving returns the backend servers that are listed as leaving. A malformed entry
+// names no server and does not hide the others.
 func (p *Platform) Leaving(ctx context.Context) ([]mangomodel.ServerID, error) {
-	var list mangowire.HostList
+	var list struct{ Hosts []json.RawMessage }
 	if err := p.client.Exchange(ctx, mangomodel.StepProbe, http.MethodGet, mangowire.PathHosts, nil, &list); err != nil {
 		return nil, err
 	}
 	var leaving []mangomodel.ServerID
-	for _, h := range list.Hosts {
-		if h.State == mangomodel.ServerLeaving {
+	for _, data := range list.Hosts {
+		var h mangowire.HostEntry
+		if err := json.Unmarshal(data, &h); err == nil && h.State == mangomodel.ServerLeaving {
 			leaving = append(leaving, mangomodel.ServerID(h.Host))
 		}
 	}
