A resumed stream does not skip the events that its new server leaves out

Callers saw: a stream with a missing piece that looked complete, if the server at which it went on began after a later event than the last one that was sent.

Cause: any event with a higher id than the last one counted as the next.

Evidence: TestResumedStreamIgnoresForeignAnswers failed before ("12456" and "125" instead of "12").

Why this works: if the ids were consecutive so far, the first new event of a resumed stream must have the next id; otherwise the server is avoided and the stream goes on at another one or is aborted. Streams whose ids skip numbers are not checked, since a gap shows nothing there.

--- a/core/mangorelay/relay.go
+++ b/core/mangorelay/relay.go
@@ -110,7 +110,10 @@
 	// unnumbered is set once an event without an id was sent to the client, after
 	// which the stream cannot be resumed.
 	unnumbered bool
-	result     mangoexchange.Result
+	// sparse is set once the ids of events that were sent to the client were not
+	// consecutive, after which a gap does not show a missing event.
+	sparse bool
+	result mangoexchange.Result
 }
 
 // resolveRoute determines the call's route and service.
--- a/core/mangorelay/relay_test.go
+++ b/core/mangorelay/relay_test.go
@@ -140,6 +140,8 @@
 		{"had no further event", "/resume/1", step{events: events(1, 2), aborted: true}, step{events: events(1, 0)}, "12", true, 2},
 		{"fails unless all its events have ids", "/resume/1", step{events: []mangotraffic.EventID{0, 1}, aborted: true}, step{events: events(2, 3)}, "01", false, 0},
 		{"drops duplicate events", "/resume/1", step{events: events(1, 2), aborted: true}, step{events: events(1, 4)}, "1234", true, 2},
+		{"continues although ids are not consecutive", "/resume/1", step{events: []mangotraffic.EventID{1, 3}, aborted: true}, step{events: []mangotraffic.EventID{6, 8}}, "1368", true, 3},
+		{"continues with a gap at the new server", "/resume/1", step{events: events(1, 2), aborted: true}, step{events: []mangotraffic.EventID{3, 5}}, "1235", true, 2},
 		{"continues after a stall", "/resume/1", step{events: events(1, 2), stalls: true}, step{events: events(3, 4)}, "1234", true, 2},
 		{"restarts before the first event", "/resume/1", step{err: errNoReply}, step{events: events(1, 2)}, "12", true, 0},
 		{"fails unless resumable", "/once/1", step{events: events(1, 2), aborted: true}, step{events: events(3, 4)}, "12", false, 0},
@@ -177,6 +179,8 @@
 		{"plain body", step{body: "oops"}, "12"},
 		{"error status", step{status: 500, body: "oops"}, "12"},
 		{"events without ids", step{events: []mangotraffic.EventID{0, 0}}, "12"},
+		{"events after a gap", step{events: events(4, 6)}, "12"},
+		{"old events and events after a gap", step{events: []mangotraffic.EventID{1, 2, 5}}, "12"},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
--- a/core/mangorelay/stream.go
+++ b/core/mangorelay/stream.go
@@ -298,6 +298,8 @@
 // stalled.
 func (j *job) relayEvents(ctx context.Context, server mangotraffic.Server, resp *mangoexchange.Response, stall stallTimer) error {
 	resumed := j.headSent
+	// joins is set until the first new event of a resumed stream.
+	joins := resumed
 	for {
 		event, err := resp.Events.Next()
 		if errors.Is(err, io.EOF) {
@@ -313,6 +315,10 @@
 		}
 		progress := j.isProgress(event)
 		if progress {
+			if joins && !j.sparse && event.ID > j.lastEventID+1 {
+				return j.handleForeign(server, resp, "an event after a gap")
+			}
+			joins = false
 			stall.Stop()
 		}
 		if progress || event.ID == 0 && !resumed {
@@ -365,6 +371,7 @@
 		j.grant.AddGenerated(max(j.service.Engine.TokensPerEvent, 1))
 	}
 	j.unnumbered = j.unnumbered || id == 0
+	j.sparse = j.sparse || id > j.lastEventID+1
 	j.lastEventID = max(j.lastEventID, id)
 }
 
