A foreign head within a numbered stream breaks it off

Callers saw: the head of an error in the middle of their stream, which then looked complete. A stream without a length or chunks ends with its connection, so what its server writes after it broke off reads as one more event.

Cause: an event without an id was relayed, also in a stream whose events have ids.

Evidence: TestBrokenStreamNeverLooksComplete failed before for "no length, another response within": the client received "HTTP/1.1 500 Internal Server Error" after event 2. In TestAbortedStream, the client received "1207" instead of "1234", and "1203" instead of "12".

Why this works: once all events of a response had ids, one without an id is no part of the stream. The stream goes on at another server if it may, and is aborted otherwise.

--- a/core/mangorelay/stream.go
+++ b/core/mangorelay/stream.go
@@ -310,7 +310,7 @@
 		if err != nil {
 			return j.handleAborted(ctx, server, err)
 		}
-		if resumed && event.ID == 0 && !event.Comment {
+		if (resumed || j.isNumbered()) && event.ID == 0 && !event.Comment {
 			return j.handleForeign(server, resp, "an event without an id")
 		}
 		progress := j.isProgress(event)
@@ -332,6 +332,9 @@
 	}
 }
 
+// isNumbered reports whether the client has received events and all of them had ids.
+func (j *job) isNumbered() bool { return j.result.Events > 0 && !j.unnumbered }
+
 // isProgress reports whether an event is new to the client. An event without an
 // id is, unless the stream numbers its events.
 func (j *job) isProgress(event mangotraffic.Event) bool {
