A chunk of an engine's stream is bounded

Callers saw: nothing, as far as we know; a daemon of mangolane's own interface kept all bytes of a chunk without end in memory, until no chunk had arrived for 2 s.

Cause: the decoder of the stream reads a value to its end.

Evidence: TestChunkWithoutEndEndsWithAFault failed before: the daemon read all 64 MiB that the server was ready to write.

Why this works: the decoder may read 1 MiB for each chunk, and its reader ends there as if the stream had been broken off.

--- a/mangolaned/mangobackend/engine.go
+++ b/mangolaned/mangobackend/engine.go
@@ -18,6 +18,10 @@
 // maxFaultBody bounds the bytes read of an error response's body.
 const maxFaultBody = 64 << 10
 
+// maxChunk bounds the bytes read for one chunk of a stream. A decoder keeps all of
+// them, and a server in trouble may send them without end.
+const maxChunk = 1 << 20
+
 // Prefill computes the KV cache of a prompt and returns when it is done.
 func (b *Backend) Prefill(ctx context.Context, server mangoconfig.Host, req mangoroute.PrefillRequest) error {
 	return b.pooledClient(server).Exchange(ctx, mangomodel.StepPrefill, http.MethodPost, mangowire.PathPrefill,
@@ -112,8 +116,10 @@
 }
 
 func (s *stream) read() {
-	dec := json.NewDecoder(s.body)
+	limited := &io.LimitedReader{R: s.body}
+	dec := json.NewDecoder(limited)
 	for {
+		limited.N = maxChunk
 		var r readResult
 		if err := dec.Decode(&r.chunk); err != nil {
 			r.err = s.connectionFault(err)
--- a/mangolaned/mangobackend/stream_test.go
+++ b/mangolaned/mangobackend/stream_test.go
@@ -78,3 +78,26 @@
 		chunks = append(chunks, chunk)
 	}
 }
+
+func TestChunkWithoutEndEndsWithAFault(t *testing.T) {
+	const most = 64 << 20
+	g := gomega.NewWithT(t)
+	written := make(chan int, 1)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		part, n := strings.Repeat("x", 64<<10), 0
+		fmt.Fprint(w, `{"Request":"r","Attempt":1,"Offset":0,"Text":"a"}{"Text":"`)
+		for ; n < most; n += len(part) {
+			if _, err := fmt.Fprint(w, part); err != nil {
+				break
+			}
+		}
+		written <- n
+	}))
+	defer server.Close()
+	host := mangoconfig.Host{ID: "s0", Address: mangomodel.Address(strings.TrimPrefix(server.URL, "http://"))}
+	chunks, err := readAll(t.Context(), host)
+	g.Expect(err).To(gomega.HaveOccurred())
+	g.Expect(chunks).To(gomega.HaveLen(1))
+	// Buffers of the sockets take some of what is written.
+	g.Expect(<-written).To(gomega.BeNumerically("<", most/2))
+}
