A refusal that its server does not prove is not passed on

Callers saw: 503, 429 or 408, which mean "not run, try again", for calls that are not idempotent and that a server may have run or be running.

Cause: the status of a server was passed on unchanged, also if its response did not say that the call had not run.

Why this works: such a response to a call that must not be repeated is a fault with an unknown outcome, which gives 502 and no second send. Calls that may be repeated receive it as before.

--- a/core/mangoexchange/exchange.go
+++ b/core/mangoexchange/exchange.go
@@ -43,6 +43,8 @@
 	Head Head
 	// NotRun is set if the server states that it did not run the call.
 	NotRun bool
+	// Refusal is set if the status tells clients that the call did not run.
+	Refusal bool
 	// Load is the load that the server reports, or nil.
 	Load *mangotraffic.LoadReport
 	// Misdirected is set if the address belongs to another server now.
--- a/core/mangorelay/fake_test.go
+++ b/core/mangorelay/fake_test.go
@@ -29,6 +29,7 @@
 	// status is the response status; zero means 200.
 	status      int
 	notRun      bool
+	refusal     bool
 	misdirected bool
 	body        string
 	// events are sent one per eventInterval. After them, aborted ends the
@@ -108,7 +109,7 @@
 	if x.status == 0 {
 		x.status = 200
 	}
-	resp := &mangoexchange.Response{Head: mangoexchange.Head{Status: x.status}, NotRun: x.notRun, Misdirected: x.misdirected}
+	resp := &mangoexchange.Response{Head: mangoexchange.Head{Status: x.status}, NotRun: x.notRun, Refusal: x.refusal, Misdirected: x.misdirected}
 	if x.events != nil {
 		resp.Events = &fakeStream{ctx: ctx, step: x, after: opts.LastEventID}
 		return resp, nil
--- a/core/mangorelay/plain.go
+++ b/core/mangorelay/plain.go
@@ -151,6 +151,14 @@
 		"status %d, not run", resp.Head.Status)
 }
 
+// handleUnprovenRefusal handles a response that would tell the client that the call
+// did not run, although its server does not state so.
+func (j *job) handleUnprovenRefusal(server mangotraffic.Server, resp *mangoexchange.Response) error {
+	j.observe(server.ID, mangolease.OutcomeSuccess, resp.Load)
+	return mangomodel.Faultf(mangomodel.StepCall, mangomodel.PeerName(server.ID), mangomodel.CodeBackend, mangomodel.RunUnknown,
+		"status %d without a statement that the call did not run", resp.Head.Status)
+}
+
 // handleForeign handles a response that cannot continue a stream whose head was
 // sent: one without events, or with an event that has no place in it.
 func (j *job) handleForeign(server mangotraffic.Server, resp *mangoexchange.Response, what string) error {
--- a/core/mangorelay/relay_test.go
+++ b/core/mangorelay/relay_test.go
@@ -48,6 +48,8 @@
 		{"response timeout of an idempotent call", "/read/1", step{responseDelay: time.Minute}, ids("s1", "s2"), 200, 0, 0},
 		{"timeout of a non-idempotent call", "/call/1", step{responseDelay: time.Minute}, ids("s1"), 0, mangomodel.RunUnknown, mangomodel.CodeTimeout},
 		{"refused as not run", "/call/1", step{status: 503, notRun: true}, ids("s1", "s2"), 200, 0, 0},
+		{"unproven refusal of a non-idempotent call", "/call/1", step{status: 503, refusal: true, body: "a"}, ids("s1"), 0, mangomodel.RunUnknown, mangomodel.CodeBackend},
+		{"unproven refusal of an idempotent call is final", "/read/1", step{status: 503, refusal: true, body: "a"}, ids("s1"), 503, 0, 0},
 		{"misdirected", "/call/1", step{status: 421, notRun: true, misdirected: true}, ids("s1", "s2"), 200, 0, 0},
 		{"connection refused", "/call/1", step{err: errNoConn}, ids("s1", "s2"), 200, 0, 0},
 	}
--- a/core/mangorelay/stream.go
+++ b/core/mangorelay/stream.go
@@ -283,6 +283,9 @@
 		return j.handleNotRunStream(server, resp)
 	}
 	j.runs++
+	if resp.Refusal && !j.route.Retryable() {
+		return j.handleUnprovenRefusal(server, resp)
+	}
 	j.recordCacheFetched()
 	if resp.Events == nil && j.headSent {
 		return j.handleForeign(server, resp, "a body")
