--- a/core/mangorelay/stream.go
+++ b/core/mangorelay/stream.go
@@ -298,6 +298,9 @@
 		return j.handleNotRunStream(server, resp)
 	}
 	j.runs++
+	if resp.Refusal && !j.route.Retryable() {
+		return j.handleUnprovenRefusal(server, resp)
+	}
 	j.recordCacheFetched()
 	if resp.Events == nil && j.headSent {
 		return j.handleForeign(server, resp, "a body")
@@ -312,7 +315,7 @@
 // stops the stall timer. A server that repeats itself or sends comments without
 // progress is not silent, but broken.
 func (j *job) relayEvents(ctx context.Context, server mangotraffic.Server, resp *mangoexchange.Response, stall stallTimer) error {
-	resumed, progressAt, events := j.headSent, time.Now(), 0
+	resumed, begun, progressAt := j.headSent, false, time.Now()
 	for {
 		event, err := resp.Events.Next()
 		if errors.Is(err, io.EOF) {
@@ -323,16 +326,17 @@
 		if err != nil {
 			return j.handleAborted(ctx, server, err)
 		}
-		if resumed && event.ID == 0 && !event.Comment {
-			return j.handleForeign(server, resp, "an event without an id")
-		}
 		progress := j.isProgress(event)
+		if what := j.foreign(event, resumed, resumed && !begun); what != "" {
+			return j.handleForeign(server, resp, what)
+		}
 		if progress {
 			stall.Stop()
 			progressAt = time.Now()
-			if events++; events == 1 {
+			if !begun {
 				j.relay.paces.add(j.service.Name, progressAt.Sub(j.sentAt))
 			}
+			begun = true
 		} else if j.route.Retryable() && time.Since(progressAt) > maxRepetition*j.stallTimeout() {
 			return j.handleForeign(server, resp, "no new event")
 		}
@@ -347,6 +351,22 @@
 	}
 }
 
+// foreign returns why an event has no place in the stream, or an empty text. joins
+// is set before the first new event of a resumed stream.
+func (j *job) foreign(event mangotraffic.Event, resumed, joins bool) string {
+	switch {
+	case (resumed || j.isNumbered()) && event.ID == 0 && !event.Comment:
+		return "an event without an id"
+	case joins && !j.sparse && event.ID > j.lastEventID+1:
+		return "an event after a gap"
+	default:
+		return ""
+	}
+}
+
+// isNumbered reports whether the client has received events and all of them had ids.
+func (j *job) isNumbered() bool { return j.result.Events > 0 && !j.unnumbered }
+
 // isProgress reports whether an event is new to the client. An event without an
 // id is, unless the stream numbers its events.
 func (j *job) isProgress(event mangotraffic.Event) bool {
@@ -386,6 +406,7 @@
 		j.grant.AddGenerated(max(j.service.Engine.TokensPerEvent, 1))
 	}
 	j.unnumbered = j.unnumbered || id == 0
+	j.sparse = j.sparse || id > j.lastEventID+1
 	j.lastEventID = max(j.lastEventID, id)
 }
 
