Withdraw a server at once when an answer says that it leaves

Seen by callers: a server that left was known by the store's list or by its refusals alone, so calls, resumptions and prefills still went to it until the list arrived, and with the store down until it had ended.

Cause: no part read the announcement that a leaving server puts into all of its answers.

Change: the client of the engines passes the announcement of any answer to the control state before anything else is done with that answer. It withdraws that incarnation (new package mangoleaving); no entry of the list revokes it, only a later incarnation does. Daemons report their withdrawals to the schedulers at once and learn those of others with the next exchange, as far as the list does not confirm them. Plain calls check the own state before they are sent, as streams did; an order is checked again after the engine's report. A demand whose servers all leave is refused at once, except for a stream that has begun. The field reaches the client once and is not forwarded from it.

Evidence: the new tests fail with the announcement ignored (mangofleet, mangorelay, mangobroker), with entries that override it (mangofleet), without the exchange (mangobroker), without the refusal or its exception (mangofleet, mangorelay) and without the check before the order (mangostage).

--- a/core/mangobroker/exchange.go
+++ b/core/mangobroker/exchange.go
@@ -53,6 +53,10 @@
 	// request only. In a response, Ejections are the outliers among these servers.
 	Outcomes  map[mangomodel.ServerID]mangooutlier.Counts
 	Ejections []mangofleet.Ejection
+	// Withdrawals are the servers that have announced that they leave, as far as the
+	// list does not say so: in a request those that announced it to the sender, in a
+	// response all that the sender has recorded.
+	Withdrawals []mangotraffic.ServerRef
 	// Members are the scheduler candidates that the sender has recorded.
 	Members []mangoroster.Sighting
 	// Crashes are those of the sender's own calls.
@@ -75,14 +79,18 @@
 }
 
 // renew exchanges messages with all schedulers periodically, and at once when a
-// scheduler has changed.
+// scheduler has changed or a server has announced something to this daemon.
 func (b *Broker) renew(ctx context.Context) {
 	ticker := time.NewTicker(checkInterval)
 	defer ticker.Stop()
 	last := make(map[mangotraffic.ServiceName]mangomodel.DaemonID)
 	var renewed time.Time
+	var announced uint64
 	for {
 		targets, changed := b.schedulers(last)
+		if n := b.fleet.View().Announced; n != announced {
+			announced, changed = n, true
+		}
 		if changed || time.Since(renewed) >= mangopool.RenewInterval-checkInterval/2 {
 			renewed = time.Now()
 			var exchanges sync.WaitGroup
@@ -324,10 +332,11 @@
 	if view.Routing != nil {
 		msg.Revision = view.Routing.Revision
 	}
-	position := view.ListCursor
-	if received.From.Holder.Daemon != "" {
+	position, isRequest := view.ListCursor, received.From.Holder.Daemon == ""
+	if !isRequest {
 		position = received.List.Cursor
 	}
+	msg.Withdrawals = view.Withdrawals(isRequest)
 	msg.List = changesAfter(view, position)
 	return msg
 }
@@ -365,8 +374,8 @@
 	return response, nil
 }
 
-// applyMessage applies the members, the crashes and the list changes of a message,
-// and records the sender as an offer if it has newer state.
+// applyMessage applies the members, the crashes, the list changes and the announcements
+// of a message, and records the sender as an offer if it has newer state.
 func (b *Broker) applyMessage(ctx context.Context, msg ExchangeMessage) error {
 	sightings := append([]mangoroster.Sighting{{Member: msg.From}}, msg.Members...)
 	if err := b.fleet.Do(ctx, mangofleet.UpdateMembers{Sightings: sightings}); err != nil {
@@ -381,6 +390,9 @@
 	if err := b.applyList(ctx, msg); err != nil {
 		return err
 	}
+	if err := b.applyAnnouncements(ctx, msg); err != nil {
+		return err
+	}
 	version := StateVersion{Revision: msg.Revision, Cursor: msg.List.Cursor}
 	if msg.From.Stale {
 		version.Cursor = 0
--- a/core/mangofleet/admission.go
+++ b/core/mangofleet/admission.go
@@ -73,7 +73,8 @@
 }
 
 // serveQueue grants queued demands in order. It refuses those whose deadline has
-// passed, and new ones that are predicted to wait beyond theirs. Once a demand that
+// passed or whose servers all leave, and new ones that are predicted to wait beyond
+// theirs. Once a demand that
 // excludes no server remains queued, later demands for the same service are not
 // tried.
 func (s *state) serveQueue(now time.Time) {
@@ -109,6 +110,9 @@
 func (s *state) refusal(w *waiter, ahead int, now time.Time) error {
 	flow, arrived := s.flow(w.Demand.Service), !w.queued
 	w.queued = true
+	if !w.Demand.Begun && s.pool.AllLeaving(w.PendingDemand) {
+		return refused(mangomodel.CodeOverloaded, "all servers of %s are leaving: %s", w.Demand.Service, s.pool.Explain(w.PendingDemand, now))
+	}
 	limit := w.Deadline.Sub(now)
 	var f *mangomodel.Fault
 	if limit <= 0 {
--- a/core/mangofleet/fleet.go
+++ b/core/mangofleet/fleet.go
@@ -11,6 +11,7 @@
 	"mangolane/core/mangohealth"
 	"mangolane/core/mangojournal"
 	"mangolane/core/mangolease"
+	"mangolane/core/mangoleaving"
 	"mangolane/core/mangoloop"
 	"mangolane/core/mangomodel"
 	"mangolane/core/mangooutlier"
@@ -48,6 +49,9 @@
 	ServersChanged(cmd ChangeServers)
 	// HealthChanged is called when a server is ejected or becomes usable again.
 	HealthChanged(server mangotraffic.Server, r mangohealth.Record, now time.Time)
+	// ServerWithdrawn is called when a server has announced that it leaves: in the
+	// answer to a request of this daemon, or to the daemon from.
+	ServerWithdrawn(server mangotraffic.ServerRef, request mangomodel.RequestID, from mangomodel.PeerName)
 }
 
 // Option configures a Fleet.
@@ -73,6 +77,8 @@
 func (nopObserver) RoutingChanged(mangomodel.Revision, mangomodel.PeerName)          {}
 func (nopObserver) ServersChanged(ChangeServers)                                     {}
 func (nopObserver) HealthChanged(mangotraffic.Server, mangohealth.Record, time.Time) {}
+func (nopObserver) ServerWithdrawn(mangotraffic.ServerRef, mangomodel.RequestID, mangomodel.PeerName) {
+}
 
 // RetryLimits returns the limits that hold for the retry budget of each service.
 type RetryLimits func() mangobudget.Limits
@@ -123,11 +129,17 @@
 	// daemons.
 	Outcomes  map[mangomodel.ServerID]mangooutlier.Counts
 	Ejections []Ejection
+	// Announced counts the announcements of servers in answers to this daemon.
+	Announced uint64
 
 	schedulers map[mangotraffic.ServiceName][]mangoroster.Member
 	// expired marks the servers of Listed whose entries have vanished and whose
 	// grace period runs.
-	expired      map[mangomodel.ServerID]bool
+	expired map[mangomodel.ServerID]bool
+	// withdrawn holds the servers that have announced that they leave. unconfirmed are
+	// those that the list still names as ready.
+	withdrawn    map[mangomodel.ServerID]mangoleaving.Withdrawal
+	unconfirmed  []mangoleaving.Withdrawal
 	stageChanges map[mangotraffic.ServiceName]mangopool.StageChange
 	granted      mangoquery.Index[mangolease.ID, mangolease.Lease]
 	crashes      []mangocrash.Crash
@@ -196,14 +208,14 @@
 func (v *View) Ready() bool { return !v.Unsynced() && !v.Draining }
 
 // MayUse reports whether this daemon's own server list allows new work at a
-// server. The list of the scheduler that granted the lease may be older. Without
-// a list every server is allowed.
+// server, and the server has not announced that it leaves. The list of the scheduler
+// that granted the lease may be older. Without a list every other server is allowed.
 func (v *View) MayUse(id mangomodel.ServerID) bool {
-	if v.ListRead.IsZero() {
-		return true
+	if server, ok := v.Listed[id]; ok {
+		return server.State == mangotraffic.StateReady
 	}
-	server, ok := v.Listed[id]
-	return ok && server.State == mangotraffic.StateReady
+	_, withdrawn := v.withdrawn[id]
+	return v.ListRead.IsZero() && !withdrawn
 }
 
 // Stale reports whether the server list may be out of date.
--- a/core/mangofleet/fleet_test.go
+++ b/core/mangofleet/fleet_test.go
@@ -42,6 +42,7 @@
 	revisions []mangomodel.Revision
 	lists     []ChangeServers
 	usable    []bool
+	withdrawn []mangomodel.ServerID
 }
 
 func (o *recordingObserver) RoutingChanged(rev mangomodel.Revision, _ mangomodel.PeerName) {
@@ -54,6 +55,10 @@
 	o.usable = append(o.usable, r.Usable(now))
 }
 
+func (o *recordingObserver) ServerWithdrawn(server mangotraffic.ServerRef, _ mangomodel.RequestID, _ mangomodel.PeerName) {
+	o.withdrawn = append(o.withdrawn, server.ID)
+}
+
 // bubble runs a test with a fleet that uses the fake clock of a synctest bubble.
 func bubble(t *testing.T, f func(x *fixture)) {
 	synctest.Test(t, func(t *testing.T) {
--- a/core/mangofleet/state.go
+++ b/core/mangofleet/state.go
@@ -60,6 +60,8 @@
 	lastRenewal, schedulerSince time.Time
 	// membersAt is when the members were last published.
 	membersAt time.Time
+	// announced counts the announcements of servers in answers to this daemon.
+	announced uint64
 }
 
 // viewParts marks the parts of the published view that are out of date.
@@ -122,16 +124,18 @@
 		Routing: s.routing, Draining: s.draining, Waiting: len(s.queue), Leases: s.pool.Leases(),
 		ListRead: s.listRead, granted: s.pool.Granted(), allowances: s.allowances,
 		ListCursor: s.listCursor, RoutingCursor: s.routingCursor, journal: s.journal, self: s.self.Holder.Daemon,
+		Announced: s.announced,
 	}
 	if last != nil {
 		v.Listed, v.Members, v.schedulers, v.crashes = last.Listed, last.Members, last.schedulers, last.crashes
-		v.expired = last.expired
+		v.expired, v.withdrawn, v.unconfirmed = last.expired, last.withdrawn, last.unconfirmed
 		v.stageChanges, v.defaultScheduler = last.stageChanges, last.defaultScheduler
 		v.Usages, v.Outcomes = last.Usages, last.Outcomes
 	}
 	v.Ejections = s.ejections(now)
 	if list, ok := s.pool.Listed(); ok {
 		v.Listed, v.expired = list.Servers, list.Expired
+		v.withdrawn, v.unconfirmed = list.Withdrawn, list.Unconfirmed
 		s.changed.members = true
 	}
 	if s.changed.usage {
--- a/core/mangolease/lease.go
+++ b/core/mangolease/lease.go
@@ -1,6 +1,7 @@
 // Package mangolease defines the values of a lease's life cycle: the demand of a
 // call, the pending demand in the queue, the granted lease, the progress that its
-// holder reports, and the observations of its exchanges with servers.
+// holder reports, the observations of its exchanges with servers, and what the servers
+// announce in them.
 //
 // # Usage
 //
@@ -31,6 +32,9 @@
 	Generation *mangotraffic.Generation
 	// Prefilled is set if the KV cache was computed already.
 	Prefilled bool
+	// Begun is set if the client has received a part of the response, so that it cannot
+	// be told to return later.
+	Begun bool
 	// Age is the time since the daemon received the call, OnTimeFor the time left
 	// in which a start still meets the target, and Patience the queue timeout.
 	// They are durations, since the clocks of daemons differ.
@@ -106,3 +110,12 @@
 	// Load is the server's load report; nil if the response had none.
 	Load *mangotraffic.LoadReport
 }
+
+// Announcement is what a server has announced about itself in an answer of any kind.
+type Announcement struct {
+	// Request is the call that the answer belongs to; empty if there is none.
+	Request mangomodel.RequestID
+	Server  mangotraffic.ServerRef
+	// Leaving is set if the server finishes its current work only.
+	Leaving bool
+}
--- a/core/mangopool/backend.go
+++ b/core/mangopool/backend.go
@@ -25,7 +25,10 @@
 
 // backend is this daemon's recorded view of one backend server.
 type backend struct {
-	server mangotraffic.Server
+	// server is the entry of the list. Its State is Leaving also if the server has
+	// announced that; listedState is the entry's own.
+	server      mangotraffic.Server
+	listedState mangotraffic.State
 	// runs are the leases whose call runs on the server; prefills are the leases
 	// whose prompt it computes.
 	runs     map[mangolease.ID]*lease
--- a/core/mangopool/explain.go
+++ b/core/mangopool/explain.go
@@ -29,6 +29,27 @@
 	return fmt.Sprintf("decode: %v; prefill: %v", p.shortage(pending, mangotraffic.StageDecode, now), p.shortage(pending, mangotraffic.StagePrefill, now))
 }
 
+// AllLeaving reports whether a demand needs a stage whose listed servers are all
+// leaving. None of them takes work again.
+func (p *Pool) AllLeaving(pending *mangolease.PendingDemand) bool {
+	return slices.ContainsFunc(stages(&pending.Demand), func(stage mangotraffic.Stage) bool {
+		list := p.members(group{pending.Demand.Service, stage})
+		return len(list) > 0 && !slices.ContainsFunc(list, func(b *backend) bool { return b.server.State == mangotraffic.StateReady })
+	})
+}
+
+// stages returns the stages of which a demand needs a server.
+func stages(d *mangolease.Demand) []mangotraffic.Stage {
+	switch {
+	case d.Generation == nil:
+		return []mangotraffic.Stage{mangotraffic.StageNone}
+	case d.Prefilled:
+		return []mangotraffic.Stage{mangotraffic.StageDecode}
+	default:
+		return []mangotraffic.Stage{mangotraffic.StageDecode, mangotraffic.StagePrefill}
+	}
+}
+
 func (p *Pool) shortage(pending *mangolease.PendingDemand, stage mangotraffic.Stage, now time.Time) shortage {
 	var x shortage
 	for _, b := range p.members(group{pending.Demand.Service, stage}) {
--- a/core/mangopool/list.go
+++ b/core/mangopool/list.go
@@ -9,24 +9,52 @@
 
 // PutServer adds or updates a server. A new incarnation has none of the work of the
 // earlier one, whose measurements do not apply to it. The holders of its leases
-// release them when their exchanges end.
+// release them when their exchanges end. A withdrawn incarnation stays leaving.
 func (p *Pool) PutServer(server mangotraffic.Server) {
 	p.changed, p.groups = true, nil
 	b, ok := p.backends[server.ID]
-	if !ok {
-		p.backends[server.ID] = newBackend(server)
+	switch {
+	case !ok:
+		b = newBackend(server)
+		p.backends[server.ID] = b
 		p.attach(server.ID)
-		return
+	case !b.server.SameIncarnation(&server):
+		b = newBackend(server)
+		p.backends[server.ID] = b
+	default:
+		if b.server.Stage != server.Stage {
+			b.orderedUntil = time.Time{}
+		}
+		b.server = server
+		b.removeAt = time.Time{}
 	}
-	if !b.server.SameIncarnation(&server) {
-		p.backends[server.ID] = newBackend(server)
-		return
+	b.listedState = server.State
+	p.withdrawals.Listed(server.Ref())
+	p.applyWithdrawal(b)
+}
+
+// Withdraw records that an incarnation of a server has announced that it leaves; own
+// is set if it did in an answer to this daemon. It reports whether that was unknown.
+func (p *Pool) Withdraw(ref mangotraffic.ServerRef, own bool, now time.Time) bool {
+	b, listed := p.backends[ref.ID]
+	known := p.withdrawals.Holds(ref)
+	if listed && b.server.Ref().After(ref) || !p.withdrawals.Add(ref, own, now) {
+		return false
+	}
+	p.changed = true
+	if listed {
+		p.applyWithdrawal(b)
+	} else {
+		p.withdrawals.Unlisted(ref.ID, now)
 	}
-	if b.server.Stage != server.Stage {
-		b.orderedUntil = time.Time{}
+	return !known
+}
+
+// applyWithdrawal marks a server as leaving if it has announced that.
+func (p *Pool) applyWithdrawal(b *backend) {
+	if p.withdrawals.Holds(b.server.Ref()) {
+		b.server.State = mangotraffic.StateLeaving
 	}
-	b.server = server
-	b.removeAt = time.Time{}
 }
 
 // RemoveServer removes a server, or starts the grace period in which it may be
@@ -37,7 +65,7 @@
 		return
 	}
 	if grace <= 0 || b.server.State == mangotraffic.StateLeaving {
-		p.remove(id)
+		p.remove(id, now)
 		return
 	}
 	if b.removeAt.IsZero() {
@@ -46,8 +74,9 @@
 	}
 }
 
-func (p *Pool) remove(id mangomodel.ServerID) {
+func (p *Pool) remove(id mangomodel.ServerID, now time.Time) {
 	delete(p.backends, id)
+	p.withdrawals.Unlisted(id, now)
 	p.changed, p.groups = true, nil
 }
 
@@ -63,11 +92,12 @@
 	}
 }
 
-// RemoveExpired removes the servers whose grace period has ended.
+// RemoveExpired removes the servers whose grace period has ended, and old withdrawals.
 func (p *Pool) RemoveExpired(now time.Time) {
 	for id, b := range p.backends {
 		if !b.removeAt.IsZero() && !now.Before(b.removeAt) {
-			p.remove(id)
+			p.remove(id, now)
 		}
 	}
+	p.withdrawals.Expire(now)
 }
--- a/core/mangopool/pool.go
+++ b/core/mangopool/pool.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"mangolane/core/mangolease"
+	"mangolane/core/mangoleaving"
 	"mangolane/core/mangomodel"
 	"mangolane/core/mangoquery"
 	"mangolane/core/mangoroster"
@@ -33,7 +34,8 @@
 	stats    map[mangotraffic.ServiceName]*serviceStats
 	// groups indexes the backends by service and stage; nil after a change of
 	// the list.
-	groups map[group][]*backend
+	groups      map[group][]*backend
+	withdrawals *mangoleaving.Withdrawals
 	// changed is set while the list differs from the last result of Listed.
 	changed bool
 }
@@ -46,6 +48,8 @@
 		leases:   make(map[mangolease.ID]*lease),
 		stats:    make(map[mangotraffic.ServiceName]*serviceStats),
 		changed:  true,
+
+		withdrawals: mangoleaving.New(),
 	}
 }
 
@@ -95,6 +99,11 @@
 	// Expired marks the servers whose entries vanished and that remain in use for
 	// a grace period.
 	Expired map[mangomodel.ServerID]bool
+	// Withdrawn holds the servers that have announced that they leave, also those
+	// without an entry. Unconfirmed are those of them whose entry says that they are
+	// ready.
+	Withdrawn   map[mangomodel.ServerID]mangoleaving.Withdrawal
+	Unconfirmed []mangoleaving.Withdrawal
 }
 
 // Listed returns the listed servers. It reports false if they have not changed
@@ -106,12 +115,16 @@
 	p.changed = false
 	list := Listing{
 		Servers: make(map[mangomodel.ServerID]mangotraffic.Server, len(p.backends)), Expired: make(map[mangomodel.ServerID]bool),
+		Withdrawn: p.withdrawals.All(),
 	}
 	for id, b := range p.backends {
 		list.Servers[id] = b.server
 		if !b.removeAt.IsZero() {
 			list.Expired[id] = true
 		}
+		if w, ok := list.Withdrawn[id]; ok && b.listedState == mangotraffic.StateReady {
+			list.Unconfirmed = append(list.Unconfirmed, w)
+		}
 	}
 	return list, true
 }
--- a/core/mangorelay/fake_test.go
+++ b/core/mangorelay/fake_test.go
@@ -45,6 +45,8 @@
 	pause      time.Duration
 	// responseDelay is the time to the response.
 	responseDelay time.Duration
+	// leaves is set if the response announces that the server leaves.
+	leaves bool
 }
 
 const (
@@ -71,6 +73,8 @@
 	releasedCaches []mangotraffic.KVSource
 	// unreachable servers fail load reports.
 	unreachable map[mangomodel.ServerID]bool
+	// announce receives the servers whose responses announce that they leave.
+	announce func(id mangomodel.ServerID)
 }
 
 func nextStep(scripts map[mangomodel.ServerID][]step, id mangomodel.ServerID) step {
@@ -102,6 +106,9 @@
 	if err := sleep(ctx, x.responseDelay); err != nil {
 		return nil, err
 	}
+	if x.leaves {
+		s.announce(to.ID)
+	}
 	if x.err != nil {
 		return nil, x.err
 	}
@@ -164,7 +171,10 @@
 	if err := sleep(ctx, max(x.responseDelay, 20*time.Millisecond)); err != nil {
 		return mangotraffic.KVSource{}, err
 	}
-	return mangotraffic.KVSource{Server: mangomodel.Address(to.ID), Handle: "h"}, x.err
+	if x.leaves {
+		s.announce(to.ID)
+	}
+	return mangotraffic.KVSource{Server: to.Ref(), Handle: "h"}, x.err
 }
 
 func (s *fakeServers) Report(_ context.Context, server mangotraffic.Server) (mangotraffic.LoadReport, error) {
@@ -287,6 +297,13 @@
 	h.Expect(h.fleet.Do(ctx, cmd)).To(gomega.Succeed())
 }
 
+// list adds a decode server to the list at a position.
+func (h *harness) list(cursor mangotraffic.Cursor, id mangomodel.ServerID) {
+	server := mangotraffic.Server{ID: id, Service: "llm", DataCentre: "a1", Slots: 4, Stage: mangotraffic.StageDecode}
+	cmd := mangofleet.ChangeServers{Cursor: cursor, Changes: []mangotraffic.ServerChange{{ID: id, Server: &server}}}
+	h.Expect(h.fleet.Do(context.Background(), cmd)).To(gomega.Succeed())
+}
+
 // newCall prepares a call to a route for serve.
 func (h *harness) newCall(target string) {
 	now := time.Now()
--- a/core/mangorelay/relay_test.go
+++ b/core/mangorelay/relay_test.go
@@ -118,7 +118,7 @@
 		h.Expect(h.serve()).To(gomega.BeNil())
 		h.Expect(h.client.body).To(gomega.Equal("123"))
 		h.Expect(h.servers.sent).To(gomega.Equal(ids("p1", "d1")))
-		h.Expect(h.servers.options[0].Source.Server).To(gomega.BeEquivalentTo("p1"))
+		h.Expect(h.servers.options[0].Source.Server.ID).To(gomega.BeEquivalentTo("p1"))
 	})
 }
 
--- a/core/mangorelay/stream.go
+++ b/core/mangorelay/stream.go
@@ -111,7 +111,7 @@
 	d.OnTimeFor = time.Duration((1-startShare)*target) - age
 	d.Patience = time.Duration(streamQueueTimeoutFactor*target) - age
 	if j.headSent {
-		d.OnTimeFor, d.Patience = defaultStallTimeout, defaultStallTimeout
+		d.OnTimeFor, d.Patience, d.Begun = defaultStallTimeout, defaultStallTimeout, true
 	}
 	if j.cache != nil {
 		d.Patience = min(d.Patience, time.Until(j.cache.expiresAt))
@@ -388,7 +388,7 @@
 		defer cancel()
 		began := time.Now()
 		if err := j.relay.servers.ReleaseCache(ctx, source); err != nil {
-			j.reportExchange(mangoexchange.PhasePrefill, mangotraffic.Server{ID: server, Address: source.Server}, mangolease.Lease{}, began, err)
+			j.reportExchange(mangoexchange.PhasePrefill, mangotraffic.Server{ID: server, Address: source.Server.Address}, mangolease.Lease{}, began, err)
 		}
 	}()
 }
--- a/core/mangostage/change.go
+++ b/core/mangostage/change.go
@@ -78,6 +78,10 @@
 		return token, mangomodel.Faultf(mangomodel.StepConfigure, mangomodel.PeerName(change.Server.ID), mangomodel.CodeTimeout, mangomodel.RunNot,
 			"the claim was taken %v after it was begun, and an order may follow within %v", took, orderTimeout)
 	}
+	if !c.fleet.View().MayUse(change.Server.ID) {
+		return token, mangomodel.Faultf(mangomodel.StepConfigure, mangomodel.PeerName(change.Server.ID), mangomodel.CodeUnavailable, mangomodel.RunNot,
+			"server is leaving or no longer listed")
+	}
 	return token, c.orders.Order(ctx, change.Server, Order{Holder: me, Fence: token, To: change.To, Sequence: report.Orders})
 }
 
--- a/core/mangostage/change_test.go
+++ b/core/mangostage/change_test.go
@@ -10,17 +10,26 @@
 	"github.com/onsi/gomega"
 
 	"mangolane/core/mangobalance"
+	"mangolane/core/mangofleet"
 	"mangolane/core/mangomodel"
 	"mangolane/core/mangopool"
 	"mangolane/core/mangotraffic"
 )
 
+// fleet has an empty view, or the one that a server's report leads to.
+type fleet struct{ view mangofleet.View }
+
+func (f *fleet) View() *mangofleet.View                       { return &f.view }
+func (f *fleet) Do(context.Context, mangofleet.Command) error { return nil }
+
 // platform keeps one claim and records orders.
 type platform struct {
 	claim    Claim
 	takeErr  error
 	orderErr error
 	orders   []Order
+	// reported is called when the engine is queried.
+	reported func()
 	// pause is how long the process stands still after it took the claim.
 	pause time.Duration
 }
@@ -44,6 +53,9 @@
 }
 
 func (p *platform) Report(context.Context, mangotraffic.Server) (mangotraffic.LoadReport, error) {
+	if p.reported != nil {
+		p.reported()
+	}
 	return mangotraffic.LoadReport{Orders: 3}, nil
 }
 
@@ -70,7 +82,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				g := gomega.NewWithT(t)
 				p := test.platform
-				controller := New(mangomodel.Holder{Daemon: "a"}, nil, &p, &p, &p, WithOrderLease(lease))
+				controller := New(mangomodel.Holder{Daemon: "a"}, &fleet{}, &p, &p, &p, WithOrderLease(lease))
 				before := p.claim.Version
 				token, err := controller.order(t.Context(), mangopool.StageChange{Service: "llm", Server: mangotraffic.Server{ID: "p"}, To: mangotraffic.StageDecode})
 				g.Expect(err == nil).To(gomega.Equal(test.ok))
@@ -96,7 +108,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		g := gomega.NewWithT(t)
 		p := platform{}
-		controller := New(mangomodel.Holder{Daemon: "a"}, nil, &p, &p, &p)
+		controller := New(mangomodel.Holder{Daemon: "a"}, &fleet{}, &p, &p, &p)
 		for range 2 {
 			_, err := controller.order(t.Context(), mangopool.StageChange{Service: "llm", Server: mangotraffic.Server{ID: "p"}, To: mangotraffic.StageDecode})
 			g.Expect(err).NotTo(gomega.HaveOccurred())
@@ -112,10 +124,24 @@
 		synctest.Test(t, func(t *testing.T) {
 			g := gomega.NewWithT(t)
 			p := platform{pause: pause}
-			controller := New(mangomodel.Holder{Daemon: "a"}, nil, &p, &p, &p)
+			controller := New(mangomodel.Holder{Daemon: "a"}, &fleet{}, &p, &p, &p)
 			_, err := controller.order(t.Context(), mangopool.StageChange{Service: "llm", Server: mangotraffic.Server{ID: "p"}, To: mangotraffic.StageDecode})
 			g.Expect(mangomodel.AsFault(err, 0).Run).To(gomega.Equal(mangomodel.RunNot))
 			g.Expect(p.orders).To(gomega.BeEmpty())
 		})
 	}
 }
+
+// TestNoOrderToAnEngineWhoseReportSaysThatItLeaves guards against an order that the
+// engine's own report, read just before, rules out.
+func TestNoOrderToAnEngineWhoseReportSaysThatItLeaves(t *testing.T) {
+	g := gomega.NewWithT(t)
+	f := &fleet{}
+	p := platform{reported: func() {
+		f.view = mangofleet.View{ListRead: time.Now(), Listed: map[mangomodel.ServerID]mangotraffic.Server{"p": {ID: "p", State: mangotraffic.StateLeaving}}}
+	}}
+	controller := New(mangomodel.Holder{Daemon: "a"}, f, &p, &p, &p)
+	_, err := controller.order(t.Context(), mangopool.StageChange{Service: "llm", Server: mangotraffic.Server{ID: "p"}, To: mangotraffic.StageDecode})
+	g.Expect(mangomodel.AsFault(err, 0).Run).To(gomega.Equal(mangomodel.RunNot))
+	g.Expect(p.orders).To(gomega.BeEmpty())
+}
--- a/core/mangotraffic/call.go
+++ b/core/mangotraffic/call.go
@@ -65,7 +65,8 @@
 
 // KVSource is a KV cache that a server fetches before it generates.
 type KVSource struct {
-	Server mangomodel.Address
+	// Server is the server that holds it.
+	Server ServerRef
 	Handle HandleID
 }
 
--- a/core/mangotraffic/server.go
+++ b/core/mangotraffic/server.go
@@ -42,11 +42,30 @@
 	Born time.Time
 }
 
+// ServerRef identifies an incarnation of a backend server.
+type ServerRef struct {
+	ID      mangomodel.ServerID
+	Address mangomodel.Address
+	Born    time.Time
+}
+
+// Ref returns the reference to the server's incarnation.
+func (s *Server) Ref() ServerRef { return ServerRef{s.ID, s.Address, s.Born} }
+
+// Same reports whether two references are to the same incarnation.
+func (r ServerRef) Same(o ServerRef) bool {
+	return r.ID == o.ID && r.Address == o.Address && r.Born.Equal(o.Born)
+}
+
+// After reports whether r started after another incarnation under its id. One that
+// started at the same time at another address counts as later.
+func (r ServerRef) After(o ServerRef) bool {
+	return r.Born.After(o.Born) || r.Born.Equal(o.Born) && r.Address != o.Address
+}
+
 // SameIncarnation reports whether two entries describe the same incarnation of a
 // server.
-func (s *Server) SameIncarnation(o *Server) bool {
-	return s.ID == o.ID && s.Address == o.Address && s.Born.Equal(o.Born)
-}
+func (s *Server) SameIncarnation(o *Server) bool { return s.Ref().Same(o.Ref()) }
 
 // ServerChange is one change to the server list.
 type ServerChange struct {
--- a/mangolaned/mangogateway/gateway.go
+++ b/mangolaned/mangogateway/gateway.go
@@ -4,7 +4,7 @@
 //
 // # Usage
 //
-//	g := mangogateway.New(settings, logger, level, source, servers)
+//	g := mangogateway.New(settings, logger, level, source, newServers)
 //	err := g.Run(ctx, handler, readyRoute) // serves until ctx ends, then drains
 package mangogateway
 
@@ -52,6 +52,10 @@
 	mangostage.Orders
 }
 
+// NewServers returns a client of the backend servers that passes what they announce in
+// their responses to the control state.
+type NewServers func(state *mangofleet.Fleet) Servers
+
 // Store holds the records of the platform.
 type Store interface {
 	mangofollow.Source
@@ -76,7 +80,7 @@
 }
 
 // New returns a Gateway that does not run yet.
-func New(s mangosettings.Gateway, logger *zap.Logger, level zap.AtomicLevel, source Store, servers Servers) *Gateway {
+func New(s mangosettings.Gateway, logger *zap.Logger, level zap.AtomicLevel, source Store, newServers NewServers) *Gateway {
 	self := mangoroster.Member{
 		Holder:     mangomodel.Holder{Daemon: s.Daemon, Incarnation: mangomodel.Incarnation(time.Now().UnixNano())},
 		DataCentre: s.DataCentre, Address: s.Peer, Strong: s.CanSchedule(),
@@ -89,6 +93,7 @@
 	fleet := mangofleet.New(mangofleet.Self{Member: self, Regions: s.Regions, MinDaemons: len(s.Seeds)}, func() mangobudget.Limits {
 		return current.Load().RetryLimits(time.Since(started))
 	}, mangofleet.WithObserver(o))
+	servers := newServers(fleet)
 	recorder := mangotrace.NewRecorder(s.TraceSpans)
 	broker := mangobroker.New(self, fleet, mangomesh.NewPeers(), mangobroker.WithSeeds(s.Seeds), mangobroker.WithObserver(o),
 		mangobroker.WithRegions(s.Regions))
--- a/mangolaned/mangogateway/observe.go
+++ b/mangolaned/mangogateway/observe.go
@@ -100,6 +100,13 @@
 	o.logger.Info("server set aside", append(fields, zap.Duration("For", r.Until.Sub(now)))...)
 }
 
+// ServerWithdrawn logs and counts that a server has announced that it leaves.
+func (o observer) ServerWithdrawn(server mangotraffic.ServerRef, request mangomodel.RequestID, from mangomodel.PeerName) {
+	o.metrics.count("Servers.Withdrawn", 1)
+	o.logger.Info("server withdrawn",
+		zap.String("Server", string(server.ID)), zap.Time("Born", server.Born), zap.String("Request", string(request)), zap.String("From", string(from)))
+}
+
 // maxLoggedChanges is the number of changes to the server list that are logged
 // individually. Logging thousands at once would block the control goroutine.
 const maxLoggedChanges = 64
