Send nothing to a server for the time that it asks for

Seen by callers: a server that refused a call with 503 and Retry-After got the next call as soon as it had a slot by the books, and so stayed overloaded; calls were refused there again and used up the retry budget.

Cause: the field was not read, and a refusal kept a server unused for 50 ms only.

Change: the client of the engines passes the time to the control state with the answer, as it does for a server that leaves. For that time this daemon sends the server nothing: calls, resumptions and prefills are not placed there, a lease granted before is returned and the next server is tried, caches are left to expire, and orders and load queries wait. Schedulers learn the times with the renewals, which an announcement brings forward, grant nothing there to that daemon, and reserve a part of a decode server's slots as large as the part of the daemons that were asked. If all servers of a demand leave or have asked for more time than it may wait, it is refused at once, with a Retry-After that follows from the earliest end, spread over a second. Two refusals with a time no longer count as a lost cache.

Evidence: the new tests fail with each of these parts removed: the times ignored by the pool, by placement, by the check before each send, by orders, load queries and releases; without the ramp, the refusal, its spread, the report to the scheduler, the reserve, and with a daemon's demand that blocks those of others.

--- a/core/mangobroker/exchange.go
+++ b/core/mangobroker/exchange.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"mangolane/core/mangobackoff"
 	"mangolane/core/mangobudget"
 	"mangolane/core/mangocrash"
 	"mangolane/core/mangofleet"
@@ -57,6 +58,8 @@
 	// list does not say so: in a request those that announced it to the sender, in a
 	// response all that the sender has recorded.
 	Withdrawals []mangotraffic.ServerRef
+	// Backoffs are the servers that have asked the sender for time, in a request only.
+	Backoffs []mangobackoff.Entry
 	// Members are the scheduler candidates that the sender has recorded.
 	Members []mangoroster.Sighting
 	// Crashes are those of the sender's own calls.
@@ -337,6 +340,9 @@
 		position = received.List.Cursor
 	}
 	msg.Withdrawals = view.Withdrawals(isRequest)
+	if isRequest {
+		msg.Backoffs = view.Backoffs(time.Now())
+	}
 	msg.List = changesAfter(view, position)
 	return msg
 }
@@ -364,7 +370,7 @@
 		return ExchangeMessage{}, err
 	}
 	msg.List.Cursor = position
-	renew := mangofleet.Renew{Holder: msg.From.Holder, Leases: msg.Leases, Usages: msg.Usages, Outcomes: msg.Outcomes}
+	renew := mangofleet.Renew{Holder: msg.From.Holder, Leases: msg.Leases, Usages: msg.Usages, Outcomes: msg.Outcomes, Backoffs: msg.Backoffs}
 	if err := b.fleet.Do(ctx, renew); err != nil {
 		return ExchangeMessage{}, err
 	}
--- a/core/mangoexchange/exchange.go
+++ b/core/mangoexchange/exchange.go
@@ -45,6 +45,8 @@
 	NotRun bool
 	// Load is the load that the server reports, or nil.
 	Load *mangotraffic.LoadReport
+	// AsksForTime is set if the server wants nothing from this daemon for some time.
+	AsksForTime bool
 	// Misdirected is set if the address belongs to another server now.
 	Misdirected bool
 	// Body is nil for a stream of events.
--- a/core/mangofleet/admission.go
+++ b/core/mangofleet/admission.go
@@ -81,6 +81,7 @@
 	slices.SortStableFunc(s.queue, func(a, b *waiter) int { return mangoqueue.Compare(a.PendingDemand, b.PendingDemand, now) })
 	blocked := make(map[mangotraffic.ServiceName]bool)
 	waiting := make(map[mangotraffic.ServiceName]int)
+	known := make(prospects)
 	kept := s.queue[:0]
 	for _, w := range s.queue {
 		name := w.Demand.Service
@@ -89,12 +90,12 @@
 			w.reply.Send(nil)
 			continue
 		}
-		if err := s.refusal(w, waiting[name], now); err != nil {
+		if err := s.refusal(w, known, waiting[name], now); err != nil {
 			w.reply.Send(err)
 			continue
 		}
 		s.pool.RecordWait(name, now)
-		blocked[name] = blocked[name] || len(w.Demand.Avoid) == 0
+		blocked[name] = blocked[name] || !s.pool.Excludes(w.PendingDemand, now)
 		waiting[name]++
 		kept = append(kept, w)
 	}
@@ -107,11 +108,11 @@
 
 // refusal returns the fault of a demand that is not to wait, with others before it,
 // or nil. Waits are predicted for new demands only.
-func (s *state) refusal(w *waiter, ahead int, now time.Time) error {
+func (s *state) refusal(w *waiter, known prospects, ahead int, now time.Time) error {
 	flow, arrived := s.flow(w.Demand.Service), !w.queued
 	w.queued = true
-	if !w.Demand.Begun && s.pool.AllLeaving(w.PendingDemand) {
-		return refused(mangomodel.CodeOverloaded, "all servers of %s are leaving: %s", w.Demand.Service, s.pool.Explain(w.PendingDemand, now))
+	if err := s.futile(w, known, now); err != nil {
+		return err
 	}
 	limit := w.Deadline.Sub(now)
 	var f *mangomodel.Fault
--- a/core/mangofleet/announce.go
+++ b/core/mangofleet/announce.go
@@ -5,15 +5,18 @@
 	"slices"
 	"time"
 
+	"mangolane/core/mangobackoff"
 	"mangolane/core/mangolease"
 	"mangolane/core/mangomodel"
+	"mangolane/core/mangopool"
 	"mangolane/core/mangotraffic"
 )
 
 // Announced records what a server has announced in an answer to this daemon. It
 // returns once the published view has it.
 func (f *Fleet) Announced(a mangolease.Announcement) {
-	if w, ok := f.View().withdrawn[a.Server.ID]; ok && w.Own && w.Server.Same(a.Server) {
+	w, ok := f.View().withdrawn[a.Server.ID]
+	if ok && w.Own && w.Server.Same(a.Server) && a.Backoff == 0 && a.Invalid == nil {
 		return
 	}
 	// This fails only after the loop has ended.
@@ -30,6 +33,14 @@
 		s.announced++
 		s.withdrawServer(a.Server, a.Request, "", now)
 	}
+	if a.Backoff > 0 || a.Invalid != nil {
+		s.observer.BackoffAsked(a)
+	}
+	if a.Backoff > 0 {
+		s.announced++
+		s.pool.BackOff(a.Server, a.Backoff, now)
+		s.changed.backoffs = true
+	}
 	return nil
 }
 
@@ -56,6 +67,50 @@
 	}
 }
 
+// prospects holds the prospects of demands that do not differ in what they need.
+type prospects map[prospectKey]mangopool.Prospect
+
+type prospectKey struct {
+	service    mangotraffic.ServiceName
+	generation bool
+	prefilled  bool
+	// holder is empty for all daemons that no server has asked for time.
+	holder mangomodel.Holder
+}
+
+// prospect returns the prospect of a demand.
+func (s *state) prospect(w *waiter, known prospects, now time.Time) mangopool.Prospect {
+	key := prospectKey{service: w.Demand.Service, generation: w.Demand.Generation != nil, prefilled: w.Demand.Prefilled}
+	if s.pool.BacksOff(w.Lease.Holder, now) {
+		key.holder = w.Lease.Holder
+	}
+	x, ok := known[key]
+	if !ok {
+		x = s.pool.Prospect(w.PendingDemand, now)
+		known[key] = x
+	}
+	return x
+}
+
+// futile returns the fault of a demand for servers that all leave or have asked for more
+// time than the demand may wait, or nil. A stream that has begun is held, since its
+// client cannot return.
+func (s *state) futile(w *waiter, known prospects, now time.Time) error {
+	if w.Demand.Begun {
+		return nil
+	}
+	x := s.prospect(w, known, now)
+	if x.Leaving {
+		return refused(mangomodel.CodeOverloaded, "all servers of %s are leaving: %s", w.Demand.Service, s.pool.Explain(w.PendingDemand, now))
+	}
+	if !x.BackoffEnds.After(w.Deadline) {
+		return nil
+	}
+	f := refused(mangomodel.CodeOverloaded, "all servers of %s have asked for time: %s", w.Demand.Service, s.pool.Explain(w.PendingDemand, now))
+	f.RetryAfter = mangobackoff.ReturnAfter(x.BackoffEnds.Sub(now), w.Lease.Number)
+	return f
+}
+
 // Withdrawals returns the servers that have announced that they leave and that the
 // list still names as ready: all known ones, or only those that announced it to this
 // daemon.
@@ -80,3 +135,19 @@
 		return !ok || ref.After(w.Server)
 	})
 }
+
+// Backoff returns for how long a server wants nothing from this daemon; zero if it does.
+func (v *View) Backoff(id mangomodel.ServerID, now time.Time) time.Duration {
+	return max(v.backoffs[id].Until.Sub(now), 0)
+}
+
+// Backoffs returns the servers that want nothing from this daemon for some time.
+func (v *View) Backoffs(now time.Time) []mangobackoff.Entry {
+	var list []mangobackoff.Entry
+	for _, end := range v.backoffs {
+		if now.Before(end.Until) {
+			list = append(list, mangobackoff.Entry{Server: end.Server, For: end.Until.Sub(now)})
+		}
+	}
+	return list
+}
--- a/core/mangofleet/announce_test.go
+++ b/core/mangofleet/announce_test.go
@@ -1,12 +1,14 @@
 package mangofleet
 
 import (
+	"context"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/onsi/gomega"
 
+	"mangolane/core/mangobackoff"
 	"mangolane/core/mangolease"
 	"mangolane/core/mangomodel"
 	"mangolane/core/mangoroster"
@@ -145,3 +147,127 @@
 }
 
 func ref(s mangotraffic.Server) mangotraffic.ServerRef { return s.Ref() }
+
+func backsOff(s mangotraffic.Server, d time.Duration) mangolease.Announcement {
+	return mangolease.Announcement{Request: "r", Server: s.Ref(), Backoff: d}
+}
+
+// TestCallsReturnGraduallyAfterTheTime guards against a call within the time that a server
+// asked for, and against a herd at its end: twenty calls wait for the only server.
+func TestCallsReturnGraduallyAfterTheTime(t *testing.T) {
+	bubble(t, func(x *fixture) {
+		s1 := plain("s1", "a1")
+		s1.Slots = 40
+		x.list(1, s1)
+		x.fleet.Announced(backsOff(s1, time.Second))
+		began := time.Now()
+		granted := make(chan time.Duration, 20)
+		for range 20 {
+			go func() {
+				d := call()
+				d.Patience = 3 * time.Second
+				x.mustAcquire(d)
+				granted <- time.Since(began)
+			}()
+		}
+		time.Sleep(time.Second - time.Nanosecond)
+		x.Expect(granted).To(gomega.BeEmpty())
+		x.Expect(x.fleet.View().Backoff("s1", time.Now())).To(gomega.Equal(time.Nanosecond))
+		x.Expect(x.fleet.View().Backoff("s1", time.Now().Add(1))).To(gomega.BeZero())
+		time.Sleep(100 * time.Millisecond)
+		x.Expect(granted).To(gomega.HaveLen(1))
+		time.Sleep(500 * time.Millisecond)
+		x.Expect(granted).To(gomega.HaveLen(20))
+	})
+}
+
+// TestAllServersAskedForTime guards against calls that wait in vain, and against clients
+// that return too early or all at once.
+func TestAllServersAskedForTime(t *testing.T) {
+	bubble(t, func(x *fixture) {
+		s1, s2 := plain("s1", "a1"), plain("s2", "a1")
+		x.list(1, s1, s2)
+		x.fleet.Announced(backsOff(s1, 5*time.Second))
+		x.mustAcquire(call())
+		x.fleet.Announced(backsOff(s2, 3*time.Second))
+		began, returns := time.Now(), make(map[time.Duration]bool)
+		for range 10 {
+			_, _, err := x.acquire(call())
+			x.Expect(err).To(gomega.MatchError(gomega.ContainSubstring("2 backing off")))
+			after := mangomodel.AsFault(err, 0).RetryAfter
+			x.Expect(after).To(gomega.BeNumerically("~", 3500*time.Millisecond, 500*time.Millisecond))
+			returns[after] = true
+		}
+		x.Expect(time.Since(began)).To(gomega.BeZero())
+		x.Expect(returns).To(gomega.HaveLen(10))
+		x.Expect(x.observed.backoffs).To(gomega.HaveLen(2))
+	})
+}
+
+// TestSchedulerExcludesOneDaemon guards against slots at a server that has asked the
+// demand's daemon for time, and against such a demand that blocks those of others.
+func TestSchedulerExcludesOneDaemon(t *testing.T) {
+	bubble(t, func(x *fixture) {
+		x.list(1, decode("d", "a1"), prefill("p", "a1"))
+		other := mangomodel.Holder{Daemon: "d2"}
+		acquire := func(h mangomodel.Holder) error {
+			d := generation(100, 100)
+			d.Patience = 600 * time.Millisecond
+			return x.fleet.Do(context.Background(), Acquire{Lease: mangolease.ID{Holder: h, Number: x.next.Add(1)}, Demand: d})
+		}
+		ref := ref(decode("d", "a1"))
+		x.do(Renew{Holder: other, Backoffs: []mangobackoff.Entry{{Server: ref, For: 500 * time.Millisecond}}})
+		time.Sleep(takeoverTime)
+		x.do(Renew{Holder: other, Backoffs: []mangobackoff.Entry{{Server: ref, For: 200 * time.Millisecond}}})
+		began, granted := time.Now(), make(chan time.Duration, 1)
+		go func() {
+			x.Expect(acquire(other)).To(gomega.Succeed())
+			granted <- time.Since(began)
+		}()
+		synctest.Wait()
+		x.Expect(acquire(x.self)).To(gomega.Succeed())
+		x.Expect(time.Since(began)).To(gomega.BeZero())
+		x.Expect(<-granted).To(gomega.BeNumerically("~", 200*time.Millisecond, queueInterval))
+	})
+}
+
+// TestServerThatAskedManyDaemonsGetsLess guards against the load of the daemons that were
+// asked for time on a server, placed by those that were not.
+func TestServerThatAskedManyDaemonsGetsLess(t *testing.T) {
+	bubble(t, func(x *fixture) {
+		x.list(1, decode("d", "a1"), prefill("p", "a1"))
+		other := mangomodel.Holder{Daemon: "d2"}
+		x.do(UpdateMembers{Sightings: []mangoroster.Sighting{{Member: mangoroster.Member{Holder: other}}}})
+		for range 2 {
+			x.do(Renew{Holder: other, Backoffs: []mangobackoff.Entry{{Server: ref(decode("d", "a1")), For: 10 * time.Second}}})
+			time.Sleep(takeoverTime)
+		}
+		short := generation(100, 100)
+		short.Patience = 10 * time.Millisecond
+		for range 2 {
+			x.mustAcquire(short)
+		}
+		_, _, err := x.acquire(short)
+		x.Expect(err).To(gomega.MatchError(gomega.ContainSubstring("1 full")))
+	})
+}
+
+// TestTimeEndsWithTheIncarnation guards against a restarted server that stays unused for
+// the time that it asked for before.
+func TestTimeEndsWithTheIncarnation(t *testing.T) {
+	bubble(t, func(x *fixture) {
+		s1 := plain("s1", "a1")
+		x.list(1, s1)
+		x.fleet.Announced(backsOff(s1, time.Minute))
+		s1.Slots++
+		x.list(2, s1)
+		x.Expect(x.fleet.View().Backoff("s1", time.Now())).To(gomega.Equal(time.Minute), "a newer entry of the same incarnation")
+		earlier := s1.Ref()
+		s1.Born = s1.Born.Add(time.Second)
+		x.list(3, s1)
+		x.Expect(x.fleet.View().Backoff("s1", time.Now())).To(gomega.BeZero())
+		x.fleet.Announced(mangolease.Announcement{Server: earlier, Backoff: time.Minute})
+		x.Expect(x.fleet.View().Backoff("s1", time.Now())).To(gomega.BeZero())
+		x.mustAcquire(call())
+	})
+}
--- a/core/mangofleet/fleet.go
+++ b/core/mangofleet/fleet.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"mangolane/core/mangobackoff"
 	"mangolane/core/mangobudget"
 	"mangolane/core/mangocrash"
 	"mangolane/core/mangohealth"
@@ -52,6 +53,9 @@
 	// ServerWithdrawn is called when a server has announced that it leaves: in the
 	// answer to a request of this daemon, or to the daemon from.
 	ServerWithdrawn(server mangotraffic.ServerRef, request mangomodel.RequestID, from mangomodel.PeerName)
+	// BackoffAsked is called when a server has asked this daemon for time, or with a
+	// figure that is no time.
+	BackoffAsked(a mangolease.Announcement)
 }
 
 // Option configures a Fleet.
@@ -79,6 +83,7 @@
 func (nopObserver) HealthChanged(mangotraffic.Server, mangohealth.Record, time.Time) {}
 func (nopObserver) ServerWithdrawn(mangotraffic.ServerRef, mangomodel.RequestID, mangomodel.PeerName) {
 }
+func (nopObserver) BackoffAsked(mangolease.Announcement) {}
 
 // RetryLimits returns the limits that hold for the retry budget of each service.
 type RetryLimits func() mangobudget.Limits
@@ -138,8 +143,10 @@
 	expired map[mangomodel.ServerID]bool
 	// withdrawn holds the servers that have announced that they leave. unconfirmed are
 	// those that the list still names as ready.
-	withdrawn    map[mangomodel.ServerID]mangoleaving.Withdrawal
-	unconfirmed  []mangoleaving.Withdrawal
+	withdrawn   map[mangomodel.ServerID]mangoleaving.Withdrawal
+	unconfirmed []mangoleaving.Withdrawal
+	// backoffs are the ends of the times for which servers want nothing from this daemon.
+	backoffs     map[mangomodel.ServerID]mangobackoff.End
 	stageChanges map[mangotraffic.ServiceName]mangopool.StageChange
 	granted      mangoquery.Index[mangolease.ID, mangolease.Lease]
 	crashes      []mangocrash.Crash
--- a/core/mangofleet/fleet_test.go
+++ b/core/mangofleet/fleet_test.go
@@ -43,6 +43,7 @@
 	lists     []ChangeServers
 	usable    []bool
 	withdrawn []mangomodel.ServerID
+	backoffs  []mangolease.Announcement
 }
 
 func (o *recordingObserver) RoutingChanged(rev mangomodel.Revision, _ mangomodel.PeerName) {
@@ -59,6 +60,10 @@
 	o.withdrawn = append(o.withdrawn, server.ID)
 }
 
+func (o *recordingObserver) BackoffAsked(a mangolease.Announcement) {
+	o.backoffs = append(o.backoffs, a)
+}
+
 // bubble runs a test with a fleet that uses the fake clock of a synctest bubble.
 func bubble(t *testing.T, f func(x *fixture)) {
 	synctest.Test(t, func(t *testing.T) {
--- a/core/mangofleet/renew.go
+++ b/core/mangofleet/renew.go
@@ -4,6 +4,7 @@
 	"maps"
 	"time"
 
+	"mangolane/core/mangobackoff"
 	"mangolane/core/mangobudget"
 	"mangolane/core/mangolease"
 	"mangolane/core/mangomodel"
@@ -24,6 +25,8 @@
 	Usages mangobudget.Usages
 	// Outcomes are the recent outcomes of the holder's calls to plain servers.
 	Outcomes map[mangomodel.ServerID]mangooutlier.Counts
+	// Backoffs are the servers that have asked the holder for time.
+	Backoffs []mangobackoff.Entry
 }
 
 // Apply implements [Command].
@@ -33,6 +36,8 @@
 	}
 	s.lastRenewal = now
 	s.pool.Renew(c.Holder, c.Leases, now)
+	s.pool.RenewBackoffs(c.Holder, c.Backoffs, now)
+	s.pool.SetDaemons(s.daemonCount())
 	s.board.Record(c.Holder, c.Outcomes, now)
 	s.ejectOutliers(now)
 	s.allowances = maps.Clone(s.allowances)
--- a/core/mangofleet/state.go
+++ b/core/mangofleet/state.go
@@ -65,7 +65,7 @@
 }
 
 // viewParts marks the parts of the published view that are out of date.
-type viewParts struct{ members, crashes, usage, outcomes bool }
+type viewParts struct{ members, crashes, usage, outcomes, backoffs bool }
 
 // membersInterval is how often views determine the members anew: short against
 // [mangoroster.AliveTimeout], long against the interval between the exchanges of
@@ -129,6 +129,7 @@
 	if last != nil {
 		v.Listed, v.Members, v.schedulers, v.crashes = last.Listed, last.Members, last.schedulers, last.crashes
 		v.expired, v.withdrawn, v.unconfirmed = last.expired, last.withdrawn, last.unconfirmed
+		v.backoffs = last.backoffs
 		v.stageChanges, v.defaultScheduler = last.stageChanges, last.defaultScheduler
 		v.Usages, v.Outcomes = last.Usages, last.Outcomes
 	}
@@ -136,7 +137,10 @@
 	if list, ok := s.pool.Listed(); ok {
 		v.Listed, v.expired = list.Servers, list.Expired
 		v.withdrawn, v.unconfirmed = list.Withdrawn, list.Unconfirmed
-		s.changed.members = true
+		s.changed.members, s.changed.backoffs = true, true
+	}
+	if s.changed.backoffs {
+		v.backoffs = s.pool.Backoffs()
 	}
 	if s.changed.usage {
 		v.Usages = s.retries.Usage(now)
@@ -147,7 +151,7 @@
 	if s.changed.outcomes || now.Sub(s.membersAt) >= membersInterval {
 		v.Outcomes = s.outcomes.Counts(now)
 	}
-	s.changed.crashes, s.changed.usage, s.changed.outcomes = false, false, false
+	s.changed.crashes, s.changed.usage, s.changed.outcomes, s.changed.backoffs = false, false, false, false
 	if s.changed.members || now.Sub(s.membersAt) >= membersInterval {
 		self := s.selfMember(now)
 		v.Members, v.stageChanges = s.roster.Members(self, now), s.pool.StageChanges(now)
--- a/core/mangolease/lease.go
+++ b/core/mangolease/lease.go
@@ -118,4 +118,9 @@
 	Server  mangotraffic.ServerRef
 	// Leaving is set if the server finishes its current work only.
 	Leaving bool
+	// Backoff is how long the server wants nothing from this daemon; zero if it did not
+	// say.
+	Backoff time.Duration
+	// Invalid is the error of figures that were ignored or bounded.
+	Invalid error
 }
--- a/core/mangopool/explain.go
+++ b/core/mangopool/explain.go
@@ -11,14 +11,16 @@
 
 // shortage counts the reasons why the servers of a stage cannot take a demand.
 type shortage struct {
-	listed, leaving, unusable, avoided, full int
+	listed, leaving, unusable, backoff, avoided, full int
 }
 
 // String returns the counts as text for the log. "Set aside" counts the servers
 // that are not leaving and get no new work for now: they are ejected, had no room
-// within the last [FullBackoff], or were ordered to change stage.
+// within the last [FullBackoff], or were ordered to change stage. "Backing off" counts
+// those that have asked the demand's daemon for time.
 func (x shortage) String() string {
-	return fmt.Sprintf("%d listed, %d leaving, %d set aside, %d avoided, %d full", x.listed, x.leaving, x.unusable, x.avoided, x.full)
+	return fmt.Sprintf("%d listed, %d leaving, %d set aside, %d backing off, %d avoided, %d full",
+		x.listed, x.leaving, x.unusable, x.backoff, x.avoided, x.full)
 }
 
 // Explain returns a text that says why a demand found no server.
@@ -29,27 +31,6 @@
 	return fmt.Sprintf("decode: %v; prefill: %v", p.shortage(pending, mangotraffic.StageDecode, now), p.shortage(pending, mangotraffic.StagePrefill, now))
 }
 
-// AllLeaving reports whether a demand needs a stage whose listed servers are all
-// leaving. None of them takes work again.
-func (p *Pool) AllLeaving(pending *mangolease.PendingDemand) bool {
-	return slices.ContainsFunc(stages(&pending.Demand), func(stage mangotraffic.Stage) bool {
-		list := p.members(group{pending.Demand.Service, stage})
-		return len(list) > 0 && !slices.ContainsFunc(list, func(b *backend) bool { return b.server.State == mangotraffic.StateReady })
-	})
-}
-
-// stages returns the stages of which a demand needs a server.
-func stages(d *mangolease.Demand) []mangotraffic.Stage {
-	switch {
-	case d.Generation == nil:
-		return []mangotraffic.Stage{mangotraffic.StageNone}
-	case d.Prefilled:
-		return []mangotraffic.Stage{mangotraffic.StageDecode}
-	default:
-		return []mangotraffic.Stage{mangotraffic.StageDecode, mangotraffic.StagePrefill}
-	}
-}
-
 func (p *Pool) shortage(pending *mangolease.PendingDemand, stage mangotraffic.Stage, now time.Time) shortage {
 	var x shortage
 	for _, b := range p.members(group{pending.Demand.Service, stage}) {
@@ -59,6 +40,8 @@
 			x.leaving++
 		case !b.usable(now):
 			x.unusable++
+		case !p.backoffs.Open(b.server.Ref(), pending.Lease.Holder, now):
+			x.backoff++
 		case slices.Contains(pending.Demand.Avoid, b.server.ID):
 			x.avoided++
 		case !p.hasRoom(b, pending, now):
--- a/core/mangopool/lease.go
+++ b/core/mangopool/lease.go
@@ -144,10 +144,12 @@
 		Scheduler: p.self.Daemon, Running: len(place.server.runs), Free: place.server.free(now), Peak: place.peak,
 	}
 	place.server.addRun(pending.Lease, l)
+	p.backoffs.Started(granted.Server.Ref(), pending.Lease.Holder, now)
 	if place.prefill != nil {
 		l.prefill = place.prefill.server.ID
 		place.prefill.prefills[pending.Lease] = l
 		server := place.prefill.server
+		p.backoffs.Started(server.Ref(), pending.Lease.Holder, now)
 		granted.Prefill = &server
 	}
 	p.leases[pending.Lease] = l
--- a/core/mangopool/list.go
+++ b/core/mangopool/list.go
@@ -30,6 +30,7 @@
 	}
 	b.listedState = server.State
 	p.withdrawals.Listed(server.Ref())
+	p.backoffs.Listed(server.Ref())
 	p.applyWithdrawal(b)
 }
 
@@ -100,4 +101,5 @@
 		}
 	}
 	p.withdrawals.Expire(now)
+	p.backoffs.Expire(now)
 }
--- a/core/mangopool/placement.go
+++ b/core/mangopool/placement.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"slices"
 	"time"
 
 	"mangolane/core/mangolease"
@@ -69,7 +68,7 @@
 	var best *backend
 	least, bestTie := math.Inf(1), uint64(0)
 	for _, b := range p.members(group{pending.Demand.Service, stage}) {
-		if !b.usable(now) || slices.Contains(pending.Demand.Avoid, b.server.ID) {
+		if !p.mayUse(b, pending, now) {
 			continue
 		}
 		c, ok := cost(b)
@@ -106,7 +105,7 @@
 // server without leases is not checked.
 func (p *Pool) decodeCost(b *backend, pending *mangolease.PendingDemand, now time.Time) (float64, bool) {
 	slots := float64(b.server.Slots)
-	free := float64(b.free(now))
+	free := float64(b.free(now)) - p.reserved(b, now)
 	needed := 1.0
 	if pending.Late(now) {
 		needed += math.Floor(slots * lateReserve)
--- a/core/mangopool/pool.go
+++ b/core/mangopool/pool.go
@@ -15,6 +15,7 @@
 import (
 	"time"
 
+	"mangolane/core/mangobackoff"
 	"mangolane/core/mangolease"
 	"mangolane/core/mangoleaving"
 	"mangolane/core/mangomodel"
@@ -36,6 +37,9 @@
 	// the list.
 	groups      map[group][]*backend
 	withdrawals *mangoleaving.Withdrawals
+	backoffs    *mangobackoff.Board
+	// daemons is the number of daemons that share the servers.
+	daemons int
 	// changed is set while the list differs from the last result of Listed.
 	changed bool
 }
@@ -50,6 +54,8 @@
 		changed:  true,
 
 		withdrawals: mangoleaving.New(),
+		backoffs:    mangobackoff.New(),
+		daemons:     1,
 	}
 }
 
--- a/core/mangorelay/fake_test.go
+++ b/core/mangorelay/fake_test.go
@@ -45,8 +45,10 @@
 	pause      time.Duration
 	// responseDelay is the time to the response.
 	responseDelay time.Duration
-	// leaves is set if the response announces that the server leaves.
-	leaves bool
+	// leaves is set if the response announces that the server leaves, and backoff is the
+	// time that it asks for.
+	leaves  bool
+	backoff time.Duration
 }
 
 const (
@@ -71,10 +73,13 @@
 	sent           []mangomodel.ServerID
 	options        []mangoexchange.RunOptions
 	releasedCaches []mangotraffic.KVSource
-	// unreachable servers fail load reports.
+	// unreachable servers fail load reports. reports counts all load reports.
 	unreachable map[mangomodel.ServerID]bool
-	// announce receives the servers whose responses announce that they leave.
-	announce func(id mangomodel.ServerID)
+	reports     int
+	// announce receives the announcements in responses.
+	announce func(id mangomodel.ServerID, leaves bool, backoff time.Duration)
+	// sentAt holds when each exchange of sent began.
+	sentAt []time.Time
 }
 
 func nextStep(scripts map[mangomodel.ServerID][]step, id mangomodel.ServerID) step {
@@ -100,22 +105,20 @@
 func (s *fakeServers) Run(ctx context.Context, to mangotraffic.Server, _ *mangotraffic.Call, opts mangoexchange.RunOptions) (*mangoexchange.Response, error) {
 	s.mu.Lock()
 	x := nextStep(s.runs, to.ID)
-	s.sent = append(s.sent, to.ID)
+	s.sent, s.sentAt = append(s.sent, to.ID), append(s.sentAt, time.Now())
 	s.options = append(s.options, opts)
 	s.mu.Unlock()
 	if err := sleep(ctx, x.responseDelay); err != nil {
 		return nil, err
 	}
-	if x.leaves {
-		s.announce(to.ID)
-	}
+	s.announceStep(to.ID, x)
 	if x.err != nil {
 		return nil, x.err
 	}
 	if x.status == 0 {
 		x.status = 200
 	}
-	resp := &mangoexchange.Response{Head: mangoexchange.Head{Status: x.status}, NotRun: x.notRun, Misdirected: x.misdirected}
+	resp := &mangoexchange.Response{Head: mangoexchange.Head{Status: x.status}, NotRun: x.notRun, Misdirected: x.misdirected, AsksForTime: x.backoff > 0}
 	if x.events != nil {
 		resp.Events = &fakeStream{ctx: ctx, step: x, after: opts.LastEventID}
 		return resp, nil
@@ -127,6 +130,12 @@
 	return resp, nil
 }
 
+func (s *fakeServers) announceStep(id mangomodel.ServerID, x step) {
+	if x.leaves || x.backoff > 0 {
+		s.announce(id, x.leaves, x.backoff)
+	}
+}
+
 type resetReader struct{}
 
 func (resetReader) Read([]byte) (int, error) { return 0, errReset }
@@ -166,20 +175,19 @@
 func (s *fakeServers) Prefill(ctx context.Context, to mangotraffic.Server, _ *mangotraffic.Call) (mangotraffic.KVSource, error) {
 	s.mu.Lock()
 	x := nextStep(s.prefills, to.ID)
-	s.sent = append(s.sent, to.ID)
+	s.sent, s.sentAt = append(s.sent, to.ID), append(s.sentAt, time.Now())
 	s.mu.Unlock()
 	if err := sleep(ctx, max(x.responseDelay, 20*time.Millisecond)); err != nil {
 		return mangotraffic.KVSource{}, err
 	}
-	if x.leaves {
-		s.announce(to.ID)
-	}
+	s.announceStep(to.ID, x)
 	return mangotraffic.KVSource{Server: to.Ref(), Handle: "h"}, x.err
 }
 
 func (s *fakeServers) Report(_ context.Context, server mangotraffic.Server) (mangotraffic.LoadReport, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.reports++
 	if s.unreachable[server.ID] {
 		return mangotraffic.LoadReport{}, errNoConn
 	}
--- a/core/mangorelay/port.go
+++ b/core/mangorelay/port.go
@@ -78,4 +78,7 @@
 	mangopanic.Observer
 	ExchangeFinished(e mangoexchange.Exchange)
 	CallFinished(r mangoexchange.Result)
+	// ServerSkipped is called when a call is not sent to a server that was leased for it,
+	// because the server has announced that it leaves or has asked for time since.
+	ServerSkipped(request mangomodel.RequestID, server mangomodel.ServerID, err error)
 }
--- a/core/mangorelay/stream.go
+++ b/core/mangorelay/stream.go
@@ -215,7 +215,7 @@
 	if !j.route.Retryable() {
 		return nopTimer{}
 	}
-	return mangostall.New(j.relay.servers, server, cancel, j.relay.observer)
+	return mangostall.New(responders{j.relay}, server, cancel, j.relay.observer)
 }
 
 // keepUnfetchedCache keeps the KV cache for another server if the call did not
@@ -236,7 +236,7 @@
 // spare capacity there, the cache is offered to a second server: if that one
 // refuses too, the cache is treated as lost, otherwise the first was full.
 func (j *job) handleNotRunStream(server mangotraffic.Server, resp *mangoexchange.Response) error {
-	if j.cache == nil || resp.Misdirected || !j.hadSpareCapacity() {
+	if j.cache == nil || resp.Misdirected || resp.AsksForTime || !j.hadSpareCapacity() {
 		return j.handleNotRun(server, resp)
 	}
 	j.avoid = append(j.avoid, server.ID)
@@ -382,6 +382,10 @@
 	}
 	source, server := j.cache.source, j.cache.server
 	j.cache = nil
+	if j.relay.fleet.View().Backoff(server, time.Now()) > 0 {
+		// It expires at the engine.
+		return
+	}
 	go func() {
 		defer mangopanic.Catch(j.relay.observer, "release of a cache")
 		ctx, cancel := context.WithTimeout(context.Background(), cleanupTimeout)
--- a/core/mangostage/change.go
+++ b/core/mangostage/change.go
@@ -65,6 +65,9 @@
 		return 0, mangomodel.Faultf(mangomodel.StepConfigure, mangomodel.PeerName(last.Holder), mangomodel.CodeConflict, mangomodel.RunNot,
 			"its last claim is %v old and blocks other claims", last.Age)
 	}
+	if err := c.usable(change.Server.ID); err != nil {
+		return 0, err
+	}
 	report, err := c.reporter.Report(ctx, change.Server)
 	if err != nil {
 		return 0, notSent(err)
@@ -78,13 +81,23 @@
 		return token, mangomodel.Faultf(mangomodel.StepConfigure, mangomodel.PeerName(change.Server.ID), mangomodel.CodeTimeout, mangomodel.RunNot,
 			"the claim was taken %v after it was begun, and an order may follow within %v", took, orderTimeout)
 	}
-	if !c.fleet.View().MayUse(change.Server.ID) {
-		return token, mangomodel.Faultf(mangomodel.StepConfigure, mangomodel.PeerName(change.Server.ID), mangomodel.CodeUnavailable, mangomodel.RunNot,
-			"server is leaving or no longer listed")
+	if err := c.usable(change.Server.ID); err != nil {
+		return token, err
 	}
 	return token, c.orders.Order(ctx, change.Server, Order{Holder: me, Fence: token, To: change.To, Sequence: report.Orders})
 }
 
+// usable returns a fault if an engine leaves, is no longer listed or has asked this daemon
+// for time.
+func (c *Controller) usable(id mangomodel.ServerID) error {
+	view, now := c.fleet.View(), time.Now()
+	if left := view.Backoff(id, now); left > 0 || !view.MayUse(id) {
+		return mangomodel.Faultf(mangomodel.StepConfigure, mangomodel.PeerName(id), mangomodel.CodeUnavailable, mangomodel.RunNot,
+			"server is leaving, no longer listed or has asked for time (%v left)", left)
+	}
+	return nil
+}
+
 // notSent returns the fault of a step before the order, which was not sent.
 func notSent(err error) error {
 	f := *mangomodel.AsFault(err, mangomodel.StepConfigure)
--- a/core/mangostage/change_test.go
+++ b/core/mangostage/change_test.go
@@ -10,9 +10,12 @@
 	"github.com/onsi/gomega"
 
 	"mangolane/core/mangobalance"
+	"mangolane/core/mangobudget"
 	"mangolane/core/mangofleet"
+	"mangolane/core/mangolease"
 	"mangolane/core/mangomodel"
 	"mangolane/core/mangopool"
+	"mangolane/core/mangoroster"
 	"mangolane/core/mangotraffic"
 )
 
@@ -145,3 +148,34 @@
 	g.Expect(mangomodel.AsFault(err, 0).Run).To(gomega.Equal(mangomodel.RunNot))
 	g.Expect(p.orders).To(gomega.BeEmpty())
 }
+
+// TestNothingIsSentToAnEngineThatAskedForTime guards against an order or a load query
+// within the time that an engine asked this daemon for.
+func TestNothingIsSentToAnEngineThatAskedForTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		ctx, cancel := context.WithCancel(context.Background())
+		defer synctest.Wait()
+		defer cancel()
+		f := mangofleet.New(mangofleet.Self{Member: mangoroster.Member{Holder: mangomodel.Holder{Daemon: "a"}}}, func() mangobudget.Limits { return mangobudget.Limits{Window: time.Second} })
+		go f.Run(ctx)
+		server := mangotraffic.Server{ID: "p", Service: "llm", Stage: mangotraffic.StageDecode}
+		g.Expect(f.Do(ctx, mangofleet.ChangeServers{Full: true, Cursor: 1, Changes: []mangotraffic.ServerChange{{ID: "p", Server: &server}}})).To(gomega.Succeed())
+		queried := 0
+		p := platform{reported: func() { queried++ }}
+		controller := New(mangomodel.Holder{Daemon: "a"}, f, &p, &p, &p)
+		g.Expect(controller.scheduled()).To(gomega.HaveLen(1))
+		f.Announced(mangolease.Announcement{Server: server.Ref(), Backoff: time.Second})
+		g.Expect(controller.scheduled()).To(gomega.BeEmpty())
+		change := mangopool.StageChange{Service: "llm", Server: server, To: mangotraffic.StagePrefill}
+		_, err := controller.order(ctx, change)
+		g.Expect(mangomodel.AsFault(err, 0).Run).To(gomega.Equal(mangomodel.RunNot))
+		g.Expect(queried).To(gomega.BeZero())
+		time.Sleep(time.Second)
+		g.Expect(controller.scheduled()).To(gomega.HaveLen(1))
+		p.reported = func() { f.Announced(mangolease.Announcement{Server: server.Ref(), Backoff: time.Second}) }
+		_, err = controller.order(ctx, change)
+		g.Expect(err).To(gomega.HaveOccurred())
+		g.Expect(p.orders).To(gomega.BeEmpty(), "the engine asked for time in its report")
+	})
+}
--- a/core/mangostage/report.go
+++ b/core/mangostage/report.go
@@ -54,11 +54,12 @@
 }
 
 // scheduled returns the decode servers of the services that this daemon
-// schedules.
+// schedules, except those that have asked it for time.
 func (c *Controller) scheduled() []mangotraffic.Server {
 	var list []mangotraffic.Server
-	for _, server := range c.fleet.View().Listed {
-		if server.Stage == mangotraffic.StageDecode && c.schedules(server.Service) {
+	view, now := c.fleet.View(), time.Now()
+	for _, server := range view.Listed {
+		if server.Stage == mangotraffic.StageDecode && c.schedules(server.Service) && view.Backoff(server.ID, now) == 0 {
 			list = append(list, server)
 		}
 	}
--- a/mangolaned/mangogateway/observe.go
+++ b/mangolaned/mangogateway/observe.go
@@ -10,6 +10,7 @@
 	"mangolane/core/mangofleet"
 	"mangolane/core/mangofollow"
 	"mangolane/core/mangohealth"
+	"mangolane/core/mangolease"
 	"mangolane/core/mangomodel"
 	"mangolane/core/mangopool"
 	"mangolane/core/mangostage"
@@ -107,6 +108,26 @@
 		zap.String("Server", string(server.ID)), zap.Time("Born", server.Born), zap.String("Request", string(request)), zap.String("From", string(from)))
 }
 
+// BackoffAsked logs and counts that a server has asked this daemon for time, and figures
+// that are no time.
+func (o observer) BackoffAsked(a mangolease.Announcement) {
+	fields := []zap.Field{zap.String("Server", string(a.Server.ID)), zap.String("Request", string(a.Request))}
+	if a.Invalid != nil {
+		o.metrics.count("Servers.InvalidBackoff", 1)
+		o.logger.Warn("server asked for an invalid time", append(fields, zap.Duration("For", a.Backoff), zap.Error(a.Invalid))...)
+	}
+	if a.Backoff > 0 {
+		o.metrics.count("Servers.BackedOff", 1)
+		o.logger.Info("server asked for time", append(fields, zap.Duration("For", a.Backoff), zap.Time("Until", time.Now().Add(a.Backoff)))...)
+	}
+}
+
+// ServerSkipped logs and counts that a call was not sent to the server leased for it.
+func (o observer) ServerSkipped(request mangomodel.RequestID, server mangomodel.ServerID, err error) {
+	o.metrics.count("Servers.Skipped", 1)
+	o.logger.Info("server skipped", append(mangolog.FaultFields(err), zap.String("Request", string(request)), zap.String("Server", string(server)))...)
+}
+
 // maxLoggedChanges is the number of changes to the server list that are logged
 // individually. Logging thousands at once would block the control goroutine.
 const maxLoggedChanges = 64
