Explain announcements of servers in logs, counters and pages

Seen by operators: nothing said that a server had announced that it leaves or had asked for time, and which call that kept from it.

Change: the lines of an announcement also stand in the context of other requests that `query explain` shows; a test holds the fields of the lines and the counters.

Evidence: TestAnnouncementsExplainOtherRequests fails with context lines taken only from lines without a request.

--- a/mangolanectl/mangoexplain/explain.go
+++ b/mangolanectl/mangoexplain/explain.go
@@ -77,11 +77,12 @@
 // finalMessage is the message of a request's last line.
 const finalMessage = "call finished"
 
-// contextMessages are the messages that concern no single request and belong to
-// the context of a request.
+// contextMessages are the messages that belong to the context of other requests too.
+// What a server announced in the answer to one request holds for those that follow.
 var contextMessages = []string{
 	"platform lost", "platform regained", "daemon lost", "daemon regained", "scheduler chosen",
 	"configuration in force", "configuration not applied", "server listed", "servers listed", "server set aside", "server used again",
+	"server withdrawn", "server asked for time", "server asked for an invalid time",
 	"engine moved", "engine not moved", "draining", "started", "log lines dropped", "settings reloaded",
 }
 
@@ -99,7 +100,7 @@
 			report.Unreadable++
 		case request == id:
 			report.Steps = append(report.Steps, line)
-		case request == "" && len(candidates) < maxContext && slices.Contains(contextMessages, line.Message):
+		case len(candidates) < maxContext && slices.Contains(contextMessages, line.Message):
 			candidates = append(candidates, line)
 		}
 	}
--- a/mangolanectl/mangoexplain/explain_test.go
+++ b/mangolanectl/mangoexplain/explain_test.go
@@ -20,6 +20,12 @@
 {"Daemon":"d2","Time":"2026-12-04T10:00:01.7Z","Message":"platform lost","Cause":"timeout"}
 {"Daemon":"d1","Time":"2026-12-04T10:00:01.6Z","Message":"exchange failed","Request":"r1","Server":"s1","Scheduler":"d2","Cause":"reset"}
 {"Daemon":"d1","Time":"2026-12-04T10:00:02.4Z","Message":"exchange failed","Request":"r3","Server":"s1"}
+{"Daemon":"d1","Time":"2026-12-04T10:01:01Z","Message":"server withdrawn","Request":"r6","Server":"s5"}
+{"Daemon":"d1","Time":"2026-12-04T10:01:02Z","Message":"server asked for time","Request":"r7","Server":"s6","For":3}
+{"Daemon":"d1","Time":"2026-12-04T10:01:02Z","Message":"server asked for time","Request":"r7","Server":"s7","For":3}
+{"Daemon":"d1","Time":"2026-12-04T10:01:03Z","Message":"server skipped","Request":"r5","Server":"s5","Cause":"server is leaving or no longer listed"}
+{"Daemon":"d1","Time":"2026-12-04T10:01:03.1Z","Message":"server skipped","Request":"r5","Server":"s6","Cause":"server has asked for time, of which 2s is left"}
+{"Daemon":"d1","Time":"2026-12-04T10:01:04Z","Message":"call finished","Request":"r5","Code":"Overloaded","Step":"Admission","Run":"Not","Cause":"all servers of a have asked for time: 2 listed, 1 leaving, 0 set aside, 1 backing off"}
 {"Daemon":"d1","Time":"2026-12-04T10:00:05Z","Message":"call finished","Request":"r4","Status":200,"OnTime":false,"First":1.5,"LongestPause":0.1,"Attempts":1}
 `
 
@@ -41,6 +47,17 @@
 	g.Expect(r.Unreadable).To(gomega.Equal(1))
 }
 
+// TestAnnouncementsExplainOtherRequests guards against a cause that is lost because the
+// server announced it in the answer to another request.
+func TestAnnouncementsExplainOtherRequests(t *testing.T) {
+	g := gomega.NewWithT(t)
+	r, err := Read(strings.NewReader(logs), "r5")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(messages(r.Steps)).To(gomega.Equal([]string{"server skipped", "server skipped", "call finished"}))
+	g.Expect(messages(r.Context)).To(gomega.Equal([]string{"server withdrawn", "server asked for time"}), "only of the request's servers")
+	g.Expect(cause(r)).To(gomega.ContainSubstring("1 leaving, 0 set aside, 1 backing off"))
+}
+
 func TestUnknownRequestIsNotFound(t *testing.T) {
 	_, err := Read(strings.NewReader(logs), "r9")
 	gomega.NewWithT(t).Expect(mangomodel.HasCode(err, mangomodel.CodeNotFound)).To(gomega.BeTrue())
--- a/mangolaned/mangogateway/observe_test.go
+++ b/mangolaned/mangogateway/observe_test.go
@@ -1,13 +1,17 @@
 package mangogateway
 
 import (
+	"errors"
 	"fmt"
 	"testing"
+	"time"
 
+	gometrics "github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
 	zapobserver "go.uber.org/zap/zaptest/observer"
 
 	"mangolane/core/mangofleet"
+	"mangolane/core/mangolease"
 	"mangolane/core/mangomodel"
 	"mangolane/core/mangotraffic"
 )
@@ -39,3 +43,30 @@
 		})
 	}
 }
+
+// TestAnnouncementsAreLogged guards against an announcement whose request, server or time
+// an operator cannot find.
+func TestAnnouncementsAreLogged(t *testing.T) {
+	core, logs := zapobserver.New(zap.InfoLevel)
+	o := observer{logger: zap.New(core), metrics: newMetrics()}
+	ref := mangotraffic.ServerRef{ID: "s"}
+	o.ServerWithdrawn(ref, "r", "")
+	o.BackoffAsked(mangolease.Announcement{Request: "r", Server: ref, Backoff: time.Second})
+	o.BackoffAsked(mangolease.Announcement{Request: "r", Server: ref, Invalid: errors.New("NaN seconds")})
+	o.ServerSkipped("r", "s", errors.New("server has asked for time"))
+	messages := []string{"server withdrawn", "server asked for time", "server asked for an invalid time", "server skipped"}
+	for i, line := range logs.All() {
+		fields := line.ContextMap()
+		if line.Message != messages[i] || fields["Request"] != "r" || fields["Server"] != "s" {
+			t.Errorf("%s: %v", line.Message, fields)
+		}
+	}
+	if logs.Len() != len(messages) {
+		t.Errorf("%d lines", logs.Len())
+	}
+	for _, name := range []string{"Servers.Withdrawn", "Servers.BackedOff", "Servers.InvalidBackoff", "Servers.Skipped"} {
+		if c, ok := o.metrics.registry.Get(name).(gometrics.Counter); !ok || c.Count() != 1 {
+			t.Errorf("%s is not 1", name)
+		}
+	}
+}
