mangolane's own interface: engines that ask for time get it

Seen by callers: an engine that refused with a time to retry after was granted to the same daemon again at once, and with code Unavailable was suspected of a crash.

Cause: the fault's RetryAfter was used for shards only.

Change: the time goes to the scheduler with the release of the grant, into the board of mangobackoff that the platform uses: no grant there for that holder until the time or the engine's boot ends, then a ramp; a demand that no server wants in time is refused with a time to return. Grants from before are checked right before each step. On the platform an announcement brings the renewal forward only if it is new to the schedulers. Not done: leaving stays as it is here, since the engine protocol has it in load reports only.

--- a/core/mangobackoff/backoff.go
+++ b/core/mangobackoff/backoff.go
@@ -68,20 +68,25 @@
 func (b *Board) Empty() bool { return len(b.servers) == 0 }
 
 // Add records that a server has asked a daemon for time. A shorter time than what is left
-// of an earlier one has no effect.
-func (b *Board) Add(ref mangotraffic.ServerRef, h mangomodel.Holder, d time.Duration, now time.Time) {
+// of an earlier one has no effect. Add reports whether the end differs by more than what
+// reports of it may be delayed.
+func (b *Board) Add(ref mangotraffic.ServerRef, h mangomodel.Holder, d time.Duration, now time.Time) bool {
 	b.Expire(now)
 	r, ok := b.servers[ref.ID]
 	switch {
+	case d <= 0:
+		return false
 	case !ok || ref.After(r.server):
 		r = &record{server: ref, until: make(map[mangomodel.Holder]time.Time)}
 		b.servers[ref.ID] = r
 	case !r.server.Same(ref):
-		return
+		return false
 	}
-	if until := now.Add(min(d, Longest)); until.After(r.until[h]) {
+	last, until := r.until[h], now.Add(min(d, Longest))
+	if until.After(last) {
 		r.until[h] = until
 	}
+	return until.Sub(last) > renewSlack || !last.After(now) && until.After(now)
 }
 
 // Renew records the times that servers have asked another daemon for, which reports them
--- a/core/mangobackoff/backoff_test.go
+++ b/core/mangobackoff/backoff_test.go
@@ -54,8 +54,10 @@
 func TestTimeHoldsForOneDaemonAndIncarnation(t *testing.T) {
 	g := gomega.NewWithT(t)
 	now, b := time.Now(), New()
-	b.Add(server, d1, time.Second, now)
-	b.Add(server, d1, time.Millisecond, now)
+	g.Expect(b.Add(server, d1, time.Second, now)).To(gomega.BeTrue())
+	for _, again := range []time.Duration{-time.Second, 0, time.Millisecond, time.Second} {
+		g.Expect(b.Add(server, d1, again, now)).To(gomega.BeFalse(), "schedulers need not be told at once")
+	}
 	g.Expect(b.Open(server, d1, now.Add(time.Second-1))).To(gomega.BeFalse(), "a shorter time does not end a longer one")
 	g.Expect(b.Open(server, d1, now.Add(time.Second))).To(gomega.BeTrue())
 	g.Expect(b.Open(server, d2, now)).To(gomega.BeTrue())
--- a/core/mangocommand/retry.go
+++ b/core/mangocommand/retry.go
@@ -5,6 +5,7 @@
 
 	"golang.org/x/time/rate"
 
+	"mangolane/core/mangobackoff"
 	"mangolane/core/mangomodel"
 )
 
@@ -61,6 +62,22 @@
 	return nil
 }
 
+// MarkBackoff records that an engine has refused a request of this daemon and wants
+// nothing from it for some time.
+type MarkBackoff struct {
+	Server mangomodel.ServerID
+	For    time.Duration
+}
+
+// Apply implements [mangoloop.Command].
+func (c MarkBackoff) Apply(s *state, now time.Time) error {
+	if until := now.Add(min(c.For, mangobackoff.Longest)); until.After(s.backoffs[c.Server]) {
+		s.backoffs[c.Server] = until
+		s.changed.failures = true
+	}
+	return nil
+}
+
 // MarkSchedulerUnreachable records that a daemon could not be reached as a
 // scheduler, so that later requests do not wait for it as well.
 type MarkSchedulerUnreachable struct{ Daemon mangomodel.DaemonID }
--- a/core/mangocommand/state.go
+++ b/core/mangocommand/state.go
@@ -22,13 +22,15 @@
 	catalog *mangoconfig.Catalog
 	// recentChanges are the last applied changes, consecutive and ending at
 	// the catalog's revision.
-	recentChanges   []mangoconfig.AcceptedChange
-	members         *mangomember.Table
-	scheduler       *mangosched.Scheduler
-	grants          mangoquery.Index[mangomodel.GrantID, mangomodel.Grant]
-	holdings        mangoquery.Index[mangomodel.GrantID, mangoquery.Holding]
-	hostList        mangoquery.HostListReading
-	lastFailure     map[mangomodel.ServerID]time.Time
+	recentChanges []mangoconfig.AcceptedChange
+	members       *mangomember.Table
+	scheduler     *mangosched.Scheduler
+	grants        mangoquery.Index[mangomodel.GrantID, mangomodel.Grant]
+	holdings      mangoquery.Index[mangomodel.GrantID, mangoquery.Holding]
+	hostList      mangoquery.HostListReading
+	lastFailure   map[mangomodel.ServerID]time.Time
+	// backoffs are the ends of the times for which engines want nothing from this daemon.
+	backoffs        map[mangomodel.ServerID]time.Time
 	busyUntil       map[mangomodel.ShardID]time.Time
 	lastUnreachable map[mangomodel.DaemonID]time.Time
 	retries         map[mangomodel.WorkspaceID]*retryBudget
@@ -53,6 +55,7 @@
 		members:         mangomember.New(self),
 		scheduler:       mangosched.New(self.Holder()),
 		lastFailure:     make(map[mangomodel.ServerID]time.Time),
+		backoffs:        make(map[mangomodel.ServerID]time.Time),
 		busyUntil:       make(map[mangomodel.ShardID]time.Time),
 		lastUnreachable: make(map[mangomodel.DaemonID]time.Time),
 		retries:         make(map[mangomodel.WorkspaceID]*retryBudget),
@@ -103,6 +106,7 @@
 func (s *state) evictExpired(now time.Time) {
 	maps.DeleteFunc(s.lastFailure, func(_ mangomodel.ServerID, at time.Time) bool { return now.Sub(at) > recordRetention })
 	maps.DeleteFunc(s.lastUnreachable, func(_ mangomodel.DaemonID, at time.Time) bool { return now.Sub(at) > recordRetention })
+	maps.DeleteFunc(s.backoffs, func(_ mangomodel.ServerID, until time.Time) bool { return now.After(until) })
 	maps.DeleteFunc(s.busyUntil, func(_ mangomodel.ShardID, until time.Time) bool { return now.After(until) })
 	maps.DeleteFunc(s.retries, func(_ mangomodel.WorkspaceID, b *retryBudget) bool { return b.idle(now) })
 	s.changed.failures = true
@@ -174,6 +178,7 @@
 	}
 	if s.changed.failures {
 		next.LastFailure = maps.Clone(s.lastFailure)
+		next.Backoffs = maps.Clone(s.backoffs)
 		next.BusyUntil = maps.Clone(s.busyUntil)
 		next.LastUnreachable = maps.Clone(s.lastUnreachable)
 	}
--- a/core/mangofleet/announce.go
+++ b/core/mangofleet/announce.go
@@ -37,9 +37,10 @@
 		s.observer.BackoffAsked(a)
 	}
 	if a.Backoff > 0 {
-		s.announced++
-		s.pool.BackOff(a.Server, a.Backoff, now)
 		s.changed.backoffs = true
+		if s.pool.BackOff(a.Server, a.Backoff, now) {
+			s.announced++
+		}
 	}
 	return nil
 }
--- a/core/mangomodel/grant.go
+++ b/core/mangomodel/grant.go
@@ -66,6 +66,10 @@
 	// Failed is the server whose lost connection ended the attempt, if any. It
 	// may have crashed.
 	Failed ServerID
+	// Refused is the server that refused the attempt and asked for time, if any, and
+	// Backoff is for how long it wants nothing from the holder.
+	Refused ServerID
+	Backoff time.Duration
 }
 
 // Load is a backend server's load report.
--- a/core/mangopool/backoff.go
+++ b/core/mangopool/backoff.go
@@ -10,12 +10,13 @@
 	"mangolane/core/mangotraffic"
 )
 
-// BackOff records that a server wants nothing from this daemon for some time.
-func (p *Pool) BackOff(ref mangotraffic.ServerRef, d time.Duration, now time.Time) {
+// BackOff records that a server wants nothing from this daemon for some time. It reports
+// whether schedulers do not know that yet.
+func (p *Pool) BackOff(ref mangotraffic.ServerRef, d time.Duration, now time.Time) bool {
 	if b, ok := p.backends[ref.ID]; ok && b.server.Ref().After(ref) {
-		return
+		return false
 	}
-	p.backoffs.Add(ref, p.self, d, now)
+	return p.backoffs.Add(ref, p.self, d, now)
 }
 
 // RenewBackoffs records the servers that want nothing from another daemon for some time.
--- a/core/mangoquery/snapshot.go
+++ b/core/mangoquery/snapshot.go
@@ -65,6 +65,8 @@
 	HostList HostListReading
 	// LastFailure is when a call to each server of a plain service last failed.
 	LastFailure map[mangomodel.ServerID]time.Time
+	// Backoffs are the ends of the times for which engines want nothing from this daemon.
+	Backoffs map[mangomodel.ServerID]time.Time
 	// BusyUntil is until when each shard is avoided after a refusal.
 	BusyUntil map[mangomodel.ShardID]time.Time
 	// LastUnreachable is when each daemon was last found unreachable as a
--- a/core/mangoroute/attempt.go
+++ b/core/mangoroute/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"mangolane/core/mangoconfig"
@@ -41,9 +42,16 @@
 	previousAvoid []mangomodel.ServerID
 }
 
-// server returns the configuration entry of a granted server.
-func (g *Generator) server(step mangomodel.Step, id mangomodel.ServerID) (mangoconfig.Host, error) {
-	h, ok := g.control.Snapshot().Server(id)
+// server returns the configuration entry of a granted server, unless the server has
+// asked this daemon for time since it was granted.
+func (g *Generator) server(step mangomodel.Step, id mangomodel.ServerID, r *requestState) (mangoconfig.Host, error) {
+	snap := g.control.Snapshot()
+	if left := time.Until(snap.Backoffs[id]); left > 0 {
+		r.avoid = append(r.avoid, id)
+		return mangoconfig.Host{}, mangomodel.Faultf(step, mangomodel.PeerName(id), mangomodel.CodeOverloaded, mangomodel.RunNot,
+			"the granted server has asked for time, of which %v is left", left)
+	}
+	h, ok := snap.Server(id)
 	if !ok {
 		return h, mangomodel.Faultf(step, mangomodel.PeerName(id), mangomodel.CodeUnavailable, mangomodel.RunUnknown,
 			"the granted server is no longer configured")
@@ -55,7 +63,7 @@
 // earlier attempts.
 func (g *Generator) prefill(ctx context.Context, a *attempt) error {
 	grant := a.lease.grant
-	server, err := g.server(mangomodel.StepPrefill, grant.Prefill)
+	server, err := g.server(mangomodel.StepPrefill, grant.Prefill, a.state)
 	if err != nil {
 		return err
 	}
@@ -82,11 +90,11 @@
 // transfer moves the KV cache to the decode server.
 func (g *Generator) transfer(ctx context.Context, a *attempt) error {
 	grant := a.lease.grant
-	from, err := g.server(mangomodel.StepTransfer, grant.Prefill)
+	from, err := g.server(mangomodel.StepTransfer, grant.Prefill, a.state)
 	if err != nil {
 		return err
 	}
-	to, err := g.server(mangomodel.StepTransfer, grant.Decode)
+	to, err := g.server(mangomodel.StepTransfer, grant.Decode, a.state)
 	if err != nil {
 		return err
 	}
@@ -104,7 +112,7 @@
 // decode streams the response. After an error it reconnects to the same server
 // up to maxResumes times, unless the server does not have the sequence.
 func (g *Generator) decode(ctx context.Context, a *attempt) error {
-	server, err := g.server(mangomodel.StepDecode, a.lease.grant.Decode)
+	server, err := g.server(mangomodel.StepDecode, a.lease.grant.Decode, a.state)
 	if err != nil {
 		return err
 	}
@@ -199,12 +207,18 @@
 
 // recordFailure records the servers whose failure ended the attempt, unless the
 // request's context has ended. A single server whose connection failed may have
-// crashed and is reported as failed; a timeout is no sign of a crash.
+// crashed and is reported as failed; a timeout is no sign of a crash, and neither is a
+// refusal that asks for time.
 func (a *attempt) recordFailure(ctx context.Context, err error, ids ...mangomodel.ServerID) {
 	if ctx.Err() != nil {
 		return
 	}
 	a.state.avoid = append(a.state.avoid, ids...)
+	f := mangomodel.AsFault(err, mangomodel.StepPrefill)
+	if refused := mangomodel.ServerID(f.Peer); f.RetryAfter > 0 && slices.Contains(ids, refused) {
+		a.usage.Refused, a.usage.Backoff = refused, f.RetryAfter
+		return
+	}
 	if len(ids) == 1 && !errors.Is(err, context.DeadlineExceeded) && mangomodel.HasCode(err, mangomodel.CodeUnavailable) {
 		a.usage.Failed = ids[0]
 	}
--- a/core/mangoroute/generator.go
+++ b/core/mangoroute/generator.go
@@ -160,6 +160,10 @@
 	if a.prefilled && !a.receivedChunk {
 		g.observer.PrefillWasted(a.usage.PrefillTokens)
 	}
+	if a.usage.Refused != "" {
+		// Fails only if the control goroutine has ended.
+		_ = g.control.Do(ctx, mangocommand.MarkBackoff{Server: a.usage.Refused, For: a.usage.Backoff})
+	}
 	if err != nil {
 		g.cancelSequence(ctx, a.lease.grant)
 	}
--- a/core/mangosched/preempt.go
+++ b/core/mangosched/preempt.go
@@ -24,7 +24,7 @@
 		return
 	}
 	for _, w := range sh.Queue[mangomodel.RankUrgent].Ordered() {
-		if w.Restricted() || !sh.NeedsPreemption(now) {
+		if sh.Restricted(now, w) || !sh.NeedsPreemption(now) {
 			return
 		}
 		victim := s.victim(now, sh, w)
--- a/core/mangosched/report.go
+++ b/core/mangosched/report.go
@@ -23,6 +23,12 @@
 		return
 	}
 	s.crashRecords.RecordBoot(now, sv.ID, load.Boot, load.At)
+	if load.Boot != sv.Boot {
+		if sv.Boot != "" {
+			sv.BootChanged = now
+		}
+		sv.Boot = load.Boot
+	}
 	sv.Down = false
 	sv.Draining = load.Draining
 	sv.StepModel.Decay()
@@ -83,6 +89,9 @@
 // a released grant.
 func (s *Scheduler) recordUsage(now time.Time, ag *activeGrant, u mangomodel.Usage) {
 	ag.shard.HoldTime.Add(now.Sub(ag.since).Seconds())
+	if sv, ok := s.servers[u.Refused]; ok {
+		ag.shard.Backoffs.Add(sv.Ref(), ag.grant.ID.Holder, u.Backoff, now)
+	}
 	if sv, ok := s.servers[ag.grant.Prefill]; ok && u.PrefillTime > 0 {
 		sv.Rate.Add(float64(u.PrefillTokens) / u.PrefillTime.Seconds())
 	}
--- a/core/mangosched/scheduler.go
+++ b/core/mangosched/scheduler.go
@@ -378,6 +378,8 @@
 	}
 	p.Prefill.BusyUntil = p.PrefillDone
 	p.Prefill.RecordPrefixes(d.Prefixes)
+	sh.Backoffs.Started(p.Prefill.Ref(), d.Grant.Holder, now)
+	sh.Backoffs.Started(p.Decode.Ref(), d.Grant.Holder, now)
 	ag := &activeGrant{grant: g, since: now, shard: sh}
 	if d.Resumed {
 		ag.preemptions = maxPreemptions
--- a/core/mangoshard/placement.go
+++ b/core/mangoshard/placement.go
@@ -23,7 +23,7 @@
 	if w.Unresolved {
 		return Placement{}, false
 	}
-	decode := sh.bestDecode(w)
+	decode := sh.bestDecode(now, w)
 	prefill, done := sh.bestPrefill(now, w)
 	if decode == nil || prefill == nil {
 		return Placement{}, false
@@ -52,10 +52,10 @@
 // occupied server. Basic work gets the least occupied of the slowest suitable
 // servers, which keeps fast servers free for urgent work. Servers that failed
 // the request before are used only if no other decode server accepts requests.
-func (sh *Shard) bestDecode(w *Waiter) *Server {
+func (sh *Shard) bestDecode(now time.Time, w *Waiter) *Server {
 	need := mangomodel.PiecesFor(w.Demand.Prompt+w.Demand.MaxTokens, sh.Pool.PieceTokens)
 	var best *Server
-	for _, sv := range sh.candidates(w, mangomodel.RoleDecode) {
+	for _, sv := range sh.candidates(now, w, mangomodel.RoleDecode) {
 		if !sv.fits(need) || !sv.allowsProbation(w) || !sv.MeetsTargets(w.Demand) {
 			continue
 		}
@@ -80,7 +80,7 @@
 func (sh *Shard) bestPrefill(now time.Time, w *Waiter) (*Server, time.Time) {
 	var best *Server
 	var done time.Time
-	for _, sv := range sh.candidates(w, mangomodel.RolePrefill) {
+	for _, sv := range sh.candidates(now, w, mangomodel.RolePrefill) {
 		if !sv.allowsProbation(w) {
 			continue
 		}
@@ -92,13 +92,13 @@
 	return best, done
 }
 
-// candidates returns the servers of a role that accept new requests. Servers that
-// the demand avoids are returned only if there are no others.
-func (sh *Shard) candidates(w *Waiter, role mangomodel.Role) []*Server {
+// candidates returns the servers of a role that accept new requests of the demand's
+// holder. Servers that the demand avoids are returned only if there are no others.
+func (sh *Shard) candidates(now time.Time, w *Waiter, role mangomodel.Role) []*Server {
 	var preferred, avoided []*Server
 	for _, sv := range sh.Servers {
 		switch {
-		case sv.Host.Role != role || !sv.Usable():
+		case sv.Host.Role != role || !sv.Usable() || !sh.Backoffs.Open(sv.Ref(), w.Demand.Grant.Holder, now):
 		case slices.Contains(w.Demand.Avoid, sv.ID):
 			avoided = append(avoided, sv)
 		default:
@@ -110,3 +110,33 @@
 	}
 	return preferred
 }
+
+// backoffEnds returns when, in each role, one server wants requests again from the
+// demand's holder; zero if that is so already.
+func (sh *Shard) backoffEnds(w *Waiter) time.Time {
+	var last time.Time
+	if sh.Backoffs.Empty() {
+		return last
+	}
+	for _, role := range mangomodel.RoleValues() {
+		found, first := false, time.Time{}
+		for _, sv := range sh.Servers {
+			if sv.Host.Role != role || !sv.Usable() {
+				continue
+			}
+			until := sh.Backoffs.Until(sv.Ref(), w.Demand.Grant.Holder)
+			if !found || until.Before(first) {
+				found, first = true, until
+			}
+		}
+		if first.After(last) {
+			last = first
+		}
+	}
+	return last
+}
+
+// Restricted reports whether a demand may use only some of the servers.
+func (sh *Shard) Restricted(now time.Time, w *Waiter) bool {
+	return w.Restricted() || sh.Backoffs.Restricts(w.Demand.Grant.Holder, now)
+}
--- a/core/mangoshard/server.go
+++ b/core/mangoshard/server.go
@@ -8,6 +8,7 @@
 	"mangolane/core/mangoconfig"
 	"mangolane/core/mangomodel"
 	"mangolane/core/mangospeed"
+	"mangolane/core/mangotraffic"
 )
 
 const (
@@ -31,6 +32,10 @@
 type Server struct {
 	ID   mangomodel.ServerID
 	Host mangoconfig.Host
+	// Boot identifies the incarnation of the server's process in its load reports, and
+	// BootChanged is when it last changed.
+	Boot        string
+	BootChanged time.Time
 	// Down is set when the server does not respond or a stream on it fails. The
 	// server's next load report clears it.
 	Down bool
@@ -79,6 +84,11 @@
 	}
 }
 
+// Ref returns the reference to the server's incarnation.
+func (sv *Server) Ref() mangotraffic.ServerRef {
+	return mangotraffic.ServerRef{ID: sv.ID, Address: sv.Host.Address, Born: sv.BootChanged}
+}
+
 // Usable reports whether the server accepts new requests.
 func (sv *Server) Usable() bool {
 	return !sv.Down && !sv.Draining && sv.Host.State == mangomodel.ServerLive
--- a/core/mangoshard/shard.go
+++ b/core/mangoshard/shard.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"mangolane/core/mangobackoff"
 	"mangolane/core/mangoconfig"
 	"mangolane/core/mangofair"
 	"mangolane/core/mangomodel"
@@ -26,6 +27,8 @@
 	Servers []*Server
 	// Queue holds the waiting demands, by rank.
 	Queue [mangomodel.Ranks]mangofair.Queue[*Waiter]
+	// Backoffs holds the times for which servers want nothing from a holder.
+	Backoffs *mangobackoff.Board
 	// HoldTime is the average time for which a slot is held, in seconds.
 	HoldTime mangospeed.Average
 	// urgentBurst and urgentLoad are the arrival rates of urgent demands,
@@ -38,7 +41,7 @@
 // New returns a shard without servers.
 func New(id mangomodel.ShardID) *Shard {
 	sh := &Shard{
-		ID: id, HoldTime: mangospeed.Average{Value: initialHoldTime.Seconds()},
+		ID: id, Backoffs: mangobackoff.New(), HoldTime: mangospeed.Average{Value: initialHoldTime.Seconds()},
 		urgentBurst: mangospeed.Arrivals{TimeConstant: burstTimeConstant}, urgentLoad: mangospeed.Arrivals{TimeConstant: loadTimeConstant},
 	}
 	for rank := range sh.Queue {
@@ -49,7 +52,8 @@
 
 // Admit refuses a demand whose predicted time to the first token exceeds its
 // target, before it queues. It also refuses demands of a shard without servers
-// of a role, and demands with Immediate set that would wait. Otherwise it sets
+// of a role or with servers that want nothing from the holder for longer than that,
+// and demands with Immediate set that would wait. Otherwise it sets
 // the deadline of the demand. Resumed demands are not refused for load.
 func (sh *Shard) Admit(now time.Time, w *Waiter) error {
 	rank := w.Demand.Rank
@@ -63,6 +67,9 @@
 		return mangomodel.Faultf(mangomodel.StepAdmission, PeerOf(sh.ID), mangomodel.CodeUnavailable,
 			mangomodel.RunNot, "no prefill server or no decode server accepts new requests")
 	}
+	if wait := sh.backoffEnds(w).Sub(now); wait > w.Demand.Patience {
+		return Overloaded(sh.ID, mangobackoff.ReturnAfter(wait, w.Demand.Grant.Number))
+	}
 	service, ok := sh.serviceTime(now, w)
 	if !ok {
 		// All servers of a role are down, or the demand is a suspect and every
@@ -115,7 +122,7 @@
 			if ok {
 				return w, p
 			}
-			if !w.Restricted() {
+			if !sh.Restricted(now, w) {
 				break
 			}
 		}
--- a/core/mangoshard/waiter.go
+++ b/core/mangoshard/waiter.go
@@ -26,7 +26,7 @@
 	return w.Demand.Patience - now.Sub(w.ArrivedAt)
 }
 
-// Restricted reports whether a demand may use only some of the servers.
+// Restricted reports whether a demand itself rules out some of the servers.
 func (w *Waiter) Restricted() bool {
 	return w.Suspect || len(w.Demand.Avoid) > 0
 }
