Refuse a retry at once if the servers left to it have asked for more time

Cause: the prospect of a demand counted the servers that it avoids, so a retry waited for its whole limit. Evidence: TestAllServersAskedForTime fails without it.

--- a/core/mangofleet/announce.go
+++ b/core/mangofleet/announce.go
@@ -81,6 +81,9 @@
 
 // prospect returns the prospect of a demand.
 func (s *state) prospect(w *waiter, known prospects, now time.Time) mangopool.Prospect {
+	if len(w.Demand.Avoid) > 0 {
+		return s.pool.Prospect(w.PendingDemand, now)
+	}
 	key := prospectKey{service: w.Demand.Service, generation: w.Demand.Generation != nil, prefilled: w.Demand.Prefilled}
 	if s.pool.BacksOff(w.Lease.Holder, now) {
 		key.holder = w.Lease.Holder
--- a/core/mangofleet/announce_test.go
+++ b/core/mangofleet/announce_test.go
@@ -189,6 +189,10 @@
 		x.list(1, s1, s2)
 		x.fleet.Announced(backsOff(s1, 5*time.Second))
 		x.mustAcquire(call())
+		retry := call()
+		retry.Avoid = []mangomodel.ServerID{"s2"}
+		_, _, err := x.acquire(retry)
+		x.Expect(mangomodel.AsFault(err, 0).RetryAfter).To(gomega.BeNumerically("~", 5500*time.Millisecond, 500*time.Millisecond))
 		x.fleet.Announced(backsOff(s2, 3*time.Second))
 		began, returns := time.Now(), make(map[time.Duration]bool)
 		for range 10 {
--- a/core/mangopool/backoff.go
+++ b/core/mangopool/backoff.go
@@ -66,8 +66,8 @@
 type Prospect struct {
 	// Leaving is set if a needed stage has only servers that leave.
 	Leaving bool
-	// BackoffEnds is when, in each needed stage, one server wants calls again from the
-	// demand's daemon; zero if that is so already.
+	// BackoffEnds is when, in each needed stage, one server that the demand does not
+	// avoid wants calls again from its daemon; zero if that is so already.
 	BackoffEnds time.Time
 }
 
@@ -77,14 +77,18 @@
 	var x Prospect
 	for _, stage := range stages(&pending.Demand) {
 		list := p.members(group{pending.Demand.Service, stage})
-		ready, first := false, time.Time{}
+		ready, found, first := false, false, time.Time{}
 		for _, b := range list {
 			if b.server.State == mangotraffic.StateLeaving {
 				continue
 			}
+			ready = true
+			if slices.Contains(pending.Demand.Avoid, b.server.ID) {
+				continue
+			}
 			until := p.backoffs.Until(b.server.Ref(), pending.Lease.Holder)
-			if !ready || until.Before(first) {
-				ready, first = true, until
+			if !found || until.Before(first) {
+				found, first = true, until
 			}
 		}
 		x.Leaving = x.Leaving || len(list) > 0 && !ready
--- a/core/mangoroute/attempt_test.go
+++ b/core/mangoroute/attempt_test.go
@@ -58,7 +58,7 @@
 		time.Sleep(mangobackoff.Longest - 1)
 		g.Expect(code()).To(gomega.Equal(mangomodel.CodeOverloaded))
 		g.Expect(r.avoid).To(gomega.ConsistOf(mangomodel.ServerID("p")))
-		time.Sleep(1)
+		time.Sleep(time.Nanosecond)
 		g.Expect(code()).To(gomega.Equal(mangomodel.CodeUnavailable), "it is not configured here")
 	})
 }
