Bring the renewal forward only for announcements that are new

Cause: each refusal of a server that leaves counted as one, so a daemon renewed each 50 ms instead of 250 while it was refused.

--- a/core/mangofleet/admission.go
+++ b/core/mangofleet/admission.go
@@ -73,10 +73,9 @@
 }
 
 // serveQueue grants queued demands in order. It refuses those whose deadline has
-// passed or whose servers all leave, and new ones that are predicted to wait beyond
-// theirs. Once a demand that
-// excludes no server remains queued, later demands for the same service are not
-// tried.
+// passed or that no server takes in time, and new ones that are predicted to wait
+// beyond theirs. Once a demand that excludes no server remains queued, later demands
+// for the same service are not tried.
 func (s *state) serveQueue(now time.Time) {
 	slices.SortStableFunc(s.queue, func(a, b *waiter) int { return mangoqueue.Compare(a.PendingDemand, b.PendingDemand, now) })
 	blocked := make(map[mangotraffic.ServiceName]bool)
--- a/core/mangofleet/announce.go
+++ b/core/mangofleet/announce.go
@@ -29,9 +29,8 @@
 // Apply implements [Command].
 func (c Announce) Apply(s *state, now time.Time) error {
 	a := c.Announcement
-	if a.Leaving {
+	if a.Leaving && s.withdrawServer(a.Server, a.Request, "", now) {
 		s.announced++
-		s.withdrawServer(a.Server, a.Request, "", now)
 	}
 	if a.Backoff > 0 || a.Invalid != nil {
 		s.observer.BackoffAsked(a)
@@ -61,11 +60,13 @@
 }
 
 // withdrawServer records that a server has announced to this daemon, or to the daemon from,
-// that it leaves.
-func (s *state) withdrawServer(ref mangotraffic.ServerRef, request mangomodel.RequestID, from mangomodel.PeerName, now time.Time) {
-	if s.pool.Withdraw(ref, from == "", now) {
-		s.observer.ServerWithdrawn(ref, request, from)
+// that it leaves. It reports whether that was unknown.
+func (s *state) withdrawServer(ref mangotraffic.ServerRef, request mangomodel.RequestID, from mangomodel.PeerName, now time.Time) bool {
+	if !s.pool.Withdraw(ref, from == "", now) {
+		return false
 	}
+	s.observer.ServerWithdrawn(ref, request, from)
+	return true
 }
 
 // prospects holds the prospects of demands that do not differ in what they need.
@@ -140,7 +141,8 @@
 	})
 }
 
-// Backoff returns for how long a server wants nothing from this daemon; zero if it does.
+// Backoff returns for how much longer a server wants nothing from this daemon; zero if it
+// has not asked for that.
 func (v *View) Backoff(id mangomodel.ServerID, now time.Time) time.Duration {
 	return max(v.backoffs[id].Until.Sub(now), 0)
 }
--- a/core/mangofleet/announce_test.go
+++ b/core/mangofleet/announce_test.go
@@ -275,3 +275,19 @@
 		x.mustAcquire(call())
 	})
 }
+
+// TestRepeatedAnnouncementsBringNoRenewalForward guards against a renewal for each answer
+// of a server that leaves or refuses many calls.
+func TestRepeatedAnnouncementsBringNoRenewalForward(t *testing.T) {
+	bubble(t, func(x *fixture) {
+		s1 := plain("s1", "a1")
+		x.list(1, s1)
+		for range 10 {
+			a := backsOff(s1, time.Second)
+			a.Leaving = true
+			x.fleet.Announced(a)
+			time.Sleep(10 * time.Millisecond)
+		}
+		x.Expect(x.fleet.View().Announced).To(gomega.BeEquivalentTo(2))
+	})
+}
--- a/core/mangofleet/fleet.go
+++ b/core/mangofleet/fleet.go
@@ -134,7 +134,8 @@
 	// daemons.
 	Outcomes  map[mangomodel.ServerID]mangooutlier.Counts
 	Ejections []Ejection
-	// Announced counts the announcements of servers in answers to this daemon.
+	// Announced counts the announcements of servers in answers to this daemon that
+	// schedulers do not know yet.
 	Announced uint64
 
 	schedulers map[mangotraffic.ServiceName][]mangoroster.Member
--- a/core/mangofleet/state.go
+++ b/core/mangofleet/state.go
@@ -60,7 +60,8 @@
 	lastRenewal, schedulerSince time.Time
 	// membersAt is when the members were last published.
 	membersAt time.Time
-	// announced counts the announcements of servers in answers to this daemon.
+	// announced counts the announcements of servers in answers to this daemon that
+	// schedulers do not know yet.
 	announced uint64
 }
 
