--- a/core/mangofleet/state.go
+++ b/core/mangofleet/state.go
@@ -60,10 +60,13 @@
 	lastRenewal, schedulerSince time.Time
 	// membersAt is when the members were last published.
 	membersAt time.Time
+	// announced counts the announcements of servers in answers to this daemon that
+	// schedulers do not know yet.
+	announced uint64
 }
 
 // viewParts marks the parts of the published view that are out of date.
-type viewParts struct{ members, crashes, usage, outcomes bool }
+type viewParts struct{ members, crashes, usage, outcomes, backoffs bool }
 
 // membersInterval is how often views determine the members anew: short against
 // [mangoroster.AliveTimeout], long against the interval between the exchanges of
@@ -122,17 +125,23 @@
 		Routing: s.routing, Draining: s.draining, Waiting: len(s.queue), Leases: s.pool.Leases(),
 		ListRead: s.listRead, granted: s.pool.Granted(), allowances: s.allowances,
 		ListCursor: s.listCursor, RoutingCursor: s.routingCursor, journal: s.journal, self: s.self.Holder.Daemon,
+		Announced: s.announced,
 	}
 	if last != nil {
 		v.Listed, v.Members, v.schedulers, v.crashes = last.Listed, last.Members, last.schedulers, last.crashes
-		v.expired = last.expired
+		v.expired, v.withdrawn, v.unconfirmed = last.expired, last.withdrawn, last.unconfirmed
+		v.backoffs = last.backoffs
 		v.stageChanges, v.defaultScheduler = last.stageChanges, last.defaultScheduler
 		v.Usages, v.Outcomes = last.Usages, last.Outcomes
 	}
 	v.Ejections = s.ejections(now)
 	if list, ok := s.pool.Listed(); ok {
 		v.Listed, v.expired = list.Servers, list.Expired
-		s.changed.members = true
+		v.withdrawn, v.unconfirmed = list.Withdrawn, list.Unconfirmed
+		s.changed.members, s.changed.backoffs = true, true
+	}
+	if s.changed.backoffs {
+		v.backoffs = s.pool.Backoffs()
 	}
 	if s.changed.usage {
 		v.Usages = s.retries.Usage(now)
@@ -143,7 +152,7 @@
 	if s.changed.outcomes || now.Sub(s.membersAt) >= membersInterval {
 		v.Outcomes = s.outcomes.Counts(now)
 	}
-	s.changed.crashes, s.changed.usage, s.changed.outcomes = false, false, false
+	s.changed.crashes, s.changed.usage, s.changed.outcomes, s.changed.backoffs = false, false, false, false
 	if s.changed.members || now.Sub(s.membersAt) >= membersInterval {
 		self := s.selfMember(now)
 		v.Members, v.stageChanges = s.roster.Members(self, now), s.pool.StageChanges(now)
--- a/core/mangopool/explain.go
+++ b/core/mangopool/explain.go
@@ -11,14 +11,16 @@
 
 // shortage counts the reasons why the servers of a stage cannot take a demand.
 type shortage struct {
-	listed, leaving, unusable, avoided, full int
+	listed, leaving, unusable, backoff, avoided, full int
 }
 
 // String returns the counts as text for the log. "Set aside" counts the servers
 // that are not leaving and get no new work for now: they are ejected, had no room
-// within the last [FullBackoff], or were ordered to change stage.
+// within the last [FullBackoff], or were ordered to change stage. "Backing off" counts
+// those that have asked the demand's daemon for time.
 func (x shortage) String() string {
-	return fmt.Sprintf("%d listed, %d leaving, %d set aside, %d avoided, %d full", x.listed, x.leaving, x.unusable, x.avoided, x.full)
+	return fmt.Sprintf("%d listed, %d leaving, %d set aside, %d backing off, %d avoided, %d full",
+		x.listed, x.leaving, x.unusable, x.backoff, x.avoided, x.full)
 }
 
 // Explain returns a text that says why a demand found no server.
@@ -38,6 +40,8 @@
 			x.leaving++
 		case !b.usable(now):
 			x.unusable++
+		case !p.backoffs.Open(b.server.Ref(), pending.Lease.Holder, now):
+			x.backoff++
 		case slices.Contains(pending.Demand.Avoid, b.server.ID):
 			x.avoided++
 		case !p.hasRoom(b, pending, now):
--- a/core/mangorelay/fake_test.go
+++ b/core/mangorelay/fake_test.go
@@ -46,6 +46,10 @@
 	pause      time.Duration
 	// responseDelay is the time to the response.
 	responseDelay time.Duration
+	// leaves is set if the response announces that the server leaves, and backoff is the
+	// time that it asks for.
+	leaves  bool
+	backoff time.Duration
 }
 
 const (
@@ -74,6 +78,12 @@
 	// until a time.
 	unreachable map[mangomodel.ServerID]bool
 	silentUntil map[mangomodel.ServerID]time.Time
+	// reports counts all load reports.
+	reports int
+	// announce receives the announcements in responses.
+	announce func(id mangomodel.ServerID, leaves bool, backoff time.Duration)
+	// sentAt holds when each exchange of sent began.
+	sentAt []time.Time
 }
 
 func nextStep(scripts map[mangomodel.ServerID][]step, id mangomodel.ServerID) step {
@@ -99,19 +109,20 @@
 func (s *fakeServers) Run(ctx context.Context, to mangotraffic.Server, _ *mangotraffic.Call, opts mangoexchange.RunOptions) (*mangoexchange.Response, error) {
 	s.mu.Lock()
 	x := nextStep(s.runs, to.ID)
-	s.sent = append(s.sent, to.ID)
+	s.sent, s.sentAt = append(s.sent, to.ID), append(s.sentAt, time.Now())
 	s.options = append(s.options, opts)
 	s.mu.Unlock()
 	if err := sleep(ctx, x.responseDelay); err != nil {
 		return nil, err
 	}
+	s.announceStep(to.ID, x)
 	if x.err != nil {
 		return nil, x.err
 	}
 	if x.status == 0 {
 		x.status = 200
 	}
-	resp := &mangoexchange.Response{Head: mangoexchange.Head{Status: x.status}, NotRun: x.notRun, Refusal: x.refusal, Misdirected: x.misdirected}
+	resp := &mangoexchange.Response{Head: mangoexchange.Head{Status: x.status}, NotRun: x.notRun, Refusal: x.refusal, Misdirected: x.misdirected, AsksForTime: x.backoff > 0}
 	if x.events != nil {
 		resp.Events = &fakeStream{ctx: ctx, step: x, after: opts.LastEventID}
 		return resp, nil
@@ -123,6 +134,12 @@
 	return resp, nil
 }
 
+func (s *fakeServers) announceStep(id mangomodel.ServerID, x step) {
+	if x.leaves || x.backoff > 0 {
+		s.announce(id, x.leaves, x.backoff)
+	}
+}
+
 type resetReader struct{}
 
 func (resetReader) Read([]byte) (int, error) { return 0, errReset }
@@ -162,17 +179,19 @@
 func (s *fakeServers) Prefill(ctx context.Context, to mangotraffic.Server, _ *mangotraffic.Call) (mangotraffic.KVSource, error) {
 	s.mu.Lock()
 	x := nextStep(s.prefills, to.ID)
-	s.sent = append(s.sent, to.ID)
+	s.sent, s.sentAt = append(s.sent, to.ID), append(s.sentAt, time.Now())
 	s.mu.Unlock()
 	if err := sleep(ctx, max(x.responseDelay, 20*time.Millisecond)); err != nil {
 		return mangotraffic.KVSource{}, err
 	}
-	return mangotraffic.KVSource{Server: mangomodel.Address(to.ID), Handle: "h"}, x.err
+	s.announceStep(to.ID, x)
+	return mangotraffic.KVSource{Server: to.Ref(), Handle: "h"}, x.err
 }
 
 func (s *fakeServers) Report(ctx context.Context, server mangotraffic.Server) (mangotraffic.LoadReport, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.reports++
 	if err := sleep(ctx, time.Until(s.silentUntil[server.ID])); err != nil {
 		return mangotraffic.LoadReport{}, err
 	}
@@ -294,6 +313,13 @@
 	h.Expect(h.fleet.Do(ctx, cmd)).To(gomega.Succeed())
 }
 
+// list adds a decode server to the list at a position.
+func (h *harness) list(cursor mangotraffic.Cursor, id mangomodel.ServerID) {
+	server := mangotraffic.Server{ID: id, Service: "llm", DataCentre: "a1", Slots: 4, Stage: mangotraffic.StageDecode}
+	cmd := mangofleet.ChangeServers{Cursor: cursor, Changes: []mangotraffic.ServerChange{{ID: id, Server: &server}}}
+	h.Expect(h.fleet.Do(context.Background(), cmd)).To(gomega.Succeed())
+}
+
 // newCall prepares a call to a route for serve.
 func (h *harness) newCall(target string) {
 	now := time.Now()
--- a/core/mangorelay/port.go
+++ b/core/mangorelay/port.go
@@ -82,4 +82,7 @@
 	// on.
 	ExchangeStalled(id mangomodel.RequestID, s mangostall.Stall)
 	CallFinished(r mangoexchange.Result)
+	// ServerSkipped is called when a call is not sent to a server that was leased for it,
+	// because the server has announced that it leaves or has asked for time since.
+	ServerSkipped(request mangomodel.RequestID, server mangomodel.ServerID, err error)
 }
--- a/core/mangorelay/stream.go
+++ b/core/mangorelay/stream.go
@@ -118,7 +118,7 @@
 	d.OnTimeFor = time.Duration((1-startShare)*target) - age
 	d.Patience = time.Duration(streamQueueTimeoutFactor*target) - age
 	if j.headSent {
-		d.OnTimeFor, d.Patience = defaultStallTimeout, defaultStallTimeout
+		d.OnTimeFor, d.Patience, d.Begun = defaultStallTimeout, defaultStallTimeout, true
 	}
 	if j.cache != nil {
 		d.Patience = min(d.Patience, time.Until(j.cache.expiresAt))
@@ -168,7 +168,7 @@
 	h := j.newHandover(ctx, server.ID, mangoexchange.PhasePrefill)
 	var timer stallTimer = nopTimer{}
 	if j.mayLease() {
-		timer = j.watch(h, server, cancel, errStalled, mangostall.WithReports(j.relay.servers))
+		timer = j.watch(h, server, cancel, errStalled, mangostall.WithReports(responders{j.relay}))
 	}
 	timer.Reset(mangostall.PrefillTimeout(grant.Lease.PrefillTime))
 	source, err := j.relay.servers.Prefill(ctx, server, j.call)
@@ -230,7 +230,7 @@
 	if !j.mayRunAgain() {
 		return nopTimer{}
 	}
-	return j.watch(h, server, cancel, errStalled, mangostall.WithReports(j.relay.servers))
+	return j.watch(h, server, cancel, errStalled, mangostall.WithReports(responders{j.relay}))
 }
 
 // keepUnfetchedCache keeps the KV cache for another server if the call did not
@@ -251,7 +251,7 @@
 // spare capacity there, the cache is offered to a second server: if that one
 // refuses too, the cache is treated as lost, otherwise the first was full.
 func (j *job) handleNotRunStream(server mangotraffic.Server, resp *mangoexchange.Response) error {
-	if j.cache == nil || resp.Misdirected || !j.hadSpareCapacity() {
+	if j.cache == nil || resp.Misdirected || resp.AsksForTime || !j.hadSpareCapacity() {
 		return j.handleNotRun(server, resp)
 	}
 	j.avoid = append(j.avoid, server.ID)
@@ -424,13 +424,17 @@
 	}
 	source, server := j.cache.source, j.cache.server
 	j.cache = nil
+	if j.relay.fleet.View().Backoff(server, time.Now()) > 0 {
+		// It expires at the engine.
+		return
+	}
 	go func() {
 		defer mangopanic.Catch(j.relay.observer, "release of a cache")
 		ctx, cancel := context.WithTimeout(context.Background(), cleanupTimeout)
 		defer cancel()
 		began := time.Now()
 		if err := j.relay.servers.ReleaseCache(ctx, source); err != nil {
-			j.reportExchange(mangoexchange.PhasePrefill, mangotraffic.Server{ID: server, Address: source.Server}, mangolease.Lease{}, began, err)
+			j.reportExchange(mangoexchange.PhasePrefill, mangotraffic.Server{ID: server, Address: source.Server.Address}, mangolease.Lease{}, began, err)
 		}
 	}()
 }
