--- a/mangostand/mangoworker/faults.go
+++ b/mangostand/mangoworker/faults.go
@@ -108,7 +108,8 @@
 }
 
 // hang holds a request until its caller disconnects.
-func hang(r *http.Request) {
+func (w *Worker) hang(r *http.Request, id string) {
+	w.recorder.recordHang(Arrival{Server: w.ID, Request: id, Daemon: r.Header.Get(FieldDaemon), At: time.Now()})
 	<-r.Context().Done()
 	panic(http.ErrAbortHandler)
 }
--- a/mangostand/mangoworker/faults_test.go
+++ b/mangostand/mangoworker/faults_test.go
@@ -126,3 +126,19 @@
 		t.Errorf("after a restart: %v, %v", resp, err)
 	}
 }
+
+func TestHangIsRecorded(t *testing.T) {
+	w, r := start(t, "")
+	w.SetFaults(Faults{Hang: 1})
+	began := time.Now()
+	go func() {
+		time.Sleep(3 * stepTime)
+		w.Crash()
+	}()
+	if _, _, err := get(t, w, "/x"); err == nil {
+		t.Error("the request was answered")
+	}
+	if !r.Hung("r1") || !r.HungSince("g0", began) || r.HungSince("g0", time.Now()) || r.HungSince("g1", began) {
+		t.Error("the hang is not recorded")
+	}
+}
--- a/mangostand/mangoworker/recorder.go
+++ b/mangostand/mangoworker/recorder.go
@@ -23,7 +23,8 @@
 	arrivals     []Arrival
 	notices      []Notice
 	// hung and cut are the requests that a server did not answer or broke off.
-	hung, cut map[string]bool
+	hung map[string]Arrival
+	cut  map[string]bool
 }
 
 // Arrival is a request that reached a server.
@@ -51,7 +52,7 @@
 func NewRecorder() *Recorder {
 	return &Recorder{
 		runCounts: make(map[string]int), active: make(map[string]int), handles: make(map[string]handle),
-		lastArrivals: make(map[string]time.Time), hung: make(map[string]bool), cut: make(map[string]bool),
+		lastArrivals: make(map[string]time.Time), hung: make(map[string]Arrival), cut: make(map[string]bool),
 	}
 }
 
@@ -103,7 +104,21 @@
 func (r *Recorder) Hung(id string) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.hung[id]
+	_, ok := r.hung[id]
+	return ok
+}
+
+// HungSince reports whether a server did not answer a request of a daemon that
+// reached it at a time or later.
+func (r *Recorder) HungSince(daemon string, t time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, a := range r.hung {
+		if a.Daemon == daemon && !a.At.Before(t) {
+			return true
+		}
+	}
+	return false
 }
 
 // Cut reports whether a server broke off its response to a request.
@@ -126,10 +141,10 @@
 	r.notices = append(r.notices, n)
 }
 
-func (r *Recorder) recordHang(id string) {
+func (r *Recorder) recordHang(a Arrival) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.hung[id] = true
+	r.hung[a.Request] = a
 }
 
 func (r *Recorder) recordCut(id string) {
--- a/mangostand/mangoworker/worker.go
+++ b/mangostand/mangoworker/worker.go
@@ -196,8 +196,7 @@
 
 func (w *Worker) prefill(rw http.ResponseWriter, r *http.Request, id string, faults Faults) {
 	if faults.Hang.includes(w.ID, id, "hang") {
-		w.recorder.recordHang(id)
-		hang(r)
+		w.hang(r, id)
 	}
 	if !pause(r.Context(), stepTime) {
 		return
@@ -249,8 +248,7 @@
 	w.recorder.beginRun(id)
 	defer w.recorder.endRun(id)
 	if faults.Hang.includes(w.ID, id, "hang") {
-		w.recorder.recordHang(id)
-		hang(r)
+		w.hang(r, id)
 	}
 	rw.Header().Set(fieldSignature, "s."+w.ID)
 	if w.Stage == "" {
