--- a/core/mangoexchange/exchange.go
+++ b/core/mangoexchange/exchange.go
@@ -99,7 +99,9 @@
 	Took time.Duration
 	// ListAge is the age of the server list that was used.
 	ListAge time.Duration
-	Err     error
+	// Events counts the events that this exchange has relayed.
+	Events int
+	Err    error
 }
 
 // Result records a finished call.
--- a/core/mangomodel/id.go
+++ b/core/mangomodel/id.go
@@ -49,6 +49,8 @@
 	Fingerprint uint64
 	// PrefixHash is a hash of a prompt from its start up to a block boundary.
 	PrefixHash uint64
+	// PartID identifies a part of a prompt by its content. Prompts share parts.
+	PartID string
 	// Revision numbers the accepted configuration changes from 1.
 	Revision uint64
 	// ChangeID identifies one proposed configuration change across retries of
--- a/core/mangorelay/relay.go
+++ b/core/mangorelay/relay.go
@@ -107,6 +107,8 @@
 	// lastEventID is the last event that was sent to the client.
 	lastEventID mangotraffic.EventID
 	lastEventAt time.Time
+	// received counts the events with data of the exchange in progress.
+	received int
 	// unnumbered is set once an event without an id was sent to the client, after
 	// which the stream cannot be resumed.
 	unnumbered bool
@@ -273,10 +275,14 @@
 // reportExchange notifies the observer of a finished exchange.
 func (j *job) reportExchange(phase mangoexchange.Phase, server mangotraffic.Server, lease mangolease.Lease, began time.Time, err error) {
 	view := j.relay.fleet.View()
-	j.relay.observer.ExchangeFinished(mangoexchange.Exchange{
+	e := mangoexchange.Exchange{
 		Call: j.call, Route: j.route, Server: server, Phase: phase, Attempt: j.attempts,
 		Lease: lease, Took: time.Since(began), ListAge: time.Since(view.ListRead), Err: err,
-	})
+	}
+	if phase == mangoexchange.PhaseRun {
+		e.Events = j.received
+	}
+	j.relay.observer.ExchangeFinished(e)
 }
 
 // sendHead passes the response head to the sink.
--- a/core/mangorelay/stream.go
+++ b/core/mangorelay/stream.go
@@ -175,6 +175,7 @@
 		j.releaseCache()
 		return err
 	}
+	j.received = 0
 	opts := mangoexchange.RunOptions{LastEventID: j.lastEventID, Stream: true}
 	if j.cache != nil {
 		opts.Source = &j.cache.source
@@ -311,6 +312,9 @@
 		if resumed && event.ID == 0 && !event.Comment {
 			return j.handleForeign(server, resp, "an event without an id")
 		}
+		if !event.Comment {
+			j.received++
+		}
 		progress := j.isProgress(event)
 		if progress {
 			stall.Stop()
--- a/core/mangotraffic/call.go
+++ b/core/mangotraffic/call.go
@@ -30,6 +30,8 @@
 	Deadline time.Time
 	// Generation is set for calls that carry a prompt.
 	Generation *Generation
+	// Parts are the parts of the prompt that other calls may share, in order.
+	Parts []mangomodel.PartID
 	// LastEventID is the last event that the client received of an earlier stream.
 	LastEventID EventID
 	// Fingerprint is the same for all retries of a call by its client.
--- a/mangolaned/mangogateway/observe.go
+++ b/mangolaned/mangogateway/observe.go
@@ -39,6 +39,9 @@
 		zap.Int("Running", e.Lease.Running), zap.Int("Free", e.Lease.Free), zap.Int64("Peak", int64(e.Lease.Peak)), zap.Duration("Took", e.Took), zap.Duration("ListAge", e.ListAge),
 	}
 	if e.Err != nil {
+		if len(e.Call.Parts) > 0 {
+			fields = append(fields, zap.Int("Events", e.Events), zap.Any("Parts", e.Call.Parts))
+		}
 		o.logger.Info("exchange failed", append(fields, mangolog.FaultFields(e.Err)...)...)
 		return
 	}
