Parts of prompts that crash servers are quarantined

Cause: crashes were counted by the fingerprint of a whole call. These calls are no two alike and come to all daemons, so that no count passed one or two. Nothing compared what the calls that ended with servers had in common. Change: mangoquarantine. A daemon reports the parts of its calls that ended with a server before their first event, if the server then does not respond to a load report; a call that begins exonerates its parts on all daemons. The scheduler, which receives all reports, finds the part that is common to the crashes. That part explains them, so that they do not count against parts of bystanders; parts that are common to exactly the same crashes are refused together only, and a call with some of them tells them apart. Daemons refuse calls with the part on admission and right before each send, the scheduler refuses their demands. The quarantine lasts 5 s after two crashes and longer after each further one; then one call at a time probes the part. A part needs two crashes if they are most of the crashes meanwhile, otherwise three incidents, so that the failure of many servers at once quarantines nothing. All state is bounded and expires; daemons repeat it with their renewals.

--- a/core/mangobroker/exchange.go
+++ b/core/mangobroker/exchange.go
@@ -15,6 +15,7 @@
 	"mangolane/core/mangooutlier"
 	"mangolane/core/mangopanic"
 	"mangolane/core/mangopool"
+	"mangolane/core/mangoquarantine"
 	"mangolane/core/mangoroster"
 	"mangolane/core/mangotraffic"
 )
@@ -57,6 +58,8 @@
 	Members []mangoroster.Sighting
 	// Crashes are those of the sender's own calls.
 	Crashes []mangocrash.Crash
+	// Quarantine is what the sender knows about parts of prompts that crash servers.
+	Quarantine mangoquarantine.Message
 	// Revision is the revision of the sender's configuration.
 	Revision mangomodel.Revision
 	// List is the sender's position in the list of servers. In a response, it
@@ -319,7 +322,7 @@
 // any daemon if received is zero. The caller adds Leases and Allowances.
 func (b *Broker) Compose(received ExchangeMessage) ExchangeMessage {
 	view := b.fleet.View()
-	msg := ExchangeMessage{From: b.self, Usages: view.Usages, Members: view.SchedulerCandidates(time.Now()), Crashes: view.Crashes()}
+	msg := ExchangeMessage{From: b.self, Usages: view.Usages, Members: view.SchedulerCandidates(time.Now()), Crashes: view.Crashes(), Quarantine: view.Quarantine()}
 	msg.From.Draining, msg.From.Stale = view.Draining, view.Stale(time.Now())
 	if view.Routing != nil {
 		msg.Revision = view.Routing.Revision
@@ -378,6 +381,11 @@
 			return err
 		}
 	}
+	if !msg.Quarantine.Empty() {
+		if err := b.fleet.Do(ctx, mangofleet.MergeQuarantine{Message: msg.Quarantine}); err != nil {
+			return err
+		}
+	}
 	if err := b.applyList(ctx, msg); err != nil {
 		return err
 	}
--- a/core/mangofleet/admission.go
+++ b/core/mangofleet/admission.go
@@ -34,12 +34,17 @@
 }
 
 // Apply serves the queue, which Await has added the demand to. It removes and
-// refuses a demand for an unconfigured service or beyond the queue's limit.
+// refuses a demand for an unconfigured service, beyond the queue's limit, or with a part
+// that another call probes.
 func (c Acquire) Apply(s *state, now time.Time) error {
 	if _, ok := s.service(c.Demand.Service); !ok {
 		s.withdraw(c.Lease)
 		return refused(mangomodel.CodeUnavailable, "service %s is not configured", c.Demand.Service)
 	}
+	if err := s.admitProbe(&c.Demand, now); err != nil {
+		s.withdraw(c.Lease)
+		return err
+	}
 	if len(s.queue) > maxQueue {
 		s.withdraw(c.Lease)
 		return refused(mangomodel.CodeOverloaded, "queue full: %d demands are waiting", maxQueue)
--- a/core/mangofleet/fleet.go
+++ b/core/mangofleet/fleet.go
@@ -16,6 +16,7 @@
 	"mangolane/core/mangooutlier"
 	"mangolane/core/mangopanic"
 	"mangolane/core/mangopool"
+	"mangolane/core/mangoquarantine"
 	"mangolane/core/mangoquery"
 	"mangolane/core/mangoroster"
 	"mangolane/core/mangotraffic"
@@ -48,6 +49,8 @@
 	ServersChanged(cmd ChangeServers)
 	// HealthChanged is called when a server is ejected or becomes usable again.
 	HealthChanged(server mangotraffic.Server, r mangohealth.Record, now time.Time)
+	// PartChanged is called when a part of prompts is quarantined, or no longer recorded.
+	PartChanged(change mangoquarantine.Change, now time.Time)
 }
 
 // Option configures a Fleet.
@@ -73,6 +76,7 @@
 func (nopObserver) RoutingChanged(mangomodel.Revision, mangomodel.PeerName)          {}
 func (nopObserver) ServersChanged(ChangeServers)                                     {}
 func (nopObserver) HealthChanged(mangotraffic.Server, mangohealth.Record, time.Time) {}
+func (nopObserver) PartChanged(mangoquarantine.Change, time.Time)                    {}
 
 // RetryLimits returns the limits that hold for the retry budget of each service.
 type RetryLimits func() mangobudget.Limits
@@ -131,9 +135,12 @@
 	stageChanges map[mangotraffic.ServiceName]mangopool.StageChange
 	granted      mangoquery.Index[mangolease.ID, mangolease.Lease]
 	crashes      []mangocrash.Crash
-	allowances   map[mangomodel.Holder]mangobudget.Allowances
-	journal      mangojournal.Journal
-	self         mangomodel.DaemonID
+	quarantine   mangoquarantine.Records
+	// quarantineMessage is computed now and then, since others merge it repeatedly.
+	quarantineMessage mangoquarantine.Message
+	allowances        map[mangomodel.Holder]mangobudget.Allowances
+	journal           mangojournal.Journal
+	self              mangomodel.DaemonID
 	// defaultScheduler is the daemon that does the initial sync for the others.
 	defaultScheduler mangoroster.Member
 }
--- a/core/mangofleet/fleet_test.go
+++ b/core/mangofleet/fleet_test.go
@@ -14,6 +14,7 @@
 	"mangolane/core/mangolease"
 	"mangolane/core/mangomodel"
 	"mangolane/core/mangopanic"
+	"mangolane/core/mangoquarantine"
 	"mangolane/core/mangoroster"
 	"mangolane/core/mangotraffic"
 )
@@ -42,6 +43,7 @@
 	revisions []mangomodel.Revision
 	lists     []ChangeServers
 	usable    []bool
+	parts     []mangoquarantine.Change
 }
 
 func (o *recordingObserver) RoutingChanged(rev mangomodel.Revision, _ mangomodel.PeerName) {
@@ -54,6 +56,10 @@
 	o.usable = append(o.usable, r.Usable(now))
 }
 
+func (o *recordingObserver) PartChanged(c mangoquarantine.Change, _ time.Time) {
+	o.parts = append(o.parts, c)
+}
+
 // bubble runs a test with a fleet that uses the fake clock of a synctest bubble.
 func bubble(t *testing.T, f func(x *fixture)) {
 	synctest.Test(t, func(t *testing.T) {
--- a/core/mangofleet/state.go
+++ b/core/mangofleet/state.go
@@ -11,6 +11,7 @@
 	"mangolane/core/mangomodel"
 	"mangolane/core/mangooutlier"
 	"mangolane/core/mangopool"
+	"mangolane/core/mangoquarantine"
 	"mangolane/core/mangoqueue"
 	"mangolane/core/mangoroster"
 	"mangolane/core/mangotraffic"
@@ -48,6 +49,7 @@
 	outliersAt time.Time
 	roster     *mangoroster.Roster
 	suspects   *mangocrash.Suspects
+	quarantine *mangoquarantine.Tracker
 	listRead   time.Time
 	// listCursor and routingCursor are the positions reached in the platform's
 	// records; journal holds the latest changes of the list.
@@ -63,7 +65,7 @@
 }
 
 // viewParts marks the parts of the published view that are out of date.
-type viewParts struct{ members, crashes, usage, outcomes bool }
+type viewParts struct{ members, crashes, usage, outcomes, parts bool }
 
 // membersInterval is how often views determine the members anew: short against
 // [mangoroster.AliveTimeout], long against the interval between the exchanges of
@@ -82,6 +84,7 @@
 		ejected:    make(map[mangomodel.ServerID]time.Time),
 		roster:     mangoroster.New(self.Holder.Daemon, self.Regions),
 		suspects:   mangocrash.New(),
+		quarantine: mangoquarantine.New(),
 		changed:    viewParts{members: true},
 	}
 }
@@ -127,7 +130,7 @@
 		v.Listed, v.Members, v.schedulers, v.crashes = last.Listed, last.Members, last.schedulers, last.crashes
 		v.expired = last.expired
 		v.stageChanges, v.defaultScheduler = last.stageChanges, last.defaultScheduler
-		v.Usages, v.Outcomes = last.Usages, last.Outcomes
+		v.Usages, v.Outcomes, v.quarantineMessage = last.Usages, last.Outcomes, last.quarantineMessage
 	}
 	v.Ejections = s.ejections(now)
 	if list, ok := s.pool.Listed(); ok {
@@ -143,7 +146,12 @@
 	if s.changed.outcomes || now.Sub(s.membersAt) >= membersInterval {
 		v.Outcomes = s.outcomes.Counts(now)
 	}
-	s.changed.crashes, s.changed.usage, s.changed.outcomes = false, false, false
+	if s.changed.parts || now.Sub(s.membersAt) >= membersInterval {
+		s.judgeParts(now)
+		v.quarantineMessage = s.quarantine.Message(now)
+	}
+	v.quarantine = s.quarantine.Records()
+	s.changed = viewParts{members: s.changed.members}
 	if s.changed.members || now.Sub(s.membersAt) >= membersInterval {
 		self := s.selfMember(now)
 		v.Members, v.stageChanges = s.roster.Members(self, now), s.pool.StageChanges(now)
--- a/core/mangofleet/suspect.go
+++ b/core/mangofleet/suspect.go
@@ -33,10 +33,11 @@
 }
 
 // AdmitCall counts a client's call towards the retry budget of its service. It
-// fails for a call that has crashed too many servers.
+// fails for a call that has crashed too many servers, and for one with a part that has.
 type AdmitCall struct {
 	Service mangotraffic.ServiceName
 	Call    mangomodel.Fingerprint
+	Parts   []mangomodel.PartID
 }
 
 // Apply implements [Command].
@@ -46,5 +47,5 @@
 	if n := s.suspects.Crashes(c.Call, now); n >= mangocrash.MaxCrashes {
 		return refused(mangomodel.CodeQuarantined, "call quarantined: it crashed %d servers", n)
 	}
-	return nil
+	return s.admitParts(c.Parts, now)
 }
--- a/core/mangolease/lease.go
+++ b/core/mangolease/lease.go
@@ -37,6 +37,8 @@
 	Age, OnTimeFor, Patience time.Duration
 	// Avoid lists the servers that have failed this call.
 	Avoid []mangomodel.ServerID
+	// Parts are the shared parts of the prompt.
+	Parts []mangomodel.PartID
 }
 
 // PendingDemand is a demand in the queue, with its durations converted to times.
--- /dev/null
+++ b/core/mangoquarantine/message.go
@@ -0,0 +1,151 @@
+package mangoquarantine
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"mangolane/core/mangomodel"
+)
+
+const (
+	// announceTime is how long messages repeat a start.
+	announceTime = 5 * time.Second
+	// maxItems limits the items of each kind in a message, and maxItemParts the parts
+	// of a crash.
+	maxItems, maxItemParts = 16, 8
+)
+
+// Evidence is a crash with the parts of the sender's calls that ended with it.
+type Evidence struct {
+	Crash Crash
+	Parts []mangomodel.PartID
+	Age   time.Duration
+}
+
+// Verdict is the record of a part. It asks for starts that disprove it.
+type Verdict struct {
+	Part mangomodel.PartID
+	// Suspected is set if the part is not quarantined.
+	Suspected bool
+	Crashes   int
+	Age       time.Duration
+	Tied      []mangomodel.PartID
+}
+
+// Start is the last start of a call with a part.
+type Start struct {
+	Part mangomodel.PartID
+	Age  time.Duration
+}
+
+// Message is what a daemon tells others. Ages are durations, since the clocks of
+// daemons differ.
+type Message struct {
+	Evidence []Evidence
+	Verdicts []Verdict
+	Starts   []Start
+}
+
+// Empty reports whether there is nothing to merge.
+func (m Message) Empty() bool { return len(m.Evidence)+len(m.Verdicts)+len(m.Starts) == 0 }
+
+// Message returns the newest evidence of this daemon, the records, and the starts that
+// matter to others.
+func (t *Tracker) Message(now time.Time) Message {
+	t.expire(now)
+	var m Message
+	for c, x := range t.crashes {
+		e := Evidence{Crash: c, Age: now.Sub(x.at)}
+		for p, own := range x.parts {
+			if own && len(e.Parts) < maxItemParts {
+				e.Parts = append(e.Parts, p)
+			}
+		}
+		if len(e.Parts) > 0 {
+			m.Evidence = append(m.Evidence, e)
+		}
+	}
+	for p, x := range t.records {
+		m.Verdicts = append(m.Verdicts, newVerdict(p, x, now))
+	}
+	for p, x := range t.suspects {
+		v := newVerdict(p, x, now)
+		v.Suspected = true
+		m.Verdicts = append(m.Verdicts, v)
+	}
+	for p := range t.announced {
+		if at, ok := t.starts.last(p); ok {
+			m.Starts = append(m.Starts, Start{p, now.Sub(at)})
+		}
+	}
+	m.Evidence = newest(m.Evidence, func(e Evidence) time.Duration { return e.Age })
+	m.Verdicts = newest(m.Verdicts, func(v Verdict) time.Duration { return v.Age })
+	m.Starts = newest(m.Starts, func(s Start) time.Duration { return s.Age })
+	return m
+}
+
+func newVerdict(p mangomodel.PartID, x Record, now time.Time) Verdict {
+	return Verdict{Part: p, Crashes: x.Crashes, Age: now.Sub(x.Last), Tied: x.Tied[:min(len(x.Tied), maxItemParts)]}
+}
+
+// newest returns the maxItems items with the lowest ages.
+func newest[T any](list []T, age func(T) time.Duration) []T {
+	slices.SortFunc(list, func(a, b T) int { return cmp.Compare(age(a), age(b)) })
+	return list[:min(len(list), maxItems)]
+}
+
+// Merge merges the message of another daemon.
+func (t *Tracker) Merge(m Message, now time.Time) {
+	for _, s := range m.Starts[:min(len(m.Starts), maxItems)] {
+		t.exonerate(s.Part, now.Add(-max(s.Age, 0)), now)
+	}
+	for _, v := range m.Verdicts[:min(len(m.Verdicts), maxItems)] {
+		t.mergeVerdict(v, now)
+	}
+	for _, e := range m.Evidence[:min(len(m.Evidence), maxItems)] {
+		if e.Age < evidenceTTL {
+			t.addCrash(e.Crash, e.Parts, now.Add(-max(e.Age, 0)), false)
+		}
+	}
+}
+
+// mergeVerdict merges a record, unless a start disproves it. Only a later crash extends
+// a quarantine, since daemons repeat their records. Evidence that arrives late adds parts
+// to a group.
+func (t *Tracker) mergeVerdict(v Verdict, now time.Time) {
+	other := Record{Crashes: v.Crashes, Last: now.Add(-max(v.Age, 0))}
+	if start, ok := t.starts.last(v.Part); ok && disproves(start, other.Last) {
+		t.announce(v.Part, now)
+		return
+	}
+	if v.Suspected || v.Crashes < minCrashes || other.expired(now) {
+		return
+	}
+	x := t.records[v.Part]
+	if other.Crashes > x.Crashes {
+		x.Crashes, x.Tied = other.Crashes, nil
+	}
+	if other.Crashes == x.Crashes {
+		x.Tied = slices.Concat(x.Tied, v.Tied)
+		slices.Sort(x.Tied)
+		x.Tied = slices.DeleteFunc(slices.Compact(x.Tied), func(p mangomodel.PartID) bool {
+			start, ok := t.starts.last(p)
+			return ok && disproves(start, other.Last)
+		})
+	}
+	if other.Last.Sub(x.Last) > ageError {
+		x.Last = other.Last
+	}
+	t.setRecord(v.Part, x)
+}
+
+func (t *Tracker) announce(p mangomodel.PartID, now time.Time) {
+	if len(t.announced) >= maxRecords {
+		maps.DeleteFunc(t.announced, func(_ mangomodel.PartID, at time.Time) bool { return now.Sub(at) >= announceTime })
+	}
+	if len(t.announced) < maxRecords {
+		t.announced[p] = now
+	}
+}
--- a/core/mangorelay/plain.go
+++ b/core/mangorelay/plain.go
@@ -92,6 +92,7 @@
 	if err := j.takeRetry(ctx, mangoexchange.PhaseRun); err != nil {
 		return err
 	}
+	j.received = 0
 	opts := mangoexchange.RunOptions{LastEventID: j.lastEventID, Stream: j.route.Kind == mangotraffic.KindStreaming}
 	resp, err := j.relay.servers.Run(ctx, lease.Server, j.call, opts)
 	if err != nil {
@@ -104,6 +105,10 @@
 // maxBufferedBody is read completely before anything is sent.
 func (j *job) relayBody(ctx context.Context, server mangotraffic.Server, resp *mangoexchange.Response) error {
 	data, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedBody))
+	if len(data) > 0 {
+		j.received++
+		j.recordStart()
+	}
 	if err != nil {
 		return j.handleAborted(ctx, server, err)
 	}
@@ -184,6 +189,7 @@
 	}
 	if cause == nil {
 		j.apply(mangofleet.CallAborted{Call: j.call.Fingerprint})
+		j.recordCrash(ctx, server)
 	}
 	f := *mangomodel.AsFault(err, mangomodel.StepCall)
 	f.Run = mangomodel.RunUnknown
--- a/core/mangorelay/relay.go
+++ b/core/mangorelay/relay.go
@@ -144,7 +144,7 @@
 	j.applyDeadlines()
 	ctx, cancel := context.WithDeadlineCause(ctx, j.call.Deadline, errTimeout)
 	defer cancel()
-	if err := j.relay.fleet.Do(ctx, mangofleet.AdmitCall{Service: j.service.Name, Call: j.call.Fingerprint}); err != nil {
+	if err := j.relay.fleet.Do(ctx, mangofleet.AdmitCall{Service: j.service.Name, Call: j.call.Fingerprint, Parts: j.call.Parts}); err != nil {
 		return j.finalFault(ctx, err)
 	}
 	if j.service.Engine != nil {
@@ -194,11 +194,15 @@
 
 // retryAfter returns the Retry-After delay of a call that has not run, or zero. It is
 // the predicted time until the queue has drained, which the fault carries, or as long
-// as clients wait if the queue does not drain or nothing was predicted.
+// as clients wait if the queue does not drain or nothing was predicted. The end of a
+// quarantine is known and may be later than clients wait.
 func (j *job) retryAfter(f *mangomodel.Fault) time.Duration {
-	if f.Run != mangomodel.RunNot || f.Code == mangomodel.CodeQuarantined {
+	if f.Run != mangomodel.RunNot {
 		return 0
 	}
+	if f.Code == mangomodel.CodeQuarantined {
+		return f.RetryAfter
+	}
 	longest := time.Duration(maxRetryAfterShare * float64(time.Until(j.clientDeadline)))
 	if f.RetryAfter > 0 {
 		return min(f.RetryAfter, longest)
@@ -208,7 +212,10 @@
 
 // acquire waits for a lease on the servers that a demand needs.
 func (j *job) acquire(ctx context.Context, d mangolease.Demand) (*mangobroker.Grant, error) {
-	d.Request, d.Service, d.Priority, d.Avoid = j.call.ID, j.service.Name, j.route.Priority, j.avoid
+	d.Request, d.Service, d.Priority, d.Avoid, d.Parts = j.call.ID, j.service.Name, j.route.Priority, j.avoid, j.call.Parts
+	if err := j.checkParts(); err != nil {
+		return nil, err
+	}
 	d.Age = time.Since(j.call.Arrived)
 	grant, err := j.relay.broker.Acquire(ctx, d)
 	if err != nil {
--- a/core/mangorelay/stream.go
+++ b/core/mangorelay/stream.go
@@ -123,12 +123,13 @@
 func (j *job) prefill(ctx context.Context, grant *mangobroker.Grant) error {
 	began := time.Now()
 	server := *grant.Lease.Prefill
-	if err := errors.Join(j.checkLease(), j.checkUsable(server.ID)); err != nil {
+	if err := errors.Join(j.checkParts(), j.checkLease(), j.checkUsable(server.ID)); err != nil {
 		return err
 	}
 	if err := j.takeRetry(ctx, mangoexchange.PhasePrefill); err != nil {
 		return err
 	}
+	j.received = 0
 	ctx, end := j.relay.tracer.Start(ctx, mangomodel.StepPrefill, mangomodel.PeerName(server.ID))
 	source, err := j.relay.servers.Prefill(ctx, server, j.call)
 	end(err)
@@ -144,6 +145,9 @@
 	j.avoid = append(j.avoid, server.ID)
 	if ctx.Err() == nil {
 		j.observe(server.ID, prefillOutcome(&f), nil)
+		if f.Run != mangomodel.RunNot {
+			j.recordCrash(ctx, server)
+		}
 	}
 	if f.Run == mangomodel.RunNot && f.Code == mangomodel.CodeUnavailable {
 		j.refundRetry(mangoexchange.PhasePrefill)
@@ -168,7 +172,7 @@
 func (j *job) generate(ctx context.Context, grant *mangobroker.Grant) error {
 	began := time.Now()
 	server := grant.Lease.Server
-	if err := errors.Join(j.checkLease(), j.checkUsable(server.ID)); err != nil {
+	if err := errors.Join(j.checkParts(), j.checkLease(), j.checkUsable(server.ID)); err != nil {
 		return err
 	}
 	if err := j.takeRetry(ctx, mangoexchange.PhaseRun); err != nil {
@@ -324,6 +328,9 @@
 				return err
 			}
 		}
+		if j.received == 1 && !event.Comment {
+			j.recordStart()
+		}
 		if progress {
 			stall.Reset(j.stallTimeout())
 		}
--- a/mangolanectl/mangoexplain/explain.go
+++ b/mangolanectl/mangoexplain/explain.go
@@ -81,7 +81,7 @@
 // the context of a request.
 var contextMessages = []string{
 	"platform lost", "platform regained", "daemon lost", "daemon regained", "scheduler chosen",
-	"configuration in force", "configuration not applied", "server listed", "servers listed", "server set aside", "server used again",
+	"configuration in force", "configuration not applied", "server listed", "servers listed", "server set aside", "server used again", "part quarantined", "part released",
 	"engine moved", "engine not moved", "draining", "started", "log lines dropped", "settings reloaded",
 }
 
--- a/mangolaned/mangogateway/observe.go
+++ b/mangolaned/mangogateway/observe.go
@@ -12,6 +12,7 @@
 	"mangolane/core/mangohealth"
 	"mangolane/core/mangomodel"
 	"mangolane/core/mangopool"
+	"mangolane/core/mangoquarantine"
 	"mangolane/core/mangostage"
 	"mangolane/core/mangotraffic"
 	"mangolane/mangolaned/mangolog"
@@ -103,6 +104,18 @@
 	o.logger.Info("server set aside", append(fields, zap.Duration("For", r.Until.Sub(now)))...)
 }
 
+// PartChanged logs that a part of prompts is quarantined or no longer recorded, and
+// counts quarantines.
+func (o observer) PartChanged(c mangoquarantine.Change, now time.Time) {
+	if c.Record.Crashes == 0 {
+		o.logger.Info("part released", zap.String("Part", string(c.Part)))
+		return
+	}
+	o.metrics.count("Parts.Quarantined", 1)
+	o.logger.Warn("part quarantined", zap.String("Part", string(c.Part)), zap.Any("Tied", c.Record.Tied), zap.Int("Crashes", c.Record.Crashes),
+		zap.Duration("For", c.Record.Until().Sub(now)))
+}
+
 // maxLoggedChanges is the number of changes to the server list that are logged
 // individually. Logging thousands at once would block the control goroutine.
 const maxLoggedChanges = 64
