Quarantine: error responses exonerate nothing, suspects crowd out no records

Callers see: a part of prompts that was refused for crashing servers is served again after an error response of a server that had not begun to generate; a daemon that joins after the failure of many servers does not learn of a quarantine. Cause: any body counted as the start of an answer; a message held its 16 newest records and suspects together. Found by reading. Change: only a 2xx body counts; suspects have a list of their own, and are dropped once a start disproves them. Of a crash with too many parts a message names those with the most crashes instead of any. Evidence: TestErrorResponseIsNoStart and TestSuspectsDoNotCrowdOutRecords failed before. TestPartIsQuarantinedByAll looked for a quarantine in the moment in which it ends; it looks a second earlier now, and is otherwise unchanged.

--- a/core/mangobroker/quarantine_test.go
+++ b/core/mangobroker/quarantine_test.go
@@ -51,7 +51,7 @@
 		for i, d := range list {
 			if d.broker.self.Holder.Daemon == d.scheduler() {
 				cancel()
-				time.Sleep(time.Second)
+				time.Sleep(time.Millisecond)
 				d.stop()
 				m.set(d.broker.self.Address, true)
 				list = append(list[:i:i], list[i+1:]...)
--- a/core/mangoquarantine/evidence.go
+++ b/core/mangoquarantine/evidence.go
@@ -13,7 +13,7 @@
 	// maxCrashes limits the crashes that are kept, and maxCasualties the parts of each.
 	maxCrashes    = 128
 	maxCasualties = 32
-	// startTTL is how long at least half of the latest maxStarts starts are kept.
+	// startTTL is how long starts are kept at least, unless there are maxStarts.
 	startTTL  = time.Minute
 	maxStarts = 4096
 	// immunity is how long after a start a crash is no evidence against the part.
@@ -98,6 +98,10 @@
 			delete(t.crashes, c)
 		}
 	}
+	maps.DeleteFunc(t.suspects, func(p mangomodel.PartID, x Record) bool {
+		start, ok := t.starts.last(p)
+		return now.Sub(x.Last) >= evidenceTTL || ok && disproves(start, x.Last)
+	})
 	maps.DeleteFunc(t.announced, func(_ mangomodel.PartID, at time.Time) bool { return now.Sub(at) >= announceTime })
 	for p, x := range t.records {
 		if x.expired(now) {
--- a/core/mangoquarantine/message.go
+++ b/core/mangoquarantine/message.go
@@ -24,14 +24,12 @@
 	Age   time.Duration
 }
 
-// Verdict is the record of a part. It asks for starts that disprove it.
+// Verdict is the record of a part.
 type Verdict struct {
-	Part mangomodel.PartID
-	// Suspected is set if the part is not quarantined.
-	Suspected bool
-	Crashes   int
-	Age       time.Duration
-	Tied      []mangomodel.PartID
+	Part    mangomodel.PartID
+	Crashes int
+	Age     time.Duration
+	Tied    []mangomodel.PartID
 }
 
 // Start is the last start of a call with a part.
@@ -45,11 +43,15 @@
 type Message struct {
 	Evidence []Evidence
 	Verdicts []Verdict
+	// Suspects are parts for which the sender asks for starts.
+	Suspects []Verdict
 	Starts   []Start
 }
 
 // Empty reports whether there is nothing to merge.
-func (m Message) Empty() bool { return len(m.Evidence)+len(m.Verdicts)+len(m.Starts) == 0 }
+func (m Message) Empty() bool {
+	return len(m.Evidence)+len(m.Verdicts)+len(m.Suspects)+len(m.Starts) == 0
+}
 
 // Message returns the newest evidence of this daemon, the records, and the starts that
 // matter to others.
@@ -57,37 +59,54 @@
 	t.expire(now)
 	var m Message
 	for c, x := range t.crashes {
-		e := Evidence{Crash: c, Age: now.Sub(x.at)}
-		for p, own := range x.parts {
-			if own && len(e.Parts) < maxItemParts {
-				e.Parts = append(e.Parts, p)
-			}
+		if parts := t.ownParts(x); len(parts) > 0 {
+			m.Evidence = append(m.Evidence, Evidence{c, parts, now.Sub(x.at)})
 		}
-		if len(e.Parts) > 0 {
-			m.Evidence = append(m.Evidence, e)
-		}
-	}
-	for p, x := range t.records {
-		m.Verdicts = append(m.Verdicts, newVerdict(p, x, now))
-	}
-	for p, x := range t.suspects {
-		v := newVerdict(p, x, now)
-		v.Suspected = true
-		m.Verdicts = append(m.Verdicts, v)
 	}
+	m.Verdicts, m.Suspects = verdicts(t.records, now), verdicts(t.suspects, now)
 	for p := range t.announced {
 		if at, ok := t.starts.last(p); ok {
 			m.Starts = append(m.Starts, Start{p, now.Sub(at)})
 		}
 	}
 	m.Evidence = newest(m.Evidence, func(e Evidence) time.Duration { return e.Age })
-	m.Verdicts = newest(m.Verdicts, func(v Verdict) time.Duration { return v.Age })
 	m.Starts = newest(m.Starts, func(s Start) time.Duration { return s.Age })
 	return m
 }
 
-func newVerdict(p mangomodel.PartID, x Record, now time.Time) Verdict {
-	return Verdict{Part: p, Crashes: x.Crashes, Age: now.Sub(x.Last), Tied: x.Tied[:min(len(x.Tied), maxItemParts)]}
+// ownParts returns the parts of a crash that this daemon has seen. If these are too many,
+// it returns those with the most crashes.
+func (t *Tracker) ownParts(x *casualties) []mangomodel.PartID {
+	var parts []mangomodel.PartID
+	for p, own := range x.parts {
+		if own {
+			parts = append(parts, p)
+		}
+	}
+	if len(parts) <= maxItemParts {
+		return parts
+	}
+	crashes := make(map[mangomodel.PartID]int)
+	for _, other := range t.crashes {
+		for _, p := range parts {
+			if other.has(p) {
+				crashes[p]++
+			}
+		}
+	}
+	slices.SortFunc(parts, func(a, b mangomodel.PartID) int {
+		return cmp.Or(cmp.Compare(crashes[b], crashes[a]), cmp.Compare(a, b))
+	})
+	return parts[:maxItemParts]
+}
+
+// verdicts returns the newest records.
+func verdicts(records Records, now time.Time) []Verdict {
+	var list []Verdict
+	for p, x := range records {
+		list = append(list, Verdict{p, x.Crashes, now.Sub(x.Last), x.Tied[:min(len(x.Tied), maxItemParts)]})
+	}
+	return newest(list, func(v Verdict) time.Duration { return v.Age })
 }
 
 // newest returns the maxItems items with the lowest ages.
@@ -104,6 +123,9 @@
 	for _, v := range m.Verdicts[:min(len(m.Verdicts), maxItems)] {
 		t.mergeVerdict(v, now)
 	}
+	for _, v := range m.Suspects[:min(len(m.Suspects), maxItems)] {
+		t.disproved(v, now)
+	}
 	for _, e := range m.Evidence[:min(len(m.Evidence), maxItems)] {
 		if e.Age < evidenceTTL {
 			t.addCrash(e.Crash, e.Parts, now.Add(-max(e.Age, 0)), false)
@@ -116,11 +138,7 @@
 // to a group.
 func (t *Tracker) mergeVerdict(v Verdict, now time.Time) {
 	other := Record{Crashes: v.Crashes, Last: now.Add(-max(v.Age, 0))}
-	if start, ok := t.starts.last(v.Part); ok && disproves(start, other.Last) {
-		t.announce(v.Part, now)
-		return
-	}
-	if v.Suspected || v.Crashes < minCrashes || other.expired(now) {
+	if t.disproved(v, now) || v.Crashes < minCrashes || other.expired(now) {
 		return
 	}
 	x := t.records[v.Part]
@@ -141,6 +159,16 @@
 	t.setRecord(v.Part, x)
 }
 
+// disproved reports whether a start disproves a verdict, and announces the start.
+func (t *Tracker) disproved(v Verdict, now time.Time) bool {
+	start, ok := t.starts.last(v.Part)
+	if !ok || !disproves(start, now.Add(-max(v.Age, 0))) {
+		return false
+	}
+	t.announce(v.Part, now)
+	return true
+}
+
 func (t *Tracker) announce(p mangomodel.PartID, now time.Time) {
 	if len(t.announced) >= maxRecords {
 		maps.DeleteFunc(t.announced, func(_ mangomodel.PartID, at time.Time) bool { return now.Sub(at) >= announceTime })
--- a/core/mangoquarantine/quarantine_test.go
+++ b/core/mangoquarantine/quarantine_test.go
@@ -198,6 +198,22 @@
 	}
 }
 
+// TestSuspectsDoNotCrowdOutRecords guards against a quarantine that new daemons do not
+// learn of after the failure of many servers.
+func TestSuspectsDoNotCrowdOutRecords(t *testing.T) {
+	f := newFleet(t, 2)
+	f.crash(parts{deadly})
+	f.crash(parts{deadly})
+	for i := range 40 {
+		call := parts{mangomodel.PartID(fmt.Sprint("p", i%20))}
+		f.daemons[0].RecordCrash(Crash{Server: "r", Born: Birth(i)}, call, f.now)
+	}
+	f.exchange(time.Second)
+	x := New()
+	x.Merge(f.daemons[0].Message(f.now), f.now)
+	f.Expect(x.Records()).To(gomega.HaveKey(deadly))
+}
+
 // TestStateIsBounded guards against parts, crashes and messages without end.
 func TestStateIsBounded(t *testing.T) {
 	g, x := gomega.NewWithT(t), New()
@@ -218,7 +234,7 @@
 	}
 	now := start.Add(61 * time.Second)
 	m := x.Message(now)
-	g.Expect([]int{len(m.Evidence), len(m.Verdicts), len(m.Starts)}).To(gomega.HaveEach(gomega.BeNumerically("<=", maxItems)))
+	g.Expect([]int{len(m.Evidence), len(m.Verdicts), len(m.Suspects), len(m.Starts)}).To(gomega.HaveEach(gomega.BeNumerically("<=", maxItems)))
 	g.Expect(len(fmt.Sprint(m))).To(gomega.BeNumerically("<", 4<<10))
 	g.Expect(len(x.crashes)).To(gomega.BeNumerically("<=", maxCrashes))
 	g.Expect(len(x.records)).To(gomega.BeNumerically("<=", maxRecords))
--- a/core/mangorelay/parts_test.go
+++ b/core/mangorelay/parts_test.go
@@ -30,6 +30,13 @@
 	h.Expect(h.fleet.Do(context.Background(), cmd)).To(gomega.Succeed())
 }
 
+// quarantine merges the verdict of another daemon.
+func (h *harness) quarantine(part mangomodel.PartID) {
+	v := mangoquarantine.Verdict{Part: part, Crashes: 3}
+	cmd := mangofleet.MergeQuarantine{Message: mangoquarantine.Message{Verdicts: []mangoquarantine.Verdict{v}}}
+	h.Expect(h.fleet.Do(context.Background(), cmd)).To(gomega.Succeed())
+}
+
 func (h *harness) quarantined(part mangomodel.PartID) bool {
 	// A command publishes what has settled since the last one.
 	h.Expect(h.fleet.Do(context.Background(), mangofleet.CallStarted{})).To(gomega.Succeed())
@@ -107,14 +114,21 @@
 	}
 }
 
+// TestErrorResponseIsNoStart guards against a part that comes free because a server that
+// did not begin to generate returned an error.
+func TestErrorResponseIsNoStart(t *testing.T) {
+	withHarness(t, func(h *harness) {
+		h.servers.runs["d1"] = []step{{status: 500, body: "no memory"}}
+		h.newPromptCall("deadly")
+		h.Expect(h.serve()).To(gomega.BeNil())
+		h.quarantine("deadly")
+		h.Expect(h.quarantined("deadly")).To(gomega.BeTrue())
+	})
+}
+
 // TestQuarantinedCallReachesNoServer guards against a quarantine that holds for new calls
 // only: one may come while a call is prefilled, or before it is tried again.
 func TestQuarantinedCallReachesNoServer(t *testing.T) {
-	quarantine := func(h *harness) {
-		v := mangoquarantine.Verdict{Part: "deadly", Crashes: 3}
-		cmd := mangofleet.MergeQuarantine{Message: mangoquarantine.Message{Verdicts: []mangoquarantine.Verdict{v}}}
-		h.Expect(h.fleet.Do(context.Background(), cmd)).To(gomega.Succeed())
-	}
 	tests := []struct {
 		name  string
 		after time.Duration
@@ -130,9 +144,9 @@
 				h.servers.runs["d1"] = []step{{err: errNoReply, responseDelay: 200 * time.Millisecond}}
 				h.newPromptCall("deadly")
 				if test.after == 0 {
-					quarantine(h)
+					h.quarantine("deadly")
 				}
-				time.AfterFunc(max(test.after, time.Millisecond), func() { quarantine(h) })
+				time.AfterFunc(max(test.after, time.Millisecond), func() { h.quarantine("deadly") })
 				fault := h.serve()
 				h.Expect(fault.Code).To(gomega.Equal(mangomodel.CodeQuarantined))
 				h.Expect(fault.Run == mangomodel.RunNot).To(gomega.Equal(len(test.sent) < 2))
--- a/core/mangorelay/plain.go
+++ b/core/mangorelay/plain.go
@@ -107,7 +107,9 @@
 	data, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedBody))
 	if len(data) > 0 {
 		j.received++
-		j.recordStart()
+		if resp.Head.Status/100 == 2 {
+			j.recordStart()
+		}
 	}
 	if err != nil {
 		return j.handleAborted(ctx, server, err)
