--- a/core/mangofleet/fleet.go
+++ b/core/mangofleet/fleet.go
@@ -18,6 +18,7 @@
 	"mangolane/core/mangooutlier"
 	"mangolane/core/mangopanic"
 	"mangolane/core/mangopool"
+	"mangolane/core/mangoquarantine"
 	"mangolane/core/mangoquery"
 	"mangolane/core/mangoroster"
 	"mangolane/core/mangotraffic"
@@ -56,6 +57,8 @@
 	// BackoffAsked is called when a server has asked this daemon for time, or with a
 	// figure that is no time.
 	BackoffAsked(a mangolease.Announcement)
+	// PartChanged is called when a part of prompts is quarantined, or no longer recorded.
+	PartChanged(change mangoquarantine.Change, now time.Time)
 }
 
 // Option configures a Fleet.
@@ -83,7 +86,8 @@
 func (nopObserver) HealthChanged(mangotraffic.Server, mangohealth.Record, time.Time) {}
 func (nopObserver) ServerWithdrawn(mangotraffic.ServerRef, mangomodel.RequestID, mangomodel.PeerName) {
 }
-func (nopObserver) BackoffAsked(mangolease.Announcement) {}
+func (nopObserver) BackoffAsked(mangolease.Announcement)          {}
+func (nopObserver) PartChanged(mangoquarantine.Change, time.Time) {}
 
 // RetryLimits returns the limits that hold for the retry budget of each service.
 type RetryLimits func() mangobudget.Limits
@@ -151,9 +155,12 @@
 	stageChanges map[mangotraffic.ServiceName]mangopool.StageChange
 	granted      mangoquery.Index[mangolease.ID, mangolease.Lease]
 	crashes      []mangocrash.Crash
-	allowances   map[mangomodel.Holder]mangobudget.Allowances
-	journal      mangojournal.Journal
-	self         mangomodel.DaemonID
+	quarantine   mangoquarantine.Records
+	// quarantineMessage is computed now and then, since others merge it repeatedly.
+	quarantineMessage mangoquarantine.Message
+	allowances        map[mangomodel.Holder]mangobudget.Allowances
+	journal           mangojournal.Journal
+	self              mangomodel.DaemonID
 	// defaultScheduler is the daemon that does the initial sync for the others.
 	defaultScheduler mangoroster.Member
 }
--- a/core/mangofleet/fleet_test.go
+++ b/core/mangofleet/fleet_test.go
@@ -14,6 +14,7 @@
 	"mangolane/core/mangolease"
 	"mangolane/core/mangomodel"
 	"mangolane/core/mangopanic"
+	"mangolane/core/mangoquarantine"
 	"mangolane/core/mangoroster"
 	"mangolane/core/mangotraffic"
 )
@@ -44,6 +45,7 @@
 	usable    []bool
 	withdrawn []mangomodel.ServerID
 	backoffs  []mangolease.Announcement
+	parts     []mangoquarantine.Change
 }
 
 func (o *recordingObserver) RoutingChanged(rev mangomodel.Revision, _ mangomodel.PeerName) {
@@ -64,6 +66,10 @@
 	o.backoffs = append(o.backoffs, a)
 }
 
+func (o *recordingObserver) PartChanged(c mangoquarantine.Change, _ time.Time) {
+	o.parts = append(o.parts, c)
+}
+
 // bubble runs a test with a fleet that uses the fake clock of a synctest bubble.
 func bubble(t *testing.T, f func(x *fixture)) {
 	synctest.Test(t, func(t *testing.T) {
--- a/core/mangorelay/plain.go
+++ b/core/mangorelay/plain.go
@@ -107,6 +107,7 @@
 	if err := j.takeRetry(ctx, mangoexchange.PhaseRun); err != nil {
 		return err
 	}
+	j.received = 0
 	opts := mangoexchange.RunOptions{LastEventID: j.lastEventID, Stream: j.route.Kind == mangotraffic.KindStreaming}
 	resp, err := j.relay.servers.Run(ctx, lease.Server, j.call, opts)
 	if err != nil {
@@ -120,6 +121,12 @@
 func (j *job) relayBody(ctx context.Context, server mangotraffic.Server, resp *mangoexchange.Response, stall stallTimer) error {
 	data, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedBody))
 	stall.Stop()
+	if len(data) > 0 {
+		j.received++
+		if resp.Head.Status/100 == 2 {
+			j.recordStart()
+		}
+	}
 	if err != nil {
 		return j.handleAborted(ctx, server, err)
 	}
@@ -208,6 +215,7 @@
 	}
 	if cause == nil {
 		j.apply(mangofleet.CallAborted{Call: j.call.Fingerprint})
+		j.recordCrash(ctx, server)
 	}
 	f := *mangomodel.AsFault(err, mangomodel.StepCall)
 	f.Run = mangomodel.RunUnknown
--- a/core/mangorelay/relay.go
+++ b/core/mangorelay/relay.go
@@ -119,6 +119,8 @@
 	// lastEventID is the last event that was sent to the client.
 	lastEventID mangotraffic.EventID
 	lastEventAt time.Time
+	// received counts the events with data of the exchange in progress.
+	received int
 	// unnumbered is set once an event without an id was sent to the client, after
 	// which the stream cannot be resumed.
 	unnumbered bool
@@ -157,7 +159,7 @@
 	j.applyDeadlines()
 	ctx, cancel := context.WithDeadlineCause(ctx, j.call.Deadline, errTimeout)
 	defer cancel()
-	if err := j.relay.fleet.Do(ctx, mangofleet.AdmitCall{Service: j.service.Name, Call: j.call.Fingerprint}); err != nil {
+	if err := j.relay.fleet.Do(ctx, mangofleet.AdmitCall{Service: j.service.Name, Call: j.call.Fingerprint, Parts: j.call.Parts}); err != nil {
 		return j.finalFault(ctx, err)
 	}
 	defer j.releaseNext()
@@ -208,11 +210,15 @@
 
 // retryAfter returns the Retry-After delay of a call that has not run, or zero. It is
 // the predicted time until the queue has drained, which the fault carries, or as long
-// as clients wait if the queue does not drain or nothing was predicted.
+// as clients wait if the queue does not drain or nothing was predicted. The end of a
+// quarantine is known and may be later than clients wait.
 func (j *job) retryAfter(f *mangomodel.Fault) time.Duration {
-	if f.Run != mangomodel.RunNot || f.Code == mangomodel.CodeQuarantined {
+	if f.Run != mangomodel.RunNot {
 		return 0
 	}
+	if f.Code == mangomodel.CodeQuarantined {
+		return f.RetryAfter
+	}
 	longest := time.Duration(maxRetryAfterShare * float64(time.Until(j.clientDeadline)))
 	if f.RetryAfter > 0 {
 		return min(f.RetryAfter, longest)
@@ -222,7 +228,7 @@
 
 // completeDemand sets the fields of a demand that follow from the call.
 func (j *job) completeDemand(d mangolease.Demand) mangolease.Demand {
-	d.Request, d.Service, d.Priority, d.Avoid = j.call.ID, j.service.Name, j.route.Priority, j.avoid
+	d.Request, d.Service, d.Priority, d.Avoid, d.Parts = j.call.ID, j.service.Name, j.route.Priority, j.avoid, j.call.Parts
 	d.Age = time.Since(j.call.Arrived)
 	return d
 }
@@ -230,6 +236,9 @@
 // acquire returns the lease that a handover has secured, or waits for one on the
 // servers that a demand needs.
 func (j *job) acquire(ctx context.Context, d mangolease.Demand) (*mangobroker.Grant, error) {
+	if err := j.checkParts(); err != nil {
+		return nil, err
+	}
 	grant := j.takeNext()
 	if grant == nil {
 		var err error
@@ -354,10 +363,14 @@
 // reportExchange notifies the observer of a finished exchange.
 func (j *job) reportExchange(phase mangoexchange.Phase, server mangotraffic.Server, lease mangolease.Lease, began time.Time, err error) {
 	view := j.relay.fleet.View()
-	j.relay.observer.ExchangeFinished(mangoexchange.Exchange{
+	e := mangoexchange.Exchange{
 		Call: j.call, Route: j.route, Server: server, Phase: phase, Attempt: j.attempts,
 		Lease: lease, Took: time.Since(began), ListAge: time.Since(view.ListRead), Err: err,
-	})
+	}
+	if phase == mangoexchange.PhaseRun {
+		e.Events = j.received
+	}
+	j.relay.observer.ExchangeFinished(e)
 }
 
 // sendHead passes the response head to the sink.
--- a/mangolanectl/mangoexplain/explain.go
+++ b/mangolanectl/mangoexplain/explain.go
@@ -82,7 +82,7 @@
 var contextMessages = []string{
 	"platform lost", "platform regained", "daemon lost", "daemon regained", "scheduler chosen",
 	"configuration in force", "configuration not applied", "server listed", "servers listed", "server set aside", "server used again",
-	"server withdrawn", "server asked for time", "server asked for an invalid time",
+	"server withdrawn", "server asked for time", "server asked for an invalid time", "part quarantined", "part released",
 	"engine moved", "engine not moved", "draining", "started", "log lines dropped", "settings reloaded",
 }
 
--- a/mangolaned/mangogateway/observe.go
+++ b/mangolaned/mangogateway/observe.go
@@ -13,6 +13,7 @@
 	"mangolane/core/mangolease"
 	"mangolane/core/mangomodel"
 	"mangolane/core/mangopool"
+	"mangolane/core/mangoquarantine"
 	"mangolane/core/mangostage"
 	"mangolane/core/mangostall"
 	"mangolane/core/mangotraffic"
@@ -41,6 +42,9 @@
 		zap.Int("Running", e.Lease.Running), zap.Int("Free", e.Lease.Free), zap.Int64("Peak", int64(e.Lease.Peak)), zap.Duration("Took", e.Took), zap.Duration("ListAge", e.ListAge),
 	}
 	if e.Err != nil {
+		if len(e.Call.Parts) > 0 {
+			fields = append(fields, zap.Int("Events", e.Events), zap.Any("Parts", e.Call.Parts))
+		}
 		o.logger.Info("exchange failed", append(fields, mangolog.FaultFields(e.Err)...)...)
 		return
 	}
@@ -142,6 +146,18 @@
 	o.logger.Info("server skipped", append(mangolog.FaultFields(err), zap.String("Request", string(request)), zap.String("Server", string(server)))...)
 }
 
+// PartChanged logs that a part of prompts is quarantined or no longer recorded, and
+// counts quarantines.
+func (o observer) PartChanged(c mangoquarantine.Change, now time.Time) {
+	if c.Record.Crashes == 0 {
+		o.logger.Info("part released", zap.String("Part", string(c.Part)))
+		return
+	}
+	o.metrics.count("Parts.Quarantined", 1)
+	o.logger.Warn("part quarantined", zap.String("Part", string(c.Part)), zap.Any("Tied", c.Record.Tied), zap.Int("Crashes", c.Record.Crashes),
+		zap.Duration("For", c.Record.Until().Sub(now)))
+}
+
 // maxLoggedChanges is the number of changes to the server list that are logged
 // individually. Logging thousands at once would block the control goroutine.
 const maxLoggedChanges = 64
