Standby demands do not count as calls

Callers could see: a longer Retry-After than the queue needs. Change: a demand whose call has a server is marked; it is not counted as an arrival, in the means of the stage balance or as a client that returns. Evidence: TestStandbyDemandsDoNotDelayTheReturnOfClients failed before with 40 polls.

--- a/core/mangofleet/admission.go
+++ b/core/mangofleet/admission.go
@@ -49,8 +49,10 @@
 		s.withdraw(c.Lease)
 		return refused(mangomodel.CodeOverloaded, "queue full: %d demands are waiting", maxQueue)
 	}
-	s.pool.RecordDemand(&c.Demand)
-	s.flow(c.Demand.Service).Arrived(now)
+	if !c.Demand.Standby {
+		s.pool.RecordDemand(&c.Demand)
+		s.flow(c.Demand.Service).Arrived(now)
+	}
 	s.serveQueue(now)
 	return nil
 }
@@ -129,7 +131,9 @@
 	} else {
 		return nil
 	}
-	f.RetryAfter = flow.ReturnAfter(ahead, now)
+	if !w.Demand.Standby {
+		f.RetryAfter = flow.ReturnAfter(ahead, now)
+	}
 	return f
 }
 
--- a/core/mangofleet/burst_test.go
+++ b/core/mangofleet/burst_test.go
@@ -171,3 +171,34 @@
 		time.Sleep(10 * time.Second)
 	})
 }
+
+func TestStandbyDemandsDoNotDelayTheReturnOfClients(t *testing.T) {
+	for _, polls := range []int{0, 40} {
+		bubble(t, func(x *fixture) {
+			x.list(1, engineList(1)...)
+			for range 80 {
+				go func() {
+					d := generation(1000, 100)
+					d.Patience = 14 * time.Second
+					if id, _, err := x.acquire(d); err == nil {
+						x.do(PrefillDone{Lease: id})
+						time.Sleep(500 * time.Millisecond)
+						x.do(Release{Lease: id})
+					}
+				}()
+			}
+			time.Sleep(6 * time.Second)
+			for range polls {
+				d := generation(1000, 100)
+				d.Standby, d.Patience = true, 0
+				_, _, err := x.acquire(d)
+				x.Expect(err).To(gomega.HaveOccurred())
+			}
+			d := generation(1000, 1000)
+			d.OnTimeFor, d.Patience = -time.Millisecond, 0
+			_, _, err := x.acquire(d)
+			x.Expect(mangomodel.AsFault(err, 0).RetryAfter).To(gomega.BeNumerically(">", 0), "%d polls", polls)
+			time.Sleep(15 * time.Second)
+		})
+	}
+}
--- a/core/mangolease/lease.go
+++ b/core/mangolease/lease.go
@@ -32,6 +32,9 @@
 	Generation *mangotraffic.Generation
 	// Prefilled is set if the KV cache was computed already.
 	Prefilled bool
+	// Standby is set if the call has a server, and goes on there if the demand is
+	// refused. It does not count as a call.
+	Standby bool
 	// Begun is set if the client has received a part of the response, so that it cannot
 	// be told to return later.
 	Begun bool
--- a/core/mangorelay/handover.go
+++ b/core/mangorelay/handover.go
@@ -33,7 +33,7 @@
 // newHandover returns the handover of an exchange with a server that begins now. Its
 // continuation consists of some phases.
 func (j *job) newHandover(ctx context.Context, server mangomodel.ServerID, phases ...mangoexchange.Phase) *handover {
-	d := j.completeDemand(mangolease.Demand{OnTimeFor: defaultStallTimeout, Patience: defaultStallTimeout})
+	d := j.completeDemand(mangolease.Demand{OnTimeFor: defaultStallTimeout, Patience: defaultStallTimeout, Standby: true})
 	d.Avoid = append(append([]mangomodel.ServerID(nil), j.avoid...), server)
 	if j.service.Engine != nil {
 		d.Generation = j.call.Generation
