A connection that becomes idle during a stop is closed at once

The head of a stream that began before the stop does not say 'Connection: close', so its client sent the next request on it. Evidence: TestStopTakesNoRequestAfterTheOneInProgress failed before.

--- a/core/mangorest/drain_test.go
+++ b/core/mangorest/drain_test.go
@@ -173,3 +173,36 @@
 	defer cancel()
 	g.Expect(s.Shutdown(ctx)).To(gomega.Succeed())
 }
+
+// TestStopTakesNoRequestAfterTheOneInProgress guards against requests that a stop
+// cuts off, since they came on the connection of a response that began before it.
+func TestStopTakesNoRequestAfterTheOneInProgress(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s, addr := startForStop(g)
+	var served atomic.Int64
+	s.limiter.handler = http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		served.Add(1)
+		fmt.Fprint(w, "first")
+		_ = http.NewResponseController(w).Flush()
+		time.Sleep(300 * time.Millisecond)
+		fmt.Fprint(w, "last")
+	})
+	conn, err := net.Dial("tcp", addr)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	defer conn.Close()
+	for i := range 2 {
+		_, _ = io.WriteString(conn, "GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+		resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		if i == 1 {
+			g.Expect(err).To(gomega.HaveOccurred())
+			break
+		}
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		go s.Shutdown(t.Context())
+		body, err := io.ReadAll(resp.Body)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(string(body)).To(gomega.Equal("firstlast"))
+		time.Sleep(50 * time.Millisecond)
+	}
+	g.Expect(served.Load()).To(gomega.BeEquivalentTo(1))
+}
--- a/core/mangorest/limits.go
+++ b/core/mangorest/limits.go
@@ -12,8 +12,9 @@
 // while the server drains. The limit may change at any time, while that of
 // http.Server is fixed at its start.
 //
-// A connection is closed by means of its read deadline, so that a request that has
-// been read is served.
+// A connection that is idle is closed by means of its read deadline, so that a
+// request that has been read is served. One that becomes idle while the server drains
+// is closed at once, since its client might begin a request that the drain cuts off.
 type idleLimiter struct {
 	// limit returns the current limit; zero means no limit.
 	limit   func() time.Duration
@@ -33,27 +34,44 @@
 	since time.Time
 	// expired is set while the read deadline of an idle connection is set.
 	expired bool
+	// closed is set when the limiter has closed the connection.
+	closed bool
 }
 
+// connKey is the key of a connection in a request's context.
+type connKey struct{}
+
 func newIdleLimiter(limit func() time.Duration, handler http.Handler) *idleLimiter {
 	return &idleLimiter{limit: limit, handler: handler, conns: make(map[net.Conn]*trackedConn)}
 }
 
-// install sets the connection hook of a server.
-func (l *idleLimiter) install(s *http.Server) { s.ConnState = l.connState }
+// install sets the connection hooks of a server.
+func (l *idleLimiter) install(s *http.Server) {
+	s.ConnState = l.connState
+	s.ConnContext = func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) }
+}
 
 // ServeHTTP serves a request, the last one of its connection while the server drains.
+// It aborts one that was read ahead on a closed connection.
 func (l *idleLimiter) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if l.isDraining() {
+	c, _ := r.Context().Value(connKey{}).(net.Conn)
+	closed, draining := l.status(c)
+	if closed {
+		panic(http.ErrAbortHandler)
+	}
+	if draining {
 		w.Header().Set("Connection", "close")
 	}
 	l.handler.ServeHTTP(w, r)
 }
 
-func (l *idleLimiter) isDraining() bool {
+// status reports whether the limiter has closed a connection, and whether the server
+// drains.
+func (l *idleLimiter) status(c net.Conn) (closed, draining bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.draining
+	tc, ok := l.conns[c]
+	return ok && tc.closed, l.draining
 }
 
 func (l *idleLimiter) connState(c net.Conn, state http.ConnState) {
@@ -67,7 +85,15 @@
 	tc.stop()
 	tc.state, tc.since = state, time.Now()
 	switch state {
-	case http.StateNew, http.StateIdle:
+	case http.StateIdle:
+		if l.draining {
+			tc.closed = true
+			// The connection is abandoned in any case.
+			_ = c.Close()
+			return
+		}
+		l.arm(c, tc)
+	case http.StateNew:
 		l.arm(c, tc)
 	case http.StateActive:
 		if tc.expired {
@@ -92,7 +118,7 @@
 	limit := l.limit()
 	switch {
 	case l.draining && state == http.StateNew:
-		return firstRequestTime
+		return firstRequestTime - lastRequestTime
 	case l.draining:
 		return 0
 	case limit <= 0:
