--- a/core/mangobackoff/backoff.go
+++ b/core/mangobackoff/backoff.go
@@ -16,7 +16,6 @@
 
 import (
 	"maps"
-	"math"
 	"slices"
 	"time"
 
@@ -204,6 +203,7 @@
 // ReturnAfter returns when a client should return that is refused because the servers
 // want nothing for some time. Clients with consecutive numbers return evenly spread.
 func ReturnAfter(wait time.Duration, number uint64) time.Duration {
-	_, share := math.Modf(float64(number) * math.Phi)
-	return wait + time.Duration(share*float64(spread))
+	// The multiples of the golden ratio's fraction, here of 1<<64, are evenly spread.
+	const golden = 0x9e3779b97f4a7c15
+	return wait + time.Duration(float64(number*golden>>32)/(1<<32)*float64(spread))
 }
--- a/core/mangobackoff/backoff_test.go
+++ b/core/mangobackoff/backoff_test.go
@@ -123,6 +123,9 @@
 		g.Expect(after).To(gomega.BeNumerically(">=", time.Second))
 		perTenth[(after-time.Second)/(spread/10)]++
 	}
+	for i := range uint64(1000) {
+		g.Expect(ReturnAfter(time.Second, i*0x123456789abcdef1)).To(gomega.BeNumerically("~", time.Second+spread/2, spread/2))
+	}
 	for tenth, n := range perTenth {
 		g.Expect(n).To(gomega.BeNumerically("<=", 12), "%d", tenth)
 	}
