Relay: calls that wait at an engine are cancelled when a part is quarantined

Callers saw: after a part of prompts was quarantined on all daemons, engines went on to crash for half a second, with the streams beside the calls that had been sent before. Cause: a call was checked before each send only. A busy engine lets it wait for some hundred milliseconds, and crashes once it begins. Change: until the first event of an exchange, the relay looks every 50 ms whether a part of the prompt was quarantined, and cancels the exchange. Engines drop cancelled calls. TestQuarantinedCallReachesNoServer, "while it waits", failed before: the call ended with its engine after a second.

--- a/core/mangorelay/parts.go
+++ b/core/mangorelay/parts.go
@@ -2,14 +2,24 @@
 
 import (
 	"context"
+	"errors"
+	"sync"
 	"time"
 
 	"mangolane/core/mangofleet"
 	"mangolane/core/mangomodel"
+	"mangolane/core/mangopanic"
 	"mangolane/core/mangoquarantine"
 	"mangolane/core/mangotraffic"
 )
 
+// partsInterval is how often an exchange without an event is checked for quarantined parts.
+const partsInterval = 50 * time.Millisecond
+
+// errQuarantined is the cancellation cause of an exchange whose call has a part that was
+// quarantined after it was sent.
+var errQuarantined = errors.New("a part of the prompt was quarantined")
+
 // crashProbeTimeout bounds the load report that checks whether a server has crashed.
 const crashProbeTimeout = 300 * time.Millisecond
 
@@ -22,6 +32,33 @@
 	return j.relay.fleet.View().AdmitParts(j.call.Parts, time.Now())
 }
 
+// watchParts cancels an exchange once a part of the prompt is quarantined, until the
+// returned function is called: a call that waits at an engine does not crash it yet.
+func (j *job) watchParts(cancel func(error)) (stop func()) {
+	parts := j.call.Parts
+	if len(parts) == 0 || j.result.Events > 0 {
+		return func() {}
+	}
+	done := make(chan struct{})
+	go func() {
+		defer mangopanic.Catch(j.relay.observer, "watch for quarantined parts")
+		ticker := time.NewTicker(partsInterval)
+		defer ticker.Stop()
+		for {
+			select {
+			case now := <-ticker.C:
+				if j.relay.fleet.View().AdmitParts(parts, now) != nil {
+					cancel(errQuarantined)
+					return
+				}
+			case <-done:
+				return
+			}
+		}
+	}()
+	return sync.OnceFunc(func() { close(done) })
+}
+
 // recordStart records that a server has begun to generate for the call.
 func (j *job) recordStart() {
 	if len(j.call.Parts) > 0 {
--- a/core/mangorelay/parts_test.go
+++ b/core/mangorelay/parts_test.go
@@ -127,7 +127,7 @@
 }
 
 // TestQuarantinedCallReachesNoServer guards against a quarantine that holds for new calls
-// only: one may come while a call is prefilled, or before it is tried again.
+// only: one may come while a call is prefilled or waits at an engine.
 func TestQuarantinedCallReachesNoServer(t *testing.T) {
 	tests := []struct {
 		name  string
@@ -136,18 +136,19 @@
 	}{
 		{"before", 0, nil},
 		{"while it is prefilled", 10 * time.Millisecond, ids("p1")},
-		{"while it runs", 100 * time.Millisecond, ids("p1", "d1")},
+		{"while it waits", 100 * time.Millisecond, ids("p1", "d1")},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			withHarness(t, func(h *harness) {
-				h.servers.runs["d1"] = []step{{err: errNoReply, responseDelay: 200 * time.Millisecond}}
+				h.servers.runs["d1"] = []step{{err: errNoReply, responseDelay: time.Second}}
 				h.newPromptCall("deadly")
 				if test.after == 0 {
 					h.quarantine("deadly")
 				}
 				time.AfterFunc(max(test.after, time.Millisecond), func() { h.quarantine("deadly") })
 				fault := h.serve()
+				h.Expect(time.Since(h.call.Arrived)).To(gomega.BeNumerically("<=", test.after+partsInterval))
 				h.Expect(fault.Code).To(gomega.Equal(mangomodel.CodeQuarantined))
 				h.Expect(fault.Run == mangomodel.RunNot).To(gomega.Equal(len(test.sent) < 2))
 				h.Expect(fault.RetryAfter > 0).To(gomega.Equal(len(test.sent) < 2))
--- a/core/mangorelay/relay.go
+++ b/core/mangorelay/relay.go
@@ -69,7 +69,7 @@
 func (r *Relay) Serve(ctx context.Context, call *mangotraffic.Call, sink Sink) error {
 	r.active.Add(1)
 	defer r.active.Add(-1)
-	j := &job{relay: r, call: call, sink: sink, result: mangoexchange.Result{Call: call}}
+	j := &job{relay: r, call: call, sink: sink, endWatch: func() {}, result: mangoexchange.Result{Call: call}}
 	err := j.resolveRoute(j.syncedView(ctx))
 	if err == nil {
 		err = j.serve(r.tracer.RequestContext(ctx, call.ID))
@@ -109,6 +109,8 @@
 	lastEventAt time.Time
 	// received counts the events with data of the exchange in progress.
 	received int
+	// endWatch ends the watch for quarantined parts.
+	endWatch func()
 	// unnumbered is set once an event without an id was sent to the client, after
 	// which the stream cannot be resumed.
 	unnumbered bool
--- a/core/mangorelay/stream.go
+++ b/core/mangorelay/stream.go
@@ -189,6 +189,8 @@
 	stall := j.newStallTimer(server, func() { cancel(errStalled) })
 	stall.Reset(firstEventTimeout)
 	defer stall.Stop()
+	j.endWatch = j.watchParts(cancel)
+	defer j.endWatch()
 	runCtx, end := j.relay.tracer.Start(runCtx, mangomodel.StepDecode, mangomodel.PeerName(server.ID))
 	resp, err := j.relay.servers.Run(runCtx, server, j.call, opts)
 	if err == nil {
@@ -318,6 +320,7 @@
 		}
 		if !event.Comment {
 			j.received++
+			j.endWatch()
 		}
 		progress := j.isProgress(event)
 		if progress {
