--- a/core/mangorelay/stream.go
+++ b/core/mangorelay/stream.go
@@ -213,6 +213,8 @@
 	h := j.newHandover(runCtx, server.ID, mangoexchange.PhasePrefill, mangoexchange.PhaseRun)
 	stall := j.newStallTimer(h, server, cancel)
 	stall.Reset(j.relay.paces.timeout(j.service.Name))
+	j.endWatch = j.watchParts(cancel)
+	defer j.endWatch()
 	runCtx, end := j.relay.tracer.Start(runCtx, mangomodel.StepDecode, mangomodel.PeerName(server.ID))
 	j.sentAt = time.Now()
 	resp, err := j.relay.servers.Run(runCtx, server, j.call, opts)
@@ -333,6 +335,7 @@
 		}
 		if !event.Comment {
 			j.received++
+			j.endWatch()
 		}
 		progress := j.isProgress(event)
 		if what := j.foreign(event, resumed, resumed && !begun); what != "" {
