--- a/mangostand/mangoworker/worker.go
+++ b/mangostand/mangoworker/worker.go
@@ -27,6 +27,7 @@
 // Paths and header fields of the protocol.
 const (
 	pathReport = "/api/report"
+	pathOrder  = "/api/order"
 	// pathHandles is not part of the platform's protocol. Stand-ins fetch a KV
 	// cache from each other with it.
 	pathHandles      = "/stand/handles/"
@@ -159,6 +160,11 @@
 		rw.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	if r.URL.Path == pathOrder {
+		// The server does not change its stage.
+		rw.WriteHeader(http.StatusBadRequest)
+		return
+	}
 	if name, ok := strings.CutPrefix(r.URL.Path, pathHandles); ok {
 		if !w.recorder.takeHandle(name, r.URL.Query().Get("request")) {
 			rw.WriteHeader(http.StatusNotFound)
