A stream without event ids is not given up at a silence

Callers saw a resumable stream whose events have no ids broken off in the middle after 1.5 s without an event from a silent engine.

Cause: the watchdog is chosen before the first event, when the stream may still continue elsewhere. It secured a lease and cancelled the exchange, and the relay then refused the retry, because a stream without ids cannot be resumed.

Change: the watchdog is not started again once such an event was sent.

Evidence: TestStreamWithoutEventIDsIsNotGivenUp ended with the fault "Call at d1: Unavailable: context canceled" before and passes now.

--- a/core/mangorelay/handover_test.go
+++ b/core/mangorelay/handover_test.go
@@ -62,6 +62,16 @@
 	}
 }
 
+func TestStreamWithoutEventIDsIsNotGivenUp(t *testing.T) {
+	withHarness(t, func(h *harness) {
+		h.newCall("/resume/1")
+		h.servers.unreachable = map[mangomodel.ServerID]bool{"d1": true}
+		h.servers.runs["d1"] = []step{{events: []mangotraffic.EventID{0, 0}, interval: 1800 * time.Millisecond}}
+		h.Expect(h.serve()).To(gomega.BeNil())
+		h.Expect(h.client.body).To(gomega.Equal("00"))
+	})
+}
+
 func TestSlowPlainCallIsNotGivenUpWithoutASuccessor(t *testing.T) {
 	tests := []struct {
 		name    string
--- a/core/mangorelay/stream.go
+++ b/core/mangorelay/stream.go
@@ -356,7 +356,8 @@
 		if j.received == 1 && !event.Comment {
 			j.recordStart()
 		}
-		if progress {
+		// A stream without event ids cannot continue elsewhere.
+		if progress && !j.unnumbered {
 			stall.Reset(j.stallTimeout())
 		}
 	}
