A handover whose exchange ends well after all is returned

Callers saw nothing at once; later demands found a decode slot and its memory taken that no call used, until the daemon restarted.

Cause: an exchange may end with its response at the moment in which the watchdog cancels it. The secured lease was kept as that of the next attempt all the same. After a prefill, the call went on with its present lease, and a second handover replaced the first, which was never released and renewed by its daemon for good. After a refusal of a decode server, the call repeated the prefill although it held a KV cache, which it then did not release.

Change: a handover is kept only if the exchange failed and left no KV cache.

Evidence: TestPrefillThatEndsAtItsHandoverLeaksNoLease found one lease left over and TestRefusalAtAHandoverKeepsTheCache a second prefill before; both pass now.

--- a/core/mangorelay/fake_test.go
+++ b/core/mangorelay/fake_test.go
@@ -44,8 +44,10 @@
 	// pause is the idle time after the event pauseAfter.
 	pauseAfter mangotraffic.EventID
 	pause      time.Duration
-	// responseDelay is the time to the response.
+	// responseDelay is the time to the response. One with late set arrives at the
+	// moment in which the exchange is cancelled, if that is earlier.
 	responseDelay time.Duration
+	late          bool
 	// leaves is set if the response announces that the server leaves, and backoff is the
 	// time that it asks for.
 	leaves  bool
@@ -112,7 +114,7 @@
 	s.sent, s.sentAt = append(s.sent, to.ID), append(s.sentAt, time.Now())
 	s.options = append(s.options, opts)
 	s.mu.Unlock()
-	if err := sleep(ctx, x.responseDelay); err != nil {
+	if err := sleep(ctx, x.responseDelay); err != nil && !x.late {
 		return nil, err
 	}
 	s.announceStep(to.ID, x)
@@ -181,7 +183,7 @@
 	x := nextStep(s.prefills, to.ID)
 	s.sent, s.sentAt = append(s.sent, to.ID), append(s.sentAt, time.Now())
 	s.mu.Unlock()
-	if err := sleep(ctx, max(x.responseDelay, 20*time.Millisecond)); err != nil {
+	if err := sleep(ctx, max(x.responseDelay, 20*time.Millisecond)); err != nil && !x.late {
 		return mangotraffic.KVSource{}, err
 	}
 	s.announceStep(to.ID, x)
--- a/core/mangorelay/handover.go
+++ b/core/mangorelay/handover.go
@@ -119,10 +119,15 @@
 // Stalled implements [mangostall.Observer].
 func (o stallObserver) Stalled(s mangostall.Stall) { o.ExchangeStalled(o.request, s) }
 
-// keep keeps what a handover has secured for the next attempt. The exchange's
-// watchdog has been stopped.
-func (j *job) keep(h *handover) {
-	if h.done {
+// keep keeps what a handover has secured for the next attempt, unless the exchange
+// ended with err nil after all or has left a KV cache that another server can fetch.
+// The exchange's watchdog has been stopped.
+func (j *job) keep(h *handover, err error) {
+	switch {
+	case !h.done:
+	case err == nil || j.cache != nil:
+		h.Withdraw()
+	default:
 		j.next = h
 	}
 }
--- a/core/mangorelay/handover_test.go
+++ b/core/mangorelay/handover_test.go
@@ -116,6 +116,30 @@
 	})
 }
 
+func TestPrefillThatEndsAtItsHandoverLeaksNoLease(t *testing.T) {
+	withHarness(t, func(h *harness) {
+		h.newCall("/resume/1")
+		h.servers.prefills["p1"] = []step{{responseDelay: time.Minute, late: true}, {}}
+		h.servers.runs["d1"] = []step{hang}
+		h.servers.runs["d2"] = []step{{events: events(1, 2)}}
+		h.Expect(h.serve()).To(gomega.BeNil())
+		h.Expect(h.client.body).To(gomega.Equal("12"))
+	})
+}
+
+func TestRefusalAtAHandoverKeepsTheCache(t *testing.T) {
+	withHarness(t, func(h *harness) {
+		service, _ := h.fleet.View().Routing.Service("llm")
+		service.Engine.HandleLifetime = 10 * time.Second
+		h.newCall("/resume/1")
+		h.servers.runs["d1"] = []step{{responseDelay: time.Minute, late: true, status: 503, notRun: true}}
+		h.servers.runs["d2"] = []step{{events: events(1, 2)}}
+		h.Expect(h.serve()).To(gomega.BeNil())
+		h.Expect(h.client.body).To(gomega.Equal("12"))
+		h.Expect(h.servers.sent).To(gomega.Equal(ids("p1", "d1", "d2")))
+	})
+}
+
 func TestBrokenStreamWaitsForTheRetryBudget(t *testing.T) {
 	withHarness(t, func(h *harness) {
 		// The budget counts in parts of half a second.
--- a/core/mangorelay/plain.go
+++ b/core/mangorelay/plain.go
@@ -78,7 +78,7 @@
 	runCtx, end := j.relay.tracer.Start(runCtx, mangomodel.StepCall, mangomodel.PeerName(lease.Server.ID))
 	err = j.exchange(runCtx, lease, timer)
 	timer.Stop()
-	j.keep(h)
+	j.keep(h, err)
 	end(err)
 	j.reportExchange(mangoexchange.PhaseRun, lease.Server, lease, began, err)
 	return err
--- a/core/mangorelay/stream.go
+++ b/core/mangorelay/stream.go
@@ -177,7 +177,7 @@
 	timer.Reset(mangostall.PrefillTimeout(grant.Lease.PrefillTime))
 	source, err := j.relay.servers.Prefill(ctx, server, j.call)
 	timer.Stop()
-	j.keep(h)
+	j.keep(h, err)
 	return source, err
 }
 
@@ -222,10 +222,10 @@
 		err = j.handleSendError(runCtx, server, err)
 	}
 	stall.Stop()
-	j.keep(h)
 	end(err)
 	j.reportExchange(mangoexchange.PhaseRun, server, grant.Lease, began, err)
 	j.keepUnfetchedCache(err)
+	j.keep(h, err)
 	return err
 }
 
