Events without progress do not end a stream that nothing replaces

Callers saw a resumable stream broken off in the middle whose server sent comments or old events for nine times the longest pause while no other server had room, no retry was left or no attempt remained.

Cause: the relay gave such an exchange up by itself and looked for a successor afterwards. The watchdog, which counts new events only, already moves the stream once its continuation is secured.

Change: the relay's own limit is gone.

Evidence: TestEventsWithoutProgressDoNotCutAStreamWithoutASuccessor ended with "Overloaded: no server of llm had room" before and passes now; TestEventsWithoutProgressDoNotKeepAStreamAlive passes unchanged.

--- a/core/mangorelay/handover_test.go
+++ b/core/mangorelay/handover_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"testing"
 	"time"
 
@@ -72,6 +73,21 @@
 	})
 }
 
+func TestEventsWithoutProgressDoNotCutAStreamWithoutASuccessor(t *testing.T) {
+	withHarness(t, func(h *harness) {
+		h.remove("d2")
+		first := step{events: events(1, 1), comments: true}
+		for range 4 * time.Second / eventInterval {
+			first.events = append(first.events, 0)
+		}
+		first.events = append(first.events, 2)
+		h.newCall("/resume/1")
+		h.servers.runs["d1"] = []step{first}
+		h.Expect(h.serve()).To(gomega.BeNil())
+		h.Expect(strings.HasSuffix(h.client.body, "2")).To(gomega.BeTrue())
+	})
+}
+
 func TestSlowPlainCallIsNotGivenUpWithoutASuccessor(t *testing.T) {
 	tests := []struct {
 		name    string
--- a/core/mangorelay/stream.go
+++ b/core/mangorelay/stream.go
@@ -27,9 +27,6 @@
 	// stallFactor times the route's MaxPause is the stall timeout within a
 	// stream. Preempted streams pause for about the time of a prefill.
 	stallFactor = 3
-	// maxRepetition times the stall timeout is how long a server may repeat events
-	// or send comments before its stream continues elsewhere.
-	maxRepetition = 3
 	// defaultStallTimeout is used for routes without a MaxPause.
 	defaultStallTimeout = 2 * time.Second
 	// cacheLifetimeShare is the share of a KV cache's lifetime after which it is
@@ -317,10 +314,9 @@
 }
 
 // relayEvents relays whole events until the stream is complete. Only progress
-// stops the stall timer. A server that repeats itself or sends comments without
-// progress is not silent, but broken.
+// stops the stall timer: a server may repeat events or send comments without end.
 func (j *job) relayEvents(ctx context.Context, server mangotraffic.Server, resp *mangoexchange.Response, stall stallTimer) error {
-	resumed, begun, progressAt := j.headSent, false, time.Now()
+	resumed, begun := j.headSent, false
 	for {
 		event, err := resp.Events.Next()
 		if errors.Is(err, io.EOF) {
@@ -340,13 +336,10 @@
 		}
 		if progress {
 			stall.Stop()
-			progressAt = time.Now()
 			if !begun {
-				j.relay.paces.add(j.service.Name, progressAt.Sub(j.sentAt))
+				j.relay.paces.add(j.service.Name, time.Since(j.sentAt))
 			}
 			begun = true
-		} else if j.route.Retryable() && time.Since(progressAt) > maxRepetition*j.stallTimeout() {
-			return j.handleForeign(server, resp, "no new event")
 		}
 		if progress || event.ID == 0 && !resumed {
 			if err := j.relayEvent(resp.Head, event); err != nil {
