A prefill that is left because of a silence is no crash

Callers saw sound prompts refused as quarantined after two of their prefills had been left at silent engines, and each such prefill was tried elsewhere 300 ms later than needed.

Cause: a prefill that the watchdog has cancelled was checked for a crash like one that its server broke off. The check queries the load, which a silent engine does not return, and a timeout counts as a crash.

Change: a prefill whose continuation is secured is not checked, as for runs.

Evidence: TestSilentPrefillIsNoCrash found the part quarantined before and passes now.

--- a/core/mangorelay/parts_test.go
+++ b/core/mangorelay/parts_test.go
@@ -114,6 +114,24 @@
 	}
 }
 
+// TestSilentPrefillIsNoCrash guards against parts that are blamed for a server that this
+// daemon has left because it was silent.
+func TestSilentPrefillIsNoCrash(t *testing.T) {
+	withHarness(t, func(h *harness) {
+		h.servers.unreachable = make(map[mangomodel.ServerID]bool)
+		for i, own := range []mangomodel.PartID{"o1", "o2"} {
+			for _, id := range ids("p1", "p2") {
+				h.servers.prefills[id], h.servers.unreachable[id] = []step{hang}, true
+			}
+			h.newPromptCall("sound", own)
+			h.serve()
+			time.Sleep(time.Second)
+			h.restart(mangotraffic.Cursor(i+2), "p1", "p2")
+		}
+		h.Expect(h.quarantined("sound")).To(gomega.BeFalse())
+	})
+}
+
 // TestErrorResponseIsNoStart guards against a part that comes free because a server that
 // did not begin to generate returned an error.
 func TestErrorResponseIsNoStart(t *testing.T) {
--- a/core/mangorelay/stream.go
+++ b/core/mangorelay/stream.go
@@ -149,7 +149,8 @@
 	j.avoid = append(j.avoid, server.ID)
 	if ctx.Err() == nil {
 		j.observe(server.ID, prefillOutcome(&f), nil)
-		if f.Run != mangomodel.RunNot {
+		// A prefill that this daemon has cancelled is no sign of a crash.
+		if left := j.next != nil; !left && f.Run != mangomodel.RunNot {
 			j.recordCrash(ctx, server)
 		}
 	}
