--- a/core/mangorelay/handover_test.go
+++ b/core/mangorelay/handover_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"testing"
 	"time"
 
@@ -62,6 +63,31 @@
 	}
 }
 
+func TestStreamWithoutEventIDsIsNotGivenUp(t *testing.T) {
+	withHarness(t, func(h *harness) {
+		h.newCall("/resume/1")
+		h.servers.unreachable = map[mangomodel.ServerID]bool{"d1": true}
+		h.servers.runs["d1"] = []step{{events: []mangotraffic.EventID{0, 0}, interval: 1800 * time.Millisecond}}
+		h.Expect(h.serve()).To(gomega.BeNil())
+		h.Expect(h.client.body).To(gomega.Equal("00"))
+	})
+}
+
+func TestEventsWithoutProgressDoNotCutAStreamWithoutASuccessor(t *testing.T) {
+	withHarness(t, func(h *harness) {
+		h.remove("d2")
+		first := step{events: events(1, 1), comments: true}
+		for range 4 * time.Second / eventInterval {
+			first.events = append(first.events, 0)
+		}
+		first.events = append(first.events, 2)
+		h.newCall("/resume/1")
+		h.servers.runs["d1"] = []step{first}
+		h.Expect(h.serve()).To(gomega.BeNil())
+		h.Expect(strings.HasSuffix(h.client.body, "2")).To(gomega.BeTrue())
+	})
+}
+
 func TestSlowPlainCallIsNotGivenUpWithoutASuccessor(t *testing.T) {
 	tests := []struct {
 		name    string
@@ -106,6 +132,30 @@
 	})
 }
 
+func TestPrefillThatEndsAtItsHandoverLeaksNoLease(t *testing.T) {
+	withHarness(t, func(h *harness) {
+		h.newCall("/resume/1")
+		h.servers.prefills["p1"] = []step{{responseDelay: time.Minute, late: true}, {}}
+		h.servers.runs["d1"] = []step{hang}
+		h.servers.runs["d2"] = []step{{events: events(1, 2)}}
+		h.Expect(h.serve()).To(gomega.BeNil())
+		h.Expect(h.client.body).To(gomega.Equal("12"))
+	})
+}
+
+func TestRefusalAtAHandoverKeepsTheCache(t *testing.T) {
+	withHarness(t, func(h *harness) {
+		service, _ := h.fleet.View().Routing.Service("llm")
+		service.Engine.HandleLifetime = 10 * time.Second
+		h.newCall("/resume/1")
+		h.servers.runs["d1"] = []step{{responseDelay: time.Minute, late: true, status: 503, notRun: true}}
+		h.servers.runs["d2"] = []step{{events: events(1, 2)}}
+		h.Expect(h.serve()).To(gomega.BeNil())
+		h.Expect(h.client.body).To(gomega.Equal("12"))
+		h.Expect(h.servers.sent).To(gomega.Equal(ids("p1", "d1", "d2")))
+	})
+}
+
 func TestBrokenStreamWaitsForTheRetryBudget(t *testing.T) {
 	withHarness(t, func(h *harness) {
 		// The budget counts in parts of half a second.
--- a/core/mangorelay/stream.go
+++ b/core/mangorelay/stream.go
@@ -27,9 +27,6 @@
 	// stallFactor times the route's MaxPause is the stall timeout within a
 	// stream. Preempted streams pause for about the time of a prefill.
 	stallFactor = 3
-	// maxRepetition times the stall timeout is how long a server may repeat events
-	// or send comments before its stream continues elsewhere.
-	maxRepetition = 3
 	// defaultStallTimeout is used for routes without a MaxPause.
 	defaultStallTimeout = 2 * time.Second
 	// cacheLifetimeShare is the share of a KV cache's lifetime after which it is
@@ -152,7 +149,8 @@
 	j.avoid = append(j.avoid, server.ID)
 	if ctx.Err() == nil {
 		j.observe(server.ID, prefillOutcome(&f), nil)
-		if f.Run != mangomodel.RunNot {
+		// A prefill that this daemon has cancelled is no sign of a crash.
+		if left := j.next != nil; !left && f.Run != mangomodel.RunNot {
 			j.recordCrash(ctx, server)
 		}
 	}
@@ -177,7 +175,7 @@
 	timer.Reset(mangostall.PrefillTimeout(grant.Lease.PrefillTime))
 	source, err := j.relay.servers.Prefill(ctx, server, j.call)
 	timer.Stop()
-	j.keep(h)
+	j.keep(h, err)
 	return source, err
 }
 
@@ -224,10 +222,10 @@
 		err = j.handleSendError(runCtx, server, err)
 	}
 	stall.Stop()
-	j.keep(h)
 	end(err)
 	j.reportExchange(mangoexchange.PhaseRun, server, grant.Lease, began, err)
 	j.keepUnfetchedCache(err)
+	j.keep(h, err)
 	return err
 }
 
@@ -319,10 +317,9 @@
 }
 
 // relayEvents relays whole events until the stream is complete. Only progress
-// stops the stall timer. A server that repeats itself or sends comments without
-// progress is not silent, but broken.
+// stops the stall timer: a server may repeat events or send comments without end.
 func (j *job) relayEvents(ctx context.Context, server mangotraffic.Server, resp *mangoexchange.Response, stall stallTimer) error {
-	resumed, begun, progressAt := j.headSent, false, time.Now()
+	resumed, begun := j.headSent, false
 	for {
 		event, err := resp.Events.Next()
 		if errors.Is(err, io.EOF) {
@@ -343,13 +340,10 @@
 		}
 		if progress {
 			stall.Stop()
-			progressAt = time.Now()
 			if !begun {
-				j.relay.paces.add(j.service.Name, progressAt.Sub(j.sentAt))
+				j.relay.paces.add(j.service.Name, time.Since(j.sentAt))
 			}
 			begun = true
-		} else if j.route.Retryable() && time.Since(progressAt) > maxRepetition*j.stallTimeout() {
-			return j.handleForeign(server, resp, "no new event")
 		}
 		if progress || event.ID == 0 && !resumed {
 			if err := j.relayEvent(resp.Head, event); err != nil {
@@ -359,7 +353,8 @@
 		if j.received == 1 && !event.Comment {
 			j.recordStart()
 		}
-		if progress {
+		// A stream without event ids cannot continue elsewhere.
+		if progress && !j.unnumbered {
 			stall.Reset(j.stallTimeout())
 		}
 	}
