The start limit holds for streams, whatever their servers

Callers saw a call of a route without streaming that engines serve answered 504 after 0.9 times the patience of a stream's client, though they wait for their deadline; and a stream of a plain server that hung ended without an answer, since its client leaves before the route's timeout.

Cause: the limit followed the service instead of the kind of the route.

Change: it is set for each call of a streaming route, and for no other.

Evidence: TestStartLimitHoldsForStreams failed at its first call before ("Call at d1: Timeout") and passes now.

--- a/core/mangorelay/fake_test.go
+++ b/core/mangorelay/fake_test.go
@@ -294,6 +294,7 @@
 		{Name: "call", Host: "x", Prefix: "/call/", Kind: mangotraffic.KindNonIdempotent, Timeout: second, TargetLatency: 200 * time.Millisecond, Targets: target("app"), MaxAttempts: 1},
 		{Name: "resume", Host: "x", Prefix: "/resume/", Kind: mangotraffic.KindStreaming, Timeout: 10 * second, TargetLatency: second, MaxPause: 300 * time.Millisecond, Targets: target("llm"), MaxAttempts: 2, Resumable: true},
 		{Name: "once", Host: "x", Prefix: "/once/", Kind: mangotraffic.KindStreaming, Timeout: 10 * second, TargetLatency: second, MaxPause: 300 * time.Millisecond, Targets: target("llm"), MaxAttempts: 1},
+		{Name: "batch", Host: "x", Prefix: "/batch/", Kind: mangotraffic.KindIdempotent, Timeout: 10 * second, TargetLatency: second, Targets: target("llm"), MaxAttempts: 1},
 		{Name: "feed", Host: "x", Prefix: "/feed/", Kind: mangotraffic.KindStreaming, Timeout: 10 * second, TargetLatency: 200 * time.Millisecond, Targets: target("app"), MaxAttempts: 2, Resumable: true},
 	}, []mangotraffic.Service{
 		{Name: "app"}, {Name: "llm", Engine: &mangotraffic.Engine{Slots: 4, KVTokens: 10_000, TokensPerEvent: 10, HandleLifetime: 500 * time.Millisecond}},
--- a/core/mangorelay/hang_test.go
+++ b/core/mangorelay/hang_test.go
@@ -60,6 +60,25 @@
 	}
 }
 
+// TestStartLimitHoldsForStreams guards against a limit that ends calls whose clients
+// wait for their deadline, and against a stream of a plain server without one.
+func TestStartLimitHoldsForStreams(t *testing.T) {
+	withHarness(t, func(h *harness) {
+		h.newCall("/batch/1")
+		h.servers.runs["d1"] = []step{{responseDelay: 6 * time.Second, body: "a"}}
+		h.Expect(h.serve()).To(gomega.BeNil())
+		h.Expect(h.client.body).To(gomega.Equal("a"))
+
+		h.newCall("/feed/1")
+		h.servers.runs["s1"], h.servers.runs["s2"] = []step{hang}, []step{hang}
+		began := time.Now()
+		fault := h.serve()
+		h.Expect(time.Since(began)).To(gomega.BeNumerically("<", 2*time.Second))
+		h.Expect(fault.Code).To(gomega.Equal(mangomodel.CodeTimeout))
+		h.Expect(fault.Run).To(gomega.Equal(mangomodel.RunUnknown))
+	})
+}
+
 func TestSilentSecondOfAPrefillServerIsTolerated(t *testing.T) {
 	withHarness(t, func(h *harness) {
 		h.newCall("/once/1")
--- a/core/mangorelay/relay.go
+++ b/core/mangorelay/relay.go
@@ -163,6 +163,10 @@
 		return j.finalFault(ctx, err)
 	}
 	defer j.releaseNext()
+	if j.route.Kind == mangotraffic.KindStreaming {
+		ctx, cancel = j.limitStart(ctx)
+		defer cancel()
+	}
 	if j.service.Engine != nil {
 		return j.finalFault(ctx, j.serveStream(ctx))
 	}
--- a/core/mangorelay/stream.go
+++ b/core/mangorelay/stream.go
@@ -40,27 +40,29 @@
 // events.
 var errStalled = errors.New("no event in time")
 
-// serveStream serves a call that needs a prefill engine and a decode engine. A
-// stream that has not begun shortly before its client leaves ends with a fault,
-// so that the client is told whether the call may have run.
+// serveStream serves a call that needs a prefill engine and a decode engine.
 func (j *job) serveStream(ctx context.Context) error {
 	defer j.releaseCache()
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	limit := mangostall.StartLimit(j.route.TargetLatency, j.route.MaxPause)
-	j.start = time.AfterFunc(limit-time.Since(j.call.Arrived), func() { cancel(errTimeout) })
-	defer j.start.Stop()
 	for {
 		err := j.attemptStream(ctx)
-		if err == nil || ctx.Err() != nil {
-			return j.finalFault(ctx, err)
-		}
-		if !j.canRetry(err) {
+		if err == nil || ctx.Err() != nil || !j.canRetry(err) {
 			return err
 		}
 	}
 }
 
+// limitStart ends a stream that has not begun shortly before its client leaves, so
+// that the client is told whether the call may have run.
+func (j *job) limitStart(ctx context.Context) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	limit := mangostall.StartLimit(j.route.TargetLatency, j.route.MaxPause)
+	j.start = time.AfterFunc(limit-time.Since(j.call.Arrived), func() { cancel(errTimeout) })
+	return ctx, func() {
+		j.start.Stop()
+		cancel(nil)
+	}
+}
+
 // pendingCache is a KV cache that was computed but not yet fetched.
 type pendingCache struct {
 	source    mangotraffic.KVSource
