mangolane's own interface: a late demand does not lose its scheduler

Callers saw nothing but a later response: a demand whose wait limit had passed by more than the slack, since other daemons had not responded before, ended before it was sent, and its daemon took the scheduler for unreachable and scheduled the request itself.

Change: a wait limit that has passed counts as zero in the timeout.

Evidence: TestLateDemandDoesNotLoseItsScheduler failed for two of three demands before ("Unavailable: i/o timeout") and passes now.

--- a/mangolaned/mangopeer/peers.go
+++ b/mangolaned/mangopeer/peers.go
@@ -112,10 +112,10 @@
 }
 
 // Acquire requests a grant from a daemon. If the call fails or is cancelled, the
-// demand is withdrawn.
+// demand is withdrawn. One whose wait limit has passed is decided at once there.
 func (p *Peers) Acquire(ctx context.Context, owner mangomember.Member, shard mangomodel.ShardID, d mangomodel.Demand) (mangomodel.Grant, error) {
 	d.Sequence.Holder = mangomodel.Holder{}
-	args := AcquireArgs{Trace: mangotrace.Inject(ctx), Shard: shard, Demand: d, Timeout: d.Patience + acquireSlack}
+	args := AcquireArgs{Trace: mangotrace.Inject(ctx), Shard: shard, Demand: d, Timeout: max(d.Patience, 0) + acquireSlack}
 	return p.acquire(ctx, owner, args)
 }
 
