A stop answers the requests of kept connections on mangolane's own interface

Callers saw a kept connection closed without an answer to the request that they had just sent over it, while a daemon stopped.

Cause: only proxy servers close their connections themselves before http.Server shuts down; http.Server drops each request that it reads after that.

Change: all servers drain their connections that way. Servers without an idle limit keep idle connections as before.

Evidence: TestStopAnswersKeptConnectionsOfARoutedServer ended with "unexpected EOF" before and passes now.

--- a/core/mangorest/drain_test.go
+++ b/core/mangorest/drain_test.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/onsi/gomega"
+	"github.com/zeromicro/go-zero/rest"
 
 	"mangolane/core/mangomodel"
 )
@@ -138,6 +139,40 @@
 	}
 }
 
+// TestStopAnswersKeptConnectionsOfARoutedServer guards against a stop that closes a
+// connection without an answer to the request that arrives over it.
+func TestStopAnswersKeptConnectionsOfARoutedServer(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s, err := NewServer("front", freeAddress(g), []rest.Route{{Method: http.MethodGet, Path: "/", Handler: func(w http.ResponseWriter, _ *http.Request) {
+		fmt.Fprint(w, "ok")
+	}}})
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	go s.Serve()
+	<-s.started
+	var conn net.Conn
+	g.Eventually(func() (err error) {
+		conn, err = net.Dial("tcp", s.httpServer.Addr)
+		return err
+	}).Should(gomega.Succeed())
+	defer conn.Close()
+	r := bufio.NewReader(conn)
+	for i := range 2 {
+		_, err := io.WriteString(conn, "GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		resp, err := http.ReadResponse(r, nil)
+		g.Expect(err).NotTo(gomega.HaveOccurred(), "request %d", i)
+		_, err = io.Copy(io.Discard, resp.Body)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(resp.Close).To(gomega.Equal(i == 1))
+		if i == 0 {
+			ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+			defer cancel()
+			go s.Shutdown(ctx)
+			time.Sleep(50 * time.Millisecond)
+		}
+	}
+}
+
 // TestStopRightAfterTheStart covers a stop that begins before the server listens.
 func TestStopRightAfterTheStart(t *testing.T) {
 	for range 20 {
--- a/core/mangorest/limits.go
+++ b/core/mangorest/limits.go
@@ -39,8 +39,14 @@
 	return &idleLimiter{limit: limit, handler: handler, conns: make(map[net.Conn]*trackedConn)}
 }
 
-// install sets the connection hook of a server.
-func (l *idleLimiter) install(s *http.Server) { s.ConnState = l.connState }
+// install sets the connection hook of a server, and serves the server's own handler
+// if the limiter has none.
+func (l *idleLimiter) install(s *http.Server) {
+	s.ConnState = l.connState
+	if l.handler == nil {
+		l.handler, s.Handler = s.Handler, l
+	}
+}
 
 // ServeHTTP serves a request, the last one of its connection while the server drains.
 func (l *idleLimiter) ServeHTTP(w http.ResponseWriter, r *http.Request) {
--- a/core/mangorest/server.go
+++ b/core/mangorest/server.go
@@ -51,7 +51,6 @@
 type Server struct {
 	rest      *rest.Server
 	startOnce sync.Once
-	// limiter is nil for servers without an idle limit.
 	limiter   *idleLimiter
 	listening listening
 	// started is closed once httpServer is set.
@@ -95,9 +94,12 @@
 		return nil, mangomodel.Errors.Wrap(err)
 	}
 	server.AddRoutes(routes)
-	return &Server{rest: server, started: make(chan struct{})}, nil
+	return &Server{rest: server, started: make(chan struct{}), limiter: newIdleLimiter(unlimitedIdle, nil)}, nil
 }
 
+// unlimitedIdle is the idle limit of servers without one.
+func unlimitedIdle() time.Duration { return 0 }
+
 // NewProxyServer returns a server that passes every request, whatever its method
 // and path, unchanged to one handler: no middleware applies. It calls idleLimit
 // whenever a connection is opened or becomes idle; zero means no limit.
@@ -135,9 +137,7 @@
 	s.rest.StartWithOpts(func(svr *http.Server) {
 		svr.ReadHeaderTimeout = headerTimeout
 		s.listening.install(svr)
-		if s.limiter != nil {
-			s.limiter.install(svr)
-		}
+		s.limiter.install(svr)
 		s.startOnce.Do(func() {
 			s.httpServer = svr
 			close(s.started)
@@ -147,19 +147,17 @@
 
 // Shutdown stops listening and waits until every request has completed or ctx
 // ends. http.Server drops every request that it reads after the start of its own
-// shutdown, also the first one of a connection that was accepted before. A proxy
-// server therefore closes its connections itself first.
+// shutdown, also the first one of a connection that was accepted before. The server
+// therefore closes its connections itself first.
 func (s *Server) Shutdown(ctx context.Context) error {
 	select {
 	case <-s.started:
 	case <-ctx.Done():
 		return context.Cause(ctx)
 	}
-	if s.limiter != nil {
-		s.limiter.drain()
-		s.listening.close()
-		s.limiter.waitUntilClosed(ctx)
-	}
+	s.limiter.drain()
+	s.listening.close()
+	s.limiter.waitUntilClosed(ctx)
 	err := s.httpServer.Shutdown(ctx)
 	if errors.Is(err, net.ErrClosed) {
 		// The listener was closed above.
