A refund reverses a retry that was held for some time

Callers saw streams cut and calls refused for a used-up retry budget although far fewer retries had been sent.

Cause: the budget counts in parts of a twentieth of its window, and a refund was taken off the newest part only. A handover that waits for room holds its retries for up to two seconds, and a refund from a part without retries was lost.

Change: a refund is taken off the oldest part that has a retry, so that the sum is right at once and no later retry leaves the window early.

Evidence: TestRefundOfARetryThatWasHeldForSomeTime found one retry counted before and none now.

--- a/core/mangobudget/budget.go
+++ b/core/mangobudget/budget.go
@@ -100,17 +100,28 @@
 // allowed reports whether the allowance is in force.
 func (b *Budget) allowed(now time.Time) bool { return mangomodel.Elapsed(b.allowanceUntil, now) < 0 }
 
-// Refund reverses a retry that was counted a moment ago. It returns the retry to
+// Refund reverses a retry that was counted within the window. It returns the retry to
 // the allowance only if it was taken from that.
 func (b *Budget) Refund(now time.Time) {
-	p := b.at(now)
-	p.retries = max(p.retries-1, 0)
+	b.at(now)
+	b.uncount()
 	if b.taken > 0 {
 		b.taken--
 		b.allowance++
 	}
 }
 
+// uncount removes a retry from the oldest part that has one, so that what remains is
+// not counted for too short a time.
+func (b *Budget) uncount() {
+	for n := b.newest - windowParts + 1; n <= b.newest; n++ {
+		if p := &b.parts[n%windowParts]; p.retries > 0 {
+			p.retries--
+			return
+		}
+	}
+}
+
 // Usage is how many calls and retries (Repeats) one daemon has counted within a
 // window.
 type Usage struct{ Calls, Repeats int }
--- a/core/mangobudget/budget_test.go
+++ b/core/mangobudget/budget_test.go
@@ -80,6 +80,16 @@
 	g.Expect(Remaining(limits, []Usage{{Repeats: 11}})).To(gomega.Equal(0))
 }
 
+func TestRefundOfARetryThatWasHeldForSomeTime(t *testing.T) {
+	g := gomega.NewWithT(t)
+	b := New(Limits{Fixed: 2, Window: 10 * time.Second})
+	now := time.Unix(1000, 0)
+	g.Expect(b.Take(now, 1)).To(gomega.BeTrue())
+	now = now.Add(2 * time.Second)
+	b.Refund(now)
+	g.Expect(b.Usage(now).Repeats).To(gomega.BeZero())
+}
+
 // TestRefundOfAnEarlierAllowance guards against a refund that raises an allowance
 // from which the retry was not taken: the allowance was replaced in between.
 func TestRefundOfAnEarlierAllowance(t *testing.T) {
