A handover whose exchange has ended returns the retry that it took

Callers saw streams cut and calls refused for a used-up retry budget although far fewer retries had been sent.

Cause: the watchdog queries an engine for up to a second and a half, and looks for a continuation also if the exchange has ended meanwhile. The retry was asked for with the ended context of the exchange: the command may be applied all the same, while its caller gets an error and returns nothing.

Change: the retry is asked for without that context. The demand that follows is refused, and the retry is returned.

TestPrefillThatEndsAtItsHandoverLeaksNoLease checks the retries too.

--- a/core/mangorelay/handover.go
+++ b/core/mangorelay/handover.go
@@ -44,8 +44,10 @@
 // Secure implements [mangostall.Successor]. A demand that waits delays others, so one
 // of a server that still responds is granted at once or refused.
 func (h *handover) Secure(wait bool) error {
+	// A command may be applied although its context has ended.
+	ctx := context.WithoutCancel(h.ctx)
 	for i := range h.phases {
-		if err := h.relay.fleet.Do(h.ctx, mangofleet.TakeRetry{Service: h.demand.Service}); err != nil {
+		if err := h.relay.fleet.Do(ctx, mangofleet.TakeRetry{Service: h.demand.Service}); err != nil {
 			h.refund(i)
 			return err
 		}
--- a/core/mangorelay/handover_test.go
+++ b/core/mangorelay/handover_test.go
@@ -10,6 +10,7 @@
 
 	"mangolane/core/mangofleet"
 	"mangolane/core/mangomodel"
+	"mangolane/core/mangostall"
 	"mangolane/core/mangotraffic"
 )
 
@@ -22,10 +23,13 @@
 	h.Expect(h.fleet.Do(context.Background(), cmd)).To(gomega.Succeed())
 }
 
-// useUpRetries takes the whole retry budget of a service.
-func (h *harness) useUpRetries(service mangotraffic.ServiceName) {
+// useUpRetries takes the whole retry budget of a service and returns how much was left.
+func (h *harness) useUpRetries(service mangotraffic.ServiceName) int {
+	n := 0
 	for h.fleet.Do(context.Background(), mangofleet.TakeRetry{Service: service}) == nil {
+		n++
 	}
+	return n
 }
 
 func TestSilentSecondOfASoundEngineMovesNoStream(t *testing.T) {
@@ -140,9 +144,29 @@
 		h.servers.runs["d2"] = []step{{events: events(1, 2)}}
 		h.Expect(h.serve()).To(gomega.BeNil())
 		h.Expect(h.client.body).To(gomega.Equal("12"))
+		h.Expect(h.useUpRetries("llm")).To(gomega.Equal(retryBudget-2), "one of a prefill and one of a run")
 	})
 }
 
+func TestHandoverThatFailsReturnsItsRetries(t *testing.T) {
+	// Whether a command whose context has ended is applied is left to chance.
+	for i := range 40 {
+		left := []int{1, retryBudget}[i%2]
+		withHarness(t, func(h *harness) {
+			for range retryBudget - left {
+				h.Expect(h.fleet.Do(context.Background(), mangofleet.TakeRetry{Service: "llm"})).To(gomega.Succeed())
+			}
+			h.remove("d2")
+			h.newCall("/resume/1")
+			h.servers.unreachable = map[mangomodel.ServerID]bool{"d1": true}
+			h.servers.runs["d1"] = []step{{events: events(1, 2), pauseAfter: 1, pause: 4 * time.Second}}
+			h.Expect(h.serve()).To(gomega.BeNil())
+			time.Sleep(mangostall.SilenceTolerance)
+			h.Expect(h.useUpRetries("llm")).To(gomega.Equal(left))
+		})
+	}
+}
+
 func TestRefusalAtAHandoverKeepsTheCache(t *testing.T) {
 	withHarness(t, func(h *harness) {
 		service, _ := h.fleet.View().Routing.Service("llm")
