The watchdog secures nothing for an exchange that went on during its query

Callers saw later starts and used-up retries at other calls: an engine that sent an event while the watchdog waited for its load report was replaced on paper, with a lease and two retries that were held and returned, and logged as stalled.

Cause: the watchdog looked at the state of its wait before the query only, which takes up to a second and a half.

Change: it looks again after the query.

Evidence: TestProgressWhileQueryingSecuresNothing found the successor asked once before and passes now.

--- a/core/mangostall/stall.go
+++ b/core/mangostall/stall.go
@@ -170,6 +170,9 @@
 	}
 	asked := time.Now()
 	stall := Stall{Server: w.server, Responsive: w.responsive(since)}
+	if _, _, _, current = w.wait(epoch); !current {
+		return
+	}
 	if !stall.Responsive || stalls >= maxStalls || !begun && time.Since(asked) < promptTime {
 		// A wait that has ended meanwhile may still be using the successor.
 		if w.setSecuring(true) {
--- a/core/mangostall/stall_test.go
+++ b/core/mangostall/stall_test.go
@@ -158,3 +158,17 @@
 		g.Expect(next.withdrawn).To(gomega.Equal(1))
 	})
 }
+
+func TestProgressWhileQueryingSecuresNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		next := &successor{found: true}
+		w := New(mangotraffic.Server{}, next, func() { t.Error("cancelled") }, WithReports(silentEngine{time.Now().Add(time.Hour)}))
+		w.Reset(time.Second)
+		time.Sleep(1100 * time.Millisecond)
+		w.Stop()
+		time.Sleep(SilenceTolerance)
+		synctest.Wait()
+		g.Expect(next.asked).To(gomega.BeZero())
+	})
+}
