--- a/core/mangorest/limits.go
+++ b/core/mangorest/limits.go
@@ -45,10 +45,14 @@
 	return &idleLimiter{limit: limit, handler: handler, conns: make(map[net.Conn]*trackedConn)}
 }
 
-// install sets the connection hooks of a server.
+// install sets the connection hooks of a server, and serves the server's own handler
+// if the limiter has none.
 func (l *idleLimiter) install(s *http.Server) {
 	s.ConnState = l.connState
 	s.ConnContext = func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) }
+	if l.handler == nil {
+		l.handler, s.Handler = s.Handler, l
+	}
 }
 
 // ServeHTTP serves a request, the last one of its connection while the server drains.
