--- a/core/mangorelay/handover_test.go
+++ b/core/mangorelay/handover_test.go
@@ -8,7 +8,9 @@
 
 	"github.com/onsi/gomega"
 
+	"mangolane/core/mangoexchange"
 	"mangolane/core/mangofleet"
+	"mangolane/core/mangolease"
 	"mangolane/core/mangomodel"
 	"mangolane/core/mangostall"
 	"mangolane/core/mangotraffic"
@@ -148,10 +150,21 @@
 	})
 }
 
+func TestHandoverOfAnEndedExchangeReturnsItsRetries(t *testing.T) {
+	withHarness(t, func(h *harness) {
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		next := &handover{ctx: ctx, relay: h.relay, demand: mangolease.Demand{Service: "llm"}, phases: []mangoexchange.Phase{mangoexchange.PhaseRun}}
+		// Whether a command whose context has ended is applied is left to chance.
+		for range 40 {
+			h.Expect(next.Secure(true)).NotTo(gomega.Succeed())
+		}
+		h.Expect(h.useUpRetries("llm")).To(gomega.Equal(retryBudget))
+	})
+}
+
 func TestHandoverThatFailsReturnsItsRetries(t *testing.T) {
-	// Whether a command whose context has ended is applied is left to chance.
-	for i := range 40 {
-		left := []int{1, retryBudget}[i%2]
+	for _, left := range []int{1, retryBudget} {
 		withHarness(t, func(h *harness) {
 			for range retryBudget - left {
 				h.Expect(h.fleet.Do(context.Background(), mangofleet.TakeRetry{Service: "llm"})).To(gomega.Succeed())
