A stop answers the calls that its grace period does not cover

Cause: the drain waited for the calls until the process exited, and answered none. Streams that have begun are aborted, as before. Evidence: TestStopAnswersTheCallsInProgress; there was nothing to call before.

--- a/core/mangorelay/hang_test.go
+++ b/core/mangorelay/hang_test.go
@@ -89,3 +89,33 @@
 		h.Expect(h.servers.sent).To(gomega.Equal(ids("p1", "d1")))
 	})
 }
+
+func TestStopAnswersTheCallsInProgress(t *testing.T) {
+	tests := []struct {
+		name          string
+		target        string
+		prefill, runs map[mangomodel.ServerID]step
+		run           mangomodel.Run
+	}{
+		{"prefill", "/once/1", map[mangomodel.ServerID]step{"p1": hang}, nil, mangomodel.RunNot},
+		{"start of a stream", "/once/1", nil, map[mangomodel.ServerID]step{"d1": hang}, mangomodel.RunUnknown},
+		{"plain call", "/call/1", nil, map[mangomodel.ServerID]step{"s1": hang}, mangomodel.RunUnknown},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			withHarness(t, func(h *harness) {
+				h.newCall(test.target)
+				for id, x := range test.runs {
+					h.servers.runs[id] = []step{x}
+				}
+				for id, x := range test.prefill {
+					h.servers.prefills[id] = []step{x}
+				}
+				time.AfterFunc(200*time.Millisecond, h.relay.Stop)
+				fault := h.serve()
+				h.Expect(fault.Code).To(gomega.Equal(mangomodel.CodeUnavailable))
+				h.Expect(fault.Run).To(gomega.Equal(test.run))
+			})
+		})
+	}
+}
--- a/core/mangorelay/relay.go
+++ b/core/mangorelay/relay.go
@@ -26,6 +26,9 @@
 	tracer   Tracer
 	active   atomic.Int64
 	paces    paces
+	// stopping ends when Stop is called.
+	stopping context.Context
+	stop     context.CancelFunc
 }
 
 // Active returns the number of calls in progress.
@@ -46,9 +49,13 @@
 	for _, opt := range opts {
 		opt(r)
 	}
+	r.stopping, r.stop = context.WithCancel(context.Background())
 	return r
 }
 
+// Stop ends the calls in progress, and later ones, with a fault.
+func (r *Relay) Stop() { r.stop() }
+
 // maxRetryAfterShare bounds the Retry-After delay as a share of the client's
 // remaining time: clients wait for up to a third of that.
 const maxRetryAfterShare = 0.3
@@ -62,6 +69,9 @@
 // errClientDisconnected is joined to a failed write to the client.
 var errClientDisconnected = errors.New("client disconnected")
 
+// errStopped is the cancellation cause of a call that Stop has ended.
+var errStopped = errors.New("the daemon stops")
+
 // errTimeout is the cancellation cause of a call whose deadline has passed.
 var errTimeout = errors.New("call deadline exceeded")
 
@@ -71,6 +81,9 @@
 func (r *Relay) Serve(ctx context.Context, call *mangotraffic.Call, sink Sink) error {
 	r.active.Add(1)
 	defer r.active.Add(-1)
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	defer context.AfterFunc(r.stopping, func() { cancel(errStopped) })()
 	j := &job{relay: r, call: call, sink: sink, endWatch: func() {}, result: mangoexchange.Result{Call: call}}
 	err := j.resolveRoute(j.syncedView(ctx))
 	if err == nil {
@@ -201,9 +214,13 @@
 	}
 	f := *mangomodel.AsFault(err, mangomodel.StepCall)
 	if ctx.Err() != nil {
-		f.Code = mangomodel.CodeCancelled
-		if errors.Is(context.Cause(ctx), errTimeout) {
+		switch context.Cause(ctx) {
+		case errTimeout:
 			f.Code = mangomodel.CodeTimeout
+		case errStopped:
+			f.Code = mangomodel.CodeUnavailable
+		default:
+			f.Code = mangomodel.CodeCancelled
 		}
 	}
 	f.Run = mangomodel.RunNot
--- a/mangolaned/mangogateway/gateway.go
+++ b/mangolaned/mangogateway/gateway.go
@@ -43,6 +43,8 @@
 	// exitMargin is the time reserved between the end of the drain and the end of
 	// the grace period.
 	exitMargin = 300 * time.Millisecond
+	// answerMargin is the time reserved before that to answer the calls in progress.
+	answerMargin = 200 * time.Millisecond
 )
 
 // Servers is a client of the backend servers.
@@ -183,6 +185,7 @@
 	time.Sleep(min(deregistrationDelay, g.settings.GracePeriod.Std()/2))
 	ctx, cancel := context.WithDeadline(ctx, began.Add(g.settings.GracePeriod.Std()-exitMargin))
 	defer cancel()
+	defer time.AfterFunc(time.Until(began.Add(g.settings.GracePeriod.Std()-exitMargin-answerMargin)), g.relay.Stop).Stop()
 	// Shutdown also waits for connections that never carried a request. A timeout
 	// is an error only if calls are still active.
 	if err := server.Shutdown(ctx); err != nil && g.relay.Active() > 0 {
