Quarantine: messages name all parts of a crash in turn

Callers could see: engines that crash seven times before the part is refused, if several calls end with each and one daemon holds them. Cause: a message names 8 parts of a crash at most, and always the same ones; a crash keeps 32. Change: half of the 8 are those with most crashes, the others come in turn; a crash keeps 96. Evidence: TestCallsThatEndTogetherDoNotHideTheirCommonPart failed before.

--- a/core/mangoquarantine/evidence.go
+++ b/core/mangoquarantine/evidence.go
@@ -12,7 +12,7 @@
 	evidenceTTL = 10 * time.Minute
 	// maxCrashes limits the crashes that are kept, and maxCasualties the parts of each.
 	maxCrashes    = 128
-	maxCasualties = 32
+	maxCasualties = 96
 	// startTTL is how long starts are kept at least, unless there are maxStarts.
 	startTTL  = time.Minute
 	maxStarts = 4096
--- a/core/mangoquarantine/message.go
+++ b/core/mangoquarantine/message.go
@@ -57,6 +57,7 @@
 // matter to others.
 func (t *Tracker) Message(now time.Time) Message {
 	t.expire(now)
+	t.turn++
 	var m Message
 	for c, x := range t.crashes {
 		if parts := t.ownParts(x); len(parts) > 0 {
@@ -75,7 +76,7 @@
 }
 
 // ownParts returns the parts of a crash that this daemon has seen. If these are too many,
-// it returns those with the most crashes.
+// it returns those with the most crashes, and the others in turn.
 func (t *Tracker) ownParts(x *casualties) []mangomodel.PartID {
 	var parts []mangomodel.PartID
 	for p, own := range x.parts {
@@ -97,6 +98,12 @@
 	slices.SortFunc(parts, func(a, b mangomodel.PartID) int {
 		return cmp.Or(cmp.Compare(crashes[b], crashes[a]), cmp.Compare(a, b))
 	})
+	const fixed = maxItemParts / 2
+	others := parts[fixed:]
+	for i := range maxItemParts - fixed {
+		j := i + (t.turn*(maxItemParts-fixed)+i)%(len(others)-i)
+		others[i], others[j] = others[j], others[i]
+	}
 	return parts[:maxItemParts]
 }
 
--- a/core/mangoquarantine/quarantine.go
+++ b/core/mangoquarantine/quarantine.go
@@ -142,6 +142,8 @@
 	announced map[mangomodel.PartID]time.Time
 	probes    map[mangomodel.PartID]time.Time
 	changes   []Change
+	// turn counts the messages.
+	turn int
 	// unjudged is set if the evidence has changed since the last judgement.
 	unjudged bool
 	judgedAt time.Time
--- a/core/mangoquarantine/quarantine_test.go
+++ b/core/mangoquarantine/quarantine_test.go
@@ -79,6 +79,27 @@
 	f.Expect(f.refused("a1", "a2", "b1")).To(gomega.BeFalse())
 }
 
+// TestCallsThatEndTogetherDoNotHideTheirCommonPart guards against messages that always
+// name the same parts of a crash.
+func TestCallsThatEndTogetherDoNotHideTheirCommonPart(t *testing.T) {
+	f := newFleet(t, 6)
+	for crash := range 3 {
+		x := f.daemons[1+crash]
+		for call := range 6 {
+			list := parts{first}
+			for own := range 3 {
+				list = append(list, mangomodel.PartID(fmt.Sprintf("a%d.%d.%d", crash, call, own)))
+			}
+			if call == 5 {
+				list = append(list, deadly)
+			}
+			x.RecordCrash(Crash{Server: mangomodel.ServerID(fmt.Sprint("s", crash))}, list, f.now)
+		}
+		f.exchange(3 * time.Second)
+	}
+	f.Expect(f.refused(first, deadly)).To(gomega.BeTrue())
+}
+
 // TestInnocentFirstPartStaysServed guards against a quarantine of what all calls with the
 // deadly part share with sound ones, whether these began before, meanwhile or afterwards.
 func TestInnocentFirstPartStaysServed(t *testing.T) {
