A stream that has begun is not asked for its parts again

Callers could see: a stream cut in the middle when it needed another engine, more than 10 s after it had begun, beside a quarantine of its part. Cause: its demand still carried the parts, and a later engine that ended was held against them. Change: once a call has begun to generate it has no suspect parts.

--- a/core/mangorelay/parts.go
+++ b/core/mangorelay/parts.go
@@ -26,17 +26,27 @@
 // checkParts returns a fault if a part of the prompt is quarantined. A call that has
 // begun to generate has shown that its parts crash no server.
 func (j *job) checkParts() error {
-	if len(j.call.Parts) == 0 || j.result.Events > 0 {
+	parts := j.suspectParts()
+	if len(parts) == 0 {
 		return nil
 	}
-	return j.relay.fleet.View().AdmitParts(j.call.Parts, time.Now())
+	return j.relay.fleet.View().AdmitParts(parts, time.Now())
+}
+
+// suspectParts returns the parts of the prompt that may crash a server: none once the
+// call has begun to generate.
+func (j *job) suspectParts() []mangomodel.PartID {
+	if j.result.Events > 0 {
+		return nil
+	}
+	return j.call.Parts
 }
 
 // watchParts cancels an exchange once a part of the prompt is quarantined, until the
 // returned function is called: a call that waits at an engine does not crash it yet.
 func (j *job) watchParts(cancel func(error)) (stop func()) {
-	parts := j.call.Parts
-	if len(parts) == 0 || j.result.Events > 0 {
+	parts := j.suspectParts()
+	if len(parts) == 0 {
 		return func() {}
 	}
 	done := make(chan struct{})
@@ -69,11 +79,12 @@
 // recordCrash records that the call may have crashed a server, which ended the exchange
 // before its first event. A server that still responds has only reset a connection.
 func (j *job) recordCrash(ctx context.Context, server mangotraffic.Server) {
-	if len(j.call.Parts) == 0 || j.received > 0 || !j.crashed(ctx, server) {
+	parts := j.suspectParts()
+	if len(parts) == 0 || j.received > 0 || !j.crashed(ctx, server) {
 		return
 	}
 	crash := mangoquarantine.Crash{Server: server.ID, Born: mangoquarantine.Birth(server.Born.UnixMilli())}
-	j.apply(mangofleet.ServerCrashed{Crash: crash, Parts: j.call.Parts})
+	j.apply(mangofleet.ServerCrashed{Crash: crash, Parts: parts})
 }
 
 // crashed reports whether a server does not respond, or another one has its address. The
--- a/core/mangorelay/relay.go
+++ b/core/mangorelay/relay.go
@@ -251,7 +251,7 @@
 
 // completeDemand sets the fields of a demand that follow from the call.
 func (j *job) completeDemand(d mangolease.Demand) mangolease.Demand {
-	d.Request, d.Service, d.Priority, d.Avoid, d.Parts = j.call.ID, j.service.Name, j.route.Priority, j.avoid, j.call.Parts
+	d.Request, d.Service, d.Priority, d.Avoid, d.Parts = j.call.ID, j.service.Name, j.route.Priority, j.avoid, j.suspectParts()
 	d.Age = time.Since(j.call.Arrived)
 	return d
 }
