Soak: requests to a restarted server are told apart by its incarnation

Cause: the check, not the daemon: d-0 had ended and a new incarnation was listed as ready 60 ms before (log of g0: gone 05.43, ready 05.63, request 05.69). The check took the time since the answer for the end of the old one, and answers come later than the announcement begins.

--- a/mangostand/mangoworker/recorder.go
+++ b/mangostand/mangoworker/recorder.go
@@ -33,12 +33,16 @@
 	// Daemon is the daemon to which the client sent the request.
 	Daemon string
 	At     time.Time
+	// Born is the start of the server's incarnation.
+	Born time.Time
 }
 
 // Notice is a response in which a server announced that it leaves or asked for time.
 type Notice struct {
 	Server, Request, Daemon string
 	At                      time.Time
+	// Born is the start of the server's incarnation.
+	Born time.Time
 	// RetryAfter is zero for an announcement.
 	RetryAfter time.Duration
 }
--- a/mangostand/mangoworker/worker.go
+++ b/mangostand/mangoworker/worker.go
@@ -175,18 +175,18 @@
 		return
 	}
 	id := r.Header.Get(fieldID)
-	w.recorder.recordArrival(Arrival{Server: w.ID, Request: id, Daemon: r.Header.Get(FieldDaemon), At: time.Now()})
+	w.recorder.recordArrival(Arrival{Server: w.ID, Request: id, Daemon: r.Header.Get(FieldDaemon), At: time.Now(), Born: w.startTime()})
 	if r.Header.Get(FieldForged) != "" && r.Header.Get(fieldHold) != "" {
 		w.recorder.addViolation("%s arrived with a forged field", id)
 	}
 	rw.Header().Set(fieldID, id)
 	if left := w.refusalLeft(); left > 0 {
-		w.recorder.recordNotice(Notice{Server: w.ID, Request: id, Daemon: r.Header.Get(FieldDaemon), At: time.Now(), RetryAfter: left})
+		w.recorder.recordNotice(Notice{Server: w.ID, Request: id, Daemon: r.Header.Get(FieldDaemon), At: time.Now(), Born: w.startTime(), RetryAfter: left})
 		refuseForTime(rw, left)
 		return
 	}
 	if rw.Header().Get(fieldLeaving) != "" {
-		w.recorder.recordNotice(Notice{Server: w.ID, Request: id, Daemon: r.Header.Get(FieldDaemon), At: time.Now()})
+		w.recorder.recordNotice(Notice{Server: w.ID, Request: id, Daemon: r.Header.Get(FieldDaemon), At: time.Now(), Born: w.startTime()})
 	}
 	faults := w.currentFaults()
 	if faults.Unframed {
