--- /dev/null
+++ b/review/build.sh
@@ -0,0 +1,5 @@
+#!/usr/bin/env bash
+# Builds the stand-ins of the review's cases.
+set -eu
+cd "$(dirname "$0")/stand"
+GOWORK=off go build -o ../../target/review-stand .
