--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -14,6 +14,7 @@
 var cases = map[string]func(*site){
 	"memory":   memoryCase,
 	"unframed": unframedCase,
+	"poison":   poisonCase,
 }
 
 func main() {
--- a/review/stand/site.go
+++ b/review/stand/site.go
@@ -39,6 +39,8 @@
 type proc struct {
 	name string
 	make func() *exec.Cmd
+	// addr is where a server listens.
+	addr string
 	mu   sync.Mutex
 	cmd  *exec.Cmd
 	done chan struct{}
@@ -183,14 +185,20 @@
 	args := append([]string{"worker", "-id", id, "-listen", addr, "-stage", stage, "-slots", strconv.Itoa(slots),
 		"-record", filepath.Join(s.dir, id+".runs")}, flags...)
 	p := s.start(id, func() *exec.Cmd { return exec.Command(self, args...) })
+	p.addr = addr
 	s.awaitPort(addr)
+	s.list(id, service, stage, zone, addr, slots)
+	return p
+}
+
+// list writes the entry of a server that has just started.
+func (s *site) list(id, service, stage, zone, addr string, slots int) {
 	entry := map[string]any{"service": service, "address": addr, "zone": zone, "version": "v1", "slots": slots, "state": "ready",
 		"cold-remaining-ms": 0, "sequence": 1, "born": time.Now().UnixMilli()}
 	if stage != "" {
 		entry["stage"], entry["models"] = stage, []any{map[string]any{"name": "m", "version": 1, "adapters": []any{}}}
 	}
 	s.store.put("servers", id, entry)
-	return p
 }
 
 func (s *site) awaitPort(addr string) {
--- a/review/stand/worker.go
+++ b/review/stand/worker.go
@@ -26,6 +26,7 @@
 	work, gap time.Duration
 	events    int
 	unframed  bool
+	crashOn   string
 	running   atomic.Int64
 	handles   atomic.Int64
 	mu        sync.Mutex
@@ -44,6 +45,7 @@
 	f.DurationVar(&w.gap, "gap", 40*time.Millisecond, "time between two events")
 	f.IntVar(&w.events, "events", 50, "events of a stream")
 	f.BoolVar(&w.unframed, "unframed", false, "streams have no length and end with their channel")
+	f.StringVar(&w.crashOn, "crash-on", "", "a request whose path has this text crashes the server as it begins to run it")
 	_ = f.Parse(args)
 	var err error
 	if w.log, err = os.OpenFile(*record, os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o644); err != nil {
@@ -122,6 +124,10 @@
 		return
 	}
 	w.note("runs %s, body %d bytes", id, len(body))
+	if w.crashOn != "" && strings.Contains(r.URL.Path, w.crashOn) {
+		w.note("crashes with %s", id)
+		os.Exit(3)
+	}
 	rw.Header().Set("Server-Signature", "sig-"+w.id+"-"+id)
 	if w.stage == "" {
 		if !pause(r.Context(), w.work) {
