--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -15,6 +15,7 @@
 	"memory":   memoryCase,
 	"unframed": unframedCase,
 	"poison":   poisonCase,
+	"drain":    drainCase,
 }
 
 func main() {
--- a/review/stand/site.go
+++ b/review/stand/site.go
@@ -223,6 +223,11 @@
 // gates starts daemons with the run command and the template of the deploy file, as
 // rendered for a front machine of kaska-log.
 func (s *site) gates(names ...string) []*gate {
+	return s.gatesOver(func(string) string { return s.storeAddr }, names...)
+}
+
+// gatesOver starts daemons that reach the store at an address of their own each.
+func (s *site) gatesOver(store func(name string) string, names ...string) []*gate {
 	type addrs struct{ front, ready, peer, metrics string }
 	all := make([]addrs, len(names))
 	var seeds []string
@@ -237,7 +242,7 @@
 		doc := map[string]any{
 			"Daemon": name, "DataCentre": "almaty-a", "Regions": map[string]string{"almaty-a": "almaty", "almaty-b": "almaty"},
 			"Front": all[i].front, "Readiness": all[i].ready, "Peer": all[i].peer, "Seeds": seeds, "Metrics": all[i].metrics,
-			"Platform": s.storeAddr, "GracePeriod": "8s", "RetryRatio": 0.2, "RetryFixed": 52, "RetryWindow": "10s",
+			"Platform": store(name), "GracePeriod": "8s", "RetryRatio": 0.2, "RetryFixed": 52, "RetryWindow": "10s",
 			"OrderLease": "3000ms", "Cores": 1, "CoreShare": 0.4, "LinkRate": 1000.0, "MemoryLimit": memoryLimit,
 		}
 		data, err := json.Marshal(doc)
