--- a/review/stand/poison.go
+++ b/review/stand/poison.go
@@ -48,10 +48,10 @@
 	gates := s.gates("front-almaty-a-1", "front-almaty-a-2")
 	time.Sleep(2 * time.Second)
 	began := time.Now()
-	// The request comes four times at once, at both machines, every few seconds.
+	// The request comes six times at once, at both machines, every few seconds.
 	for n := 0; time.Since(began) < length; n++ {
 		var running sync.WaitGroup
-		for k, name := range []string{"poison", "poison", "poison", "poison", "sound"} {
+		for k, name := range []string{"poison", "poison", "poison", "poison", "poison", "poison", "sound"} {
 			running.Go(func() { s.lookup(gates[(n+k)%2], name, fmt.Sprintf("%s-%d-%d", name, n, k)) })
 		}
 		running.Wait()
