--- a/review/stand/poison.go
+++ b/review/stand/poison.go
@@ -12,10 +12,8 @@
 // again, with the same path, caller and body.
 func poisonCase(s *site) {
 	const (
-		length    = 95 * time.Second
+		length    = 80 * time.Second
 		interval  = 5 * time.Second
-		restart   = 2 * time.Second
-		contact   = 4 * time.Second
 		allowed   = 3
 		afterKill = 3
 	)
@@ -27,23 +25,7 @@
 	var closing atomic.Bool
 	for i, zone := range []string{"almaty-a", "almaty-b", "almaty-a", "almaty-b", "almaty-a", "almaty-b", "almaty-a", "almaty-b"} {
 		id := fmt.Sprintf("app-%d", i)
-		p := s.server(id, "expiry-app", "", zone, 6, flags...)
-		go func() {
-			for {
-				p.mu.Lock()
-				done := p.done
-				p.mu.Unlock()
-				<-done
-				if closing.Load() {
-					return
-				}
-				time.Sleep(restart)
-				s.note("%s starts again", id)
-				p.run()
-				s.awaitPort(p.addr)
-				s.list(id, "expiry-app", "", zone, p.addr, 6)
-			}
-		}()
+		s.restarted(&closing, id, "expiry-app", "", zone, flags...)
 	}
 	gates := s.gates("front-almaty-a-1", "front-almaty-a-2")
 	time.Sleep(2 * time.Second)
@@ -58,26 +40,8 @@
 		time.Sleep(time.Until(began.Add(time.Duration(n+1) * interval)))
 	}
 	closing.Store(true)
-	var crashes []time.Time
-	for _, line := range s.serverRuns() {
-		if strings.Contains(line, " crashes with ") {
-			at, err := time.Parse("15:04:05.000", line[:12])
-			if err != nil {
-				fatal(err)
-			}
-			crashes = append(crashes, at)
-		}
-	}
-	late := 0
-	if len(crashes) >= afterKill {
-		sortTimes(crashes)
-		for _, at := range crashes {
-			if at.Sub(crashes[afterKill-1]) > contact {
-				late++
-			}
-		}
-	}
-	text := fmt.Sprintf("the request crashed %d servers, %d of them later than contact-ms after the third", len(crashes), late)
+	crashes, late := s.crashes(afterKill)
+	text := fmt.Sprintf("the request crashed %d servers, %d of them later than contact-ms after the third", crashes, late)
 	if late > allowed {
 		s.finish(1, "BUDGET broken: "+text)
 	}
@@ -95,6 +59,53 @@
 	s.note("client got %v", c.exchange("GET", "/lookup/"+name, id, nil, nil, 1500*time.Millisecond))
 }
 
+// contact is contact-ms of the site.
+const contact = 4 * time.Second
+
+// crashes returns how often servers crashed, and how often later than contact-ms after
+// the crash with the given number.
+func (s *site) crashes(after int) (all, late int) {
+	var list []time.Time
+	for _, line := range s.serverRuns() {
+		if strings.Contains(line, " crashes with ") {
+			at, err := time.Parse("15:04:05.000", line[:12])
+			if err != nil {
+				fatal(err)
+			}
+			list = append(list, at)
+		}
+	}
+	sortTimes(list)
+	for _, at := range list {
+		if len(list) >= after && at.Sub(list[after-1]) > contact {
+			late++
+		}
+	}
+	return len(list), late
+}
+
+// restarted starts a server that is back two seconds after each crash.
+func (s *site) restarted(closing *atomic.Bool, id, service, stage, zone string, flags ...string) {
+	const slots = 6
+	p := s.server(id, service, stage, zone, slots, flags...)
+	go func() {
+		for {
+			p.mu.Lock()
+			done := p.done
+			p.mu.Unlock()
+			<-done
+			if closing.Load() {
+				return
+			}
+			time.Sleep(2 * time.Second)
+			s.note("%s starts again", id)
+			p.run()
+			s.awaitPort(p.addr)
+			s.list(id, service, stage, zone, p.addr, slots)
+		}
+	}()
+}
+
 func sortTimes(list []time.Time) {
 	for i := range list {
 		for k := i; k > 0 && list[k].Before(list[k-1]); k-- {
--- a/review/stand/worker.go
+++ b/review/stand/worker.go
@@ -27,6 +27,7 @@
 	events    int
 	unframed  bool
 	crashOn   string
+	crashPart string
 	running   atomic.Int64
 	handles   atomic.Int64
 	mu        sync.Mutex
@@ -46,6 +47,7 @@
 	f.IntVar(&w.events, "events", 50, "events of a stream")
 	f.BoolVar(&w.unframed, "unframed", false, "streams have no length and end with their channel")
 	f.StringVar(&w.crashOn, "crash-on", "", "a request whose path has this text crashes the server as it begins to run it")
+	f.StringVar(&w.crashPart, "crash-part", "", "a part of prompts that crashes the server once it has begun to write an unframed answer on it")
 	_ = f.Parse(args)
 	var err error
 	if w.log, err = os.OpenFile(*record, os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o644); err != nil {
@@ -187,6 +189,10 @@
 		if send(head) != nil {
 			return
 		}
+		if w.crashPart != "" && strings.Contains(r.Header.Get("Prompt-Prefix"), w.crashPart) {
+			w.note("crashes with %s", id)
+			os.Exit(3)
+		}
 	} else {
 		rw.Header().Set("Content-Type", "text/event-stream")
 	}
