--- a/review/stand/site.go
+++ b/review/stand/site.go
@@ -17,8 +17,15 @@
 
 func stamp() string { return time.Now().Format("15:04:05.000") }
 
+// current is the site of the case that runs.
+var current *site
+
+// fatal ends a case that cannot run, with all processes that it has started.
 func fatal(err error) {
 	fmt.Fprintln(os.Stderr, "review:", err)
+	if current != nil {
+		current.finish(2, "could not run: "+err.Error())
+	}
 	os.Exit(2)
 }
 
@@ -64,6 +71,7 @@
 	}
 	s := &site{dir: dir, gateway: gateway, store: newStore(), record: f, procs: map[*proc]bool{},
 		trouble: os.Getenv("TROUBLE") != "0", port: 21000 + os.Getpid()%9000}
+	current = s
 	s.storeAddr = s.free()
 	l, err := net.Listen("tcp", s.storeAddr)
 	if err != nil {
@@ -97,20 +105,22 @@
 func (s *site) start(name string, mk func() *exec.Cmd) *proc {
 	p := &proc{name: name, make: mk}
 	s.mu.Lock()
-	s.procs[p] = true
+	if s.procs != nil {
+		s.procs[p] = true
+	}
 	s.mu.Unlock()
 	p.run()
 	return p
 }
 
 func (p *proc) run() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
 	cmd, done := p.make(), make(chan struct{})
 	if err := cmd.Start(); err != nil {
 		fatal(err)
 	}
+	p.mu.Lock()
 	p.cmd, p.done = cmd, done
+	p.mu.Unlock()
 	go func() {
 		_ = cmd.Wait()
 		close(done)
@@ -126,7 +136,9 @@
 func (p *proc) signal(sig syscall.Signal) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	_ = p.cmd.Process.Signal(sig)
+	if p.cmd != nil {
+		_ = p.cmd.Process.Signal(sig)
+	}
 }
 
 // kill kills the process and waits for its end.
@@ -136,7 +148,9 @@
 	p.mu.Lock()
 	done := p.done
 	p.mu.Unlock()
-	<-done
+	if done != nil {
+		<-done
+	}
 }
 
 // finish ends all processes, writes the verdict and exits.
