--- a/review/stand/site.go
+++ b/review/stand/site.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -70,7 +71,7 @@
 		fatal(err)
 	}
 	s := &site{dir: dir, gateway: gateway, store: newStore(), record: f, procs: map[*proc]bool{},
-		trouble: os.Getenv("TROUBLE") != "0", port: 21000 + os.Getpid()%9000}
+		trouble: os.Getenv("TROUBLE") != "0", port: 20000 + rand.IntN(11000)}
 	current = s
 	s.storeAddr = s.free()
 	l, err := net.Listen("tcp", s.storeAddr)
