--- a/review/stand/site.go
+++ b/review/stand/site.go
@@ -37,6 +37,9 @@
 	storeAddr    string
 	trouble      bool
 
+	// ending is taken by the first finish and never released.
+	ending sync.Mutex
+
 	mu     sync.Mutex
 	record *os.File
 	procs  map[*proc]bool
@@ -105,12 +108,15 @@
 // start starts a process.
 func (s *site) start(name string, mk func() *exec.Cmd) *proc {
 	p := &proc{name: name, make: mk}
+	p.run()
 	s.mu.Lock()
-	if s.procs != nil {
-		s.procs[p] = true
+	if s.procs == nil {
+		s.mu.Unlock()
+		p.kill()
+		return p
 	}
+	s.procs[p] = true
 	s.mu.Unlock()
-	p.run()
 	return p
 }
 
@@ -156,6 +162,7 @@
 
 // finish ends all processes, writes the verdict and exits.
 func (s *site) finish(code int, verdict string) {
+	s.ending.Lock()
 	s.note("verdict: %s", verdict)
 	fmt.Println(verdict)
 	s.mu.Lock()
