Follow: a current list of servers does not vouch for the configuration

Cause: one age, that of the list, decided for both records whether a daemon receives changes from another one.

A revision that a daemon lacks confirms nothing, so a fetch that blocks does not delay the change beyond the bound either.

Evidence: TestConfigurationIsReadThoughTheListIsConfirmed failed before (revision 1 instead of 2 after 2.5 s) and passes now. TestConfigurationIsConfirmedByItsReader holds the other side: daemons do not all read what one of them reads.

--- a/core/mangobroker/exchange.go
+++ b/core/mangobroker/exchange.go
@@ -71,6 +71,9 @@
 	Reads mangofleet.Reads
 	// Revision is the revision of the sender's configuration.
 	Revision mangomodel.Revision
+	// RevisionAge is the time since the sender knew that revision to be the newest one,
+	// in a response only. Zero means never.
+	RevisionAge time.Duration
 	// List is the sender's position in the list of servers. In a response, it
 	// brings a receiver that is a few changes behind to that position. A receiver
 	// that is further behind fetches a snapshot.
@@ -197,6 +200,9 @@
 	response.List = response.List.Delayed(took)
 	response.List.Age += took
 	response.Reads = response.Reads.Delayed(took)
+	if response.RevisionAge > 0 {
+		response.RevisionAge += took
+	}
 	return response, b.applyMessage(ctx, response)
 }
 
@@ -342,6 +348,7 @@
 	msg.Reads = view.Reads(time.Now())
 	if view.Routing != nil {
 		msg.Revision = view.Routing.Revision
+		msg.RevisionAge = max(time.Since(view.RoutingRead), 1)
 	}
 	position, isRequest := view.ListCursor, received.From.Holder.Daemon == ""
 	if !isRequest {
@@ -375,7 +382,7 @@
 	// The list of a request is not applied. It may be older than its age says,
 	// since the request may have been delayed in transit. Responses arrive within
 	// exchangeTimeout or not at all.
-	msg.List.Changes, msg.List.Full = nil, false
+	msg.List.Changes, msg.List.Full, msg.RevisionAge = nil, false, 0
 	position := msg.List.Cursor
 	msg.List.Cursor = 0
 	if err := b.applyMessage(ctx, msg); err != nil {
@@ -414,6 +421,11 @@
 			return err
 		}
 	}
+	if msg.RevisionAge > 0 {
+		if err := b.fleet.Do(ctx, mangofleet.RoutingConfirmed{Revision: msg.Revision, Age: msg.RevisionAge}); err != nil {
+			return err
+		}
+	}
 	if err := b.applyList(ctx, msg); err != nil {
 		return err
 	}
--- a/core/mangobroker/fetch.go
+++ b/core/mangobroker/fetch.go
@@ -34,6 +34,8 @@
 type Snapshot struct {
 	// Routing is nil if the other daemon has the same revision or a newer one.
 	Routing *mangotraffic.Document
+	// RoutingAge is the time since the daemon knew its configuration to be the newest one.
+	RoutingAge time.Duration
 	// List is the whole list or the changes to it. Its cursor is 0 if the other
 	// daemon is up to date or the list of this daemon is stale.
 	List mangofleet.ChangeServers
@@ -85,7 +87,7 @@
 	view, now := b.fleet.View(), time.Now()
 	var s Snapshot
 	if view.Routing != nil && view.Routing.Revision > other.Revision {
-		s.Routing = view.Routing.Document()
+		s.Routing, s.RoutingAge = view.Routing.Document(), now.Sub(view.RoutingRead)
 	}
 	if view.ListCursor <= other.Cursor || view.Stale(now) {
 		return s
@@ -162,9 +164,9 @@
 		return err
 	}
 	from := mangomodel.PeerName(m.Holder.Daemon)
+	// The state may have aged for as long as the call took.
+	took := mangomodel.Elapsed(start, time.Now())
 	if snapshot.List.Cursor > 0 {
-		// The list may have aged for as long as the call took.
-		took := mangomodel.Elapsed(start, time.Now())
 		snapshot.List = snapshot.List.Delayed(took)
 		snapshot.List.Age += took
 		snapshot.List.From = from
@@ -172,10 +174,10 @@
 			return err
 		}
 	}
-	return b.installRouting(ctx, snapshot.Routing, from)
+	return b.installRouting(ctx, snapshot.Routing, snapshot.RoutingAge+took, from)
 }
 
-func (b *Broker) installRouting(ctx context.Context, document *mangotraffic.Document, from mangomodel.PeerName) error {
+func (b *Broker) installRouting(ctx context.Context, document *mangotraffic.Document, age time.Duration, from mangomodel.PeerName) error {
 	if document == nil {
 		return nil
 	}
@@ -183,7 +185,7 @@
 	if err != nil {
 		return err
 	}
-	err = b.fleet.Do(ctx, mangofleet.InstallRouting{Routing: routing, From: from})
+	err = b.fleet.Do(ctx, mangofleet.InstallRouting{Routing: routing, Age: age, From: from})
 	if mangomodel.HasCode(err, mangomodel.CodeConflict) {
 		// A newer revision was installed in the meantime.
 		return nil
--- a/core/mangobroker/outage_test.go
+++ b/core/mangobroker/outage_test.go
@@ -9,11 +9,12 @@
 
 	"mangolane/core/mangofleet"
 	"mangolane/core/mangomodel"
+	"mangolane/core/mangopool"
 	"mangolane/core/mangotraffic"
 )
 
 // TestDaemonsDoNotKeepAListCurrentByExchanges guards against two daemons that confirm an
-// old list to each other.
+// old list, or an old configuration, to each other.
 func TestDaemonsDoNotKeepAListCurrentByExchanges(t *testing.T) {
 	bubble(t, func(g *gomega.WithT, _ context.Context, m *mesh) {
 		m.delay = 100 * time.Millisecond
@@ -24,10 +25,42 @@
 		time.Sleep(passed)
 		for _, d := range []*daemon{a, b} {
 			g.Expect(time.Since(d.fleet.View().ListRead)).To(gomega.BeNumerically(">=", passed))
+			g.Expect(time.Since(d.fleet.View().RoutingRead)).To(gomega.BeNumerically(">=", passed))
 		}
 	})
 }
 
+// TestConfigurationIsConfirmedByItsReader guards against daemons that all read the
+// configuration although another one does, and against one that takes a revision which it
+// lacks for its own.
+func TestConfigurationIsConfirmedByItsReader(t *testing.T) {
+	bubble(t, func(g *gomega.WithT, ctx context.Context, m *mesh) {
+		const readInterval = 500 * time.Millisecond
+		a, b := m.start("a", 1, "b"), m.start("b", 1, "a")
+		a.configure(g)
+		b.configure(g)
+		for range 8 {
+			time.Sleep(readInterval)
+			for _, d := range []*daemon{a, b} {
+				if d.scheduler() == "a" {
+					g.Expect(a.fleet.Do(ctx, mangofleet.RoutingUnchanged{})).To(gomega.Succeed())
+				} else {
+					g.Expect(b.fleet.Do(ctx, mangofleet.RoutingUnchanged{})).To(gomega.Succeed())
+				}
+			}
+			a.readList(g)
+		}
+		for _, d := range []*daemon{a, b} {
+			g.Expect(time.Since(d.fleet.View().RoutingRead)).To(gomega.BeNumerically("<=", readInterval+mangopool.RenewInterval))
+		}
+		newer := mangofleet.RoutingConfirmed{Revision: 4}
+		time.Sleep(time.Second)
+		before := b.fleet.View().RoutingRead
+		g.Expect(b.fleet.Do(ctx, newer)).To(gomega.Succeed())
+		g.Expect(b.fleet.View().RoutingRead).To(gomega.Equal(before))
+	})
+}
+
 // TestGraceNeedsFailedReadsOfOthers guards against a removed server that all daemons use
 // for longer because one of them could not read the list.
 func TestGraceNeedsFailedReadsOfOthers(t *testing.T) {
--- a/core/mangofleet/fleet.go
+++ b/core/mangofleet/fleet.go
@@ -124,6 +124,8 @@
 	// ListRead is when the server list was last known to be current; zero if
 	// no list was received yet.
 	ListRead time.Time
+	// RoutingRead is when the configuration was last known to be current.
+	RoutingRead time.Time
 	// ListCursor and RoutingCursor are the positions reached in the platform's
 	// records.
 	ListCursor, RoutingCursor mangotraffic.Cursor
@@ -171,18 +173,26 @@
 	defaultScheduler mangoroster.Member
 }
 
-// FollowsScheduler reports whether this daemon receives changes from a scheduler
-// and need not read the platform's records itself.
+// FollowsScheduler reports whether this daemon receives changes of the list of servers
+// from a scheduler and need not read the list itself.
 func (v *View) FollowsScheduler(now time.Time) bool {
-	if v.Routing == nil || mangomodel.Elapsed(v.ListRead, now) > maxReceivedListAge {
-		return false
-	}
+	return v.Routing != nil && mangomodel.Elapsed(v.ListRead, now) <= maxReceivedListAge && !v.schedules()
+}
+
+// FollowsRouting reports whether this daemon receives the configuration from a scheduler
+// and need not read it itself. A scheduler may be able to read only one of the records.
+func (v *View) FollowsRouting(now time.Time) bool {
+	return v.Routing != nil && mangomodel.Elapsed(v.RoutingRead, now) <= maxReceivedListAge && !v.schedules()
+}
+
+// schedules reports whether this daemon is the scheduler of a service.
+func (v *View) schedules() bool {
 	for _, list := range v.schedulers {
 		if len(list) > 0 && list[0].Holder.Daemon == v.self {
-			return false
+			return true
 		}
 	}
-	return true
+	return false
 }
 
 // Unsynced reports whether the configuration or the server list has not been
--- a/core/mangofleet/list.go
+++ b/core/mangofleet/list.go
@@ -16,6 +16,8 @@
 	// Cursor is the position in the platform's record at which it was read;
 	// zero if it came from another daemon.
 	Cursor mangotraffic.Cursor
+	// Age is the time since it was known to be current.
+	Age time.Duration
 	// From is the peer that it was received from.
 	From mangomodel.PeerName
 }
@@ -31,6 +33,7 @@
 		s.observer.RoutingChanged(c.Routing.Revision, c.From)
 	}
 	s.routing = c.Routing
+	s.confirmRouting(c.Age, now)
 	s.pool.Configure(c.Routing)
 	s.replySynced()
 	s.serveQueue(now)
@@ -38,14 +41,41 @@
 }
 
 // RoutingUnchanged records that the configuration has not changed up to a cursor.
-type RoutingUnchanged struct{ Cursor mangotraffic.Cursor }
+type RoutingUnchanged struct {
+	Cursor mangotraffic.Cursor
+	// Age is the time since the record was read.
+	Age time.Duration
+}
 
 // Apply implements [Command].
-func (c RoutingUnchanged) Apply(s *state, _ time.Time) error {
+func (c RoutingUnchanged) Apply(s *state, now time.Time) error {
 	s.routingCursor = max(s.routingCursor, c.Cursor)
+	s.confirmRouting(c.Age, now)
+	return nil
+}
+
+// RoutingConfirmed records that another daemon knew a revision to be the newest one some
+// time ago. It has no effect before this daemon has that revision.
+type RoutingConfirmed struct {
+	Revision mangomodel.Revision
+	Age      time.Duration
+}
+
+// Apply implements [Command].
+func (c RoutingConfirmed) Apply(s *state, now time.Time) error {
+	if s.routing != nil && s.routing.Revision >= c.Revision {
+		s.confirmRouting(c.Age, now)
+	}
 	return nil
 }
 
+// confirmRouting records that the configuration was current at an age.
+func (s *state) confirmRouting(age time.Duration, now time.Time) {
+	if read := now.Add(-age); read.After(s.routingRead) {
+		s.routingRead = read
+	}
+}
+
 // ChangeServers applies changes of the server list.
 type ChangeServers struct {
 	Changes []mangotraffic.ServerChange
--- a/core/mangofleet/member.go
+++ b/core/mangofleet/member.go
@@ -12,8 +12,8 @@
 	// maxListAge is how old a scheduler's list may be: the duration of a read
 	// without changes plus that of a failed one.
 	maxListAge = 1200 * time.Millisecond
-	// maxReceivedListAge is how old a list received from a scheduler may be: the
-	// age of the scheduler's list plus a renewal interval.
+	// maxReceivedListAge is how old a list or a configuration received from a scheduler
+	// may be: the age of the scheduler's list plus a renewal interval.
 	maxReceivedListAge = maxListAge + mangopool.RenewInterval
 	// maxCandidates is how many scheduler candidates of a service an exchange
 	// message names. The scheduler itself receives messages from all daemons.
--- a/core/mangofleet/state.go
+++ b/core/mangofleet/state.go
@@ -52,6 +52,8 @@
 	suspects   *mangocrash.Table
 	quarantine *mangoquarantine.Tracker
 	listRead   time.Time
+	// routingRead is when the configuration was last known to be current.
+	routingRead time.Time
 	// readFailed is when this daemon last failed to read the list. outages decides how
 	// long servers whose entries vanished are still used.
 	readFailed time.Time
@@ -132,7 +134,7 @@
 func (s *state) View(last *View, now time.Time) *View {
 	v := &View{
 		Routing: s.routing, Draining: s.draining, Waiting: len(s.queue), Leases: s.pool.Leases(),
-		ListRead: s.listRead, granted: s.pool.Granted(), allowances: s.allowances,
+		ListRead: s.listRead, RoutingRead: s.routingRead, granted: s.pool.Granted(), allowances: s.allowances,
 		ListCursor: s.listCursor, RoutingCursor: s.routingCursor, journal: s.journal, self: s.self.Holder.Daemon,
 		Announced: s.announced, readFailed: s.readFailed, returned: s.outages.Returned(),
 	}
--- a/core/mangofollow/follow.go
+++ b/core/mangofollow/follow.go
@@ -118,19 +118,21 @@
 func (f *Follower) Run(ctx context.Context) {
 	sleep(ctx, startDelay)
 	var running sync.WaitGroup
-	running.Go(func() { f.follow(ctx, RecordRouting, f.readRouting) })
-	running.Go(func() { f.follow(ctx, RecordServers, f.readServers) })
+	running.Go(func() { f.follow(ctx, RecordRouting, (*mangofleet.View).FollowsRouting, f.readRouting) })
+	running.Go(func() { f.follow(ctx, RecordServers, (*mangofleet.View).FollowsScheduler, f.readServers) })
 	running.Wait()
 }
 
 // read is one read of a record. It returns whether the record has changed.
 type read func(ctx context.Context) (bool, error)
 
-func (f *Follower) follow(ctx context.Context, record Record, next read) {
+// follow keeps a record current. It does not read while received reports that
+// changes of the record arrive from another daemon.
+func (f *Follower) follow(ctx context.Context, record Record, received func(v *mangofleet.View, now time.Time) bool, next read) {
 	var lostAt time.Time
 	started, pause := time.Now(), minBackoff
 	for ctx.Err() == nil {
-		if view, now := f.fleet.View(), time.Now(); view.FollowsScheduler(now) || view.DefersInitialSync() && now.Sub(started) < initialSyncWait {
+		if view, now := f.fleet.View(), time.Now(); received(view, now) || view.DefersInitialSync() && now.Sub(started) < initialSyncWait {
 			sleep(ctx, idleInterval)
 			continue
 		}
@@ -170,18 +172,21 @@
 }
 
 func (f *Follower) readRouting(ctx context.Context) (bool, error) {
+	began := time.Now()
 	after := f.fleet.View().RoutingCursor
 	routing, to, err := f.source.Routing(ctx, after, longPollWait)
 	if errors.Is(err, ErrCursorExpired) {
+		after = 0
 		routing, to, err = f.source.Routing(ctx, 0, 0)
 	}
 	if err != nil {
 		return false, err
 	}
+	age := ageOfRead(began, after)
 	if routing == nil {
-		return false, f.fleet.Do(ctx, mangofleet.RoutingUnchanged{Cursor: to})
+		return false, f.fleet.Do(ctx, mangofleet.RoutingUnchanged{Cursor: to, Age: age})
 	}
-	err = f.fleet.Do(ctx, mangofleet.InstallRouting{Routing: routing, Cursor: to, From: platform})
+	err = f.fleet.Do(ctx, mangofleet.InstallRouting{Routing: routing, Cursor: to, Age: age, From: platform})
 	if err != nil {
 		f.observer.RoutingRejected(routing.Revision, err)
 	}
@@ -203,12 +208,17 @@
 	if err != nil {
 		return false, err
 	}
-	cmd := mangofleet.ChangeServers{Changes: changes, Full: after == 0, Cursor: to, From: platform}
-	// A response that is older than a read may take lay in a suspended host.
+	cmd := mangofleet.ChangeServers{Changes: changes, Full: after == 0, Cursor: to, Age: ageOfRead(began, after), From: platform}
+	return len(changes) > 0, f.fleet.Do(ctx, cmd)
+}
+
+// ageOfRead returns the age of what a read has returned that began at a time. A response
+// that is older than a read for changes may take lay in a suspended host.
+func ageOfRead(began time.Time, after mangotraffic.Cursor) time.Duration {
 	if took := mangomodel.Elapsed(began, time.Now()); after != 0 && took > maxFollow {
-		cmd.Age = took
+		return took
 	}
-	return len(changes) > 0, f.fleet.Do(ctx, cmd)
+	return 0
 }
 
 // sleep waits until d has passed or ctx ends.
--- a/core/mangofollow/follow_test.go
+++ b/core/mangofollow/follow_test.go
@@ -314,6 +314,31 @@
 	}
 }
 
+// TestConfigurationIsReadThoughTheListIsConfirmed guards against a daemon that takes a
+// current list of servers for a current configuration: the scheduler, which reads both
+// records for it, can follow only the list.
+func TestConfigurationIsReadThoughTheListIsConfirmed(t *testing.T) {
+	const bound = 2500 * time.Millisecond
+	scheduler := mangoroster.Member{Holder: mangomodel.Holder{Daemon: "c"}, DataCentre: "a1", Address: "c", Strong: true}
+	follow(t, func(g *gomega.WithT, s *source, fleet *mangofleet.Fleet, _ *watcher) {
+		confirm := func() {
+			g.Expect(fleet.Do(context.Background(), mangofleet.UpdateMembers{Sightings: []mangoroster.Sighting{{Member: scheduler}}})).To(gomega.Succeed())
+			g.Expect(fleet.Do(context.Background(), mangofleet.ChangeServers{Cursor: fleet.View().ListCursor})).To(gomega.Succeed())
+		}
+		confirmFor := func(d time.Duration) {
+			for began := time.Now(); time.Since(began) < d; time.Sleep(100 * time.Millisecond) {
+				confirm()
+			}
+		}
+		// The last reads end.
+		confirmFor(2 * longPollWait)
+		g.Expect(fleet.View().FollowsScheduler(time.Now())).To(gomega.BeTrue())
+		s.change(func() { s.revision = 2 })
+		confirmFor(bound)
+		g.Expect(fleet.View().Routing.Revision).To(gomega.BeEquivalentTo(2))
+	})
+}
+
 // TestUnchangedRecordsAreNotReadInALoop checks that reads of records without
 // changes wait for the duration of the long poll.
 func TestUnchangedRecordsAreNotReadInALoop(t *testing.T) {
