Follow: a slow store is not taken for an unreachable one

Cause: a read failed after 500 ms without data, whatever came before, so that a store slower than that was never read.

Change: the follower, not the adapter, decides how long a read may go without data (patience). The limit doubles up to 1.5 s after a read for which the store had accepted the connection and not responded, follows the delay of reads without changes, and is 500 ms again after the first read that is not slow, since a change must be in force within 2.5 s while the store is sound. Failed connections do not raise it, so the return after a silent outage is noticed as before.

--- a/core/mangofollow/follow.go
+++ b/core/mangofollow/follow.go
@@ -28,14 +28,12 @@
 )
 
 const (
-	// longPollWait is how long a read waits for changes. A source adds its own
-	// limit for a connection without data. A change has to be active within 2.5 s,
-	// so after both times the other daemons still have to read and apply the
-	// changes that they missed.
+	// longPollWait is how long a read waits for changes. A change has to be active
+	// within 2.5 s, so after this and the longest time without data the other daemons
+	// still have to read and apply the changes that they missed.
 	longPollWait = 500 * time.Millisecond
-	// maxFollow is how long a read for changes takes at most: its wait and the longest time
-	// without data.
-	maxFollow = longPollWait + 500*time.Millisecond
+	// maxFollow is how long a read for changes from a store that is not slow takes at most.
+	maxFollow = longPollWait + minPatience
 	// readTimeout bounds a whole read. When all daemons start at once, some
 	// dozens of them read some hundred KB each over a link between regions that
 	// carries a few MB a second.
@@ -64,11 +62,11 @@
 var ErrCursorExpired = errors.New("the changes after the cursor are no longer kept")
 
 // Source reads records. With a zero cursor it reads the whole record at once;
-// else it waits for changes after the cursor, at most for wait.
+// else it waits for changes after the cursor.
 type Source interface {
 	// Routing returns nil if nothing has changed.
-	Routing(ctx context.Context, after mangotraffic.Cursor, wait time.Duration) (*mangotraffic.Routing, mangotraffic.Cursor, error)
-	Servers(ctx context.Context, after mangotraffic.Cursor, wait time.Duration) ([]mangotraffic.ServerChange, mangotraffic.Cursor, error)
+	Routing(ctx context.Context, after mangotraffic.Cursor, w Wait) (*mangotraffic.Routing, mangotraffic.Cursor, error)
+	Servers(ctx context.Context, after mangotraffic.Cursor, w Wait) ([]mangotraffic.ServerChange, mangotraffic.Cursor, error)
 }
 
 // Fleet applies the commands of a Follower.
@@ -124,20 +122,24 @@
 }
 
 // read is one read of a record. It returns whether the record has changed.
-type read func(ctx context.Context) (bool, error)
+type read func(ctx context.Context, w Wait) (bool, error)
 
 // follow keeps a record current. It does not read while received reports that
 // changes of the record arrive from another daemon.
 func (f *Follower) follow(ctx context.Context, record Record, received func(v *mangofleet.View, now time.Time) bool, next read) {
 	var lostAt time.Time
-	started, pause := time.Now(), minBackoff
+	started, pause, patience := time.Now(), minBackoff, newPatience()
 	for ctx.Err() == nil {
 		if view, now := f.fleet.View(), time.Now(); received(view, now) || view.DefersInitialSync() && now.Sub(started) < initialSyncWait {
 			sleep(ctx, idleInterval)
 			continue
 		}
-		changed, err := f.readOnce(ctx, next)
+		began, w := time.Now(), patience.wait(longPollWait)
+		changed, err := f.readOnce(ctx, w, next)
 		if err == nil {
+			if !changed {
+				patience.unchanged(w, time.Since(began))
+			}
 			if !lostAt.IsZero() {
 				f.observer.PlatformRegained(record, time.Since(lostAt))
 			}
@@ -150,6 +152,7 @@
 		if ctx.Err() != nil {
 			return
 		}
+		patience.failed(w, time.Since(began), err)
 		if lostAt.IsZero() {
 			lostAt = time.Now()
 			f.observer.PlatformLost(record, err)
@@ -164,20 +167,20 @@
 }
 
 // readOnce makes one read. A panic counts as a failed read.
-func (f *Follower) readOnce(ctx context.Context, next read) (changed bool, err error) {
+func (f *Follower) readOnce(ctx context.Context, w Wait, next read) (changed bool, err error) {
 	defer mangopanic.CatchError(f.observer, "read of the platform's records", &err)
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
-	return next(ctx)
+	return next(ctx, w)
 }
 
-func (f *Follower) readRouting(ctx context.Context) (bool, error) {
+func (f *Follower) readRouting(ctx context.Context, w Wait) (bool, error) {
 	began := time.Now()
 	after := f.fleet.View().RoutingCursor
-	routing, to, err := f.source.Routing(ctx, after, longPollWait)
+	routing, to, err := f.source.Routing(ctx, after, w)
 	if errors.Is(err, ErrCursorExpired) {
 		after = 0
-		routing, to, err = f.source.Routing(ctx, 0, 0)
+		routing, to, err = f.source.Routing(ctx, 0, Wait{Data: w.Data})
 	}
 	if err != nil {
 		return false, err
@@ -197,13 +200,13 @@
 	return true, err
 }
 
-func (f *Follower) readServers(ctx context.Context) (bool, error) {
+func (f *Follower) readServers(ctx context.Context, w Wait) (bool, error) {
 	began := time.Now()
 	after := f.fleet.View().ListCursor
-	changes, to, err := f.source.Servers(ctx, after, longPollWait)
+	changes, to, err := f.source.Servers(ctx, after, w)
 	if errors.Is(err, ErrCursorExpired) {
 		after = 0
-		changes, to, err = f.source.Servers(ctx, 0, 0)
+		changes, to, err = f.source.Servers(ctx, 0, Wait{Data: w.Data})
 	}
 	if err != nil {
 		return false, err
--- a/core/mangofollow/follow_test.go
+++ b/core/mangofollow/follow_test.go
@@ -64,8 +64,8 @@
 	return changed, nil
 }
 
-func (s *source) Routing(ctx context.Context, after mangotraffic.Cursor, wait time.Duration) (*mangotraffic.Routing, mangotraffic.Cursor, error) {
-	changed, err := s.wait(ctx, after, wait)
+func (s *source) Routing(ctx context.Context, after mangotraffic.Cursor, w Wait) (*mangotraffic.Routing, mangotraffic.Cursor, error) {
+	changed, err := s.wait(ctx, after, w.Changes)
 	if err != nil || !changed {
 		return nil, after, err
 	}
@@ -75,8 +75,8 @@
 	return r, s.cursor, err
 }
 
-func (s *source) Servers(ctx context.Context, after mangotraffic.Cursor, wait time.Duration) ([]mangotraffic.ServerChange, mangotraffic.Cursor, error) {
-	changed, err := s.wait(ctx, after, wait)
+func (s *source) Servers(ctx context.Context, after mangotraffic.Cursor, w Wait) ([]mangotraffic.ServerChange, mangotraffic.Cursor, error) {
+	changed, err := s.wait(ctx, after, w.Changes)
 	if err != nil {
 		return nil, after, err
 	}
--- a/mangostand/mangotable/http.go
+++ b/mangostand/mangotable/http.go
@@ -151,6 +151,7 @@
 }
 
 func (s *Store) respond(w http.ResponseWriter, status int, p page) {
+	time.Sleep(s.currentLatency())
 	p.Now = time.Since(s.started).Milliseconds()
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
--- a/mangostand/mangotable/store.go
+++ b/mangostand/mangotable/store.go
@@ -51,6 +51,7 @@
 	// oldest is the version before the first change in the history.
 	oldest, version uint64
 	outage          Outage
+	latency         time.Duration
 	// changed is closed at the next change.
 	changed chan struct{}
 }
@@ -89,6 +90,19 @@
 	s.outage = o
 }
 
+// SetLatency sets how much later all responses are sent.
+func (s *Store) SetLatency(d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.latency = d
+}
+
+func (s *Store) currentLatency() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.latency
+}
+
 func (s *Store) change(rows []Row) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
