Times: the parts of a change's time are divided from its bound

What users could not see: whether the times of the poll, the list's age, the renewal and the read are together below drain-ms. They stood in three packages and the adapter, each with a comment of its own, and were right for 2.5 s only.

For 2.5 s and more they are what they were: 1.2 s, 1.45 s, 0.5 s, 2.4 s. Shorter bounds are held from 1.2 s; below that, the shortest times hold.

--- a/core/mangofleet/fleet.go
+++ b/core/mangofleet/fleet.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"mangolane/core/mangobackoff"
+	"mangolane/core/mangobound"
 	"mangolane/core/mangobudget"
 	"mangolane/core/mangocrash"
 	"mangolane/core/mangohealth"
@@ -15,6 +16,7 @@
 	"mangolane/core/mangoleaving"
 	"mangolane/core/mangoloop"
 	"mangolane/core/mangomodel"
+	"mangolane/core/mangooutage"
 	"mangolane/core/mangooutlier"
 	"mangolane/core/mangopanic"
 	"mangolane/core/mangopool"
@@ -67,6 +69,11 @@
 // WithObserver sets the observer of state changes.
 func WithObserver(o Observer) Option { return func(s *state) { s.observer = o } }
 
+// WithTimes sets how old the records may be; the default holds the standard bound.
+func WithTimes(t mangobound.Times) Option {
+	return func(s *state) { s.times, s.outages = t, mangooutage.New(s.self.Holder.Daemon, t.Outage()) }
+}
+
 // New returns a fleet without servers. Its view can be read at once; commands
 // are applied only while Run is running.
 func New(self Self, limits RetryLimits, opts ...Option) *Fleet {
@@ -168,6 +175,7 @@
 	// readFailed is when this daemon last failed to read the list, and returned when the
 	// store returned from its last outage.
 	readFailed, returned time.Time
+	times                mangobound.Times
 	self                 mangomodel.DaemonID
 	// defaultScheduler is the daemon that does the initial sync for the others.
 	defaultScheduler mangoroster.Member
@@ -176,13 +184,13 @@
 // FollowsScheduler reports whether this daemon receives changes of the list of servers
 // from a scheduler and need not read the list itself.
 func (v *View) FollowsScheduler(now time.Time) bool {
-	return v.Routing != nil && mangomodel.Elapsed(v.ListRead, now) <= maxReceivedListAge && !v.schedules()
+	return v.Routing != nil && mangomodel.Elapsed(v.ListRead, now) <= v.times.Received() && !v.schedules()
 }
 
 // FollowsRouting reports whether this daemon receives the configuration from a scheduler
 // and need not read it itself. A scheduler may be able to read only one of the records.
 func (v *View) FollowsRouting(now time.Time) bool {
-	return v.Routing != nil && mangomodel.Elapsed(v.RoutingRead, now) <= maxReceivedListAge && !v.schedules()
+	return v.Routing != nil && mangomodel.Elapsed(v.RoutingRead, now) <= v.times.Received() && !v.schedules()
 }
 
 // schedules reports whether this daemon is the scheduler of a service.
@@ -250,7 +258,7 @@
 }
 
 // Stale reports whether the server list may be out of date.
-func (v *View) Stale(now time.Time) bool { return mangomodel.Elapsed(v.ListRead, now) > maxListAge }
+func (v *View) Stale(now time.Time) bool { return mangomodel.Elapsed(v.ListRead, now) > v.times.Age }
 
 // Scheduler returns the daemon that grants the leases on a service's servers.
 func (v *View) Scheduler(name mangotraffic.ServiceName) (mangoroster.Member, bool) {
--- a/core/mangofleet/list_test.go
+++ b/core/mangofleet/list_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/onsi/gomega"
 
+	"mangolane/core/mangobound"
 	"mangolane/core/mangolease"
 	"mangolane/core/mangomodel"
 	"mangolane/core/mangotraffic"
@@ -130,10 +131,10 @@
 		x.do(ChangeServers{After: 3, Cursor: 4, Changes: []mangotraffic.ServerChange{{ID: "s1"}}})
 		x.Expect(x.fleet.View().Listed).To(gomega.HaveLen(1))
 		x.Expect(x.fleet.View().ListCursor).To(gomega.BeEquivalentTo(2))
-		x.Expect(x.fleet.View().Stale(time.Now().Add(maxListAge))).To(gomega.BeTrue())
+		x.Expect(x.fleet.View().Stale(time.Now().Add(mangobound.Within(mangobound.Standard).Age))).To(gomega.BeTrue())
 		x.do(ChangeServers{After: 2, Cursor: 4})
 		x.Expect(x.fleet.View().ListCursor).To(gomega.BeEquivalentTo(4))
-		x.Expect(x.fleet.View().Stale(time.Now().Add(maxListAge))).To(gomega.BeFalse())
+		x.Expect(x.fleet.View().Stale(time.Now().Add(mangobound.Within(mangobound.Standard).Age))).To(gomega.BeFalse())
 	})
 }
 
--- a/core/mangofleet/state.go
+++ b/core/mangofleet/state.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"mangolane/core/mangobound"
 	"mangolane/core/mangobudget"
 	"mangolane/core/mangocrash"
 	"mangolane/core/mangojournal"
@@ -29,6 +30,7 @@
 // state is the control state. Only the control goroutine accesses it.
 type state struct {
 	self     Self
+	times    mangobound.Times
 	observer Observer
 	routing  *mangotraffic.Routing
 	draining bool
@@ -83,8 +85,10 @@
 const membersInterval = 100 * time.Millisecond
 
 func newState(self Self, limits RetryLimits) *state {
+	times := mangobound.Within(mangobound.Standard)
 	return &state{
 		self:       self,
+		times:      times,
 		observer:   nopObserver{},
 		pool:       mangopool.New(self.Holder, self.Regions),
 		retries:    mangobudget.NewLedger(self.Holder, limits),
@@ -95,7 +99,7 @@
 		roster:     mangoroster.New(self.Holder.Daemon, self.Regions),
 		suspects:   mangocrash.New(),
 		quarantine: mangoquarantine.New(),
-		outages:    mangooutage.New(self.Holder.Daemon),
+		outages:    mangooutage.New(self.Holder.Daemon, times.Outage()),
 		changed:    viewParts{members: true},
 	}
 }
@@ -135,7 +139,7 @@
 	v := &View{
 		Routing: s.routing, Draining: s.draining, Waiting: len(s.queue), Leases: s.pool.Leases(),
 		ListRead: s.listRead, RoutingRead: s.routingRead, granted: s.pool.Granted(), allowances: s.allowances,
-		ListCursor: s.listCursor, RoutingCursor: s.routingCursor, journal: s.journal, self: s.self.Holder.Daemon,
+		ListCursor: s.listCursor, RoutingCursor: s.routingCursor, journal: s.journal, self: s.self.Holder.Daemon, times: s.times,
 		Announced: s.announced, readFailed: s.readFailed, returned: s.outages.Returned(),
 	}
 	if last != nil {
--- a/core/mangofleet/world_test.go
+++ b/core/mangofleet/world_test.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"mangolane/core/mangobound"
 	"mangolane/core/mangobudget"
 	"mangolane/core/mangomodel"
 	"mangolane/core/mangopool"
@@ -24,6 +25,9 @@
 	maxEvents    = 8
 )
 
+// standard are the times of all daemons.
+var standard = mangobound.Within(mangobound.Standard)
+
 // eventKind is what happens to one daemon, or to the store.
 type eventKind int
 
@@ -171,7 +175,7 @@
 	for _, stale := range []bool{false, true} {
 		for k := range n {
 			i := (w.first + k) % n
-			if !w.at(i, now, eventPause, eventDeaf) && (stale || w.age(w.daemons[i], now) <= maxListAge) {
+			if !w.at(i, now, eventPause, eventDeaf) && (stale || w.age(w.daemons[i], now) <= standard.Age) {
 				return i
 			}
 		}
@@ -201,7 +205,7 @@
 func (w *world) read(i int, now time.Duration) {
 	d := w.daemons[i]
 	if d.since < 0 {
-		if i != w.scheduler(now) && w.age(d, now) <= maxReceivedListAge || now < d.nextRead {
+		if i != w.scheduler(now) && w.age(d, now) <= standard.Received() || now < d.nextRead {
 			return
 		}
 		d.since, d.broken = now, false
@@ -249,7 +253,7 @@
 // send plays a response to a daemon.
 func (w *world) send(from, to int, now, transit time.Duration) {
 	x := delivery{to: to, sent: now, due: now + transit, reads: w.reads(from, now), response: true}
-	if w.age(w.daemons[from], now) <= maxListAge {
+	if w.age(w.daemons[from], now) <= standard.Age {
 		x.list, _ = w.view(from).ChangesAfter(w.daemons[to].state.listCursor, w.start.Add(now))
 	}
 	w.flight = append(w.flight, x)
@@ -258,7 +262,7 @@
 // snapshot plays a fetch of the whole list.
 func (w *world) snapshot(from, to int, now time.Duration) {
 	s := w.daemons[from].state
-	if s.listCursor <= w.daemons[to].state.listCursor || w.age(w.daemons[from], now) > maxListAge {
+	if s.listCursor <= w.daemons[to].state.listCursor || w.age(w.daemons[from], now) > standard.Age {
 		return
 	}
 	list, v := w.daemons[from].list(), w.view(from)
--- a/core/mangofollow/follow.go
+++ b/core/mangofollow/follow.go
@@ -21,6 +21,7 @@
 	"sync"
 	"time"
 
+	"mangolane/core/mangobound"
 	"mangolane/core/mangofleet"
 	"mangolane/core/mangomodel"
 	"mangolane/core/mangopanic"
@@ -28,12 +29,6 @@
 )
 
 const (
-	// longPollWait is how long a read waits for changes. A change has to be active
-	// within 2.5 s, so after this and the longest time without data the other daemons
-	// still have to read and apply the changes that they missed.
-	longPollWait = 500 * time.Millisecond
-	// maxFollow is how long a read for changes from a store that is not slow takes at most.
-	maxFollow = longPollWait + minPatience
 	// readTimeout bounds a whole read. When all daemons start at once, some
 	// dozens of them read some hundred KB each over a link between regions that
 	// carries a few MB a second.
@@ -49,9 +44,6 @@
 	// batchDelay is the pause after a change. Servers are often listed one after
 	// the other.
 	batchDelay = 100 * time.Millisecond
-	// idleInterval is how often a daemon that receives changes from others checks
-	// whether it still does.
-	idleInterval = 100 * time.Millisecond
 	// minBackoff and maxBackoff bound the pause after failed reads.
 	minBackoff = 100 * time.Millisecond
 	maxBackoff = 800 * time.Millisecond
@@ -105,11 +97,22 @@
 	fleet    Fleet
 	source   Source
 	observer Observer
+	times    mangobound.Times
 }
 
+// Option configures a Follower.
+type Option func(*Follower)
+
+// WithTimes sets how long reads take; the default holds the standard bound.
+func WithTimes(t mangobound.Times) Option { return func(f *Follower) { f.times = t } }
+
 // New returns a Follower.
-func New(fleet Fleet, source Source, observer Observer) *Follower {
-	return &Follower{fleet: fleet, source: source, observer: observer}
+func New(fleet Fleet, source Source, observer Observer, opts ...Option) *Follower {
+	f := &Follower{fleet: fleet, source: source, observer: observer, times: mangobound.Within(mangobound.Standard)}
+	for _, opt := range opts {
+		opt(f)
+	}
+	return f
 }
 
 // Run follows the source until ctx ends.
@@ -128,13 +131,13 @@
 // changes of the record arrive from another daemon.
 func (f *Follower) follow(ctx context.Context, record Record, received func(v *mangofleet.View, now time.Time) bool, next read) {
 	var lostAt time.Time
-	started, pause, patience := time.Now(), minBackoff, newPatience()
+	started, pause, patience := time.Now(), minBackoff, newPatience(f.times)
 	for ctx.Err() == nil {
 		if view, now := f.fleet.View(), time.Now(); received(view, now) || view.DefersInitialSync() && now.Sub(started) < initialSyncWait {
-			sleep(ctx, idleInterval)
+			sleep(ctx, f.times.Check)
 			continue
 		}
-		began, w := time.Now(), patience.wait(longPollWait)
+		began, w := time.Now(), patience.wait()
 		changed, err := f.readOnce(ctx, w, next)
 		if err == nil {
 			if !changed {
@@ -185,7 +188,7 @@
 	if err != nil {
 		return false, err
 	}
-	age := ageOfRead(began, after)
+	age := f.ageOfRead(began, after)
 	if routing == nil {
 		return false, f.fleet.Do(ctx, mangofleet.RoutingUnchanged{Cursor: to, Age: age})
 	}
@@ -211,14 +214,14 @@
 	if err != nil {
 		return false, err
 	}
-	cmd := mangofleet.ChangeServers{Changes: changes, Full: after == 0, Cursor: to, Age: ageOfRead(began, after), From: platform}
+	cmd := mangofleet.ChangeServers{Changes: changes, Full: after == 0, Cursor: to, Age: f.ageOfRead(began, after), From: platform}
 	return len(changes) > 0, f.fleet.Do(ctx, cmd)
 }
 
 // ageOfRead returns the age of what a read has returned that began at a time. A response
 // that is older than a read for changes may take lay in a suspended host.
-func ageOfRead(began time.Time, after mangotraffic.Cursor) time.Duration {
-	if took := mangomodel.Elapsed(began, time.Now()); after != 0 && took > maxFollow {
+func (f *Follower) ageOfRead(began time.Time, after mangotraffic.Cursor) time.Duration {
+	if took := mangomodel.Elapsed(began, time.Now()); after != 0 && took > f.times.Follow() {
 		return took
 	}
 	return 0
--- a/core/mangofollow/follow_test.go
+++ b/core/mangofollow/follow_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/onsi/gomega"
 
+	"mangolane/core/mangobound"
 	"mangolane/core/mangobudget"
 	"mangolane/core/mangofleet"
 	"mangolane/core/mangomodel"
@@ -36,6 +37,9 @@
 	panics int
 }
 
+// poll is how long a read without changes takes.
+var poll = mangobound.Within(mangobound.Standard).Poll
+
 var errDown = errors.New("down")
 
 // sourceTimeout is how long a failing read takes in addition to its wait.
@@ -173,8 +177,13 @@
 func (w *watcher) counts() (int, int) { w.mu.Lock(); defer w.mu.Unlock(); return w.lost, w.regained }
 
 func follow(t *testing.T, f func(g *gomega.WithT, s *source, fleet *mangofleet.Fleet, w *watcher)) {
+	followWithin(t, mangobound.Standard, f)
+}
+
+// followWithin runs a Follower for a fleet that applies changes within a bound.
+func followWithin(t *testing.T, bound time.Duration, f func(g *gomega.WithT, s *source, fleet *mangofleet.Fleet, w *watcher)) {
 	w := &watcher{}
-	startWith(t, w, func(g *gomega.WithT, s *source, fleet *mangofleet.Fleet, run func()) {
+	startWith(t, w, mangobound.Within(bound), func(g *gomega.WithT, s *source, fleet *mangofleet.Fleet, run func()) {
 		go run()
 		time.Sleep(time.Second)
 		f(g, s, fleet, w)
@@ -182,25 +191,25 @@
 }
 
 func start(t *testing.T, f func(g *gomega.WithT, s *source, fleet *mangofleet.Fleet, run func())) {
-	startWith(t, &watcher{}, f)
+	startWith(t, &watcher{}, mangobound.Within(mangobound.Standard), f)
 }
 
 // startWith runs a fleet. The run function runs a Follower for it until the test
 // ends.
-func startWith(t *testing.T, w *watcher, f func(g *gomega.WithT, s *source, fleet *mangofleet.Fleet, run func())) {
+func startWith(t *testing.T, w *watcher, times mangobound.Times, f func(g *gomega.WithT, s *source, fleet *mangofleet.Fleet, run func())) {
 	synctest.Test(t, func(t *testing.T) {
 		s := &source{revision: 1, cursor: 1, servers: map[mangomodel.ServerID]mangotraffic.Server{"s1": {ID: "s1", Service: "app"}}}
 		self := mangoroster.Member{Holder: mangomodel.Holder{Daemon: "d"}, DataCentre: "a1", Strong: true}
 		fleet := mangofleet.New(mangofleet.Self{Member: self}, func() mangobudget.Limits {
 			return mangobudget.Limits{Window: time.Second}
-		})
+		}, mangofleet.WithTimes(times))
 		ctx, cancel := context.WithCancel(context.Background())
 		defer func() {
 			cancel()
 			synctest.Wait()
 		}()
 		go fleet.Run(ctx)
-		f(gomega.NewWithT(t), s, fleet, func() { New(fleet, s, w).Run(ctx) })
+		f(gomega.NewWithT(t), s, fleet, func() { New(fleet, s, w, WithTimes(times)).Run(ctx) })
 	})
 }
 
@@ -331,7 +340,7 @@
 			}
 		}
 		// The last reads end.
-		confirmFor(2 * longPollWait)
+		confirmFor(2 * poll)
 		g.Expect(fleet.View().FollowsScheduler(time.Now())).To(gomega.BeTrue())
 		s.change(func() { s.revision = 2 })
 		confirmFor(bound)
@@ -339,6 +348,38 @@
 	})
 }
 
+// TestChangeIsAppliedWithinTheBoundIfTheReaderIsCutOff guards against a daemon that goes
+// on relying on the scheduler's reads for so long that a change takes effect too late. The
+// records change right after the last read that the scheduler has reported.
+func TestChangeIsAppliedWithinTheBoundIfTheReaderIsCutOff(t *testing.T) {
+	scheduler := mangoroster.Member{Holder: mangomodel.Holder{Daemon: "c"}, DataCentre: "a1", Address: "c", Strong: true}
+	for _, bound := range []time.Duration{mangobound.Min, 1500 * time.Millisecond, mangobound.Standard, 4 * time.Second} {
+		followWithin(t, bound, func(g *gomega.WithT, s *source, fleet *mangofleet.Fleet, _ *watcher) {
+			ctx, times := context.Background(), mangobound.Within(bound)
+			report := func(age time.Duration) {
+				g.Expect(fleet.Do(ctx, mangofleet.UpdateMembers{Sightings: []mangoroster.Sighting{{Member: scheduler}}})).To(gomega.Succeed())
+				g.Expect(fleet.Do(ctx, mangofleet.ChangeServers{Cursor: fleet.View().ListCursor, Age: age})).To(gomega.Succeed())
+				g.Expect(fleet.Do(ctx, mangofleet.RoutingConfirmed{Revision: 1, Age: age})).To(gomega.Succeed())
+			}
+			for range 20 {
+				report(0)
+				time.Sleep(times.Poll / 2)
+			}
+			read := time.Now()
+			report(0)
+			s.change(func() { s.servers, s.removed, s.revision = nil, []mangomodel.ServerID{"s1"}, 2 })
+			for age := time.Duration(0); age < times.Age; age = time.Since(read) {
+				report(age)
+				time.Sleep(50 * time.Millisecond)
+			}
+			for fleet.View().Routing.Revision < 2 || len(fleet.View().Listed) > 0 {
+				time.Sleep(10 * time.Millisecond)
+			}
+			g.Expect(time.Since(read)).To(gomega.BeNumerically("<=", bound))
+		})
+	}
+}
+
 // TestUnchangedRecordsAreNotReadInALoop checks that reads of records without
 // changes wait for the duration of the long poll.
 func TestUnchangedRecordsAreNotReadInALoop(t *testing.T) {
@@ -349,6 +390,6 @@
 		time.Sleep(10 * time.Second)
 		s.mu.Lock()
 		defer s.mu.Unlock()
-		g.Expect(s.reads - before).To(gomega.BeNumerically("<=", 2*int(10*time.Second/longPollWait)))
+		g.Expect(s.reads - before).To(gomega.BeNumerically("<=", 2*int(10*time.Second/poll)))
 	})
 }
--- a/core/mangofollow/patience.go
+++ b/core/mangofollow/patience.go
@@ -4,17 +4,13 @@
 	"errors"
 	"time"
 
+	"mangolane/core/mangobound"
 	"mangolane/core/mangomodel"
 )
 
-const (
-	// minPatience is the longest time without data from a store that is not slow. A read
-	// that fails has to be repeated within the time in which a change must be in force.
-	minPatience = 500 * time.Millisecond
-	// maxPatience bounds the time without data from a slow store. After an outage, a read
-	// that still waits for a response delays the next one by that time.
-	maxPatience = 1500 * time.Millisecond
-)
+// maxPatience bounds the time without data from a slow store. After an outage, a read that
+// still waits for a response delays the next one by that time.
+const maxPatience = 1500 * time.Millisecond
 
 // Wait bounds a read.
 type Wait struct {
@@ -26,16 +22,19 @@
 
 // patience decides how long a read may go without data: longer once the store has
 // accepted a connection and not responded in time, and as long as it is slow.
-type patience struct{ limit time.Duration }
+type patience struct {
+	times mangobound.Times
+	limit time.Duration
+}
 
-func newPatience() *patience { return &patience{limit: minPatience} }
+func newPatience(t mangobound.Times) *patience { return &patience{times: t, limit: t.Data} }
 
 // wait returns the limits of the next read.
-func (p *patience) wait(changes time.Duration) Wait { return Wait{Changes: changes, Data: p.limit} }
+func (p *patience) wait() Wait { return Wait{Changes: p.times.Poll, Data: p.limit} }
 
 // unchanged records how long a read without changes took.
 func (p *patience) unchanged(w Wait, took time.Duration) {
-	p.limit = min(max(2*(took-w.Changes), minPatience), maxPatience)
+	p.limit = min(max(2*(took-w.Changes), p.times.Data), maxPatience)
 }
 
 // failed records a failed read.
--- a/core/mangofollow/patience_test.go
+++ b/core/mangofollow/patience_test.go
@@ -7,13 +7,15 @@
 
 	"github.com/onsi/gomega"
 
+	"mangolane/core/mangobound"
 	"mangolane/core/mangomodel"
 )
 
 // TestPatience guards against reads that never last as long as a slow store takes, and
 // against reads of a store that is not slow that last longer than a change may take.
 func TestPatience(t *testing.T) {
-	const poll = longPollWait
+	times := mangobound.Within(mangobound.Standard)
+	poll, minPatience := times.Poll, times.Data
 	silent := mangomodel.Faultf(mangomodel.StepConfigure, "", mangomodel.CodeUnavailable, mangomodel.RunUnknown, "no data")
 	unconnected := mangomodel.Faultf(mangomodel.StepConfigure, "", mangomodel.CodeUnavailable, mangomodel.RunNot, "no connection")
 	type step struct {
@@ -36,15 +38,15 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			p := newPatience()
+			p := newPatience(times)
 			for _, s := range test.steps {
-				if w := p.wait(poll); s.err != nil {
+				if w := p.wait(); s.err != nil {
 					p.failed(w, s.took, s.err)
 				} else {
 					p.unchanged(w, s.took)
 				}
 			}
-			gomega.NewWithT(t).Expect(p.wait(poll)).To(gomega.Equal(Wait{Changes: poll, Data: test.limit}))
+			gomega.NewWithT(t).Expect(p.wait()).To(gomega.Equal(Wait{Changes: poll, Data: test.limit}))
 		})
 	}
 }
--- a/core/mangooutage/outage.go
+++ b/core/mangooutage/outage.go
@@ -5,14 +5,14 @@
 // alive. A daemon that cannot read the list does not know whether the store was away
 // or only its own path to it. So each daemon records when any daemon last read the
 // list, and which daemons have failed to read it since. The store was away if nobody
-// read it for [minOutage] and more than one daemon failed to, or the only one did.
+// read it for some time and more than one daemon failed to, or the only one did.
 //
 // An outage ends with the first read by any daemon, whichever daemon learns of it. The
 // grace of the entries that were lost in it begins there.
 //
 // # Usage
 //
-//	r := mangooutage.New(self)
+//	r := mangooutage.New(self, 2400*time.Millisecond)
 //	r.Failed(self, now)
 //	r.Failed(other, now.Add(-age))
 //	r.Read(now, others)
@@ -26,10 +26,6 @@
 )
 
 const (
-	// minOutage is the time without a read after which the store may have been away.
-	// Within it, a daemon that receives the list from one that was cut off begins to
-	// read the list itself, and its success is known to the others.
-	minOutage = 2400 * time.Millisecond
 	// relistTime is how long live servers whose entries expired take to be listed again
 	// once the store is back. A server that is still missing then is removed.
 	relistTime = 2 * time.Second
@@ -77,17 +73,20 @@
 // no goroutine: its owner passes in the time.
 type Record struct {
 	self mangomodel.DaemonID
+	// minOutage is the time without a read after which the store may have been away.
+	minOutage time.Duration
 	// read is the last read by any daemon.
 	read time.Time
 	// failed holds the failed reads since then.
 	failed failures
-	// last is the last gap of at least minOutage.
+	// last is the last gap that may have been an outage.
 	last gap
 }
 
-// New returns a record without reads.
-func New(self mangomodel.DaemonID) *Record {
-	return &Record{self: self, failed: make(failures)}
+// New returns a record without reads. The store may have been away if nobody read the list
+// for minOutage.
+func New(self mangomodel.DaemonID, minOutage time.Duration) *Record {
+	return &Record{self: self, minOutage: minOutage, failed: make(failures)}
 }
 
 // Failed records that a daemon failed to read the list at a time.
@@ -105,7 +104,7 @@
 		r.split(at)
 		return
 	}
-	if !r.read.IsZero() && at.Sub(r.read) >= minOutage {
+	if !r.read.IsZero() && at.Sub(r.read) >= r.minOutage {
 		r.last = gap{from: r.read, to: at, failed: r.failed.within(r.read, at), alone: others == 0}
 	}
 	if len(r.failed) > 0 {
@@ -119,7 +118,7 @@
 	if !at.After(r.last.from) || !at.Before(r.last.to) {
 		return
 	}
-	if at.Sub(r.last.from) >= minOutage {
+	if at.Sub(r.last.from) >= r.minOutage {
 		r.last.to = at
 	} else {
 		r.last.from = at
@@ -129,7 +128,7 @@
 
 // Returned returns when the store returned from the last outage; zero if there was none.
 func (r *Record) Returned() time.Time {
-	if r.last.to.Sub(r.last.from) < minOutage || !r.witnessed() {
+	if r.last.to.Sub(r.last.from) < r.minOutage || !r.witnessed() {
 		return time.Time{}
 	}
 	return r.last.to
--- a/core/mangooutage/outage_test.go
+++ b/core/mangooutage/outage_test.go
@@ -16,7 +16,10 @@
 }
 
 func TestGrace(t *testing.T) {
-	const none = -1
+	const (
+		none      = -1
+		minOutage = 2400 * time.Millisecond
+	)
 	tests := []struct {
 		name   string
 		others int
@@ -46,7 +49,7 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			start := time.Now()
-			r := New("a")
+			r := New("a", minOutage)
 			for _, s := range test.steps {
 				if s.failed != "" {
 					r.Failed(s.failed, start.Add(s.at))
--- a/mangolaned/mangogateway/gateway.go
+++ b/mangolaned/mangogateway/gateway.go
@@ -19,6 +19,7 @@
 	"github.com/zeromicro/go-zero/rest"
 	"go.uber.org/zap"
 
+	"mangolane/core/mangobound"
 	"mangolane/core/mangobroker"
 	"mangolane/core/mangobudget"
 	"mangolane/core/mangofleet"
@@ -83,9 +84,10 @@
 	current.Store(&s)
 	m := newMetrics()
 	o := observer{logger: logger, metrics: m}
+	times := mangobound.Within(s.ChangeTime())
 	fleet := mangofleet.New(mangofleet.Self{Member: self, Regions: s.Regions, MinDaemons: len(s.Seeds)}, func() mangobudget.Limits {
 		return current.Load().RetryLimits(time.Since(started))
-	}, mangofleet.WithObserver(o))
+	}, mangofleet.WithObserver(o), mangofleet.WithTimes(times))
 	memory := mangomemory.New(s.BodyMemory, mangomemory.WithObserver(o))
 	m.watch(memory)
 	servers := newServers(fleet, memory)
@@ -96,7 +98,7 @@
 		settings: s, current: current, level: level, logger: logger, fleet: fleet, broker: broker, metrics: m, observer: o, recorder: recorder, memory: memory,
 		relay: mangorelay.New(fleet, broker, servers, mangorelay.WithObserver(o), mangorelay.WithMemory(memory),
 			mangorelay.WithTracer(mangotrace.Install(recorder, s.Daemon))),
-		follower: mangofollow.New(fleet, source, o),
+		follower: mangofollow.New(fleet, source, o, mangofollow.WithTimes(times)),
 		stageController: mangostage.New(self.Holder, fleet, servers, source, servers,
 			mangostage.WithOrderLease(s.OrderLease.Std()), mangostage.WithObserver(o)),
 	}
--- a/mangolaned/mangosettings/gateway.go
+++ b/mangolaned/mangosettings/gateway.go
@@ -6,6 +6,7 @@
 
 	"go.uber.org/zap/zapcore"
 
+	"mangolane/core/mangobound"
 	"mangolane/core/mangobudget"
 	"mangolane/core/mangoconfig"
 	"mangolane/core/mangomodel"
@@ -33,6 +34,10 @@
 	RetryFixed  float64
 	RetryWindow mangomodel.Duration
 
+	// DrainTime and ConfigTime are the times within which a server that has left is out
+	// of use and a configuration in force, from the platform's acknowledgement. Less than
+	// [mangobound.Min] cannot be held.
+	DrainTime, ConfigTime mangomodel.Duration `json:",omitempty"`
 	// OrderLease is the time after a daemon's stage change order during which
 	// no other daemon may order the engines of the same service.
 	OrderLease mangomodel.Duration `json:",omitempty"`
@@ -88,6 +93,8 @@
 	setDefault(&s.TraceSpans, defaultGatewaySpans)
 	setDefault(&s.LogLevel, defaultLogLevel)
 	setDefault(&s.LogRate, defaultLogRate)
+	setDefault(&s.DrainTime, mangomodel.Duration(mangobound.Standard))
+	setDefault(&s.ConfigTime, mangomodel.Duration(mangobound.Standard))
 	setDefault(&s.OrderLease, mangomodel.Duration(defaultOrderLease))
 	setDefault(&s.BodyMemory, defaultBodyMemory(s.MemoryLimit))
 	return s, s.check()
@@ -142,6 +149,9 @@
 	if s.RetryRatio < 0 || s.RetryRatio > 1 || s.RetryFixed < 0 || s.RetryWindow.Std() < time.Second {
 		return invalid("RetryRatio must be between 0 and 1, RetryFixed at least 0, RetryWindow at least 1 s")
 	}
+	if s.ChangeTime() <= 0 {
+		return invalid("DrainTime and ConfigTime must be above 0")
+	}
 	if s.Cores < 0 || s.CoreShare < 0 || s.LinkRate < 0 {
 		return invalid("Cores, CoreShare and LinkRate must be at least 0")
 	}
@@ -157,6 +167,10 @@
 	return nil
 }
 
+// ChangeTime returns the time within which a change of any of the platform's records has
+// to be in force.
+func (s *Gateway) ChangeTime() time.Duration { return min(s.DrainTime.Std(), s.ConfigTime.Std()) }
+
 // retryShare is the fraction of the platform's retry allowance that is used.
 // The rest covers daemons that restart with an unused budget or have fewer
 // daemons in their roster than are running.
--- a/mangolaned/mangosettings/gateway_test.go
+++ b/mangolaned/mangosettings/gateway_test.go
@@ -35,6 +35,8 @@
 		{"GracePeriod", `"8s"`, `"8ms"`},
 		{"RetryRatio", `0.2`, `2`},
 		{"RetryWindow", `"10s"`, `"0s"`},
+		{"DrainTime", `"Daemon"`, `"DrainTime": "-1s", "Daemon"`},
+		{"ConfigTime", `"Daemon"`, `"ConfigTime": "-1s", "Daemon"`},
 		{"Unknown", `"Daemon"`, `"Unknown": 1, "Daemon"`},
 		{"LogLevel", `"Daemon"`, `"LogLevel": "loud", "Daemon"`},
 		{"LogRate", `"Daemon"`, `"LogRate": -1, "Daemon"`},
