Admission: queued calls are refused when a part of their prompt is quarantined

Cause: parts were judged when a demand arrived, not while it waits.

Change: the queue refuses such demands at once, as not run, with the end of the quarantine as Retry-After; it is known that they cannot be served before.

Evidence: TestQueuedCallsAreRefusedWhenTheirPartIsQuarantined failed before (0 of 5 refused) and passes now.

--- a/core/mangofleet/admission.go
+++ b/core/mangofleet/admission.go
@@ -1,6 +1,7 @@
 package mangofleet
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -80,8 +81,8 @@
 }
 
 // serveQueue grants queued demands in order. It refuses those whose deadline has
-// passed or that no server takes in time, and new ones that are predicted to wait
-// beyond theirs. Once a demand that excludes no server remains queued, later demands
+// passed, that no server takes in time or that must not be sent any more, and new ones
+// that are predicted to wait beyond theirs. Once a demand that excludes no server remains queued, later demands
 // for the same service are not tried.
 func (s *state) serveQueue(now time.Time) {
 	slices.SortStableFunc(s.queue, func(a, b *waiter) int { return mangoqueue.Compare(a.PendingDemand, b.PendingDemand, now) })
@@ -91,7 +92,7 @@
 	kept := s.queue[:0]
 	for _, w := range s.queue {
 		name := w.Demand.Service
-		if err := s.admitCall(&w.Demand, now); err != nil {
+		if err := cmp.Or(s.admitCall(&w.Demand, now), s.admitParts(w.Demand.Parts, now)); err != nil {
 			w.reply.Send(err)
 			continue
 		}
--- a/core/mangofleet/quarantine_test.go
+++ b/core/mangofleet/quarantine_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/onsi/gomega"
@@ -41,3 +42,38 @@
 		x.Expect(x.observed.parts).To(gomega.HaveLen(2))
 	})
 }
+
+// TestQueuedCallsAreRefusedWhenTheirPartIsQuarantined guards against calls that wait in the
+// queue while a part of their prompt is quarantined, and that are all sent at its end
+// without a probe.
+func TestQueuedCallsAreRefusedWhenTheirPartIsQuarantined(t *testing.T) {
+	bubble(t, func(x *fixture) {
+		const waiting = 5
+		x.list(1, decode("d1", "a1"), prefill("p1", "a1"))
+		first, _ := x.mustAcquire(generation(9000, 100))
+		refused := make(chan error, waiting)
+		granted := make(chan error, waiting)
+		for range waiting {
+			d := generation(9000, 100)
+			d.Parts, d.Patience = []mangomodel.PartID{"p"}, time.Minute
+			go func() {
+				if _, _, err := x.acquire(d); err != nil {
+					refused <- err
+				} else {
+					granted <- nil
+				}
+			}()
+		}
+		synctest.Wait()
+		verdict := mangoquarantine.Verdict{Part: "p", Crashes: 2, Age: time.Second}
+		x.do(MergeQuarantine{mangoquarantine.Message{Verdicts: []mangoquarantine.Verdict{verdict}}})
+		time.Sleep(queueInterval)
+		synctest.Wait()
+		x.Expect(refused).To(gomega.HaveLen(waiting))
+		f := mangomodel.AsFault(<-refused, mangomodel.StepAdmission)
+		x.Expect(f.Code).To(gomega.Equal(mangomodel.CodeQuarantined))
+		x.Expect(f.RetryAfter).To(gomega.BeNumerically(">", time.Second))
+		x.do(Release{Lease: first})
+		x.Expect(granted).To(gomega.BeEmpty())
+	})
+}
