--- a/core/mangobudget/ledger.go
+++ b/core/mangobudget/ledger.go
@@ -14,8 +14,9 @@
 	// aloneMargin is how much longer than a window a daemon that is alone has to wait for
 	// its own part. Until it counts as absent, others may use what of that is not held.
 	aloneMargin = 2 * allowanceTTL
-	// memory is how long a daemon that does not renew keeps its part of the fixed number.
-	memory = 10 * time.Minute
+	// partRetention is how long a daemon that does not renew keeps its part of the fixed
+	// number.
+	partRetention = 10 * time.Minute
 )
 
 // Usages is a daemon's usage of the budget of each service.
@@ -122,7 +123,7 @@
 	}
 	l.forget(limits.Window, now)
 	shared := max(daemons, 1+len(l.seen))
-	if mangomodel.Elapsed(l.toldAt, now) < memory {
+	if mangomodel.Elapsed(l.toldAt, now) < partRetention {
 		shared = max(shared, l.told)
 	}
 	complete := l.present(now) >= shared
@@ -190,7 +191,7 @@
 		}
 	}
 	for id, at := range l.seen {
-		if now.Sub(at) > memory {
+		if now.Sub(at) > partRetention {
 			delete(l.seen, id)
 		}
 	}
