--- a/core/mangolease/lease.go
+++ b/core/mangolease/lease.go
@@ -23,6 +23,8 @@
 type Demand struct {
 	Request mangomodel.RequestID
 	Service mangotraffic.ServiceName
+	// Workspace is the one that the call belongs to; empty without workspaces.
+	Workspace mangomodel.WorkspaceID
 	// Origin is the data centre of the daemon that received the call.
 	Origin mangomodel.DataCentreID
 	// Priority orders demands that are equally late.
--- a/core/mangotraffic/call.go
+++ b/core/mangotraffic/call.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"mangolane/core/mangomodel"
+	"mangolane/core/mangoworkspace"
 )
 
 // EventID numbers the events of a stream.
@@ -36,6 +37,15 @@
 	LastEventID EventID
 	// Fingerprint is the same for all retries of a call by its client.
 	Fingerprint mangomodel.Fingerprint
+	// Key is the digest of the key that the client sent, if HasKey is set.
+	Key    mangoworkspace.Digest
+	HasKey bool
+	// Restricted is set if the configuration has workspaces: servers must not see what
+	// the client sent as its key or as its workspace.
+	Restricted bool
+	// Workspace is the one that the key belongs to; empty on a public route and without
+	// workspaces.
+	Workspace mangomodel.WorkspaceID
 }
 
 // Generation describes the work of a generation request.
--- a/core/mangotraffic/route.go
+++ b/core/mangotraffic/route.go
@@ -63,6 +63,8 @@
 	MaxAttempts int
 	// Resumable routes allow a stream to continue at another server.
 	Resumable bool
+	// Public routes need no key.
+	Public bool
 }
 
 // Retryable reports whether a call that may have run may be sent to a second
--- a/core/mangotraffic/routing.go
+++ b/core/mangotraffic/routing.go
@@ -6,12 +6,15 @@
 	"strings"
 
 	"mangolane/core/mangomodel"
+	"mangolane/core/mangoworkspace"
 )
 
 // Routing is one immutable revision of the routes and services.
 type Routing struct {
 	Revision mangomodel.Revision
 	Limits   Limits
+	// Workspaces is nil if the configuration has no workspaces; calls then need no key.
+	Workspaces *mangoworkspace.Directory
 
 	routes []Route
 	// byHost holds each host's routes, longest prefix first.
@@ -21,7 +24,7 @@
 
 // NewRouting returns a validated Routing. A route that has an invalid prefix, an
 // unknown service or no target invalidates the whole revision.
-func NewRouting(rev mangomodel.Revision, routes []Route, services []Service, limits Limits) (*Routing, error) {
+func NewRouting(rev mangomodel.Revision, routes []Route, services []Service, limits Limits, opts ...RoutingOption) (*Routing, error) {
 	r := &Routing{
 		Revision: rev, Limits: limits, routes: routes,
 		byHost:   make(map[HostName][]*Route),
@@ -38,9 +41,20 @@
 	for _, list := range r.byHost {
 		slices.SortStableFunc(list, func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
 	}
+	for _, opt := range opts {
+		opt(r)
+	}
 	return r, nil
 }
 
+// RoutingOption configures a Routing.
+type RoutingOption func(*Routing)
+
+// WithWorkspaces sets the workspaces. Every route that is not public then needs a key.
+func WithWorkspaces(d *mangoworkspace.Directory) RoutingOption {
+	return func(r *Routing) { r.Workspaces = d }
+}
+
 func (r *Routing) addRoute(route *Route) error {
 	if !strings.HasPrefix(string(route.Prefix), "/") || !strings.HasSuffix(string(route.Prefix), "/") {
 		return invalidFault("route %s: prefix %q must begin and end with a slash", route.Name, route.Prefix)
@@ -103,6 +117,9 @@
 	Routes   []Route
 	Services []Service
 	Limits   Limits
+	// Restricted is set if the configuration has workspaces, of which none may be left.
+	Restricted bool
+	Workspaces []mangoworkspace.Workspace
 }
 
 // Document returns the revision as a Document.
@@ -111,10 +128,19 @@
 	for _, s := range r.services {
 		d.Services = append(d.Services, *s)
 	}
+	if r.Workspaces != nil {
+		d.Restricted, d.Workspaces = true, r.Workspaces.All()
+	}
 	return d
 }
 
 // Routing validates the document and returns its Routing.
 func (d *Document) Routing() (*Routing, error) {
-	return NewRouting(d.Revision, d.Routes, d.Services, d.Limits)
+	var opts []RoutingOption
+	if d.Restricted {
+		// The daemon that read the configuration has reported its problems.
+		directory, _ := mangoworkspace.NewDirectory(d.Workspaces)
+		opts = append(opts, WithWorkspaces(directory))
+	}
+	return NewRouting(d.Revision, d.Routes, d.Services, d.Limits, opts...)
 }
