--- a/core/mangofleet/fleet.go
+++ b/core/mangofleet/fleet.go
@@ -193,6 +193,12 @@
 	return v.Routing != nil && mangomodel.Elapsed(v.RoutingRead, now) <= v.times.Received() && !v.schedules()
 }
 
+// RoutingAge returns the time since the configuration was known to be current, and the
+// time up to which a daemon that reads it or receives it counts it as confirmed.
+func (v *View) RoutingAge(now time.Time) (age, confirmed time.Duration) {
+	return mangomodel.Elapsed(v.RoutingRead, now), v.times.Received()
+}
+
 // schedules reports whether this daemon is the scheduler of a service.
 func (v *View) schedules() bool {
 	for _, list := range v.schedulers {
--- /dev/null
+++ b/core/mangorelay/access.go
@@ -0,0 +1,68 @@
+package mangorelay
+
+import (
+	"math/rand/v2"
+	"strings"
+	"time"
+
+	"mangolane/core/mangoaccess"
+	"mangolane/core/mangofleet"
+	"mangolane/core/mangomodel"
+	"mangolane/core/mangotraffic"
+)
+
+// otherDaemonDelay is after how long at least a client may return that is refused for a
+// configuration that is not confirmed. Its retry reaches another daemon, so that it need
+// not wait for this one. A random part of up to the same length keeps clients that were
+// refused together from returning together.
+const otherDaemonDelay = 100 * time.Millisecond
+
+// authorise determines the workspace of the call with the configuration in force, or
+// refuses it.
+func (j *job) authorise(view *mangofleet.View, route *mangotraffic.Route) error {
+	d, err := decideAccess(view, route, j.call)
+	if err != nil {
+		return err
+	}
+	if d.Restricted {
+		j.call.Restricted, j.call.Workspace = true, d.Workspace
+	}
+	// Otherwise a call that was restricted before stays so: its key must not be forwarded
+	// because the workspaces were removed while it waited.
+	return nil
+}
+
+func decideAccess(view *mangofleet.View, route *mangotraffic.Route, call *mangotraffic.Call) (mangoaccess.Decision, error) {
+	age, maxAge := view.RoutingAge(time.Now())
+	d, err := mangoaccess.Decide(mangoaccess.Request{
+		Routing: view.Routing, Route: route, Key: call.Key, HasKey: call.HasKey, Age: age, MaxAge: maxAge,
+	})
+	if !mangomodel.HasCode(err, mangomodel.CodeUnavailable) {
+		return d, err
+	}
+	f := *mangomodel.AsFault(err, mangomodel.StepAuthorise)
+	f.RetryAfter = otherDaemonDelay + rand.N(otherDaemonDelay)
+	if !call.Deadline.IsZero() {
+		f.RetryAfter = min(f.RetryAfter, time.Duration(maxRetryAfterShare*float64(time.Until(call.Deadline))))
+	}
+	return d, &f
+}
+
+// checkAccess determines the workspace anew before the call is sent. A stream that the
+// client receives already continues whatever becomes of its key.
+func (j *job) checkAccess() error {
+	if j.headSent {
+		return nil
+	}
+	view, route := j.relay.fleet.View(), j.route
+	if current, ok := matchRoute(view, j.call); ok {
+		route = current
+	}
+	return j.authorise(view, route)
+}
+
+// matchRoute returns the route of a call in the configuration in force.
+func matchRoute(view *mangofleet.View, call *mangotraffic.Call) (*mangotraffic.Route, bool) {
+	path, _, _ := strings.Cut(call.Target, "?")
+	return view.Routing.Match(call.Host, path)
+}
--- a/core/mangorelay/end.go
+++ b/core/mangorelay/end.go
@@ -25,9 +25,14 @@
 		return mangoexchange.EndQuarantine
 	case is(errClientDisconnected), cause != nil:
 		return mangoexchange.EndClient
-	case mangomodel.AsFault(err, mangomodel.StepCall).Step == mangomodel.StepAdmission:
+	case isRefusal(mangomodel.AsFault(err, mangomodel.StepCall).Step):
 		return mangoexchange.EndAdmission
 	default:
 		return mangoexchange.EndServer
 	}
 }
+
+// isRefusal reports whether a fault of a step is a refusal by a daemon.
+func isRefusal(step mangomodel.Step) bool {
+	return step == mangomodel.StepAdmission || step == mangomodel.StepAuthorise
+}
--- a/core/mangorelay/plain.go
+++ b/core/mangorelay/plain.go
@@ -49,7 +49,7 @@
 // canRetry reports whether a failed call may be sent to another server.
 func (j *job) canRetry(err error) bool {
 	f := mangomodel.AsFault(err, mangomodel.StepCall)
-	if f.Step == mangomodel.StepAdmission || !j.mayLease() {
+	if isRefusal(f.Step) || !j.mayLease() {
 		return false
 	}
 	if f.Run == mangomodel.RunNot {
@@ -106,7 +106,7 @@
 
 // exchange sends the call and relays the response.
 func (j *job) exchange(ctx context.Context, lease mangolease.Lease, timer stallTimer) error {
-	if err := errors.Join(j.checkStop(), j.checkCall(), j.checkUsable(lease.Server.ID)); err != nil {
+	if err := errors.Join(j.checkStop(), j.checkAccess(), j.checkCall(), j.checkUsable(lease.Server.ID)); err != nil {
 		return err
 	}
 	if err := j.takeRetry(ctx, mangoexchange.PhaseRun); err != nil {
--- a/core/mangorelay/prefill.go
+++ b/core/mangorelay/prefill.go
@@ -36,7 +36,7 @@
 func (j *job) prefill(ctx context.Context, grant *mangobroker.Grant) error {
 	began := time.Now()
 	server := *grant.Lease.Prefill
-	if err := errors.Join(j.checkStop(), j.checkCall(), j.checkParts(), j.checkLease(), j.checkUsable(server.ID)); err != nil {
+	if err := errors.Join(j.checkStop(), j.checkAccess(), j.checkCall(), j.checkParts(), j.checkLease(), j.checkUsable(server.ID)); err != nil {
 		return err
 	}
 	if err := j.takeRetry(ctx, mangoexchange.PhasePrefill); err != nil {
--- a/core/mangorelay/relay.go
+++ b/core/mangorelay/relay.go
@@ -164,12 +164,16 @@
 	if !ok {
 		return notRunFault(mangomodel.CodeNotFound, "no route for %s%s", j.call.Host, path)
 	}
+	j.result.Route = route
+	if err := j.authorise(view, route); err != nil {
+		return err
+	}
 	name := route.Pick(uint64(j.call.Fingerprint))
 	service, ok := view.Routing.Service(name)
 	if !ok {
 		return notRunFault(mangomodel.CodeUnavailable, "route %s: service %s is not configured", route.Name, name)
 	}
-	j.route, j.service, j.result.Route = route, service, route
+	j.route, j.service = route, service
 	j.lastEventID = j.call.LastEventID
 	if service.Engine != nil && j.call.Generation == nil {
 		j.call.Generation = &mangotraffic.Generation{Prompt: mangomodel.Tokens(j.call.Body.Len()), MaxOutput: defaultMaxOutput}
@@ -245,7 +249,7 @@
 // as clients wait if the queue does not drain or nothing was predicted. The end of a
 // quarantine is known and may be later than clients wait.
 func (j *job) retryAfter(f *mangomodel.Fault) time.Duration {
-	if f.Run != mangomodel.RunNot {
+	if f.Run != mangomodel.RunNot || f.Code == mangomodel.CodeUnauthorised {
 		return 0
 	}
 	if f.Code == mangomodel.CodeQuarantined {
@@ -264,6 +268,7 @@
 // completeDemand sets the fields of a demand that follow from the call.
 func (j *job) completeDemand(d mangolease.Demand) mangolease.Demand {
 	d.Request, d.Service, d.Priority, d.Avoid, d.Parts = j.call.ID, j.service.Name, j.route.Priority, j.avoid, j.suspectParts()
+	d.Workspace = j.call.Workspace
 	d.Age = time.Since(j.call.Arrived)
 	if !j.begun() {
 		d.Call = j.call.Fingerprint
--- a/core/mangotraffic/routing.go
+++ b/core/mangotraffic/routing.go
@@ -15,6 +15,9 @@
 	Limits   Limits
 	// Workspaces is nil if the configuration has no workspaces; calls then need no key.
 	Workspaces *mangoworkspace.Directory
+	// Problems are the entries that are not used. Only the daemon that has read the
+	// configuration knows them.
+	Problems []mangoworkspace.Problem
 
 	routes []Route
 	// byHost holds each host's routes, longest prefix first.
@@ -55,6 +58,11 @@
 	return func(r *Routing) { r.Workspaces = d }
 }
 
+// WithProblems sets the entries of the configuration that are not used.
+func WithProblems(problems []mangoworkspace.Problem) RoutingOption {
+	return func(r *Routing) { r.Problems = problems }
+}
+
 func (r *Routing) addRoute(route *Route) error {
 	if !strings.HasPrefix(string(route.Prefix), "/") || !strings.HasSuffix(string(route.Prefix), "/") {
 		return invalidFault("route %s: prefix %q must begin and end with a slash", route.Name, route.Prefix)
