--- a/core/mangofollow/follow.go
+++ b/core/mangofollow/follow.go
@@ -26,6 +26,7 @@
 	"mangolane/core/mangomodel"
 	"mangolane/core/mangopanic"
 	"mangolane/core/mangotraffic"
+	"mangolane/core/mangoworkspace"
 )
 
 const (
@@ -87,6 +88,8 @@
 	// RoutingRejected is called for a configuration that was read and is not
 	// applied.
 	RoutingRejected(rev mangomodel.Revision, err error)
+	// EntriesLeftOut is called for a configuration that is applied without some entries.
+	EntriesLeftOut(rev mangomodel.Revision, problems []mangoworkspace.Problem)
 }
 
 // platform is the peer from which a Follower's commands say they were received.
@@ -192,10 +195,15 @@
 	if routing == nil {
 		return false, f.fleet.Do(ctx, mangofleet.RoutingUnchanged{Cursor: to, Age: age})
 	}
+	before := f.fleet.View().Routing
 	err = f.fleet.Do(ctx, mangofleet.InstallRouting{Routing: routing, Cursor: to, Age: age, From: platform})
 	if err != nil {
 		f.observer.RoutingRejected(routing.Revision, err)
 	}
+	// A read of a whole record returns a revision that was reported before.
+	if known := before != nil && before.Revision == routing.Revision; err == nil && !known && len(routing.Problems) > 0 {
+		f.observer.EntriesLeftOut(routing.Revision, routing.Problems)
+	}
 	if mangomodel.HasCode(err, mangomodel.CodeConflict) {
 		// A newer revision is active; later reads of the record will return it.
 		err = nil
--- a/core/mangofollow/follow_test.go
+++ b/core/mangofollow/follow_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -17,6 +18,7 @@
 	"mangolane/core/mangopanic"
 	"mangolane/core/mangoroster"
 	"mangolane/core/mangotraffic"
+	"mangolane/core/mangoworkspace"
 )
 
 // source is a platform whose responses a test sets.
@@ -35,6 +37,8 @@
 	reads int
 	// panics is how many of the next reads panic.
 	panics int
+	// problems are the entries of the configuration that cannot be used.
+	problems []mangoworkspace.Problem
 }
 
 // poll is how long a read without changes takes.
@@ -75,7 +79,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	r, err := mangotraffic.NewRouting(s.revision, nil, nil, mangotraffic.Limits{})
+	r, err := mangotraffic.NewRouting(s.revision, nil, nil, mangotraffic.Limits{}, mangotraffic.WithProblems(s.problems))
 	return r, s.cursor, err
 }
 
@@ -158,6 +162,7 @@
 	mangopanic.Nop
 	mu             sync.Mutex
 	lost, regained int
+	leftOut        []string
 }
 
 func (w *watcher) PlatformLost(Record, error) {
@@ -174,6 +179,14 @@
 
 func (*watcher) RoutingRejected(mangomodel.Revision, error) {}
 
+func (w *watcher) EntriesLeftOut(rev mangomodel.Revision, problems []mangoworkspace.Problem) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, p := range problems {
+		w.leftOut = append(w.leftOut, fmt.Sprintf("%d: %v", rev, p))
+	}
+}
+
 func (w *watcher) counts() (int, int) { w.mu.Lock(); defer w.mu.Unlock(); return w.lost, w.regained }
 
 func follow(t *testing.T, f func(g *gomega.WithT, s *source, fleet *mangofleet.Fleet, w *watcher)) {
@@ -223,6 +236,22 @@
 	})
 }
 
+// TestEntriesLeftOutAreReportedOnce guards against a mistake in the configuration that
+// nobody is told of, or that each read of the whole record reports again.
+func TestEntriesLeftOutAreReportedOnce(t *testing.T) {
+	follow(t, func(g *gomega.WithT, s *source, _ *mangofleet.Fleet, w *watcher) {
+		s.change(func() {
+			s.revision, s.problems = 2, []mangoworkspace.Problem{{Workspace: "hats", Field: "f", Value: "-1", Want: "more"}}
+		})
+		time.Sleep(2 * time.Second)
+		s.change(func() { s.oldestCursor = s.cursor + 1 })
+		time.Sleep(2 * time.Second)
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		g.Expect(w.leftOut).To(gomega.Equal([]string{`2: workspace "hats": f is -1, want more`}))
+	})
+}
+
 // TestPanicCountsAsAFailedRead guards against a malformed record that ends the
 // process or the goroutine that reads it.
 func TestPanicCountsAsAFailedRead(t *testing.T) {
--- a/mangolaned/mangogateway/observe.go
+++ b/mangolaned/mangogateway/observe.go
@@ -18,6 +18,7 @@
 	"mangolane/core/mangostage"
 	"mangolane/core/mangostall"
 	"mangolane/core/mangotraffic"
+	"mangolane/core/mangoworkspace"
 	"mangolane/mangolaned/mangolog"
 )
 
@@ -110,6 +111,18 @@
 	o.logger.Warn("configuration not applied", append(mangolog.FaultFields(err), zap.Uint64("Revision", uint64(rev)))...)
 }
 
+// EntriesLeftOut logs and counts the entries of a configuration that are not used.
+func (o observer) EntriesLeftOut(rev mangomodel.Revision, problems []mangoworkspace.Problem) {
+	o.metrics.count("Configuration.LeftOut", int64(len(problems)))
+	for _, p := range problems[:min(len(problems), maxLoggedChanges)] {
+		o.logger.Warn("configuration entry left out", zap.Uint64("Revision", uint64(rev)), zap.String("Workspace", string(p.Workspace)),
+			zap.String("Field", p.Field), zap.String("Value", p.Value), zap.String("Want", p.Want))
+	}
+	if more := len(problems) - maxLoggedChanges; more > 0 {
+		o.logger.Warn("configuration entries left out", zap.Uint64("Revision", uint64(rev)), zap.Int("More", more))
+	}
+}
+
 // RoutingChanged logs the activation of a configuration.
 func (o observer) RoutingChanged(rev mangomodel.Revision, from mangomodel.PeerName) {
 	o.logger.Info("configuration in force", zap.Uint64("Revision", uint64(rev)), zap.String("From", string(from)))
--- a/mangolaned/mangogateway/observe_test.go
+++ b/mangolaned/mangogateway/observe_test.go
@@ -17,6 +17,7 @@
 	"mangolane/core/mangolease"
 	"mangolane/core/mangomodel"
 	"mangolane/core/mangotraffic"
+	"mangolane/core/mangoworkspace"
 )
 
 // TestAbortedExchangeNamesItsParts guards against crashes of servers that the logs
@@ -59,6 +60,19 @@
 	}
 }
 
+// TestEntriesLeftOutAreLogged guards against an entry that an operator cannot find, and
+// against a line for each of very many.
+func TestEntriesLeftOutAreLogged(t *testing.T) {
+	core, logs := zapobserver.New(zap.InfoLevel)
+	problems := make([]mangoworkspace.Problem, maxLoggedChanges+5)
+	problems[0] = mangoworkspace.Problem{Workspace: "hats", Field: "f", Value: "-1", Want: "more"}
+	observer{logger: zap.New(core), metrics: newMetrics()}.EntriesLeftOut(7, problems)
+	g := gomega.NewWithT(t)
+	g.Expect(logs.All()[0].ContextMap()).To(gomega.Equal(map[string]any{"Revision": uint64(7), "Workspace": "hats", "Field": "f", "Value": "-1", "Want": "more"}))
+	g.Expect(logs.Len()).To(gomega.Equal(maxLoggedChanges + 1))
+	g.Expect(logs.All()[maxLoggedChanges].ContextMap()).To(gomega.HaveKeyWithValue("More", int64(5)))
+}
+
 // TestAnnouncementsAreLogged guards against an announcement whose request, server or time
 // an operator cannot find.
 func TestAnnouncementsAreLogged(t *testing.T) {
