Workspaces: both front ends compare digests of keys

mangolane's own interface had a hash and a comparison of its own. EffectiveWorkspace now keeps a mangoworkspace.Digest, and mangofront passes the digest of the caller's key, so that a key is represented in one way. Documents and headers are as before; the tests of mangoconfig and mangofront pass.

--- a/core/mangoconfig/catalog_test.go
+++ b/core/mangoconfig/catalog_test.go
@@ -10,6 +10,7 @@
 	"github.com/onsi/gomega"
 
 	"mangolane/core/mangomodel"
+	"mangolane/core/mangoworkspace"
 )
 
 const keyHash = "2c70e12b7a0646f92279f427c7b38e7334d8e5389cff167a1dc30e73f826b683"
@@ -85,7 +86,7 @@
 	w, _ := c.Workspace("w")
 	g.Expect(w.Targets[mangomodel.RankUrgent].TTFT.Std().Milliseconds()).To(gomega.BeEquivalentTo(500))
 	g.Expect(w.Calls).To(gomega.BeEmpty(), "the workspace's empty list overrides the template's calls")
-	g.Expect(w.KeyMatches("key")).To(gomega.BeTrue())
+	g.Expect(w.KeyMatches(mangoworkspace.DigestOf("key"))).To(gomega.BeTrue())
 }
 
 func TestTemplateInUseStays(t *testing.T) {
--- a/core/mangoconfig/effective.go
+++ b/core/mangoconfig/effective.go
@@ -1,8 +1,6 @@
 package mangoconfig
 
 import (
-	"crypto/sha256"
-	"crypto/subtle"
 	"encoding/hex"
 	"net/netip"
 	"slices"
@@ -10,6 +8,7 @@
 	"time"
 
 	"mangolane/core/mangomodel"
+	"mangolane/core/mangoworkspace"
 )
 
 // DefaultCallTimeout bounds an application call without a configured timeout.
@@ -23,14 +22,11 @@
 	Targets [mangomodel.Ranks]Targets
 	Calls   []Call
 	Weight  int
-	keyHash [sha256.Size]byte
+	key     mangoworkspace.Digest
 }
 
-// KeyMatches reports whether key is the workspace's key.
-func (e EffectiveWorkspace) KeyMatches(key string) bool {
-	sum := sha256.Sum256([]byte(key))
-	return subtle.ConstantTimeCompare(sum[:], e.keyHash[:]) == 1
-}
+// KeyMatches reports whether a digest is that of the workspace's key.
+func (e EffectiveWorkspace) KeyMatches(key mangoworkspace.Digest) bool { return e.key.Matches(key) }
 
 // HasModel reports whether the workspace may use a model.
 func (e EffectiveWorkspace) HasModel(model mangomodel.ModelID) bool {
@@ -69,10 +65,10 @@
 	}
 	e.Targets = [mangomodel.Ranks]Targets{mangomodel.RankUrgent: *s.Urgent, mangomodel.RankBasic: *s.Basic}
 	hash, err := hex.DecodeString(s.KeyHash)
-	if err != nil || len(hash) != sha256.Size {
+	if err != nil || len(hash) != len(e.key) {
 		return e, invalid("workspace %q: KeyHash must be 64 hexadecimal digits", w.ID)
 	}
-	copy(e.keyHash[:], hash)
+	copy(e.key[:], hash)
 	return e, checkEffective(e, s.Weight)
 }
 
--- a/mangolaned/mangofront/front.go
+++ b/mangolaned/mangofront/front.go
@@ -38,6 +38,7 @@
 	"mangolane/core/mangorest"
 	"mangolane/core/mangoroute"
 	"mangolane/core/mangowire"
+	"mangolane/core/mangoworkspace"
 )
 
 // defaultMaxTokens bounds the generated tokens of a request by default.
@@ -232,7 +233,7 @@
 	}
 	ws, ok := h.snapshots.Snapshot().Workspace(id)
 	key, bearer := strings.CutPrefix(r.Header.Get(mangowire.HeaderKey), "Bearer ")
-	if !ok || !bearer || !ws.KeyMatches(key) {
+	if !ok || !bearer || !ws.KeyMatches(mangoworkspace.DigestOf(key)) {
 		return mangoconfig.EffectiveWorkspace{}, mangomodel.Faultf(mangomodel.StepAuthorise, mangomodel.PeerName(id),
 			mangomodel.CodeUnauthorised, mangomodel.RunNot, "the key does not match the workspace")
 	}
