--- a/core/mangorelay/access.go
+++ b/core/mangorelay/access.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"mangolane/core/mangoaccess"
+	"mangolane/core/mangoexchange"
 	"mangolane/core/mangofleet"
 	"mangolane/core/mangomodel"
 	"mangolane/core/mangotraffic"
@@ -17,11 +18,33 @@
 // refused together from returning together.
 const otherDaemonDelay = 100 * time.Millisecond
 
+// CheckAccess refuses a call whose key the configuration in force does not know, as Serve
+// does. A front end that calls it first need not read the body of such a call.
+func (r *Relay) CheckAccess(call *mangotraffic.Call) error {
+	view := r.fleet.View()
+	if view.Routing == nil || view.Routing.Workspaces == nil {
+		return nil
+	}
+	route, ok := matchRoute(view, call)
+	if !ok {
+		return nil
+	}
+	_, err := decideAccess(view, route, call)
+	if err != nil {
+		r.observer.CallFinished(mangoexchange.Result{
+			Call: call, Route: route, Revision: view.Routing.Revision, Took: time.Since(call.Arrived),
+			EndedBy: mangoexchange.EndAdmission, Err: err,
+		})
+	}
+	return err
+}
+
 // authorise determines the workspace of the call with the configuration in force, or
 // refuses it.
 func (j *job) authorise(view *mangofleet.View, route *mangotraffic.Route) error {
 	d, err := decideAccess(view, route, j.call)
 	if err != nil {
+		j.result.EndedBy = mangoexchange.EndAdmission
 		return err
 	}
 	if d.Restricted {
