Keys: logs, metrics and explain name the workspace or the refused key

The line of a finished call did not say whose call it was, nor which key was refused. Entries left out of the configuration are context in mangolanectl query explain.

--- a/mangolanectl/mangoexplain/explain.go
+++ b/mangolanectl/mangoexplain/explain.go
@@ -81,7 +81,7 @@
 // What a server announced in the answer to one request holds for those that follow.
 var contextMessages = []string{
 	"platform lost", "platform regained", "daemon lost", "daemon regained", "scheduler chosen",
-	"configuration in force", "configuration not applied", "server listed", "servers listed", "server set aside", "server used again",
+	"configuration in force", "configuration not applied", "configuration entry left out", "server listed", "servers listed", "server set aside", "server used again",
 	"server withdrawn", "server asked for time", "server asked for an invalid time", "part quarantined", "part released",
 	"engine moved", "engine not moved", "draining", "started", "log lines dropped", "settings reloaded",
 }
--- a/mangolanectl/mangoexplain/explain_test.go
+++ b/mangolanectl/mangoexplain/explain_test.go
@@ -26,6 +26,8 @@
 {"Daemon":"d1","Time":"2026-12-04T10:01:03Z","Message":"server skipped","Request":"r5","Server":"s5","Cause":"server is leaving or no longer listed"}
 {"Daemon":"d1","Time":"2026-12-04T10:01:03.1Z","Message":"server skipped","Request":"r5","Server":"s6","Cause":"server has asked for time, of which 2s is left"}
 {"Daemon":"d1","Time":"2026-12-04T10:01:04Z","Message":"call finished","Request":"r5","Code":"Overloaded","Step":"Admission","Run":"Not","Cause":"all servers of a have asked for time: 2 listed, 1 leaving, 0 set aside, 1 backing off"}
+{"Daemon":"d1","Time":"2026-12-04T10:02:00Z","Message":"configuration entry left out","Revision":7,"Workspace":"hats","Field":"api-keys[1]","Value":"a number"}
+{"Daemon":"d1","Time":"2026-12-04T10:02:01Z","Message":"call finished","Request":"r8","Route":"read","Key":"1f2e3d4c","Step":"Authorise","Code":"Unauthorised","Run":"Not","EndedBy":"Admission","Cause":"unknown key, want the key of a workspace (revision 7, confirmed 40ms ago, route read)"}
 {"Daemon":"d1","Time":"2026-12-04T10:00:05Z","Message":"call finished","Request":"r4","Status":200,"OnTime":false,"First":1.5,"LongestPause":0.1,"Attempts":1}
 `
 
@@ -58,6 +60,17 @@
 	g.Expect(cause(r)).To(gomega.ContainSubstring("1 leaving, 0 set aside, 1 backing off"))
 }
 
+// TestUnknownKeyIsTheCause guards against a refused key that is not named as the cause, and
+// against a mistake in the configuration that is not shown beside it.
+func TestUnknownKeyIsTheCause(t *testing.T) {
+	g := gomega.NewWithT(t)
+	r, err := Read(strings.NewReader(logs), "r8")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(messages(r.Context)).To(gomega.Equal([]string{"configuration entry left out"}))
+	g.Expect(cause(r)).To(gomega.Equal("Unauthorised at step Authorise: unknown key, want the key of a workspace " +
+		"(revision 7, confirmed 40ms ago, route read) (it was not run), ended by Admission"))
+}
+
 func TestUnknownRequestIsNotFound(t *testing.T) {
 	_, err := Read(strings.NewReader(logs), "r9")
 	gomega.NewWithT(t).Expect(mangomodel.HasCode(err, mangomodel.CodeNotFound)).To(gomega.BeTrue())
--- a/mangolaned/mangogateway/metrics.go
+++ b/mangolaned/mangogateway/metrics.go
@@ -24,13 +24,19 @@
 )
 
 // metrics counts calls and exchanges.
-type metrics struct{ registry gometrics.Registry }
+type metrics struct {
+	registry   gometrics.Registry
+	workspaces *workspaceCounts
+}
 
-func newMetrics() *metrics { return &metrics{registry: gometrics.NewRegistry()} }
+func newMetrics() *metrics {
+	return &metrics{registry: gometrics.NewRegistry(), workspaces: newWorkspaceCounts()}
+}
 
 func (m *metrics) route() rest.Route {
 	return rest.Route{Method: http.MethodGet, Path: pathMetrics, Handler: func(w http.ResponseWriter, _ *http.Request) {
 		gometrics.WriteOnce(m.registry, w)
+		gometrics.WriteOnce(m.workspaces.registry(), w)
 	}}
 }
 
@@ -62,11 +68,20 @@
 		kind = r.Route.Kind.String()
 	}
 	m.count("Calls."+kind+"."+outcome(r), 1)
+	m.workspaces.add(r.Call.Workspace, outcome(r))
+	if refusedKey(r) {
+		m.count("Keys."+mangomodel.AsFault(r.Err, mangomodel.StepCall).Code.String(), 1)
+	}
 	if r.TimeToFirstByte > 0 {
 		m.sample("Calls."+kind+".FirstMicroseconds", r.TimeToFirstByte.Microseconds())
 	}
 }
 
+// refusedKey reports whether a call was refused because of its key.
+func refusedKey(r mangoexchange.Result) bool {
+	return r.Err != nil && mangomodel.AsFault(r.Err, mangomodel.StepCall).Step == mangomodel.StepAuthorise
+}
+
 func outcome(r mangoexchange.Result) string {
 	switch {
 	case r.OnTime():
--- a/mangolaned/mangogateway/observe.go
+++ b/mangolaned/mangogateway/observe.go
@@ -86,6 +86,13 @@
 	if r.Route != nil {
 		fields = append(fields, zap.String("Route", string(r.Route.Name)))
 	}
+	if r.Call.Workspace != "" {
+		fields = append(fields, zap.String("Workspace", string(r.Call.Workspace)))
+	}
+	if refusedKey(r) && r.Call.HasKey {
+		// The first digits of its digest.
+		fields = append(fields, zap.Stringer("Key", r.Call.Key))
+	}
 	if r.Events > 0 {
 		fields = append(fields, zap.Int("Events", r.Events), zap.Duration("LongestPause", r.LongestPause))
 	}
