--- a/mangostand/mangoworker/recorder.go
+++ b/mangostand/mangoworker/recorder.go
@@ -37,6 +37,14 @@
 	At     time.Time
 	// Born is the start of the server's incarnation.
 	Born time.Time
+	// Prefill is set for a prefill, and After is the last event of a stream that the
+	// request continues, if any.
+	Prefill bool
+	After   string
+	// Tenant is the workspace that the request named, and Key is set if a key reached the
+	// server.
+	Tenant string
+	Key    bool
 }
 
 // Notice is a response in which a server announced that it leaves or asked for time.
--- a/mangostand/mangoworker/worker.go
+++ b/mangostand/mangoworker/worker.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/url"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -30,7 +31,10 @@
 	pathOrder  = "/api/order"
 	// pathHandles is not part of the platform's protocol. Stand-ins fetch a KV
 	// cache from each other with it.
-	pathHandles      = "/stand/handles/"
+	pathHandles = "/stand/handles/"
+	// pathArrivals returns the latest requests that reached the server as JSON, for tests
+	// by hand.
+	pathArrivals     = "/stand/arrivals"
 	fieldID          = "Request-Id"
 	fieldInstance    = "Expect-Instance"
 	fieldStage       = "Serving-Stage"
@@ -41,7 +45,11 @@
 	fieldSignature   = "Server-Signature"
 	fieldLeaving     = "Server-Leaving"
 	fieldRetryAfter  = "Retry-After"
-	stagePrefill     = "prefill"
+	// fieldTenant names the workspace of a call. fieldKey would carry its key, which must
+	// not reach a server if the configuration has workspaces.
+	fieldTenant  = "Tenant"
+	fieldKey     = "Authorization"
+	stagePrefill = "prefill"
 	// FieldForged marks requests of test clients that carry a forged Hold field.
 	// That field must not reach a server.
 	FieldForged = "Forged"
@@ -180,11 +188,19 @@
 		}
 		return
 	}
+	if r.URL.Path == pathArrivals {
+		w.showArrivals(rw)
+		return
+	}
 	if r.Method == http.MethodDelete {
 		return
 	}
 	id := r.Header.Get(fieldID)
-	w.recorder.recordArrival(Arrival{Server: w.ID, Request: id, Daemon: r.Header.Get(FieldDaemon), At: time.Now(), Born: w.startTime()})
+	w.recorder.recordArrival(Arrival{
+		Server: w.ID, Request: id, Daemon: r.Header.Get(FieldDaemon), At: time.Now(), Born: w.startTime(),
+		Prefill: r.Header.Get(fieldStage) == stagePrefill, After: r.Header.Get(fieldAfter),
+		Tenant: strings.Join(r.Header.Values(fieldTenant), ","), Key: r.Header.Get(fieldKey) != "",
+	})
 	if r.Header.Get(FieldForged) != "" && r.Header.Get(fieldHold) != "" {
 		w.recorder.addViolation("%s arrived with a forged field", id)
 	}
@@ -209,6 +225,15 @@
 	w.run(rw, r, id, faults)
 }
 
+// showArrivals writes the latest requests that reached the server.
+func (w *Worker) showArrivals(rw http.ResponseWriter) {
+	const latest = 20
+	list := w.recorder.Arrivals()
+	list = slices.DeleteFunc(list, func(a Arrival) bool { return a.Server != w.ID })
+	// The write fails only if the caller has disconnected.
+	_ = json.NewEncoder(rw).Encode(list[max(len(list)-latest, 0):])
+}
+
 func (w *Worker) prefill(rw http.ResponseWriter, r *http.Request, id string, faults Faults) {
 	if faults.Hang.includes(w.ID, id, "hang") {
 		w.hang(r, id)
