--- a/core/mangoquery/import_test.go
+++ b/core/mangoquery/import_test.go
@@ -62,6 +62,7 @@
 		{"mangocrash", []string{"mangofleet", "mangopool", "mangoloop", "mangowire", "mangorest"}, "decisions must not depend on the loop or encodings"},
 		{"mangoquarantine", []string{"mangofleet", "mangopool", "mangoloop", "mangowire", "mangorest"}, "decisions must not depend on the loop or encodings"},
 		{"mangoending", []string{"mangofleet", "mangopool", "mangoloop", "mangowire", "mangorest"}, "decisions must not depend on the loop or encodings"},
+		{"mangoaccess", []string{"mangofleet", "mangopool", "mangoloop", "mangowire", "mangorest"}, "decisions must not depend on the loop or encodings"},
 		{"mangorelay", []string{"mangowire", "mangorest"}, "decisions must not depend on encodings"},
 		{"mangobroker", []string{"mangowire", "mangorest"}, "decisions must not depend on encodings"},
 		{"mangofollow", []string{"mangowire", "mangorest"}, "workers must not depend on encodings"},
