--- a/mangolaned/mangogateway/observe.go
+++ b/mangolaned/mangogateway/observe.go
@@ -18,6 +18,7 @@
 	"mangolane/core/mangostage"
 	"mangolane/core/mangostall"
 	"mangolane/core/mangotraffic"
+	"mangolane/core/mangoworkspace"
 	"mangolane/mangolaned/mangolog"
 )
 
@@ -85,6 +86,13 @@
 	if r.Route != nil {
 		fields = append(fields, zap.String("Route", string(r.Route.Name)))
 	}
+	if r.Call.Workspace != "" {
+		fields = append(fields, zap.String("Workspace", string(r.Call.Workspace)))
+	}
+	if refusedKey(r) && r.Call.HasKey {
+		// The first digits of its digest.
+		fields = append(fields, zap.Stringer("Key", r.Call.Key))
+	}
 	if r.Events > 0 {
 		fields = append(fields, zap.Int("Events", r.Events), zap.Duration("LongestPause", r.LongestPause))
 	}
@@ -110,6 +118,18 @@
 	o.logger.Warn("configuration not applied", append(mangolog.FaultFields(err), zap.Uint64("Revision", uint64(rev)))...)
 }
 
+// EntriesLeftOut logs and counts the entries of a configuration that are not used.
+func (o observer) EntriesLeftOut(rev mangomodel.Revision, problems []mangoworkspace.Problem) {
+	o.metrics.count("Configuration.LeftOut", int64(len(problems)))
+	for _, p := range problems[:min(len(problems), maxLoggedChanges)] {
+		o.logger.Warn("configuration entry left out", zap.Uint64("Revision", uint64(rev)), zap.String("Workspace", string(p.Workspace)),
+			zap.String("Field", p.Field), zap.String("Value", p.Value), zap.String("Want", p.Want))
+	}
+	if more := len(problems) - maxLoggedChanges; more > 0 {
+		o.logger.Warn("configuration entries left out", zap.Uint64("Revision", uint64(rev)), zap.Int("More", more))
+	}
+}
+
 // RoutingChanged logs the activation of a configuration.
 func (o observer) RoutingChanged(rev mangomodel.Revision, from mangomodel.PeerName) {
 	o.logger.Info("configuration in force", zap.Uint64("Revision", uint64(rev)), zap.String("From", string(from)))
