Quotas: commands, messages and the ask between daemons

A call whose loan is too small waits for the accountant's answer: the control state gathers such calls in one ask, which a goroutine of the broker sends, at most one at a time. Renewals to the accountant carry a report only if the configuration limits a workspace, so other deployments send the same messages as before (gob omits nil pointers).

--- a/core/mangobroker/broker.go
+++ b/core/mangobroker/broker.go
@@ -11,6 +11,7 @@
 	"mangolane/core/mangomodel"
 	"mangolane/core/mangopanic"
 	"mangolane/core/mangopool"
+	"mangolane/core/mangoquota"
 	"mangolane/core/mangoroster"
 	"mangolane/core/mangotraffic"
 )
@@ -28,6 +29,7 @@
 type Fleet interface {
 	Do(ctx context.Context, cmd mangofleet.Command) error
 	View() *mangofleet.View
+	QuotaWanted() <-chan struct{}
 }
 
 // Peers calls other daemons. If a daemon is unreachable, the error has the code
@@ -37,6 +39,8 @@
 	Release(ctx context.Context, at mangoroster.Member, r mangofleet.Release) error
 	PrefillDone(ctx context.Context, at mangoroster.Member, id mangolease.ID, took time.Duration) error
 	Exchange(ctx context.Context, at mangomodel.Address, msg ExchangeMessage) (ExchangeMessage, error)
+	// AskQuota asks the accountant for the costs of calls that wait.
+	AskQuota(ctx context.Context, at mangomodel.Address, ask mangofleet.QuotaAsk) ([]mangoquota.Answer, error)
 	// Snapshot returns the state of a daemon that is newer than have.
 	Snapshot(ctx context.Context, at mangomodel.Address, have StateVersion) (Snapshot, error)
 	// CancelCalls cancels the pending calls to a daemon, except snapshots.
--- a/core/mangobroker/exchange.go
+++ b/core/mangobroker/exchange.go
@@ -17,6 +17,7 @@
 	"mangolane/core/mangopanic"
 	"mangolane/core/mangopool"
 	"mangolane/core/mangoquarantine"
+	"mangolane/core/mangoquota"
 	"mangolane/core/mangoroster"
 	"mangolane/core/mangotraffic"
 )
@@ -78,6 +79,11 @@
 	// brings a receiver that is a few changes behind to that position. A receiver
 	// that is further behind fetches a snapshot.
 	List mangofleet.ChangeServers
+	// Quota is what the sender has used of its quota loans, in a request to the accountant
+	// only. In a response to it, QuotaLoans is what the receiver may use. Both are absent
+	// without limits.
+	Quota      *mangoquota.Report
+	QuotaLoans *mangoquota.Loans
 }
 
 // Run exchanges state with the other daemons until ctx ends.
@@ -86,6 +92,7 @@
 	running.Go(func() { mangopanic.Repeat(ctx, b.log, "renewals", b.renew) })
 	running.Go(func() { mangopanic.Repeat(ctx, b.log, "joins", b.join) })
 	running.Go(func() { mangopanic.Repeat(ctx, b.log, "snapshot fetches", b.fetch) })
+	running.Go(func() { mangopanic.Repeat(ctx, b.log, "quota asks", b.askQuotas) })
 	running.Wait()
 }
 
@@ -143,12 +150,14 @@
 		b.apply(mangofleet.Renew{Holder: b.self.Holder, Leases: leases, Outcomes: b.fleet.View().Outcomes})
 		b.markRenewed(m, leases, began)
 		b.setAllowances(m, b.fleet.View().Allowances(b.self.Holder))
+		b.setQuota(b.renewQuota(ctx, m, b.quotaReport(m)), began)
 		return
 	}
 	leases := b.progress()
-	response, err := b.exchange(ctx, m.Address, leases)
+	response, err := b.exchange(ctx, m.Address, leases, b.quotaReport(m))
 	if err == nil {
 		b.markRenewed(m, leases, began)
+		b.setQuota(response.QuotaLoans, began)
 		b.setAllowances(m, response.Allowances)
 		if len(response.Ejections) > 0 {
 			b.apply(mangofleet.EjectServers{Ejections: response.Ejections})
@@ -183,12 +192,13 @@
 	b.apply(mangofleet.SetAllowances{Allowances: own, From: m.Holder.Daemon})
 }
 
-// exchange sends a message with the progress of leases and applies the response.
-func (b *Broker) exchange(ctx context.Context, at mangomodel.Address, leases []mangolease.Progress) (ExchangeMessage, error) {
+// exchange sends a message with the progress of leases, and with a report of quotas if it
+// isn't nil, and applies the response.
+func (b *Broker) exchange(ctx context.Context, at mangomodel.Address, leases []mangolease.Progress, quota *mangoquota.Report) (ExchangeMessage, error) {
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
 	msg := b.Compose(ExchangeMessage{})
-	msg.Leases, msg.Outcomes = leases, b.fleet.View().Outcomes
+	msg.Leases, msg.Outcomes, msg.Quota = leases, b.fleet.View().Outcomes, quota
 	began := time.Now()
 	response, err := b.peers.Exchange(ctx, at, msg)
 	if err != nil {
@@ -290,7 +300,7 @@
 	for _, addr := range addrs {
 		running.Go(func() {
 			defer mangopanic.Catch(b.log, "exchange")
-			_, err := b.exchange(ctx, addr, b.progress())
+			_, err := b.exchange(ctx, addr, b.progress(), nil)
 			mu.Lock()
 			defer mu.Unlock()
 			errs[addr] = err
--- a/core/mangobroker/mesh_test.go
+++ b/core/mangobroker/mesh_test.go
@@ -13,6 +13,7 @@
 	"mangolane/core/mangofleet"
 	"mangolane/core/mangolease"
 	"mangolane/core/mangomodel"
+	"mangolane/core/mangoquota"
 	"mangolane/core/mangoroster"
 	"mangolane/core/mangotraffic"
 )
@@ -33,6 +34,8 @@
 	pending map[mangomodel.Address][]context.CancelFunc
 	// fetches counts the snapshots that were fetched from each daemon.
 	fetches map[mangomodel.Address]int
+	// asks counts the asks for quotas.
+	asks int
 	// delay is how long responses to exchange messages are under way.
 	delay time.Duration
 }
@@ -108,6 +111,25 @@
 	return response, err
 }
 
+func (l link) AskQuota(ctx context.Context, at mangomodel.Address, ask mangofleet.QuotaAsk) ([]mangoquota.Answer, error) {
+	other, ctx, err := l.reach(ctx, at)
+	if err != nil {
+		return nil, err
+	}
+	l.mesh.mu.Lock()
+	l.mesh.asks++
+	l.mesh.mu.Unlock()
+	if err := other.fleet.Do(ctx, mangofleet.GrantQuota{Ask: ask}); err != nil {
+		return nil, err
+	}
+	answers := other.fleet.View().QuotaReply(ask.Holder).Answers
+	select {
+	case <-time.After(l.mesh.delay):
+	case <-ctx.Done():
+	}
+	return answers, nil
+}
+
 func (l link) Snapshot(ctx context.Context, at mangomodel.Address, have StateVersion) (Snapshot, error) {
 	other, _, err := l.reach(ctx, at)
 	if err != nil {
--- a/core/mangobroker/receive.go
+++ b/core/mangobroker/receive.go
@@ -28,6 +28,7 @@
 	response := b.Compose(msg)
 	response.Allowances = b.fleet.View().Allowances(msg.From.Holder)
 	response.Ejections = b.fleet.View().Ejections
+	response.QuotaLoans = b.renewQuota(ctx, msg.From, msg.Quota)
 	return response, nil
 }
 
--- a/core/mangofleet/fleet.go
+++ b/core/mangofleet/fleet.go
@@ -22,6 +22,7 @@
 	"mangolane/core/mangopool"
 	"mangolane/core/mangoquarantine"
 	"mangolane/core/mangoquery"
+	"mangolane/core/mangoquota"
 	"mangolane/core/mangoroster"
 	"mangolane/core/mangotraffic"
 )
@@ -33,6 +34,8 @@
 	Regions map[mangomodel.DataCentreID]mangomodel.RegionID
 	// MinDaemons is a lower bound on the number of daemons, this one included.
 	MinDaemons int
+	// Seeds are the addresses of daemons that the deployment names.
+	Seeds []mangomodel.Address
 }
 
 // Command is a change of the fleet's state.
@@ -40,7 +43,8 @@
 
 // Fleet owns the control state and the goroutine that changes it.
 type Fleet struct {
-	loop *mangoloop.Loop[*state, View]
+	loop        *mangoloop.Loop[*state, View]
+	quotaWanted <-chan struct{}
 }
 
 // Observer is notified of state changes. Its methods run on the control
@@ -61,6 +65,7 @@
 	BackoffAsked(a mangolease.Announcement)
 	// PartChanged is called when a part of prompts is quarantined, or no longer recorded.
 	PartChanged(change mangoquarantine.Change, now time.Time)
+	QuotaObserver
 }
 
 // Option configures a Fleet.
@@ -83,7 +88,7 @@
 	}
 	loop := mangoloop.New[*state, View](s)
 	loop.ObservePanics(s.observer)
-	return &Fleet{loop: loop}
+	return &Fleet{loop: loop, quotaWanted: s.quota.wanted}
 }
 
 type nopObserver struct{ mangopanic.Nop }
@@ -95,6 +100,9 @@
 }
 func (nopObserver) BackoffAsked(mangolease.Announcement)          {}
 func (nopObserver) PartChanged(mangoquarantine.Change, time.Time) {}
+func (nopObserver) QuotaRefused(*mangoquota.Refusal)              {}
+func (nopObserver) QuotaAsked(int)                                {}
+func (nopObserver) QuotaWaited(time.Duration)                     {}
 
 // RetryLimits returns the limits that hold for the retry budget of each service.
 type RetryLimits func() mangobudget.Limits
@@ -177,6 +185,9 @@
 	readFailed, returned time.Time
 	times                mangobound.Times
 	self                 mangomodel.DaemonID
+	quotaAsk             *QuotaAsk
+	quotaReport          *mangoquota.Report
+	quotaReplies         mangoquery.Index[quotaHolder, QuotaReply]
 	// defaultScheduler is the daemon that does the initial sync for the others.
 	defaultScheduler mangoroster.Member
 }
--- a/core/mangofleet/fleet_test.go
+++ b/core/mangofleet/fleet_test.go
@@ -15,6 +15,7 @@
 	"mangolane/core/mangomodel"
 	"mangolane/core/mangopanic"
 	"mangolane/core/mangoquarantine"
+	"mangolane/core/mangoquota"
 	"mangolane/core/mangoroster"
 	"mangolane/core/mangotraffic"
 )
@@ -46,6 +47,9 @@
 	withdrawn []mangomodel.ServerID
 	backoffs  []mangolease.Announcement
 	parts     []mangoquarantine.Change
+	refused   []*mangoquota.Refusal
+	asked     int
+	waited    []time.Duration
 }
 
 func (o *recordingObserver) RoutingChanged(rev mangomodel.Revision, _ mangomodel.PeerName) {
@@ -70,6 +74,12 @@
 	o.parts = append(o.parts, c)
 }
 
+func (o *recordingObserver) QuotaRefused(r *mangoquota.Refusal) { o.refused = append(o.refused, r) }
+
+func (o *recordingObserver) QuotaAsked(calls int) { o.asked += calls }
+
+func (o *recordingObserver) QuotaWaited(took time.Duration) { o.waited = append(o.waited, took) }
+
 // bubble runs a test with a fleet that uses the fake clock of a synctest bubble.
 func bubble(t *testing.T, f func(x *fixture)) {
 	synctest.Test(t, func(t *testing.T) {
--- a/core/mangofleet/state.go
+++ b/core/mangofleet/state.go
@@ -74,6 +74,7 @@
 	// announced counts the announcements of servers in answers to this daemon that
 	// schedulers do not know yet.
 	announced uint64
+	quota     quotas
 }
 
 // viewParts marks the parts of the published view that are out of date.
@@ -86,7 +87,7 @@
 
 func newState(self Self, limits RetryLimits) *state {
 	times := mangobound.Within(mangobound.Standard)
-	return &state{
+	s := &state{
 		self:       self,
 		times:      times,
 		observer:   nopObserver{},
@@ -102,18 +103,21 @@
 		outages:    mangooutage.New(self.Holder.Daemon, times.Outage()),
 		changed:    viewParts{members: true},
 	}
+	s.quota = newQuotas(s)
+	return s
 }
 
 // Tick removes expired entries and leases, and serves the queue.
 func (s *state) Tick(now time.Time) {
 	s.pool.RemoveExpired(now)
 	s.pool.ExpireHolders(now)
+	s.expireQuotaWaiters(now)
 	s.serveQueue(now)
 }
 
 // NextDue returns when Tick has to be called next, if ever.
 func (s *state) NextDue() (time.Time, bool) {
-	due := s.pool.NextDue()
+	due := earliest(s.pool.NextDue(), s.quotaDue())
 	for _, w := range s.queue {
 		due = earliest(due, w.Deadline)
 	}
@@ -140,6 +144,7 @@
 		Routing: s.routing, Draining: s.draining, Waiting: len(s.queue), Leases: s.pool.Leases(),
 		ListRead: s.listRead, RoutingRead: s.routingRead, granted: s.pool.Granted(), allowances: s.allowances,
 		ListCursor: s.listCursor, RoutingCursor: s.routingCursor, journal: s.journal, self: s.self.Holder.Daemon, times: s.times,
+		quotaAsk: s.quota.ask, quotaReport: s.quota.report, quotaReplies: s.quota.replies,
 		Announced: s.announced, readFailed: s.readFailed, returned: s.outages.Returned(),
 	}
 	if last != nil {
--- a/core/mangomodel/code_string.go
+++ b/core/mangomodel/code_string.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _CodeName = "InvalidUnauthorisedNotFoundOverloadedUnavailableConflictInProgressQuarantinedUnknownOutcomeCancelledPreemptedBackendTimeoutTooLargeHeaderTooLarge"
+const _CodeName = "InvalidUnauthorisedNotFoundOverloadedUnavailableConflictInProgressQuarantinedUnknownOutcomeCancelledPreemptedBackendTimeoutTooLargeHeaderTooLargeQuotaExceeded"
 
-var _CodeIndex = [...]uint8{0, 7, 19, 27, 37, 48, 56, 66, 77, 91, 100, 109, 116, 123, 131, 145}
+var _CodeIndex = [...]uint8{0, 7, 19, 27, 37, 48, 56, 66, 77, 91, 100, 109, 116, 123, 131, 145, 158}
 
-const _CodeLowerName = "invalidunauthorisednotfoundoverloadedunavailableconflictinprogressquarantinedunknownoutcomecancelledpreemptedbackendtimeouttoolargeheadertoolarge"
+const _CodeLowerName = "invalidunauthorisednotfoundoverloadedunavailableconflictinprogressquarantinedunknownoutcomecancelledpreemptedbackendtimeouttoolargeheadertoolargequotaexceeded"
 
 func (i Code) String() string {
 	if i < 0 || i >= Code(len(_CodeIndex)-1) {
@@ -39,9 +39,10 @@
 	_ = x[CodeTimeout-(12)]
 	_ = x[CodeTooLarge-(13)]
 	_ = x[CodeHeaderTooLarge-(14)]
+	_ = x[CodeQuotaExceeded-(15)]
 }
 
-var _CodeValues = []Code{CodeInvalid, CodeUnauthorised, CodeNotFound, CodeOverloaded, CodeUnavailable, CodeConflict, CodeInProgress, CodeQuarantined, CodeUnknownOutcome, CodeCancelled, CodePreempted, CodeBackend, CodeTimeout, CodeTooLarge, CodeHeaderTooLarge}
+var _CodeValues = []Code{CodeInvalid, CodeUnauthorised, CodeNotFound, CodeOverloaded, CodeUnavailable, CodeConflict, CodeInProgress, CodeQuarantined, CodeUnknownOutcome, CodeCancelled, CodePreempted, CodeBackend, CodeTimeout, CodeTooLarge, CodeHeaderTooLarge, CodeQuotaExceeded}
 
 var _CodeNameToValueMap = map[string]Code{
 	_CodeName[0:7]:     CodeInvalid,
@@ -59,6 +60,7 @@
 	_CodeName[116:123]: CodeTimeout,
 	_CodeName[123:131]: CodeTooLarge,
 	_CodeName[131:145]: CodeHeaderTooLarge,
+	_CodeName[145:158]: CodeQuotaExceeded,
 }
 
 var _CodeLowerNameToValueMap = map[string]Code{
@@ -77,6 +79,7 @@
 	_CodeLowerName[116:123]: CodeTimeout,
 	_CodeLowerName[123:131]: CodeTooLarge,
 	_CodeLowerName[131:145]: CodeHeaderTooLarge,
+	_CodeLowerName[145:158]: CodeQuotaExceeded,
 }
 
 var _CodeNames = []string{
@@ -95,6 +98,7 @@
 	_CodeName[116:123],
 	_CodeName[123:131],
 	_CodeName[131:145],
+	_CodeName[145:158],
 }
 
 // CodeString retrieves an enum value from the enum constants string name.
--- a/core/mangomodel/enum.go
+++ b/core/mangomodel/enum.go
@@ -103,6 +103,8 @@
 	CodeTooLarge
 	// CodeHeaderTooLarge means that a message's header exceeds a limit.
 	CodeHeaderTooLarge
+	// CodeQuotaExceeded means that the workspace has used up its quota.
+	CodeQuotaExceeded
 )
 
 // Run indicates whether the work of a failed request may have run.
--- a/core/mangoquota/ledger.go
+++ b/core/mangoquota/ledger.go
@@ -61,7 +61,7 @@
 // Ledger is an accountant's record of the buckets and loans of all workspaces.
 type Ledger struct {
 	limits  Limits
-	terms   func() Terms
+	terms   Terms
 	members map[mangomodel.DaemonID]*member
 	buckets map[mangomodel.WorkspaceID]*bucket
 	number  Number
@@ -75,8 +75,8 @@
 	sweptAt  time.Time
 }
 
-// NewLedger returns a ledger with empty buckets. It calls limits and terms for each use.
-func NewLedger(limits Limits, terms func() Terms) *Ledger {
+// NewLedger returns a ledger with empty buckets. It uses limits and terms each time.
+func NewLedger(limits Limits, terms Terms) *Ledger {
 	return &Ledger{
 		limits: limits, terms: terms,
 		members: make(map[mangomodel.DaemonID]*member), buckets: make(map[mangomodel.WorkspaceID]*bucket),
@@ -87,7 +87,7 @@
 // incarnations and sessions get a reply without effect.
 func (l *Ledger) Renew(h mangomodel.Holder, r Report, now time.Time) Loans {
 	l.sweep(now)
-	if terms := l.terms(); !l.known && terms.Complete && len(l.members) >= terms.Seen {
+	if !l.known && l.terms.Complete(len(l.members)) {
 		l.known = true
 		for _, m := range l.members {
 			m.seated = true
@@ -230,7 +230,7 @@
 		return
 	}
 	l.sharedAt = now
-	terms, n := l.terms(), l.daemons()
+	n := l.daemons()
 	unknown := l.unknown()
 	share := 1 - float64(max(n-len(l.members)-unknown, 0))/float64(n)
 	if unknown > 0 {
@@ -242,7 +242,7 @@
 		}
 	}
 	if share > majority {
-		share = min(share+terms.Tolerance, 1)
+		share = min(share+l.terms.Tolerance(), 1)
 	}
 	l.share = mangoworkspace.Amount(max(share, 0))
 }
--- a/core/mangoquota/quota.go
+++ b/core/mangoquota/quota.go
@@ -70,16 +70,15 @@
 // Limits returns the limit of a workspace; false if it has none.
 type Limits func(id mangomodel.WorkspaceID) (mangoworkspace.Limit, bool)
 
-// Terms are the settings of a ledger.
-type Terms struct {
+// Terms are what a ledger depends on besides the limits.
+type Terms interface {
 	// Tolerance is the share of the rate that may be lent in addition to the shares of the
 	// daemons that are present.
-	Tolerance float64
-	// Complete is set if all daemons that the deployment names have been seen. Until then
-	// a ledger that nobody has told the number of daemons assumes at least [Assumed].
-	Complete bool
-	// Seen is how many daemons have been seen, this one included.
-	Seen int
+	Tolerance() float64
+	// Complete reports whether a number of daemons are all that should be there: all that
+	// the deployment names, and all that have been seen. Until then a ledger that nobody
+	// has told the number of daemons assumes at least [Assumed].
+	Complete(daemons int) bool
 }
 
 // Report is what a daemon has used of its loans. Its figures are cumulative within a
--- a/core/mangoquota/world_test.go
+++ b/core/mangoquota/world_test.go
@@ -95,21 +95,32 @@
 	d.holder.Incarnation++
 	limits := func(mangomodel.WorkspaceID) (mangoworkspace.Limit, bool) { return d.limit, true }
 	d.account = NewAccount(limits, first, w.now())
-	d.ledger = NewLedger(limits, func() Terms { return w.terms(i) })
+	d.ledger = NewLedger(limits, place{w, i})
 	d.waiting, d.asked, d.gone, d.leavesAt = nil, nil, false, 0
 }
 
-// terms returns the settings of a daemon's ledger. It sees the daemons that it reaches.
-func (w *world) terms(i int) Terms {
-	t := Terms{Tolerance: w.tolerance, Complete: true}
-	for k, d := range w.daemons {
-		reached := !d.gone && w.sides[w.step](k) == w.sides[w.step](i)
+// place is what the ledger of a daemon depends on.
+type place struct {
+	*world
+	daemon int
+}
+
+// Tolerance implements [Terms].
+func (p place) Tolerance() float64 { return p.tolerance }
+
+// Complete implements [Terms]. A daemon has seen those that it reaches.
+func (p place) Complete(daemons int) bool {
+	seen := 0
+	for k, d := range p.daemons {
+		reached := !d.gone && p.sides[p.step](k) == p.sides[p.step](p.daemon)
 		if reached {
-			t.Seen++
+			seen++
+		}
+		if !reached && k < p.seeds {
+			return false
 		}
-		t.Complete = t.Complete && (reached || k >= w.seeds)
 	}
-	return t
+	return daemons >= seen
 }
 
 // accountant returns the daemon that i uses as the accountant, which it learns late.
--- a/core/mangowire/fault.go
+++ b/core/mangowire/fault.go
@@ -44,7 +44,7 @@
 		return http.StatusUnauthorized
 	case mangomodel.CodeNotFound:
 		return http.StatusNotFound
-	case mangomodel.CodeOverloaded:
+	case mangomodel.CodeOverloaded, mangomodel.CodeQuotaExceeded:
 		return http.StatusTooManyRequests
 	case mangomodel.CodeUnavailable:
 		return http.StatusServiceUnavailable
--- a/mangolaned/mangomesh/peers.go
+++ b/mangolaned/mangomesh/peers.go
@@ -20,6 +20,7 @@
 	"mangolane/core/mangofleet"
 	"mangolane/core/mangolease"
 	"mangolane/core/mangomodel"
+	"mangolane/core/mangoquota"
 	"mangolane/core/mangoroster"
 	"mangolane/core/mangowire"
 	"mangolane/mangolaned/mangoconn"
@@ -31,6 +32,7 @@
 	methodRelease     = "Command.Release"
 	methodPrefillDone = "Command.PrefillDone"
 	methodExchange    = "Command.Exchange"
+	methodAskQuota    = "Command.AskQuota"
 	methodSnapshot    = "Query.Snapshot"
 )
 
@@ -57,6 +59,9 @@
 	Took time.Duration
 }
 
+// AskQuotaReply has the answers to an ask.
+type AskQuotaReply struct{ Answers []mangoquota.Answer }
+
 // Empty is a reply without content.
 type Empty struct{}
 
@@ -99,6 +104,15 @@
 	return reply, err
 }
 
+// AskQuota asks an accountant for the costs of calls that wait. It uses the connection of
+// demands, so that renewals don't delay it.
+func (p *Peers) AskQuota(ctx context.Context, at mangomodel.Address, ask mangofleet.QuotaAsk) ([]mangoquota.Answer, error) {
+	var reply AskQuotaReply
+	to := mangoconn.Endpoint{Address: at, Lane: mangoconn.LaneAdmission}
+	err := p.pool.Call(ctx, to, mangomodel.StepAdmission, methodAskQuota, ask, &reply)
+	return reply.Answers, err
+}
+
 // Snapshot fetches the state that a daemon has beyond this one's state version.
 func (p *Peers) Snapshot(ctx context.Context, at mangomodel.Address, version mangobroker.StateVersion) (mangobroker.Snapshot, error) {
 	var reply SnapshotReply
--- a/mangolaned/mangomesh/server.go
+++ b/mangolaned/mangomesh/server.go
@@ -96,6 +96,19 @@
 	return c.do(mangofleet.PrefillDone{Lease: args.ID, Took: args.Took})
 }
 
+// AskQuota grants the costs of calls that wait at another daemon, or tells when they
+// should return.
+func (c *Command) AskQuota(ask mangofleet.QuotaAsk, reply *AskQuotaReply) (err error) {
+	defer mangopanic.CatchError(c.observer, methodAskQuota, &err)
+	if err := c.do(mangofleet.GrantQuota{Ask: ask}); err != nil {
+		return err
+	}
+	if r := c.fleet.View().QuotaReply(ask.Holder); r.Number == ask.Number {
+		reply.Answers = r.Answers
+	}
+	return nil
+}
+
 // Exchange applies an exchange message of another daemon and replies with one.
 func (c *Command) Exchange(msg mangobroker.ExchangeMessage, reply *mangobroker.ExchangeMessage) (err error) {
 	defer mangopanic.CatchError(c.observer, methodExchange, &err)
