--- a/core/mangorelay/relay.go
+++ b/core/mangorelay/relay.go
@@ -86,10 +86,11 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	defer context.AfterFunc(r.shutdown.stopping, func() { cancel(errStopped) })()
-	j := &job{relay: r, call: call, sink: sink, receivedAt: time.Now(), endWatch: func() {}, result: mangoexchange.Result{Call: call}}
+	j := &job{relay: r, call: call, sink: sink, receivedAt: time.Now(), stated: call.Generation, endWatch: func() {}, result: mangoexchange.Result{Call: call}}
 	err := j.resolveRoute(j.syncedView(ctx))
 	if err == nil {
 		err = j.serve(r.tracer.RequestContext(ctx, call.ID))
+		j.refundQuota(err)
 	}
 	j.result.Err = err
 	j.result.Took = time.Since(call.Arrived)
@@ -109,6 +110,10 @@
 	service        *mangotraffic.Service
 	// receivedAt is when the whole request was received.
 	receivedAt time.Time
+	// stated is what the client has stated of its generation, or nil. chargedAt is when the
+	// call was charged to its workspace.
+	stated    *mangotraffic.Generation
+	chargedAt time.Time
 	// runs counts the servers that may have run the call.
 	runs int
 	// attempts counts the leases acquired.
@@ -185,6 +190,9 @@
 	if err := j.relay.fleet.Do(ctx, mangofleet.AdmitCall{Service: j.service.Name, Call: j.call.Fingerprint, Parts: j.call.Parts}); err != nil {
 		return j.finalFault(ctx, err)
 	}
+	if err := j.takeQuota(ctx); err != nil {
+		return j.finalFault(ctx, err)
+	}
 	defer j.releaseNext()
 	if j.route.Kind == mangotraffic.KindStreaming {
 		ctx, cancel = j.limitStart(ctx)
--- a/mangolaned/mangogateway/gateway.go
+++ b/mangolaned/mangogateway/gateway.go
@@ -85,9 +85,10 @@
 	m := newMetrics()
 	o := observer{logger: logger, metrics: m}
 	times := mangobound.Within(s.ChangeTime())
-	fleet := mangofleet.New(mangofleet.Self{Member: self, Regions: s.Regions, MinDaemons: len(s.Seeds)}, func() mangobudget.Limits {
+	fleet := mangofleet.New(mangofleet.Self{Member: self, Regions: s.Regions, MinDaemons: len(s.Seeds), Seeds: s.Seeds}, func() mangobudget.Limits {
 		return current.Load().RetryLimits(time.Since(started))
-	}, mangofleet.WithObserver(o), mangofleet.WithTimes(times))
+	}, mangofleet.WithObserver(o), mangofleet.WithTimes(times),
+		mangofleet.WithQuotaTolerance(func() mangomodel.Share { return current.Load().LentTolerance() }))
 	memory := mangomemory.New(s.BodyMemory, mangomemory.WithObserver(o))
 	m.watch(memory)
 	servers := newServers(fleet, memory)
--- a/mangolaned/mangogateway/observe.go
+++ b/mangolaned/mangogateway/observe.go
@@ -90,6 +90,7 @@
 	}
 	if r.Err != nil {
 		fields = append(append(fields, zap.Stringer("EndedBy", r.EndedBy)), mangolog.FaultFields(r.Err)...)
+		fields = append(fields, quotaFields(r.Err)...)
 	}
 	o.logger.Info("call finished", fields...)
 }
--- a/mangolaned/mangosettings/gateway.go
+++ b/mangolaned/mangosettings/gateway.go
@@ -41,6 +41,10 @@
 	// OrderLease is the time after a daemon's stage change order during which
 	// no other daemon may order the engines of the same service.
 	OrderLease mangomodel.Duration `json:",omitempty"`
+	// QuotaTolerance is the share of a workspace's limit by which the platform tolerates
+	// that it is exceeded. A part of it is used while some daemons do not respond, so that
+	// these do not reduce the limits.
+	QuotaTolerance mangomodel.Share `json:",omitempty"`
 	// Seeds are addresses of other daemons to contact at startup.
 	Seeds []mangomodel.Address `json:",omitempty"`
 	// Cores is the number of cores; a value below 1 counts as 1. CoreShare is
@@ -73,6 +77,17 @@
 // users' peak of 20 calls per second and daemon, and ten times that in bursts.
 const defaultLogRate = 1000
 
+// maxQuotaTolerance is the largest tolerance beyond a quota that a deployment may set.
+const maxQuotaTolerance = 1
+
+// lentTolerance is the part of QuotaTolerance that may be lent. The rest covers calls that
+// were granted up to 150 ms before the window in which they begin, and refunds.
+const lentTolerance = 0.8
+
+// LentTolerance returns the share of a limit that may be lent in addition to the shares of
+// the daemons that are present.
+func (s *Gateway) LentTolerance() mangomodel.Share { return lentTolerance * s.QuotaTolerance }
+
 // ReadGateway reads a gateway's settings from a file, applies the defaults and
 // checks them.
 func ReadGateway(path string) (Gateway, error) {
@@ -149,6 +164,9 @@
 	if s.RetryRatio < 0 || s.RetryRatio > 1 || s.RetryFixed < 0 || s.RetryWindow.Std() < time.Second {
 		return invalid("RetryRatio must be between 0 and 1, RetryFixed at least 0, RetryWindow at least 1 s")
 	}
+	if s.QuotaTolerance < 0 || s.QuotaTolerance > maxQuotaTolerance {
+		return invalid("QuotaTolerance must be between 0 and %v", maxQuotaTolerance)
+	}
 	if s.ChangeTime() <= 0 {
 		return invalid("DrainTime and ConfigTime must be above 0")
 	}
