Quotas: buckets of idle workspaces fill, credit of 100 ms, loans by the number of calls

A random order showed a bucket that kept the capacity of an earlier share while unused; the demand test showed that a workspace's first call met an empty bucket, and that small buckets lost calls to loans too small for a call.

--- a/core/mangofleet/quota.go
+++ b/core/mangofleet/quota.go
@@ -2,6 +2,7 @@
 
 import (
 	"hash/maphash"
+	"iter"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -100,8 +101,8 @@
 	}
 	return quotas{
 		tolerance: func() mangomodel.Share { return 0 },
-		account:   mangoquota.NewAccount(s.limitOf, first, time.Now()),
-		ledger:    mangoquota.NewLedger(s.limitOf, quotaTerms{s}),
+		account:   mangoquota.NewAccount(quotaLimits{s}, first, time.Now()),
+		ledger:    mangoquota.NewLedger(quotaLimits{s}, quotaTerms{s}),
 		holders:   make(map[mangomodel.DaemonID]mangomodel.Holder),
 		wanted:    make(chan struct{}, 1),
 	}
@@ -120,22 +121,41 @@
 	})
 }
 
-// limitOf returns the limit of a workspace in the active configuration.
-func (s *state) limitOf(id mangomodel.WorkspaceID) (mangoworkspace.Limit, bool) {
-	if s.routing == nil || s.routing.Workspaces == nil {
+// quotaLimits are the limits of the active configuration.
+type quotaLimits struct{ *state }
+
+// Limit implements [mangoquota.Limits].
+func (l quotaLimits) Limit(id mangomodel.WorkspaceID) (mangoworkspace.Limit, bool) {
+	if l.routing == nil || l.routing.Workspaces == nil {
 		return mangoworkspace.Limit{}, false
 	}
-	w, ok := s.routing.Workspaces.ByID(id)
+	w, ok := l.routing.Workspaces.ByID(id)
 	if !ok || !w.Limit.Bounded() {
 		return mangoworkspace.Limit{}, false
 	}
 	return w.Limit, true
 }
 
+// Limited implements [mangoquota.Limits].
+func (l quotaLimits) Limited() iter.Seq[mangomodel.WorkspaceID] {
+	return func(yield func(mangomodel.WorkspaceID) bool) {
+		if l.routing == nil || l.routing.Workspaces == nil {
+			return
+		}
+		for _, w := range l.routing.Workspaces.All() {
+			if w.Limit.Bounded() && !yield(w.ID) {
+				return
+			}
+		}
+	}
+}
+
 // limited reports whether the active configuration limits any workspace.
 func (s *state) limited() bool {
-	return s.routing != nil && s.routing.Workspaces != nil &&
-		slices.ContainsFunc(s.routing.Workspaces.All(), func(w mangoworkspace.Workspace) bool { return w.Limit.Bounded() })
+	for range (quotaLimits{s}).Limited() {
+		return true
+	}
+	return false
 }
 
 // TakeQuota takes the cost of a call from the allowance of its workspace. [Fleet.Do]
@@ -155,7 +175,7 @@
 // Apply decides about the call, or leaves it among those that wait.
 func (c TakeQuota) Apply(s *state, now time.Time) error {
 	w := s.quota.waiters[len(s.quota.waiters)-1]
-	limit, ok := s.limitOf(c.Workspace)
+	limit, ok := (quotaLimits{s}).Limit(c.Workspace)
 	if ok {
 		w.cost = mangoquota.CostOf(limit, c.Generation)
 		d := s.quota.account.Take(c.Workspace, w.cost, now)
@@ -210,7 +230,8 @@
 
 // Apply implements [Command].
 func (c RefundQuota) Apply(s *state, now time.Time) error {
-	if limit, ok := s.limitOf(c.Workspace); ok {
+	limit, ok := (quotaLimits{s}).Limit(c.Workspace)
+	if ok {
 		s.quota.account.Refund(c.Workspace, mangoquota.CostOf(limit, c.Generation), c.ChargedAt, now)
 	}
 	return nil
--- a/core/mangoquota/account.go
+++ b/core/mangoquota/account.go
@@ -55,10 +55,10 @@
 	// own is the level of this daemon's own part of the limit, at ownAt.
 	own   mangoworkspace.Amount
 	ownAt time.Time
-	// demand is the average cost of the calls per second at lastCall, and cost that of
-	// one call.
-	demand, cost float64
-	lastCall     time.Time
+	// demand is the average cost of the calls per second at lastCall, and calls their
+	// average number.
+	demand, calls float64
+	lastCall      time.Time
 	// Calls of at least closedCost are refused until closedUntil. promised is when those
 	// that were told to return will have been served.
 	closedUntil, promised time.Time
@@ -101,7 +101,7 @@
 		r.Foreign = max(now.Sub(a.repliedAt), 1)
 	}
 	for id, p := range a.pots {
-		limit, ok := a.limits(id)
+		limit, ok := a.limits.Limit(id)
 		if !ok {
 			delete(a.pots, id)
 			continue
@@ -172,7 +172,7 @@
 
 // Take takes the cost of a call.
 func (a *Account) Take(id mangomodel.WorkspaceID, cost mangoworkspace.Amount, now time.Time) Decision {
-	limit, ok := a.limits(id)
+	limit, ok := a.limits.Limit(id)
 	if !ok {
 		return Decision{}
 	}
@@ -219,7 +219,7 @@
 // Answered applies the accountant's answer about a call, which arrived some time after the
 // call began to wait.
 func (a *Account) Answered(id mangomodel.WorkspaceID, cost mangoworkspace.Amount, wait time.Duration, used mangoworkspace.Amount, now time.Time) Decision {
-	limit, ok := a.limits(id)
+	limit, ok := a.limits.Limit(id)
 	p := a.pots[id]
 	if !ok || p == nil || wait == 0 {
 		return Decision{}
@@ -236,7 +236,7 @@
 
 // Unanswered refuses a call whose ask wasn't answered in time.
 func (a *Account) Unanswered(id mangomodel.WorkspaceID, cost mangoworkspace.Amount, now time.Time) Decision {
-	limit, ok := a.limits(id)
+	limit, ok := a.limits.Limit(id)
 	p := a.pots[id]
 	if !ok || p == nil {
 		return Decision{}
@@ -290,26 +290,23 @@
 
 // record counts a call.
 func (p *pot) record(cost float64, now time.Time) {
-	p.demand = p.decayed(now) + cost/demandTime.Seconds()
-	if p.cost == 0 {
-		p.cost = cost
-	}
-	const weight = 0.1
-	p.cost += weight * (cost - p.cost)
+	decay := p.decay(now)
+	p.demand = p.demand*decay + cost/demandTime.Seconds()
+	p.calls = p.calls*decay + 1/demandTime.Seconds()
 	p.lastCall = now
 }
 
-// decayed returns the average demand per second.
-func (p *pot) decayed(now time.Time) float64 {
-	return p.demand * math.Exp(-max(now.Sub(p.lastCall), 0).Seconds()/demandTime.Seconds())
+// decay returns the factor by which averages have decreased since the last call.
+func (p *pot) decay(now time.Time) float64 {
+	return math.Exp(-max(now.Sub(p.lastCall), 0).Seconds() / demandTime.Seconds())
 }
 
 // expected returns the cost of the calls that are expected within a renewal interval; zero
 // if they are few.
 func (p *pot) expected(now time.Time) mangoworkspace.Amount {
-	n := p.decayed(now) * interval.Seconds()
-	if n < aheadCalls*p.cost {
+	n := p.decay(now) * interval.Seconds()
+	if p.calls*n < aheadCalls {
 		return 0
 	}
-	return mangoworkspace.Amount(n)
+	return mangoworkspace.Amount(p.demand * n)
 }
--- a/core/mangoquota/bucket.go
+++ b/core/mangoquota/bucket.go
@@ -9,7 +9,11 @@
 const (
 	// aheadShare is the part of the capacity that may be lent ahead of calls. The rest
 	// serves asks, since the demand may arrive at other daemons than it did before.
-	aheadShare = 0.25
+	aheadShare = 0.125
+	// credit is the time whose yield a call may take in advance. Asks arrive some round
+	// trips late and loans are settled at the next renewal, so that the bucket is below
+	// what a bucket without messages would hold. It adds 1% to the users' window of 8 s.
+	credit = 100 * time.Millisecond
 	// minWait and maxWait bound the time after which a refused call should return.
 	minWait = 20 * time.Millisecond
 	maxWait = 30 * time.Second
@@ -40,15 +44,15 @@
 
 // add adds an amount up to the capacity, which what is lent takes up too.
 func (b *bucket) add(n mangoworkspace.Amount, l mangoworkspace.Limit) {
-	b.level = max(min(b.level+n, l.Burst*b.share-b.lent), 0)
+	b.level = min(b.level+n, max(l.Burst*b.share-b.lent, 0))
 }
 
-// take takes an amount if there is as much.
-func (b *bucket) take(n mangoworkspace.Amount) bool {
-	if n > b.level+rounding {
+// take takes an amount if there is as much, or will be within the time of the credit.
+func (b *bucket) take(n mangoworkspace.Amount, l mangoworkspace.Limit) bool {
+	if n > b.level+l.Rate*b.share*mangoworkspace.Amount(credit.Seconds())+rounding {
 		return false
 	}
-	b.level = max(b.level-n, 0)
+	b.level -= n
 	return true
 }
 
--- a/core/mangoquota/ledger.go
+++ b/core/mangoquota/ledger.go
@@ -148,7 +148,7 @@
 
 // renewLoan settles what a daemon reports of a workspace, and lends what it expects.
 func (l *Ledger) renewLoan(m *member, id mangomodel.WorkspaceID, u Usage, now time.Time) (Loan, bool) {
-	limit, ok := l.limits(id)
+	limit, ok := l.limits.Limit(id)
 	if !ok {
 		return Loan{}, false
 	}
@@ -173,7 +173,7 @@
 // Ask grants the costs of calls that wait at a daemon, each as a whole.
 func (l *Ledger) Ask(a Ask, now time.Time) Answer {
 	answer := Answer{Workspace: a.Workspace, Waits: make([]time.Duration, len(a.Costs))}
-	limit, ok := l.limits(a.Workspace)
+	limit, ok := l.limits.Limit(a.Workspace)
 	if !ok {
 		// The daemon has a newer configuration, or an older one.
 		for i := range answer.Waits {
@@ -184,11 +184,11 @@
 	l.updateShare(now)
 	b := l.bucket(a.Workspace, limit, now)
 	for i, cost := range a.Costs {
-		if !b.take(cost) {
+		if !b.take(cost, limit) {
 			answer.Waits[i] = b.wait(cost, limit, now)
 		}
 	}
-	answer.Used = max(limit.Burst-b.level, 0)
+	answer.Used = min(max(limit.Burst-b.level, 0), limit.Burst)
 	return answer
 }
 
@@ -238,13 +238,24 @@
 	}
 	for _, m := range l.members {
 		if !m.present(now) {
-			share -= 1 / float64(m.divisor)
+			// Others that were told the number of daemons count it as one of these.
+			share -= 1 / float64(min(m.divisor, n))
 		}
 	}
 	if share > majority {
 		share = min(share+l.terms.Tolerance(), 1)
 	}
-	l.share = mangoworkspace.Amount(max(share, 0))
+	next := mangoworkspace.Amount(max(share, 0))
+	if next == l.share {
+		return
+	}
+	// Buckets that are not used must not keep the capacity of an earlier share.
+	l.share = next
+	for id, b := range l.buckets {
+		if limit, ok := l.limits.Limit(id); ok {
+			b.fill(limit, next, now)
+		}
+	}
 }
 
 // Share returns the part of the limits that the ledger lends.
@@ -282,8 +293,14 @@
 			}
 		}
 	}
+	// The bucket of a workspace without calls fills too.
+	for ws := range l.limits.Limited() {
+		if _, ok := l.buckets[ws]; !ok {
+			l.buckets[ws] = &bucket{at: now}
+		}
+	}
 	for ws := range l.buckets {
-		if _, ok := l.limits(ws); !ok {
+		if _, ok := l.limits.Limit(ws); !ok {
 			delete(l.buckets, ws)
 		}
 	}
@@ -302,7 +319,7 @@
 	x.Settled = x.Lent
 	if b, ok := l.buckets[ws]; ok && left > 0 {
 		// What the rate yielded before had to fit beside the loan.
-		if limit, ok := l.limits(ws); ok {
+		if limit, ok := l.limits.Limit(ws); ok {
 			b.fill(limit, l.share, now)
 		}
 		b.lent = max(b.lent-left, 0)
--- a/core/mangoquota/quota.go
+++ b/core/mangoquota/quota.go
@@ -33,6 +33,7 @@
 
 import (
 	"fmt"
+	"iter"
 	"time"
 
 	"mangolane/core/mangomodel"
@@ -67,8 +68,13 @@
 // Session numbers the accountants that an account has had.
 type Session uint64
 
-// Limits returns the limit of a workspace; false if it has none.
-type Limits func(id mangomodel.WorkspaceID) (mangoworkspace.Limit, bool)
+// Limits are the limits of the active configuration.
+type Limits interface {
+	// Limit returns the limit of a workspace; false if it has none.
+	Limit(id mangomodel.WorkspaceID) (mangoworkspace.Limit, bool)
+	// Limited yields the workspaces that have a limit.
+	Limited() iter.Seq[mangomodel.WorkspaceID]
+}
 
 // Terms are what a ledger depends on besides the limits.
 type Terms interface {
