--- a/core/mangoquota/ledger.go
+++ b/core/mangoquota/ledger.go
@@ -155,6 +155,7 @@
 	b := l.bucket(id, limit, now)
 	x, ok := m.loans[id]
 	if !ok {
+		// What was settled and refunded before isn't known any more, and counts as known.
 		x = &loan{Loan: Loan{Lent: u.Settled, Settled: u.Settled}, returned: u.Returned, refunded: u.Refunded}
 		m.loans[id] = x
 	}
@@ -206,6 +207,9 @@
 // unknown returns how many daemons another accountant counted that this one doesn't know.
 func (l *Ledger) unknown() int {
 	n := l.foreign
+	if n == 0 {
+		return 0
+	}
 	for _, m := range l.members {
 		if m.seated {
 			n--
@@ -242,7 +246,7 @@
 			share -= 1 / float64(min(m.divisor, n))
 		}
 	}
-	if share > majority {
+	if share > majority+rounding {
 		share = min(share+l.terms.Tolerance(), 1)
 	}
 	next := mangoworkspace.Amount(max(share, 0))
