Quotas: tests that failed to guard against three faults do so now

Changed copies of the code showed that the time for which a share is held, the capacity that loans take up and the share of unused buckets were guarded by no test; each has one now, which was seen to fail on such a copy.

--- a/core/mangoquota/partition_test.go
+++ b/core/mangoquota/partition_test.go
@@ -64,6 +64,18 @@
 	}
 }
 
+// TestUnusedBucketFollowsTheShare guards against a bucket that nobody uses during a partition
+// and that still holds the whole burst afterwards.
+func TestUnusedBucketFollowsTheShare(t *testing.T) {
+	g := gomega.NewWithT(t)
+	w := newWorld(20, 2000, standard)
+	w.overload(0, 0, 4*time.Second)
+	b := w.daemons[0].ledger.buckets[acme]
+	w.cutFrom(5)
+	w.overload(0, 0, 3*time.Second)
+	g.Expect(b.level).To(gomega.BeNumerically("~", standard.Burst/4, 1))
+}
+
 // TestDeadDaemonsReduceNothing guards against a quota that is smaller for ten minutes after
 // some daemons have died.
 func TestDeadDaemonsReduceNothing(t *testing.T) {
@@ -93,6 +105,28 @@
 	g.Expect(w.overload(1, n, 5*time.Second) / 5).To(gomega.BeNumerically("~", 1, 0.01))
 }
 
+// TestShareMovesOnce guards against a share that two accountants lend: while half of the
+// daemons change to and fro, the accountants of the others must not lend their shares too.
+func TestShareMovesOnce(t *testing.T) {
+	g := gomega.NewWithT(t)
+	const n = 20
+	w := newWorld(n, 2000, standard)
+	w.tolerance = 0
+	w.overload(0, n, 4*time.Second)
+	w.prefers = func(i int) int {
+		switch {
+		case i < n/4:
+			return 0
+		case i >= n-n/4:
+			return 1
+		default:
+			return w.step / 60 % 2
+		}
+	}
+	const seconds = 15
+	g.Expect(w.overload(0, n, seconds*time.Second)).To(gomega.BeNumerically("<=", seconds+1))
+}
+
 // TestSlowAccountantGrantsNothingLate guards against calls that run long after their cost was
 // granted.
 func TestSlowAccountantGrantsNothingLate(t *testing.T) {
@@ -124,6 +158,17 @@
 	g.Expect(w.overload(0, 4, time.Second)).To(gomega.BeNumerically("<=", 1.2), "a raised one keeps the level")
 }
 
+// TestLoansTakeUpCapacity guards against loans that add to the burst.
+func TestLoansTakeUpCapacity(t *testing.T) {
+	g := gomega.NewWithT(t)
+	now := time.Unix(1000, 0)
+	b := &bucket{at: now, share: 1}
+	b.fill(standard, 1, now.Add(time.Minute))
+	g.Expect(b.ahead(5_000, standard)).To(gomega.BeNumerically("==", 5_000))
+	b.fill(standard, 1, now.Add(2*time.Minute))
+	g.Expect(b.level + b.lent).To(gomega.BeNumerically("<=", standard.Burst))
+}
+
 // TestCallAboveTheBurst guards against a call that is told to return although it can never
 // pass.
 func TestCallAboveTheBurst(t *testing.T) {
--- a/core/mangoquota/world_test.go
+++ b/core/mangoquota/world_test.go
@@ -67,9 +67,11 @@
 	sides []func(i int) int
 	order []int
 	// delay returns how many steps a message takes; negative if it is lost.
-	delay  func() int
-	flight []message
-	step   int
+	delay func() int
+	// prefers returns the accountant that a daemon uses, if it is set.
+	prefers func(i int) int
+	flight  []message
+	step    int
 	// tolerance is that of the ledgers, and seeds is how many daemons all others know.
 	tolerance float64
 	seeds     int
@@ -132,6 +134,9 @@
 
 // accountant returns the daemon that i uses as the accountant, which it learns late.
 func (w *world) accountant(i int) int {
+	if w.prefers != nil {
+		return w.prefers(i)
+	}
 	known := max(w.step-w.daemons[i].lag, 0)
 	n := len(w.daemons)
 	for k := range n {
--- a/mangolanectl/mangoexplain/explain_test.go
+++ b/mangolanectl/mangoexplain/explain_test.go
@@ -27,6 +27,7 @@
 {"Daemon":"d1","Time":"2026-12-04T10:01:03.1Z","Message":"server skipped","Request":"r5","Server":"s6","Cause":"server has asked for time, of which 2s is left"}
 {"Daemon":"d1","Time":"2026-12-04T10:01:04Z","Message":"call finished","Request":"r5","Code":"Overloaded","Step":"Admission","Run":"Not","Cause":"all servers of a have asked for time: 2 listed, 1 leaving, 0 set aside, 1 backing off"}
 {"Daemon":"d1","Time":"2026-12-04T10:00:05Z","Message":"call finished","Request":"r4","Status":200,"OnTime":false,"First":1.5,"LongestPause":0.1,"Attempts":1}
+{"Daemon":"d1","Time":"2026-12-04T10:02:00Z","Message":"call finished","Request":"r8","Step":"Admission","Code":"QuotaExceeded","Run":"Not","Workspace":"acme","Unit":"Tokens","Rate":29000,"Burst":29000,"Cost":7000,"Used":28000,"UsedAge":0.04,"Alone":false,"Cause":"workspace acme may use 29000 Tokens/s with a burst of 29000; the call costs 7000, and 28000 of the burst were used 40ms ago"}
 `
 
 func messages(lines []Line) []string {
@@ -71,6 +72,7 @@
 		{"r1", "Cause: Overloaded at step Admission: no room (it was not run)"},
 		{"r2", "Cause: none, it was answered in time"},
 		{"r3", "Cause: the logs do not say how it ended"},
+		{"r8", "Cause: QuotaExceeded at step Admission: workspace acme may use 29000 Tokens/s with a burst of 29000; the call costs 7000, and 28000 of the burst were used 40ms ago (it was not run)"},
 		{"r4", "Cause: answered late: first after 1.5 s, longest pause 0.1 s, 1 attempts"},
 	}
 	for _, test := range tests {
--- a/mangolaned/mangosettings/gateway_test.go
+++ b/mangolaned/mangosettings/gateway_test.go
@@ -37,6 +37,8 @@
 		{"RetryWindow", `"10s"`, `"0s"`},
 		{"DrainTime", `"Daemon"`, `"DrainTime": "-1s", "Daemon"`},
 		{"ConfigTime", `"Daemon"`, `"ConfigTime": "-1s", "Daemon"`},
+		{"QuotaTolerance", `"Daemon"`, `"QuotaTolerance": -0.1, "Daemon"`},
+		{"QuotaTolerance", `"Daemon"`, `"QuotaTolerance": 10, "Daemon"`},
 		{"Unknown", `"Daemon"`, `"Unknown": 1, "Daemon"`},
 		{"LogLevel", `"Daemon"`, `"LogLevel": "loud", "Daemon"`},
 		{"LogRate", `"Daemon"`, `"LogRate": -1, "Daemon"`},
@@ -52,6 +54,17 @@
 	}
 }
 
+// TestQuotaToleranceIsNotLentWhole guards against a tolerance that leaves nothing for calls
+// that were granted before a window and begin in it.
+func TestQuotaToleranceIsNotLentWhole(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s, err := ParseGateway([]byte(gateway))
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(s.LentTolerance()).To(gomega.BeZero())
+	s.QuotaTolerance = 0.1
+	g.Expect(s.LentTolerance()).To(gomega.BeNumerically("~", 0.08))
+}
+
 func TestRetryAllowanceGrowsWithUptime(t *testing.T) {
 	g := gomega.NewWithT(t)
 	s, err := ParseGateway([]byte(gateway))
