--- a/core/mangobroker/exchange.go
+++ b/core/mangobroker/exchange.go
@@ -128,8 +128,8 @@
 	}
 }
 
-// schedulers returns the schedulers of all services, and whether one differs from
-// last, which it updates.
+// schedulers returns the schedulers of all services and the accountant, and whether a
+// scheduler differs from last, which it updates.
 func (b *Broker) schedulers(last map[mangotraffic.ServiceName]mangomodel.DaemonID) (map[mangomodel.DaemonID]mangoroster.Member, bool) {
 	targets, changed := make(map[mangomodel.DaemonID]mangoroster.Member), false
 	for _, name := range b.fleet.View().Services() {
@@ -140,6 +140,9 @@
 			b.log.SchedulerChanged(name, m.Holder.Daemon)
 		}
 	}
+	if m, ok := b.fleet.View().Accountant(); ok {
+		targets[m.Holder.Daemon] = m
+	}
 	return targets, changed
 }
 
--- a/core/mangofleet/fleet.go
+++ b/core/mangofleet/fleet.go
@@ -190,6 +190,8 @@
 	quotaReplies         mangoquery.Index[quotaHolder, QuotaReply]
 	// defaultScheduler is the daemon that does the initial sync for the others.
 	defaultScheduler mangoroster.Member
+	// accountant counts what the workspaces use; zero without limits.
+	accountant mangoroster.Member
 }
 
 // FollowsScheduler reports whether this daemon receives changes of the list of servers
@@ -250,6 +252,9 @@
 			candidates[m.Holder.Daemon] = true
 		}
 	}
+	if m, ok := v.Accountant(); ok {
+		candidates[m.Holder.Daemon] = true
+	}
 	return slices.DeleteFunc(v.Sightings(now), func(s mangoroster.Sighting) bool { return !candidates[s.Member.Holder.Daemon] })
 }
 
--- a/core/mangofleet/quota.go
+++ b/core/mangofleet/quota.go
@@ -38,6 +38,12 @@
 	return func(s *state) { s.quota.tolerance = tolerance }
 }
 
+// WithBurstExtension sets by how much more than its burst a workspace may use at once. It
+// is called for each use.
+func WithBurstExtension(extension func() mangoworkspace.Amount) Option {
+	return func(s *state) { s.quota.extension = extension }
+}
+
 // QuotaAskNumber numbers the asks of a daemon.
 type QuotaAskNumber uint64
 
@@ -78,6 +84,7 @@
 // quotas is the part of the control state that concerns quotas.
 type quotas struct {
 	tolerance func() mangomodel.Share
+	extension func() mangoworkspace.Amount
 	account   *mangoquota.Account
 	ledger    *mangoquota.Ledger
 	waiters   []*quotaWaiter
@@ -101,6 +108,7 @@
 	}
 	return quotas{
 		tolerance: func() mangomodel.Share { return 0 },
+		extension: func() mangoworkspace.Amount { return 0 },
 		account:   mangoquota.NewAccount(quotaLimits{s}, first, time.Now()),
 		ledger:    mangoquota.NewLedger(quotaLimits{s}, quotaTerms{s}),
 		holders:   make(map[mangomodel.DaemonID]mangomodel.Holder),
@@ -121,7 +129,7 @@
 	})
 }
 
-// quotaLimits are the limits of the active configuration.
+// quotaLimits are the limits of the active configuration, with extended bursts.
 type quotaLimits struct{ *state }
 
 // Limit implements [mangoquota.Limits].
@@ -133,7 +141,9 @@
 	if !ok || !w.Limit.Bounded() {
 		return mangoworkspace.Limit{}, false
 	}
-	return w.Limit, true
+	limit := w.Limit
+	limit.Burst += l.quota.extension()
+	return limit, true
 }
 
 // Limited implements [mangoquota.Limits].
@@ -443,12 +453,8 @@
 	return r
 }
 
-// Accountant returns the daemon that counts what the workspaces use: the scheduler of the
-// first service by name that has one.
+// Accountant returns the daemon that counts what the workspaces use, if any service is
+// known.
 func (v *View) Accountant() (mangoroster.Member, bool) {
-	names := v.Services()
-	if len(names) == 0 {
-		return mangoroster.Member{}, false
-	}
-	return v.Scheduler(slices.Min(names))
+	return v.accountant, v.accountant.Holder.Daemon != ""
 }
--- a/core/mangofleet/state.go
+++ b/core/mangofleet/state.go
@@ -152,7 +152,7 @@
 		v.crashRequest, v.crashResponse = last.crashRequest, last.crashResponse
 		v.expired, v.withdrawn, v.unconfirmed = last.expired, last.withdrawn, last.unconfirmed
 		v.backoffs = last.backoffs
-		v.stageChanges, v.defaultScheduler = last.stageChanges, last.defaultScheduler
+		v.stageChanges, v.defaultScheduler, v.accountant = last.stageChanges, last.defaultScheduler, last.accountant
 		v.Usages, v.Outcomes, v.quarantineMessage = last.Usages, last.Outcomes, last.quarantineMessage
 	}
 	v.Ejections = s.ejections(now)
@@ -185,6 +185,10 @@
 		v.Members, v.stageChanges = s.roster.Members(self, now), s.pool.StageChanges(now)
 		v.schedulers = s.roster.Schedulers(self, s.pool.PerRegion(), now)
 		v.defaultScheduler = s.roster.DefaultScheduler(self, now)
+		v.accountant = mangoroster.Member{}
+		if s.limited() {
+			v.accountant, _ = s.roster.Accountant(self, s.pool.PerRegion(), now)
+		}
 		s.changed.members, s.membersAt = false, now
 	}
 	return v
--- a/core/mangoroster/roster.go
+++ b/core/mangoroster/roster.go
@@ -13,6 +13,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -143,18 +144,36 @@
 	candidates := r.candidates(me, now)
 	lists := make(map[mangotraffic.ServiceName][]Member, len(servers))
 	for name, weight := range servers {
-		list := slices.Clone(candidates)
-		slices.SortFunc(list, func(a, b Member) int {
-			return cmp.Or(
-				cmp.Compare(weight[r.regions[b.DataCentre]], weight[r.regions[a.DataCentre]]),
-				cmp.Compare(mix(hashOf(string(name)), string(b.Holder.Daemon)), mix(hashOf(string(name)), string(a.Holder.Daemon))),
-			)
-		})
-		lists[name] = list
+		lists[name] = r.sorted(candidates, name, weight)
 	}
 	return lists
 }
 
+// sorted returns candidates in the order in which they may schedule a service.
+func (r *Roster) sorted(candidates []Member, name mangotraffic.ServiceName, weight map[mangomodel.RegionID]int) []Member {
+	return slices.SortedFunc(slices.Values(candidates), func(a, b Member) int {
+		return cmp.Or(
+			cmp.Compare(weight[r.regions[b.DataCentre]], weight[r.regions[a.DataCentre]]),
+			cmp.Compare(mix(hashOf(string(name)), string(b.Holder.Daemon)), mix(hashOf(string(name)), string(a.Holder.Daemon))),
+		)
+	})
+}
+
+// Accountant returns the daemon that counts what workspaces use: the scheduler of the
+// first service by name, or the one that would be if it could read the store. Each change
+// of the accountant empties the workspaces' allowances, and a daemon whose reads of the
+// store fail becomes scheduler and ceases to be several times a minute.
+func (r *Roster) Accountant(me Member, servers ServersPerRegion, now time.Time) (Member, bool) {
+	if len(servers) == 0 {
+		return Member{}, false
+	}
+	name := slices.Min(slices.Collect(maps.Keys(servers)))
+	list := r.alive(me, now)
+	list = excludeUnlessAll(list, func(m Member) bool { return m.Draining })
+	list = excludeUnlessAll(list, func(m Member) bool { return !m.Strong })
+	return r.sorted(list, name, servers[name])[0], true
+}
+
 // DefaultScheduler returns the daemon that the others of this daemon's region
 // follow while no service is configured: the scheduler of a service with all its
 // servers in that region.
@@ -166,6 +185,13 @@
 
 // candidates returns the daemons that may schedule, this one included.
 func (r *Roster) candidates(me Member, now time.Time) []Member {
+	list := excludeUnlessAll(r.alive(me, now), func(m Member) bool { return m.Draining })
+	list = excludeUnlessAll(list, func(m Member) bool { return m.Stale })
+	return excludeUnlessAll(list, func(m Member) bool { return !m.Strong })
+}
+
+// alive returns the daemons that respond, this one included.
+func (r *Roster) alive(me Member, now time.Time) []Member {
 	list := []Member{me}
 	unreachable := r.unreachableRegions(me, now)
 	for _, p := range r.peers {
@@ -174,9 +200,7 @@
 		}
 		list = append(list, p.member)
 	}
-	list = excludeUnlessAll(list, func(m Member) bool { return m.Draining })
-	list = excludeUnlessAll(list, func(m Member) bool { return m.Stale })
-	return excludeUnlessAll(list, func(m Member) bool { return !m.Strong })
+	return list
 }
 
 // unreachableRegions returns the other regions that appear to be unreachable,
--- a/mangolaned/mangogateway/gateway.go
+++ b/mangolaned/mangogateway/gateway.go
@@ -32,6 +32,7 @@
 	"mangolane/core/mangoroster"
 	"mangolane/core/mangoshutdown"
 	"mangolane/core/mangostage"
+	"mangolane/core/mangoworkspace"
 	"mangolane/mangolaned/mangolog"
 	"mangolane/mangolaned/mangomesh"
 	"mangolane/mangolaned/mangosettings"
@@ -88,7 +89,8 @@
 	fleet := mangofleet.New(mangofleet.Self{Member: self, Regions: s.Regions, MinDaemons: len(s.Seeds), Seeds: s.Seeds}, func() mangobudget.Limits {
 		return current.Load().RetryLimits(time.Since(started))
 	}, mangofleet.WithObserver(o), mangofleet.WithTimes(times),
-		mangofleet.WithQuotaTolerance(func() mangomodel.Share { return current.Load().LentTolerance() }))
+		mangofleet.WithQuotaTolerance(func() mangomodel.Share { return current.Load().LentTolerance() }),
+		mangofleet.WithBurstExtension(func() mangoworkspace.Amount { return current.Load().BurstExtension() }))
 	memory := mangomemory.New(s.BodyMemory, mangomemory.WithObserver(o))
 	m.watch(memory)
 	servers := newServers(fleet, memory)
--- a/mangolaned/mangogateway/reload.go
+++ b/mangolaned/mangogateway/reload.go
@@ -54,6 +54,6 @@
 // unchanged: all but those that a reload applies.
 func sameStartupSettings(a, b mangosettings.Gateway) bool {
 	a.LogLevel, a.RetryRatio, a.RetryFixed, a.RetryWindow = b.LogLevel, b.RetryRatio, b.RetryFixed, b.RetryWindow
-	a.GracePeriod, a.QuotaTolerance = b.GracePeriod, b.QuotaTolerance
+	a.GracePeriod, a.QuotaTolerance, a.QuotaSlack = b.GracePeriod, b.QuotaTolerance, b.QuotaSlack
 	return reflect.DeepEqual(a, b)
 }
--- a/mangolaned/mangosettings/gateway.go
+++ b/mangolaned/mangosettings/gateway.go
@@ -10,6 +10,7 @@
 	"mangolane/core/mangobudget"
 	"mangolane/core/mangoconfig"
 	"mangolane/core/mangomodel"
+	"mangolane/core/mangoworkspace"
 )
 
 // Gateway holds the settings of a daemon that routes calls for a platform.
@@ -45,6 +46,9 @@
 	// that it is exceeded. A part of it is used while some daemons do not respond, so that
 	// these do not reduce the limits.
 	QuotaTolerance mangomodel.Share `json:",omitempty"`
+	// QuotaSlack is the amount, in the unit of a workspace's limit, by which the platform
+	// tolerates in addition that a workspace exceeds its limit within a window.
+	QuotaSlack mangoworkspace.Amount `json:",omitempty"`
 	// Seeds are addresses of other daemons to contact at startup.
 	Seeds []mangomodel.Address `json:",omitempty"`
 	// Cores is the number of cores; a value below 1 counts as 1. CoreShare is
@@ -88,6 +92,15 @@
 // the daemons that are present.
 func (s *Gateway) LentTolerance() mangomodel.Share { return lentTolerance * s.QuotaTolerance }
 
+// lentSlack is the part of QuotaSlack that extends the bursts of all workspaces. Workspaces
+// with small limits need it: a burst of one second is two generations there, and calls
+// that arrive at random exceed it although the workspace is far below its rate. The rest
+// is kept for the same reason as that of QuotaTolerance.
+const lentSlack = 0.75
+
+// BurstExtension returns by how much more than its burst a workspace may use at once.
+func (s *Gateway) BurstExtension() mangoworkspace.Amount { return lentSlack * s.QuotaSlack }
+
 // ReadGateway reads a gateway's settings from a file, applies the defaults and
 // checks them.
 func ReadGateway(path string) (Gateway, error) {
@@ -167,6 +180,9 @@
 	if s.QuotaTolerance < 0 || s.QuotaTolerance > maxQuotaTolerance {
 		return invalid("QuotaTolerance must be between 0 and %v", maxQuotaTolerance)
 	}
+	if s.QuotaSlack < 0 {
+		return invalid("QuotaSlack must be at least 0")
+	}
 	if s.ChangeTime() <= 0 {
 		return invalid("DrainTime and ConfigTime must be above 0")
 	}
