--- a/core/mangoquota/bench_test.go
+++ b/core/mangoquota/bench_test.go
@@ -5,6 +5,7 @@
 	"encoding/gob"
 	"fmt"
 	"iter"
+	"runtime"
 	"testing"
 	"time"
 
@@ -99,6 +100,24 @@
 	}
 }
 
+// BenchmarkMemory reports the heap of the accountant's ledger.
+func BenchmarkMemory(b *testing.B) {
+	heap := func() float64 {
+		runtime.GC()
+		var m runtime.MemStats
+		runtime.ReadMemStats(&m)
+		return float64(m.HeapAlloc)
+	}
+	for b.Loop() {
+		t := newTarget()
+		t.accounts = nil
+		with := heap()
+		runtime.KeepAlive(t)
+		t = nil
+		b.ReportMetric(with-heap(), "B/ledger")
+	}
+}
+
 // BenchmarkAsk measures one ask for one call at the accountant.
 func BenchmarkAsk(b *testing.B) {
 	t := newTarget()
