--- a/core/mangoquota/world_test.go
+++ b/core/mangoquota/world_test.go
@@ -70,8 +70,9 @@
 	delay func() int
 	// prefers returns the accountant that a daemon uses, if it is set.
 	prefers func(i int) int
-	flight  []message
-	step    int
+	// flight are the messages under way, and spare is the memory of delivered ones.
+	flight, spare []message
+	step          int
 	// tolerance is that of the ledgers, and seeds is how many daemons all others know.
 	tolerance float64
 	seeds     int
