--- a/core/mangofleet/quota.go
+++ b/core/mangofleet/quota.go
@@ -196,7 +196,7 @@
 	return nil
 }
 
-// dropQuotaWaiter removes the newest waiter.
+// dropQuotaWaiter removes a call from those that wait.
 func (s *state) dropQuotaWaiter(w *quotaWaiter) {
 	s.quota.waiters = slices.DeleteFunc(s.quota.waiters, func(x *quotaWaiter) bool { return x == w })
 }
--- a/mangolaned/mangomesh/peers.go
+++ b/mangolaned/mangomesh/peers.go
@@ -109,8 +109,11 @@
 func (p *Peers) AskQuota(ctx context.Context, at mangomodel.Address, ask mangofleet.QuotaAsk) ([]mangoquota.Answer, error) {
 	var reply AskQuotaReply
 	to := mangoconn.Endpoint{Address: at, Lane: mangoconn.LaneAdmission}
-	err := p.pool.Call(ctx, to, mangomodel.StepAdmission, methodAskQuota, ask, &reply)
-	return reply.Answers, err
+	if err := p.pool.Call(ctx, to, mangomodel.StepAdmission, methodAskQuota, ask, &reply); err != nil {
+		// A late reply may still be written.
+		return nil, err
+	}
+	return reply.Answers, nil
 }
 
 // Snapshot fetches the state that a daemon has beyond this one's state version.
