--- a/core/mangofleet/quota.go
+++ b/core/mangofleet/quota.go
@@ -11,7 +11,6 @@
 	"mangolane/core/mangomodel"
 	"mangolane/core/mangoquery"
 	"mangolane/core/mangoquota"
-	"mangolane/core/mangoroster"
 	"mangolane/core/mangotraffic"
 	"mangolane/core/mangoworkspace"
 )
@@ -427,28 +426,3 @@
 	set(&reply)
 	q.replies = q.replies.With(quotaHolder(h), reply)
 }
-
-// QuotaWanted is signalled when calls wait for an ask: [BeginQuotaAsk] then makes one.
-func (f *Fleet) QuotaWanted() <-chan struct{} { return f.quotaWanted }
-
-// QuotaAsk returns the ask in flight, or nil.
-func (v *View) QuotaAsk() *QuotaAsk { return v.quotaAsk }
-
-// QuotaReport returns this daemon's last report, or nil if nothing is limited.
-func (v *View) QuotaReport() *mangoquota.Report { return v.quotaReport }
-
-// QuotaReply returns what this daemon has replied to another one as the accountant.
-func (v *View) QuotaReply(h mangomodel.Holder) QuotaReply {
-	r, _ := v.quotaReplies.Get(quotaHolder(h))
-	return r
-}
-
-// Accountant returns the daemon that counts what the workspaces use: the scheduler of the
-// first service by name that has one.
-func (v *View) Accountant() (mangoroster.Member, bool) {
-	names := v.Services()
-	if len(names) == 0 {
-		return mangoroster.Member{}, false
-	}
-	return v.Scheduler(slices.Min(names))
-}
