--- a/core/mangofleet/quota.go
+++ b/core/mangofleet/quota.go
@@ -11,7 +11,6 @@
 	"mangolane/core/mangomodel"
 	"mangolane/core/mangoquery"
 	"mangolane/core/mangoquota"
-	"mangolane/core/mangoroster"
 	"mangolane/core/mangotraffic"
 	"mangolane/core/mangoworkspace"
 )
@@ -206,7 +205,7 @@
 	return nil
 }
 
-// dropQuotaWaiter removes the newest waiter.
+// dropQuotaWaiter removes a call from those that wait.
 func (s *state) dropQuotaWaiter(w *quotaWaiter) {
 	s.quota.waiters = slices.DeleteFunc(s.quota.waiters, func(x *quotaWaiter) bool { return x == w })
 }
@@ -437,24 +436,3 @@
 	set(&reply)
 	q.replies = q.replies.With(quotaHolder(h), reply)
 }
-
-// QuotaWanted is signalled when calls wait for an ask: [BeginQuotaAsk] then makes one.
-func (f *Fleet) QuotaWanted() <-chan struct{} { return f.quotaWanted }
-
-// QuotaAsk returns the ask in flight, or nil.
-func (v *View) QuotaAsk() *QuotaAsk { return v.quotaAsk }
-
-// QuotaReport returns this daemon's last report, or nil if nothing is limited.
-func (v *View) QuotaReport() *mangoquota.Report { return v.quotaReport }
-
-// QuotaReply returns what this daemon has replied to another one as the accountant.
-func (v *View) QuotaReply(h mangomodel.Holder) QuotaReply {
-	r, _ := v.quotaReplies.Get(quotaHolder(h))
-	return r
-}
-
-// Accountant returns the daemon that counts what the workspaces use, if any service is
-// known.
-func (v *View) Accountant() (mangoroster.Member, bool) {
-	return v.accountant, v.accountant.Holder.Daemon != ""
-}
