Quotas: the accountant depends neither on the store nor on servers

The accountant is now chosen by rendezvous hashing over the daemons that respond and can schedule, and is a target of renewals by itself. Tests of mangofleet, mangobroker, mangoroster and mangorelay pass; the tests of the relay send keys now, which the joined code asks for.

--- a/core/mangofleet/quotaview.go
+++ b/core/mangofleet/quotaview.go
@@ -21,8 +21,7 @@
 	return r
 }
 
-// Accountant returns the daemon that counts what the workspaces use, if any service is
-// known and a workspace is limited.
+// Accountant returns the daemon that counts what the workspaces use, if any is limited.
 func (v *View) Accountant() (mangoroster.Member, bool) {
 	return v.accountant, v.accountant.Holder.Daemon != ""
 }
--- a/core/mangofleet/state.go
+++ b/core/mangofleet/state.go
@@ -187,7 +187,7 @@
 		v.defaultScheduler = s.roster.DefaultScheduler(self, now)
 		v.accountant = mangoroster.Member{}
 		if s.limited() {
-			v.accountant, _ = s.roster.Accountant(self, s.pool.PerRegion(), now)
+			v.accountant = s.roster.Accountant(self, now)
 		}
 		s.changed.members, s.membersAt = false, now
 	}
--- a/core/mangorelay/quota_test.go
+++ b/core/mangorelay/quota_test.go
@@ -17,7 +17,9 @@
 
 // limit installs a configuration that limits a workspace, and waits until its bucket is full.
 func (h *harness) limit(l mangoworkspace.Limit) {
-	dir, problems := mangoworkspace.NewDirectory([]mangoworkspace.Workspace{{ID: "acme", Limit: l}, {ID: "free"}})
+	dir, problems := mangoworkspace.NewDirectory([]mangoworkspace.Workspace{
+		{ID: "acme", Keys: []mangoworkspace.Digest{keyOf("acme")}, Limit: l}, {ID: "free", Keys: []mangoworkspace.Digest{keyOf("free")}},
+	})
 	h.Expect(problems).To(gomega.BeEmpty())
 	document := h.fleet.View().Routing.Document()
 	routing, err := mangotraffic.NewRouting(2, document.Routes, document.Services, document.Limits, mangotraffic.WithWorkspaces(dir))
@@ -26,9 +28,14 @@
 	time.Sleep(3 * time.Second)
 }
 
+// keyOf returns the digest of the key that a workspace has in these tests.
+func keyOf(id mangomodel.WorkspaceID) mangoworkspace.Digest {
+	return mangoworkspace.DigestOf(string(id))
+}
+
 func (h *harness) serveFor(id mangomodel.WorkspaceID, target string) *mangomodel.Fault {
 	h.newCall(target)
-	h.call.Workspace = id
+	h.call.Key, h.call.HasKey = keyOf(id), true
 	return h.serve()
 }
 
@@ -62,11 +69,11 @@
 		time.Sleep(250 * time.Second)
 		h.Expect(h.serveFor("acme", "/call/")).To(gomega.BeNil(), "200 of 250 tokens")
 		h.newCall("/call/")
-		h.call.Workspace, h.call.Generation = "acme", nil
+		h.call.Key, h.call.HasKey, h.call.Generation = keyOf("acme"), true, nil
 		h.Expect(h.serve().Code).To(gomega.Equal(mangomodel.CodeQuotaExceeded), "60 of 50 tokens")
 		time.Sleep(20 * time.Second)
 		h.newCall("/once/")
-		h.call.Workspace, h.call.Generation = "acme", nil
+		h.call.Key, h.call.HasKey, h.call.Generation = keyOf("acme"), true, nil
 		h.Expect(mangomodel.HasCode(h.relay.Serve(context.Background(), h.call, h.client), mangomodel.CodeQuotaExceeded)).To(gomega.BeFalse(),
 			"an engine is assumed to generate thousands of tokens, which the client hasn't stated")
 	})
--- a/core/mangoroster/roster.go
+++ b/core/mangoroster/roster.go
@@ -13,7 +13,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 	"time"
 
@@ -159,21 +158,21 @@
 	})
 }
 
-// Accountant returns the daemon that counts what workspaces use: the scheduler of the
-// first service by name, or the one that would be if it could read the store. Each change
-// of the accountant empties the workspaces' allowances, and a daemon whose reads of the
-// store fail becomes scheduler and ceases to be several times a minute.
-func (r *Roster) Accountant(me Member, servers ServersPerRegion, now time.Time) (Member, bool) {
-	if len(servers) == 0 {
-		return Member{}, false
-	}
-	name := slices.Min(slices.Collect(maps.Keys(servers)))
-	list := r.alive(me, now)
-	list = excludeUnlessAll(list, func(m Member) bool { return m.Draining })
+// Accountant returns the daemon that counts what workspaces use, by rendezvous hashing
+// over those that may schedule if they can read the store. Each change of the accountant
+// empties the workspaces' allowances. A daemon whose reads of the store fail becomes
+// scheduler and ceases to be several times a minute, and a release of servers moves the
+// schedulers between regions, so the accountant depends on neither.
+func (r *Roster) Accountant(me Member, now time.Time) Member {
+	list := excludeUnlessAll(r.alive(me, now), func(m Member) bool { return m.Draining })
 	list = excludeUnlessAll(list, func(m Member) bool { return !m.Strong })
-	return r.sorted(list, name, servers[name])[0], true
+	return r.sorted(list, accountants, nil)[0]
 }
 
+// accountants is the name under which rendezvous hashing chooses the accountant. No
+// service has it.
+const accountants mangotraffic.ServiceName = ""
+
 // DefaultScheduler returns the daemon that the others of this daemon's region
 // follow while no service is configured: the scheduler of a service with all its
 // servers in that region.
