Fair queueing: the tags have a type of their own

The queue of the reverse-proxy path has orders that the queue of mangofair does not know (lateness, ranks, cost), but must share a service by the same decision. Clock holds the virtual time and the tags; Queue uses it and orders as before.

--- a/core/mangofair/queue.go
+++ b/core/mangofair/queue.go
@@ -1,7 +1,8 @@
 // Package mangofair implements a queue in which workspaces share a service
 // fairly.
 //
-// A [Queue] is a start-time fair queue: demands of one workspace are served in
+// A [Clock] holds the decision: which flow has received how much of the service. A
+// [Queue] is a start-time fair queue: demands of one workspace are served in
 // order, and workspaces share the service in proportion to their weights.
 // Prioritized demands, such as resumed ones, are served before the other demands
 // of their workspace, and a workspace whose first demand is prioritized is served
@@ -57,21 +58,19 @@
 // Queue is a start-time fair queue.
 type Queue[D Demand] struct {
 	flows map[mangomodel.WorkspaceID]*flow[D]
-	// virtualTime is the start tag of the demand served last.
-	virtualTime float64
+	clock Clock[mangomodel.WorkspaceID]
 }
 
 // flow holds the demands of one workspace.
 type flow[D Demand] struct {
 	demands []D
-	// finishTag is the finish tag of the flow's last served demand. It starts at
-	// the virtual time at which the flow was added.
+	// finishTag is the flow's finish tag at the last call of Ordered.
 	finishTag float64
 }
 
 // New returns an empty queue.
 func New[D Demand]() Queue[D] {
-	return Queue[D]{flows: make(map[mangomodel.WorkspaceID]*flow[D])}
+	return Queue[D]{flows: make(map[mangomodel.WorkspaceID]*flow[D]), clock: NewClock[mangomodel.WorkspaceID]()}
 }
 
 // Push adds a demand behind the demands of its workspace that have the same
@@ -79,9 +78,10 @@
 func (q *Queue[D]) Push(d D) {
 	f, ok := q.flows[d.Workspace()]
 	if !ok {
-		f = &flow[D]{finishTag: q.virtualTime}
+		f = &flow[D]{}
 		q.flows[d.Workspace()] = f
 	}
+	q.clock.Join(d.Workspace())
 	f.demands = append(f.demands, d)
 	slices.SortStableFunc(f.demands, comparePriority[D])
 }
@@ -90,8 +90,7 @@
 func (q *Queue[D]) MarkServed(d D) {
 	f := q.flows[d.Workspace()]
 	f.demands = slices.DeleteFunc(f.demands, func(other D) bool { return other == d })
-	q.virtualTime = max(q.virtualTime, f.finishTag)
-	f.finishTag = q.virtualTime + d.Cost()/float64(max(d.Weight(), 1))
+	q.clock.Serve(d.Workspace(), d.Cost(), d.Weight())
 }
 
 // Len returns the number of demands that are not inactive.
@@ -116,10 +115,11 @@
 	for id, f := range q.flows {
 		f.demands = slices.DeleteFunc(f.demands, D.Inactive)
 		if len(f.demands) > 0 {
+			f.finishTag = q.clock.Finish(id)
 			flows = append(flows, f)
 			continue
 		}
-		if f.finishTag <= q.virtualTime {
+		if q.clock.Leave(id) {
 			delete(q.flows, id)
 		}
 	}
