--- a/core/mangolease/lease.go
+++ b/core/mangolease/lease.go
@@ -25,6 +25,12 @@
 	Service mangotraffic.ServiceName
 	// Workspace is the one that the call belongs to; empty without workspaces.
 	Workspace mangomodel.WorkspaceID
+	// Route and Revision are the route and the configuration from which Priority follows,
+	// and ClientLeft is how much longer the client waits. All three are zero if the
+	// configuration has no workspaces.
+	Route      mangotraffic.RouteName
+	Revision   mangomodel.Revision
+	ClientLeft time.Duration
 	// Origin is the data centre of the daemon that received the call.
 	Origin mangomodel.DataCentreID
 	// Priority orders demands that are equally late.
@@ -54,13 +60,36 @@
 	Probe bool
 }
 
+// Shared reports whether the demand shares its service with those of other workspaces.
+// Without workspaces in the configuration no demand does.
+func (d *Demand) Shared() bool { return d.Workspace != "" || d.Route != "" }
+
 // PendingDemand is a demand in the queue, with its durations converted to times.
 type PendingDemand struct {
 	Lease                            ID
 	Demand                           Demand
 	ArrivedAt, OnTimeUntil, Deadline time.Time
+	// Place is the demand's place among those of other workspaces.
+	Place Place
 }
 
+// Place is what decided the order of a demand that shares its service with other
+// workspaces, besides its lateness and its cost.
+type Place struct {
+	Priority mangotraffic.Priority
+	// Lead is how much more of the service the workspace had received, or has been ordered
+	// before this demand, than the workspace that was due. Its unit is that of the costs.
+	Lead float64
+	// Returned is set if the client was refused before, and returned when it was told to.
+	Returned bool
+	// Reserved is set if the demand was placed before more urgent ones, by the minimum
+	// share of less urgent ones.
+	Reserved bool
+}
+
+// Pending returns the demand itself, also for types that embed it.
+func (p *PendingDemand) Pending() *PendingDemand { return p }
+
 // NewPendingDemand returns the pending demand for a demand that arrives now.
 func NewPendingDemand(id ID, d Demand, now time.Time) *PendingDemand {
 	return &PendingDemand{Lease: id, Demand: d, ArrivedAt: now.Add(-d.Age), OnTimeUntil: now.Add(d.OnTimeFor), Deadline: now.Add(d.Patience)}
@@ -85,6 +114,8 @@
 	Scheduler     mangomodel.DaemonID
 	Running, Free int
 	Peak          mangomodel.Tokens
+	// Place is the place that the demand had; zero without workspaces.
+	Place Place
 }
 
 // Progress is a holder's report on a lease.
--- a/core/mangopool/lease.go
+++ b/core/mangopool/lease.go
@@ -142,6 +142,7 @@
 	granted := mangolease.Lease{
 		Server: place.server.server, Waited: now.Sub(pending.ArrivedAt),
 		Scheduler: p.self.Daemon, Running: len(place.server.runs), Free: place.server.free(now), Peak: place.peak,
+		Place: pending.Place,
 	}
 	place.server.addRun(pending.Lease, l)
 	p.backoffs.Started(granted.Server.Ref(), pending.Lease.Holder, now)
--- a/core/mangoqueue/queue.go
+++ b/core/mangoqueue/queue.go
@@ -32,14 +32,14 @@
 		mangomodel.TrueFirst(a.Demand.Prefilled, b.Demand.Prefilled),
 		mangomodel.TrueFirst(!a.Late(now), !b.Late(now)),
 		cmp.Compare(a.Demand.Priority, b.Demand.Priority),
-		cmp.Compare(cost(a.Demand.Generation), cost(b.Demand.Generation)),
+		cmp.Compare(Cost(a.Demand.Generation), Cost(b.Demand.Generation)),
 		a.ArrivedAt.Compare(b.ArrivedAt),
 	)
 }
 
-// cost returns the KV memory that a generation is expected to occupy, multiplied by
+// Cost returns the KV memory that a generation is expected to occupy, multiplied by
 // the tokens that it takes to generate. It is zero for other calls.
-func cost(g *mangotraffic.Generation) float64 {
+func Cost(g *mangotraffic.Generation) float64 {
 	if g == nil {
 		return 0
 	}
--- a/core/mangotraffic/call.go
+++ b/core/mangotraffic/call.go
@@ -46,6 +46,9 @@
 	// Workspace is the one that the key belongs to; empty on a public route and without
 	// workspaces.
 	Workspace mangomodel.WorkspaceID
+	// Priority is the rank of the call once the relay has determined it. Servers receive it
+	// if Restricted is set.
+	Priority Priority
 }
 
 // Generation describes the work of a generation request.
