Fleet: the queue is ordered by shares, ranks and returns

The scheduler's queue now uses mangoshare, ranks waiting demands again when a newer configuration is installed, and records which clients were told to return. Demands without a workspace are not counted and keep their order.

--- a/core/mangofleet/admission.go
+++ b/core/mangofleet/admission.go
@@ -9,6 +9,7 @@
 	"mangolane/core/mangoloop"
 	"mangolane/core/mangomodel"
 	"mangolane/core/mangoqueue"
+	"mangolane/core/mangoshare"
 	"mangolane/core/mangotraffic"
 )
 
@@ -31,7 +32,9 @@
 // Await queues the demand with its reply, which is sent once the demand is granted
 // or refused.
 func (c Acquire) Await(s *state, r mangoloop.Reply) {
-	s.queue = append(s.queue, &waiter{PendingDemand: mangolease.NewPendingDemand(c.Lease, c.Demand, time.Now()), reply: r})
+	w := &waiter{PendingDemand: mangolease.NewPendingDemand(c.Lease, c.Demand, time.Now()), reply: r}
+	s.share(w, time.Now())
+	s.queue = append(s.queue, w)
 }
 
 // Apply serves the queue, which Await has added the demand to. It removes and
@@ -53,6 +56,7 @@
 	if !c.Demand.Standby {
 		s.pool.RecordDemand(&c.Demand)
 		s.flow(c.Demand.Service).Arrived(now)
+		s.shares.Arrived(s.ranked(c.Demand), now)
 	}
 	s.serveQueue(now)
 	return nil
@@ -85,7 +89,7 @@
 // that are predicted to wait beyond theirs. Once a demand that excludes no server remains queued, later demands
 // for the same service are not tried.
 func (s *state) serveQueue(now time.Time) {
-	slices.SortStableFunc(s.queue, func(a, b *waiter) int { return mangoqueue.Compare(a.PendingDemand, b.PendingDemand, now) })
+	mangoshare.Sort(s.shares, s.queue, now)
 	blocked := make(map[mangotraffic.ServiceName]bool)
 	waiting := make(map[mangotraffic.ServiceName]int)
 	known := make(prospects)
@@ -98,10 +102,12 @@
 		}
 		if !blocked[name] && s.grant(w, now) {
 			s.flow(name).Granted(now)
+			s.shares.Granted(w.PendingDemand, now)
 			w.reply.Send(nil)
 			continue
 		}
 		if err := s.refusal(w, known, waiting[name], now); err != nil {
+			s.told(w, err, now)
 			w.reply.Send(err)
 			continue
 		}
@@ -128,11 +134,11 @@
 	limit := w.Deadline.Sub(now)
 	var f *mangomodel.Fault
 	if limit <= 0 {
-		f = refused(mangomodel.CodeOverloaded, "no server of %s had room for %v: %s",
-			w.Demand.Service, now.Sub(w.ArrivedAt).Round(time.Millisecond), s.pool.Explain(w.PendingDemand, now))
+		f = refused(mangomodel.CodeOverloaded, "no server of %s had room for %v%s: %s",
+			w.Demand.Service, now.Sub(w.ArrivedAt).Round(time.Millisecond), explainShare(w), s.pool.Explain(w.PendingDemand, now))
 	} else if wait, ok := flow.Hopeless(ahead, limit, now); ok && arrived {
-		f = refused(mangomodel.CodeOverloaded, "%d demands before it wait for servers of %s, predicted wait %v, limit %v: %s",
-			ahead, w.Demand.Service, wait.Round(time.Millisecond), limit.Round(time.Millisecond), s.pool.Explain(w.PendingDemand, now))
+		f = refused(mangomodel.CodeOverloaded, "%d demands before it wait for servers of %s, predicted wait %v, limit %v%s: %s",
+			ahead, w.Demand.Service, wait.Round(time.Millisecond), limit.Round(time.Millisecond), explainShare(w), s.pool.Explain(w.PendingDemand, now))
 	} else {
 		return nil
 	}
--- a/core/mangofleet/list.go
+++ b/core/mangofleet/list.go
@@ -35,6 +35,7 @@
 	s.routing = c.Routing
 	s.confirmRouting(c.Age, now)
 	s.pool.Configure(c.Routing)
+	s.rankAgain()
 	s.replySynced()
 	s.serveQueue(now)
 	return nil
--- a/core/mangofleet/state.go
+++ b/core/mangofleet/state.go
@@ -15,7 +15,9 @@
 	"mangolane/core/mangopool"
 	"mangolane/core/mangoquarantine"
 	"mangolane/core/mangoqueue"
+	"mangolane/core/mangoreturn"
 	"mangolane/core/mangoroster"
+	"mangolane/core/mangoshare"
 	"mangolane/core/mangotraffic"
 )
 
@@ -39,7 +41,11 @@
 	// unsynced holds the replies to calls that wait for the first sync.
 	unsynced []mangoloop.Reply
 	// flows measures the demands of each service while some wait.
-	flows   map[mangotraffic.ServiceName]*mangoqueue.Flow
+	flows map[mangotraffic.ServiceName]*mangoqueue.Flow
+	// shares is what workspaces and ranks have received, and returns are the clients that
+	// were told to return; both are empty without workspaces.
+	shares  *mangoshare.Shares
+	returns *mangoreturn.Board
 	retries *mangobudget.Ledger
 	// allowances holds the retry allowance of each daemon incarnation. Views
 	// share the map, so it is copied before a change.
@@ -93,6 +99,8 @@
 		pool:       mangopool.New(self.Holder, self.Regions),
 		retries:    mangobudget.NewLedger(self.Holder, limits),
 		flows:      make(map[mangotraffic.ServiceName]*mangoqueue.Flow),
+		shares:     mangoshare.New(mangoshare.DefaultBasicShare),
+		returns:    mangoreturn.New(),
 		allowances: make(map[mangomodel.Holder]mangobudget.Allowances),
 		board:      mangooutlier.NewBoard(),
 		ejected:    make(map[mangomodel.ServerID]time.Time),
--- a/mangolaned/mangosettings/gateway.go
+++ b/mangolaned/mangosettings/gateway.go
@@ -10,6 +10,7 @@
 	"mangolane/core/mangobudget"
 	"mangolane/core/mangoconfig"
 	"mangolane/core/mangomodel"
+	"mangolane/core/mangoshare"
 )
 
 // Gateway holds the settings of a daemon that routes calls for a platform.
@@ -38,6 +39,9 @@
 	// of use and a configuration in force, from the platform's acknowledgement. Less than
 	// [mangobound.Min] cannot be held.
 	DrainTime, ConfigTime mangomodel.Duration `json:",omitempty"`
+	// BasicShare is the number of grants of a service of which one goes to less urgent
+	// calls while more urgent ones wait, where the configuration has workspaces.
+	BasicShare int `json:",omitempty"`
 	// OrderLease is the time after a daemon's stage change order during which
 	// no other daemon may order the engines of the same service.
 	OrderLease mangomodel.Duration `json:",omitempty"`
@@ -96,6 +100,7 @@
 	setDefault(&s.DrainTime, mangomodel.Duration(mangobound.Standard))
 	setDefault(&s.ConfigTime, mangomodel.Duration(mangobound.Standard))
 	setDefault(&s.OrderLease, mangomodel.Duration(defaultOrderLease))
+	setDefault(&s.BasicShare, mangoshare.DefaultBasicShare)
 	setDefault(&s.BodyMemory, defaultBodyMemory(s.MemoryLimit))
 	return s, s.check()
 }
@@ -158,6 +163,9 @@
 	if s.MemoryLimit < 0 || s.LogRate < 1 || s.TraceSpans < 1 || s.OrderLease < 0 {
 		return invalid("MemoryLimit and OrderLease must be at least 0, LogRate and TraceSpans at least 1")
 	}
+	if s.BasicShare < 2 {
+		return invalid("BasicShare must be at least 2, since urgent calls go first")
+	}
 	if s.BodyMemory < 0 || s.MemoryLimit > 0 && s.BodyMemory > s.MemoryLimit {
 		return invalid("BodyMemory must be at least 0 and at most MemoryLimit")
 	}
--- a/mangolaned/mangosettings/gateway_test.go
+++ b/mangolaned/mangosettings/gateway_test.go
@@ -41,6 +41,7 @@
 		{"LogLevel", `"Daemon"`, `"LogLevel": "loud", "Daemon"`},
 		{"LogRate", `"Daemon"`, `"LogRate": -1, "Daemon"`},
 		{"CoreShare", `"Daemon"`, `"CoreShare": -1, "Daemon"`},
+		{"BasicShare", `"Daemon"`, `"BasicShare": 1, "Daemon"`},
 		{"BodyMemory", `"Daemon"`, `"BodyMemory": -1, "Daemon"`},
 		{"BodyMemory", `"Daemon"`, `"MemoryLimit": 50000000, "BodyMemory": 50000001, "Daemon"`},
 	}
