Relay: a workspace's priority goes before its route's, and servers receive it

Demands, bodies and engines used the route's priority, and engines received none, so they preempted by age alone. The tests fail without it: the servers then receive no field, and the scheduler the route's priority.

--- a/core/mangorelay/relay.go
+++ b/core/mangorelay/relay.go
@@ -14,6 +14,7 @@
 	"mangolane/core/mangomemory"
 	"mangolane/core/mangomodel"
 	"mangolane/core/mangopanic"
+	"mangolane/core/mangoreturn"
 	"mangolane/core/mangostall"
 	"mangolane/core/mangotraffic"
 )
@@ -60,7 +61,7 @@
 
 // maxRetryAfterShare bounds the Retry-After delay as a share of the client's
 // remaining time: clients wait for up to a third of that.
-const maxRetryAfterShare = 0.3
+const maxRetryAfterShare = mangoreturn.LimitShare
 
 // defaultMaxOutput is assumed for generations whose client sets no bound.
 const defaultMaxOutput mangomodel.Tokens = 4096
@@ -254,17 +255,14 @@
 	if j.relay.shutdown.stopping.Err() != nil {
 		return returnDelay
 	}
-	longest := time.Duration(maxRetryAfterShare * float64(time.Until(j.clientDeadline)))
-	if f.RetryAfter > 0 {
-		return min(f.RetryAfter, longest)
-	}
-	return longest
+	return mangoreturn.After(f.RetryAfter, time.Until(j.clientDeadline))
 }
 
 // completeDemand sets the fields of a demand that follow from the call.
 func (j *job) completeDemand(d mangolease.Demand) mangolease.Demand {
 	d.Request, d.Service, d.Priority, d.Avoid, d.Parts = j.call.ID, j.service.Name, j.route.Priority, j.avoid, j.suspectParts()
 	d.Age = time.Since(j.call.Arrived)
+	j.shareDemand(&d)
 	if !j.begun() {
 		d.Call = j.call.Fingerprint
 	}
--- /dev/null
+++ b/core/mangorelay/share_test.go
@@ -0,0 +1,98 @@
+package mangorelay
+
+import (
+	"context"
+	"sync"
+	"testing"
+
+	"github.com/onsi/gomega"
+
+	"mangolane/core/mangobroker"
+	"mangolane/core/mangoexchange"
+	"mangolane/core/mangofleet"
+	"mangolane/core/mangolease"
+	"mangolane/core/mangomodel"
+	"mangolane/core/mangotraffic"
+	"mangolane/core/mangoworkspace"
+)
+
+// rankedServers record the ranks of the calls that they receive.
+type rankedServers struct {
+	*fakeServers
+	mu     sync.Mutex
+	ranks  []mangotraffic.Priority
+	phases []mangoexchange.Phase
+}
+
+func (s *rankedServers) record(phase mangoexchange.Phase, call *mangotraffic.Call) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ranks, s.phases = append(s.ranks, call.Priority), append(s.phases, phase)
+}
+
+func (s *rankedServers) Run(ctx context.Context, to mangotraffic.Server, call *mangotraffic.Call, opts mangoexchange.RunOptions) (*mangoexchange.Response, error) {
+	s.record(mangoexchange.PhaseRun, call)
+	return s.fakeServers.Run(ctx, to, call, opts)
+}
+
+func (s *rankedServers) Prefill(ctx context.Context, to mangotraffic.Server, call *mangotraffic.Call) (mangotraffic.KVSource, error) {
+	s.record(mangoexchange.PhasePrefill, call)
+	return s.fakeServers.Prefill(ctx, to, call)
+}
+
+// rankedBroker records the demands of calls.
+type rankedBroker struct {
+	Broker
+	mu      sync.Mutex
+	demands []mangolease.Demand
+}
+
+func (b *rankedBroker) Acquire(ctx context.Context, d mangolease.Demand) (*mangobroker.Grant, error) {
+	b.mu.Lock()
+	b.demands = append(b.demands, d)
+	b.mu.Unlock()
+	return b.Broker.Acquire(ctx, d)
+}
+
+// restrict gives the configuration a workspace whose priority is 2.
+func (h *harness) restrict() {
+	directory, _ := mangoworkspace.NewDirectory([]mangoworkspace.Workspace{
+		{ID: "w", Keys: []mangoworkspace.Digest{mangoworkspace.DigestOf("k")}, Priority: 2, HasPriority: true}, {ID: "none"},
+	})
+	routing := *h.fleet.View().Routing
+	routing.Workspaces = directory
+	h.Expect(h.fleet.Do(context.Background(), mangofleet.InstallRouting{Routing: &routing})).To(gomega.Succeed())
+	h.call.Restricted, h.call.Workspace = true, "w"
+}
+
+// TestRankReachesSchedulerAndServers guards against a workspace's priority that does not go
+// before the route's, in the queue or at the engines, also for a second prefill and for a
+// stream that is resumed, and against any of it without workspaces.
+func TestRankReachesSchedulerAndServers(t *testing.T) {
+	for workspace, want := range map[mangomodel.WorkspaceID]mangotraffic.Priority{"w": 2, "none": 0, "": 0} {
+		withHarness(t, func(h *harness) {
+			h.newCall("/resume/1")
+			servers, broker := &rankedServers{fakeServers: h.servers}, &rankedBroker{Broker: h.relay.broker}
+			h.relay = New(h.fleet, broker, servers)
+			if workspace != "" {
+				h.restrict()
+				h.call.Workspace = workspace
+			}
+			h.servers.prefills["p1"] = []step{{err: errNoReply}}
+			h.servers.runs["d1"] = []step{{events: events(1, 2), aborted: true}}
+			h.servers.runs["d2"] = []step{{events: events(3, 4)}}
+			h.Expect(h.serve()).To(gomega.BeNil())
+			h.Expect(len(servers.ranks)).To(gomega.BeNumerically(">=", 5), "%v", servers.phases)
+			for _, rank := range servers.ranks {
+				h.Expect(rank).To(gomega.Equal(want))
+			}
+			h.Expect(len(broker.demands)).To(gomega.BeNumerically(">=", 3))
+			for _, d := range broker.demands {
+				h.Expect(d.Priority).To(gomega.Equal(want))
+				h.Expect(d.Workspace).To(gomega.Equal(workspace))
+				h.Expect(d.Shared()).To(gomega.Equal(workspace != ""))
+				h.Expect(d.ClientLeft > 0).To(gomega.Equal(workspace != ""))
+			}
+		})
+	}
+}
