Relay: wasted prefills are counted by cause

Nothing showed how much of the engines' prefill work was of no use, or why. The lines 'call finished' and 'exchange' state the rank, the lead of the workspace and whether the call was a returned one or had a reserved grant, and explain repeats them.

--- a/core/mangoexchange/exchange.go
+++ b/core/mangoexchange/exchange.go
@@ -142,6 +142,8 @@
 	Revision mangomodel.Revision
 	Status   int
 	Attempts mangomodel.Attempt
+	// Place is the place that the call's last lease had in the queue.
+	Place mangolease.Place
 	// TimeToFirstByte is the time to the response head or, for a stream, to the
 	// first event.
 	TimeToFirstByte time.Duration
--- a/core/mangorelay/handover.go
+++ b/core/mangorelay/handover.go
@@ -28,6 +28,9 @@
 	passage *passage
 	began   time.Time
 	grant   *mangobroker.Grant
+	// responsive is set if the engine of the exchange still responded when the continuation
+	// was secured.
+	responsive bool
 	// done is set once the exchange was cancelled in favour of the continuation.
 	done bool
 }
@@ -72,7 +75,7 @@
 		h.refund(len(h.phases))
 		return err
 	}
-	h.grant = grant
+	h.grant, h.responsive = grant, !wait
 	if err := h.checkStop(); err != nil {
 		// The wait for the lease has taken too long.
 		h.Withdraw()
--- a/core/mangorelay/port.go
+++ b/core/mangorelay/port.go
@@ -91,6 +91,9 @@
 	// on.
 	ExchangeStalled(id mangomodel.RequestID, s mangostall.Stall)
 	CallFinished(r mangoexchange.Result)
+	// PrefillWasted is called when the KV cache of a prompt was not used, or has to be
+	// computed again, where the configuration has workspaces.
+	PrefillWasted(w mangoexchange.Waste)
 	// ServerSkipped is called when a call is not sent to a server that was leased for it,
 	// because the server has announced that it leaves or has asked for time since.
 	ServerSkipped(request mangomodel.RequestID, server mangomodel.ServerID, err error)
--- a/core/mangorelay/prefill.go
+++ b/core/mangorelay/prefill.go
@@ -47,6 +47,9 @@
 	source, err := j.sendPrefill(ctx, grant, server)
 	end(err)
 	j.reportExchange(ctx, mangoexchange.PhasePrefill, server, grant.Lease, began, err)
+	if err == nil || mangomodel.AsFault(err, mangomodel.StepPrefill).Run != mangomodel.RunNot {
+		j.spendPrefill(server.ID, err != nil)
+	}
 	if err == nil {
 		grant.PrefillDone(time.Since(began))
 		lifetime := time.Duration(cacheLifetimeShare * float64(j.service.Engine.HandleLifetime))
@@ -102,6 +105,7 @@
 // dropExpiredCache releases a KV cache that may expire before it is fetched.
 func (j *job) dropExpiredCache() {
 	if j.cache != nil && !time.Now().Before(j.cache.expiresAt) {
+		j.wastePrefill(mangoexchange.WasteHandleExpired)
 		j.releaseCache()
 	}
 }
--- a/core/mangorelay/relay.go
+++ b/core/mangorelay/relay.go
@@ -122,6 +122,8 @@
 	avoid []mangomodel.ServerID
 	// cache is a KV cache that was computed but not yet fetched.
 	cache *pendingCache
+	// spent is the last prefill while its use is not complete.
+	spent *spentPrefill
 	// grant is the lease in use, which was acquired at leasedAt.
 	grant    *mangobroker.Grant
 	leasedAt time.Time
@@ -293,7 +295,7 @@
 	}
 	j.grant, j.leasedAt = grant, time.Now()
 	j.attempts++
-	j.result.Attempts = j.attempts
+	j.result.Attempts, j.result.Place = j.attempts, grant.Lease.Place
 	return grant, nil
 }
 
@@ -393,6 +395,7 @@
 func (nopObserver) ExchangeFinished(mangoexchange.Exchange)                {}
 func (nopObserver) ExchangeStalled(mangomodel.RequestID, mangostall.Stall) {}
 func (nopObserver) CallFinished(mangoexchange.Result)                      {}
+func (nopObserver) PrefillWasted(mangoexchange.Waste)                      {}
 
 func (nopObserver) ServerSkipped(mangomodel.RequestID, mangomodel.ServerID, error) {}
 
--- a/core/mangorelay/stream.go
+++ b/core/mangorelay/stream.go
@@ -38,7 +38,9 @@
 	defer j.releaseCache()
 	for {
 		err := j.attemptStream(ctx)
-		if err == nil || ctx.Err() != nil || !j.canRetry(err) {
+		again := err != nil && ctx.Err() == nil && j.canRetry(err)
+		j.settlePrefill(ctx, err, again)
+		if !again {
 			return err
 		}
 	}
--- a/mangolanectl/mangoexplain/text.go
+++ b/mangolanectl/mangoexplain/text.go
@@ -59,7 +59,7 @@
 		if f["OnTime"] == true {
 			return "none, it was answered in time"
 		}
-		return fmt.Sprintf("answered late: first after %v s, longest pause %v s, %v attempts", f["First"], f["LongestPause"], f["Attempts"])
+		return fmt.Sprintf("answered late: first after %v s, longest pause %v s, %v attempts", f["First"], f["LongestPause"], f["Attempts"]) + share(r)
 	}
 	run := "it may have run"
 	if f["Run"] == mangomodel.RunNot.String() {
@@ -69,5 +69,24 @@
 	if f["EndedBy"] != nil {
 		text += fmt.Sprintf(", ended by %v", f["EndedBy"])
 	}
+	return text + share(r)
+}
+
+// share returns how a call was ordered among those of other workspaces, and what was
+// wasted on it, or an empty text if its configuration had no workspaces.
+func share(r *Report) string {
+	f := r.Outcome.Fields
+	if f["Workspace"] == nil {
+		return ""
+	}
+	text := fmt.Sprintf(", workspace %q at priority %v, ahead of its share by %v", f["Workspace"], f["Priority"], f["Lead"])
+	for _, line := range r.Steps {
+		if line.Message == wasteMessage {
+			text += fmt.Sprintf(", a prefill of %v tokens wasted: %v", line.Fields["Tokens"], line.Fields["Reason"])
+		}
+	}
 	return text
 }
+
+// wasteMessage is the message of the line about a wasted prefill.
+const wasteMessage = "prefill wasted"
--- a/mangolaned/mangogateway/observe.go
+++ b/mangolaned/mangogateway/observe.go
@@ -42,6 +42,8 @@
 		zap.Duration("Waited", e.Lease.Waited), zap.String("Scheduler", string(e.Lease.Scheduler)),
 		zap.Int("Running", e.Lease.Running), zap.Int("Free", e.Lease.Free), zap.Int64("Peak", int64(e.Lease.Peak)), zap.Duration("Took", e.Took), zap.Duration("ListAge", e.ListAge),
 	}
+	fields = append(fields, placeFields(e.Call, e.Lease.Place)...)
+	o.metrics.countPlace(e)
 	if e.Err != nil {
 		if len(e.Call.Parts) > 0 {
 			fields = append(fields, zap.Int("Events", e.Events), zap.Any("Parts", e.Call.Parts))
@@ -85,6 +87,7 @@
 	if r.Route != nil {
 		fields = append(fields, zap.String("Route", string(r.Route.Name)))
 	}
+	fields = append(fields, placeFields(r.Call, r.Place)...)
 	if r.Events > 0 {
 		fields = append(fields, zap.Int("Events", r.Events), zap.Duration("LongestPause", r.LongestPause))
 	}
