--- a/core/mangofleet/doc.go
+++ b/core/mangofleet/doc.go
@@ -8,7 +8,8 @@
 //
 // Demands for which no server has room wait in one queue. Demands with a computed
 // KV cache are served first, then those that can still meet their target, then
-// those of higher priority, then older ones. A demand that is not granted before
+// those of higher priority, then those whose workspace has had less than its share, if the
+// configuration has workspaces (package mangoshare), then cheaper and older ones. A demand that is not granted before
 // its deadline is refused, and a refusal is final.
 //
 // # Usage
--- a/core/mangotraffic/priority_test.go
+++ b/core/mangotraffic/priority_test.go
@@ -38,6 +38,12 @@
 				want = 4
 			}
 			g.Expect(r.CallPriority(route, &test.call)).To(gomega.Equal(want), test.name)
+			// The scheduler of a queued call knows the name of its route only.
+			p, ok := r.Priority("r", "plain")
+			g.Expect(ok).To(gomega.BeTrue())
+			g.Expect(p).To(gomega.BeEquivalentTo(4))
+			_, ok = r.Priority("removed", "plain")
+			g.Expect(ok).To(gomega.BeFalse())
 		}
 	}
 }
