--- a/core/mangoreturn/board.go
+++ b/core/mangoreturn/board.go
@@ -49,7 +49,8 @@
 // Board holds the clients that were told to return.
 type Board struct {
 	records map[mangomodel.Fingerprint]span
-	// expireAt is when records are next removed.
+	// expireAt is when records are next removed: at most once in grace, so that refusals
+	// stay cheap while the board is full.
 	expireAt time.Time
 }
 
@@ -65,16 +66,13 @@
 	if call == 0 || after <= 0 {
 		return
 	}
-	if _, ok := b.records[call]; !ok && len(b.records) >= maxRecords {
-		b.expire(now)
-		if len(b.records) >= maxRecords {
-			return
-		}
-	}
-	b.records[call] = span{from: now.Add(after - early), until: now.Add(after + grace)}
 	if !now.Before(b.expireAt) {
 		b.expire(now)
 	}
+	if _, ok := b.records[call]; !ok && len(b.records) >= maxRecords {
+		return
+	}
+	b.records[call] = span{from: now.Add(after - early), until: now.Add(after + grace)}
 }
 
 // Returned reports whether a call that arrives now is that of a client that was told to
