--- a/core/mangorelay/fake_test.go
+++ b/core/mangorelay/fake_test.go
@@ -94,6 +94,8 @@
 	announce func(id mangomodel.ServerID, leaves bool, backoff time.Duration)
 	// sentAt holds when each exchange of sent began.
 	sentAt []time.Time
+	// ranks holds the priority of the call in each exchange of sent.
+	ranks []mangotraffic.Priority
 }
 
 func nextStep(scripts map[mangomodel.ServerID][]step, id mangomodel.ServerID) step {
@@ -116,11 +118,11 @@
 	}
 }
 
-func (s *fakeServers) Run(ctx context.Context, to mangotraffic.Server, _ *mangotraffic.Call, opts mangoexchange.RunOptions) (*mangoexchange.Response, error) {
+func (s *fakeServers) Run(ctx context.Context, to mangotraffic.Server, call *mangotraffic.Call, opts mangoexchange.RunOptions) (*mangoexchange.Response, error) {
 	s.mu.Lock()
 	x := nextStep(s.runs, to.ID)
 	s.sent, s.sentAt = append(s.sent, to.ID), append(s.sentAt, time.Now())
-	s.options = append(s.options, opts)
+	s.options, s.ranks = append(s.options, opts), append(s.ranks, call.Priority)
 	s.mu.Unlock()
 	if err := sleep(ctx, x.responseDelay); err != nil && !x.late {
 		return nil, err
@@ -186,9 +188,10 @@
 
 func (s *fakeStream) Close() error { return nil }
 
-func (s *fakeServers) Prefill(ctx context.Context, to mangotraffic.Server, _ *mangotraffic.Call) (mangotraffic.KVSource, error) {
+func (s *fakeServers) Prefill(ctx context.Context, to mangotraffic.Server, call *mangotraffic.Call) (mangotraffic.KVSource, error) {
 	s.mu.Lock()
 	x := nextStep(s.prefills, to.ID)
+	s.ranks = append(s.ranks, call.Priority)
 	s.sent, s.sentAt = append(s.sent, to.ID), append(s.sentAt, time.Now())
 	s.mu.Unlock()
 	if err := sleep(ctx, max(x.responseDelay, 20*time.Millisecond)); err != nil && !x.late {
--- a/core/mangorelay/share_test.go
+++ b/core/mangorelay/share_test.go
@@ -8,7 +8,6 @@
 	"github.com/onsi/gomega"
 
 	"mangolane/core/mangobroker"
-	"mangolane/core/mangoexchange"
 	"mangolane/core/mangofleet"
 	"mangolane/core/mangolease"
 	"mangolane/core/mangomodel"
@@ -16,30 +15,6 @@
 	"mangolane/core/mangoworkspace"
 )
 
-// rankedServers record the ranks of the calls that they receive.
-type rankedServers struct {
-	*fakeServers
-	mu     sync.Mutex
-	ranks  []mangotraffic.Priority
-	phases []mangoexchange.Phase
-}
-
-func (s *rankedServers) record(phase mangoexchange.Phase, call *mangotraffic.Call) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.ranks, s.phases = append(s.ranks, call.Priority), append(s.phases, phase)
-}
-
-func (s *rankedServers) Run(ctx context.Context, to mangotraffic.Server, call *mangotraffic.Call, opts mangoexchange.RunOptions) (*mangoexchange.Response, error) {
-	s.record(mangoexchange.PhaseRun, call)
-	return s.fakeServers.Run(ctx, to, call, opts)
-}
-
-func (s *rankedServers) Prefill(ctx context.Context, to mangotraffic.Server, call *mangotraffic.Call) (mangotraffic.KVSource, error) {
-	s.record(mangoexchange.PhasePrefill, call)
-	return s.fakeServers.Prefill(ctx, to, call)
-}
-
 // rankedBroker records the demands of calls.
 type rankedBroker struct {
 	Broker
@@ -72,8 +47,8 @@
 	for workspace, want := range map[mangomodel.WorkspaceID]mangotraffic.Priority{"w": 2, "none": 0, "": 0} {
 		withHarness(t, func(h *harness) {
 			h.newCall("/resume/1")
-			servers, broker := &rankedServers{fakeServers: h.servers}, &rankedBroker{Broker: h.relay.broker}
-			h.relay = New(h.fleet, broker, servers)
+			broker := &rankedBroker{Broker: h.relay.broker}
+			h.relay.broker = broker
 			if workspace != "" {
 				h.restrict()
 				h.call.Workspace = workspace
@@ -82,8 +57,8 @@
 			h.servers.runs["d1"] = []step{{events: events(1, 2), aborted: true}}
 			h.servers.runs["d2"] = []step{{events: events(3, 4)}}
 			h.Expect(h.serve()).To(gomega.BeNil())
-			h.Expect(len(servers.ranks)).To(gomega.BeNumerically(">=", 5), "%v", servers.phases)
-			for _, rank := range servers.ranks {
+			h.Expect(len(h.servers.ranks)).To(gomega.BeNumerically(">=", 5), "%v", h.servers.sent)
+			for _, rank := range h.servers.ranks {
 				h.Expect(rank).To(gomega.Equal(want))
 			}
 			h.Expect(len(broker.demands)).To(gomega.BeNumerically(">=", 3))
