--- a/core/mangorelay/quota.go
+++ b/core/mangorelay/quota.go
@@ -18,7 +18,7 @@
 	if err := j.relay.fleet.Do(ctx, mangofleet.TakeQuota{Workspace: j.call.Workspace, Generation: j.stated}); err != nil {
 		return err
 	}
-	j.chargedAt = time.Now()
+	j.charged, j.chargedAt = j.call.Workspace, time.Now()
 	return nil
 }
 
@@ -37,5 +37,5 @@
 	if err == nil || j.chargedAt.IsZero() || mangomodel.AsFault(err, mangomodel.StepCall).Run != mangomodel.RunNot {
 		return
 	}
-	j.apply(mangofleet.RefundQuota{Workspace: j.call.Workspace, Generation: j.stated, ChargedAt: j.chargedAt})
+	j.apply(mangofleet.RefundQuota{Workspace: j.charged, Generation: j.stated, ChargedAt: j.chargedAt})
 }
--- a/core/mangorelay/relay.go
+++ b/core/mangorelay/relay.go
@@ -14,6 +14,7 @@
 	"mangolane/core/mangomemory"
 	"mangolane/core/mangomodel"
 	"mangolane/core/mangopanic"
+	"mangolane/core/mangoreturn"
 	"mangolane/core/mangostall"
 	"mangolane/core/mangotraffic"
 )
@@ -60,7 +61,7 @@
 
 // maxRetryAfterShare bounds the Retry-After delay as a share of the client's
 // remaining time: clients wait for up to a third of that.
-const maxRetryAfterShare = 0.3
+const maxRetryAfterShare = mangoreturn.LimitShare
 
 // defaultMaxOutput is assumed for generations whose client sets no bound.
 const defaultMaxOutput mangomodel.Tokens = 4096
@@ -114,6 +115,9 @@
 	// call was charged to its workspace.
 	stated    *mangotraffic.Generation
 	chargedAt time.Time
+	// charged is the workspace that was charged. A key that is moved to another one
+	// changes the workspace of the call.
+	charged mangomodel.WorkspaceID
 	// runs counts the servers that may have run the call.
 	runs int
 	// attempts counts the leases acquired.
@@ -126,6 +130,8 @@
 	avoid []mangomodel.ServerID
 	// cache is a KV cache that was computed but not yet fetched.
 	cache *pendingCache
+	// spent is the last prefill while its use is not complete.
+	spent *spentPrefill
 	// grant is the lease in use, which was acquired at leasedAt.
 	grant    *mangobroker.Grant
 	leasedAt time.Time
@@ -266,18 +272,14 @@
 	if j.relay.shutdown.stopping.Err() != nil {
 		return returnDelay
 	}
-	longest := time.Duration(maxRetryAfterShare * float64(time.Until(j.clientDeadline)))
-	if f.RetryAfter > 0 {
-		return min(f.RetryAfter, longest)
-	}
-	return longest
+	return mangoreturn.After(f.RetryAfter, time.Until(j.clientDeadline))
 }
 
 // completeDemand sets the fields of a demand that follow from the call.
 func (j *job) completeDemand(d mangolease.Demand) mangolease.Demand {
 	d.Request, d.Service, d.Priority, d.Avoid, d.Parts = j.call.ID, j.service.Name, j.route.Priority, j.avoid, j.suspectParts()
-	d.Workspace = j.call.Workspace
 	d.Age = time.Since(j.call.Arrived)
+	j.shareDemand(&d)
 	if !j.begun() {
 		d.Call = j.call.Fingerprint
 	}
@@ -308,7 +310,7 @@
 	}
 	j.grant, j.leasedAt = grant, time.Now()
 	j.attempts++
-	j.result.Attempts = j.attempts
+	j.result.Attempts, j.result.Place = j.attempts, grant.Lease.Place
 	return grant, nil
 }
 
@@ -408,6 +410,7 @@
 func (nopObserver) ExchangeFinished(mangoexchange.Exchange)                {}
 func (nopObserver) ExchangeStalled(mangomodel.RequestID, mangostall.Stall) {}
 func (nopObserver) CallFinished(mangoexchange.Result)                      {}
+func (nopObserver) PrefillWasted(mangoexchange.Waste)                      {}
 
 func (nopObserver) ServerSkipped(mangomodel.RequestID, mangomodel.ServerID, error) {}
 
--- a/mangolaned/mangogateway/gateway.go
+++ b/mangolaned/mangogateway/gateway.go
@@ -88,7 +88,7 @@
 	times := mangobound.Within(s.ChangeTime())
 	fleet := mangofleet.New(mangofleet.Self{Member: self, Regions: s.Regions, MinDaemons: len(s.Seeds), Seeds: s.Seeds}, func() mangobudget.Limits {
 		return current.Load().RetryLimits(time.Since(started))
-	}, mangofleet.WithObserver(o), mangofleet.WithTimes(times),
+	}, mangofleet.WithObserver(o), mangofleet.WithTimes(times), mangofleet.WithBasicShare(s.BasicShare),
 		mangofleet.WithQuotaTolerance(func() mangomodel.Share { return current.Load().LentTolerance() }),
 		mangofleet.WithBurstExtension(func() mangoworkspace.Amount { return current.Load().BurstExtension() }))
 	memory := mangomemory.New(s.BodyMemory, mangomemory.WithObserver(o))
--- a/mangolaned/mangogateway/observe.go
+++ b/mangolaned/mangogateway/observe.go
@@ -43,6 +43,8 @@
 		zap.Duration("Waited", e.Lease.Waited), zap.String("Scheduler", string(e.Lease.Scheduler)),
 		zap.Int("Running", e.Lease.Running), zap.Int("Free", e.Lease.Free), zap.Int64("Peak", int64(e.Lease.Peak)), zap.Duration("Took", e.Took), zap.Duration("ListAge", e.ListAge),
 	}
+	fields = append(fields, placeFields(e.Call, e.Lease.Place)...)
+	o.metrics.countPlace(e)
 	if e.Err != nil {
 		if len(e.Call.Parts) > 0 {
 			fields = append(fields, zap.Int("Events", e.Events), zap.Any("Parts", e.Call.Parts))
@@ -86,13 +88,11 @@
 	if r.Route != nil {
 		fields = append(fields, zap.String("Route", string(r.Route.Name)))
 	}
-	if r.Call.Workspace != "" {
-		fields = append(fields, zap.String("Workspace", string(r.Call.Workspace)))
-	}
 	if refusedKey(r) && r.Call.HasKey {
 		// The first digits of its digest.
 		fields = append(fields, zap.Stringer("Key", r.Call.Key))
 	}
+	fields = append(fields, placeFields(r.Call, r.Place)...)
 	if r.Events > 0 {
 		fields = append(fields, zap.Int("Events", r.Events), zap.Duration("LongestPause", r.LongestPause))
 	}
