Rest: a guard in front of net/http bounds what connections of clients hold

net/http reads a head of a megabyte line by line and go-zero passes it no limit, connections are unbounded, and net/rpc allocates what a message announces. A listener of our own (mangorest/guard.go, clients.go) holds a head back until it is complete, refuses it with 431 once it exceeds the configured limit, charges its parsed size to the memory for bodies, and closes the oldest connection that waits for a head or a body when there are too many (mangoclients decides, mangohead measures). mangoconn.Serve does the same at the peer address and no longer ends for a lack of descriptors.

Red still: chunks of 1 byte and pipelined requests get no ordinary answer.

--- a/core/mangomemory/budget.go
+++ b/core/mangomemory/budget.go
@@ -85,6 +85,18 @@
 	return r, nil
 }
 
+// Charge takes n bytes for what is held besides bodies and is bounded elsewhere, or returns
+// them if n is negative. It is never refused: bodies then have less room. The pace of
+// releases leaves it out, since connections stay for minutes.
+func (b *Budget) Charge(n mangomodel.Bytes) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.room.used += n
+	if n < 0 {
+		b.room.serve(time.Now())
+	}
+}
+
 // Hold returns a reservation of no bytes, which can grow.
 func (b *Budget) Hold() *Reservation { return &Reservation{budget: b} }
 
--- a/core/mangorest/limits.go
+++ b/core/mangorest/limits.go
@@ -70,6 +70,9 @@
 	if draining {
 		w.Header().Set("Connection", "close")
 	}
+	if guarded, ok := c.(*guardedConn); ok {
+		guarded.begin(r)
+	}
 	l.handler.ServeHTTP(w, r)
 	l.answered(c)
 }
@@ -94,6 +97,9 @@
 }
 
 func (l *idleLimiter) connState(c net.Conn, state http.ConnState) {
+	if guarded, ok := c.(*guardedConn); ok {
+		guarded.changed(state)
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	tc, ok := l.conns[c]
--- a/core/mangorest/server.go
+++ b/core/mangorest/server.go
@@ -1,5 +1,6 @@
 // Package mangorest builds HTTP servers and clients on go-zero. All go-zero
-// features that could end or refuse a request on their own are disabled.
+// features that could end or refuse a request on their own are disabled. A listener in
+// front of net/http bounds what the connections of clients take (docs/design/clients.md).
 //
 // go-zero's timeout, breaker, load shedding and connection limit respond with
 // statuses of their own, and its SIGTERM handling ends the process after some
@@ -56,16 +57,20 @@
 	// started is closed once httpServer is set.
 	started    chan struct{}
 	httpServer *http.Server
+	guard      *guard
 }
 
 // Option configures a Server.
-type Option func(*rest.RestConf)
+type Option func(*options)
 
-// WithMaxBody bounds the body of a request.
-func WithMaxBody(n mangomodel.Bytes) Option {
-	return func(c *rest.RestConf) { c.MaxBytes = int64(n) }
+type options struct {
+	maxBody mangomodel.Bytes
+	clients Clients
 }
 
+// WithMaxBody bounds the body of a request.
+func WithMaxBody(n mangomodel.Bytes) Option { return func(o *options) { o.maxBody = n } }
+
 // NewServer returns a server for an IP address and port.
 func NewServer(name string, addr mangomodel.Address, routes []rest.Route, opts ...Option) (*Server, error) {
 	host, portText, err := net.SplitHostPort(string(addr))
@@ -76,6 +81,10 @@
 	if err != nil {
 		return nil, mangomodel.Errors.Wrap(err)
 	}
+	o := options{maxBody: defaultMaxBody}
+	for _, opt := range opts {
+		opt(&o)
+	}
 	cfg := rest.RestConf{
 		ServiceConf: service.ServiceConf{
 			Name: name, Mode: service.ProMode,
@@ -83,18 +92,15 @@
 			Telemetry: trace.Config{Disabled: true},
 			Shutdown:  proc.ShutdownConf{WrapUpTime: forever, WaitTime: 2 * forever},
 		},
-		Host: host, Port: port, MaxBytes: int64(defaultMaxBody),
+		Host: host, Port: port, MaxBytes: int64(o.maxBody),
 		Middlewares: rest.MiddlewaresConf{Trace: true, Recover: true, MaxBytes: true, Gunzip: true},
 	}
-	for _, opt := range opts {
-		opt(&cfg)
-	}
 	server, err := rest.NewServer(cfg)
 	if err != nil {
 		return nil, mangomodel.Errors.Wrap(err)
 	}
 	server.AddRoutes(routes)
-	return &Server{rest: server, started: make(chan struct{}), limiter: newIdleLimiter(unlimitedIdle, nil)}, nil
+	return &Server{rest: server, started: make(chan struct{}), limiter: newIdleLimiter(unlimitedIdle, nil), guard: newGuard(name, o.clients)}, nil
 }
 
 // unlimitedIdle is the idle limit of servers without one.
@@ -103,8 +109,8 @@
 // NewProxyServer returns a server that passes every request, whatever its method
 // and path, unchanged to one handler: no middleware applies. It calls idleLimit
 // whenever a connection is opened or becomes idle; zero means no limit.
-func NewProxyServer(name string, addr mangomodel.Address, handler http.Handler, idleLimit func() time.Duration) (*Server, error) {
-	s, err := NewServer(name, addr, nil)
+func NewProxyServer(name string, addr mangomodel.Address, handler http.Handler, idleLimit func() time.Duration, opts ...Option) (*Server, error) {
+	s, err := NewServer(name, addr, nil, opts...)
 	if err != nil {
 		return nil, err
 	}
@@ -142,9 +148,27 @@
 			s.httpServer = svr
 			close(s.started)
 		})
+		s.listen(svr)
 	})
 }
 
+// listen serves the connections of a listener of its own until the end of svr, since
+// go-zero listens itself and takes no listener. It returns only if svr was shut down, and
+// go-zero then finds that it was.
+func (s *Server) listen(svr *http.Server) {
+	listener, err := net.Listen("tcp", svr.Addr)
+	if err != nil {
+		panic(err)
+	}
+	clientReceiveBuffer.limit(listener)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go s.guard.watch(ctx)
+	if err := svr.Serve(&guardedListener{listener, s.guard}); !errors.Is(err, http.ErrServerClosed) {
+		panic(err)
+	}
+}
+
 // ShutdownOption configures a Shutdown.
 type ShutdownOption func(*idleLimiter)
 
@@ -188,7 +212,6 @@
 		l.mu.Lock()
 		defer l.mu.Unlock()
 		l.listener = listener
-		clientReceiveBuffer.limit(listener)
 		l.closeIfStopped()
 		return context.Background()
 	}
--- a/mangolaned/mangodaemon/daemon.go
+++ b/mangolaned/mangodaemon/daemon.go
@@ -25,6 +25,7 @@
 	"mangolane/core/mangoroute"
 	"mangolane/mangolaned/mangoadmin"
 	"mangolane/mangolaned/mangobackend"
+	"mangolane/mangolaned/mangoconn"
 	"mangolane/mangolaned/mangofront"
 	"mangolane/mangolaned/mangolog"
 	"mangolane/mangolaned/mangometrics"
@@ -141,8 +142,15 @@
 	return err
 }
 
+// peerLimits bounds the connections of other daemons: a quarter of the descriptors, and
+// 8 MiB for large messages that are read.
+func peerLimits() mangoconn.ServeOption {
+	const share, least, messages = 0.25, 32, 8 << 20
+	return mangoconn.WithLimits(mangoconn.Limits{Connections: mangorest.DescriptorShare(share, least), Messages: messages})
+}
+
 func (d *Daemon) servePeers(l net.Listener) {
-	if err := d.peers.Serve(l); err != nil {
+	if err := d.peers.Serve(l, peerLimits()); err != nil {
 		d.logger.Error("peers", mangolog.FaultFields(err)...)
 	}
 }
--- a/mangolaned/mangogateway/gateway.go
+++ b/mangolaned/mangogateway/gateway.go
@@ -118,15 +118,15 @@
 
 // Run serves until ctx ends, then drains and returns.
 func (g *Gateway) Run(ctx context.Context, handler http.Handler, ready rest.Route) error {
-	proxyServer, err := mangorest.NewProxyServer("front", g.settings.Front, handler, g.idleTimeout)
+	proxyServer, err := mangorest.NewProxyServer("front", g.settings.Front, handler, g.idleTimeout, g.frontClients())
 	if err != nil {
 		return err
 	}
-	readyServer, err := mangorest.NewServer("readiness", g.settings.Readiness, []rest.Route{ready})
+	readyServer, err := mangorest.NewServer("readiness", g.settings.Readiness, []rest.Route{ready}, g.checkClients())
 	if err != nil {
 		return err
 	}
-	metricsServer, err := mangorest.NewServer("metrics", g.settings.Metrics, []rest.Route{g.metrics.route(), g.spansRoute()})
+	metricsServer, err := mangorest.NewServer("metrics", g.settings.Metrics, []rest.Route{g.metrics.route(), g.spansRoute()}, g.checkClients())
 	if err != nil {
 		return err
 	}
@@ -147,6 +147,7 @@
 	running.Go(func() { g.stageController.Run(workCtx) })
 	running.Go(func() { g.recorder.Run(workCtx) })
 	go g.servePeers(peerServer, listener)
+	g.metrics.watchConnections("front", proxyServer)
 	for _, s := range []*mangorest.Server{proxyServer, readyServer, metricsServer} {
 		go s.Serve()
 	}
@@ -168,7 +169,7 @@
 }
 
 func (g *Gateway) servePeers(s *mangomesh.Server, l net.Listener) {
-	if err := s.Serve(l); err != nil {
+	if err := s.Serve(l, g.peerLimits()); err != nil {
 		g.logger.Error("peers", mangolog.FaultFields(err)...)
 	}
 }
--- a/mangolaned/mangogateway/metrics.go
+++ b/mangolaned/mangogateway/metrics.go
@@ -24,7 +24,11 @@
 )
 
 // metrics counts calls and exchanges.
-type metrics struct{ registry gometrics.Registry }
+type metrics struct {
+	registry gometrics.Registry
+	// closed are the connections that were closed since the last log line of each cause.
+	closed occurrences
+}
 
 func newMetrics() *metrics { return &metrics{registry: gometrics.NewRegistry()} }
 
--- a/mangolaned/mangomesh/server.go
+++ b/mangolaned/mangomesh/server.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"net"
 	"net/rpc"
 	"time"
@@ -47,17 +46,8 @@
 }
 
 // Serve serves until the listener is closed.
-func (s *Server) Serve(l net.Listener) error {
-	for {
-		conn, err := l.Accept()
-		if errors.Is(err, net.ErrClosed) {
-			return nil
-		}
-		if err != nil {
-			return mangomodel.Errors.Wrap(err)
-		}
-		go s.rpc.ServeConn(mangoconn.Bounded(conn))
-	}
+func (s *Server) Serve(l net.Listener, opts ...mangoconn.ServeOption) error {
+	return mangoconn.Serve(l, func(conn net.Conn) { s.rpc.ServeConn(conn) }, opts...)
 }
 
 // Command serves the calls that change the control state.
--- a/mangolaned/mangopeer/server.go
+++ b/mangolaned/mangopeer/server.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"net"
 	"net/rpc"
 	"time"
@@ -56,17 +55,8 @@
 }
 
 // Serve serves until the listener is closed.
-func (s *Server) Serve(l net.Listener) error {
-	for {
-		conn, err := l.Accept()
-		if errors.Is(err, net.ErrClosed) {
-			return nil
-		}
-		if err != nil {
-			return mangomodel.Errors.Wrap(err)
-		}
-		go s.rpc.ServeConn(mangoconn.Bounded(conn))
-	}
+func (s *Server) Serve(l net.Listener, opts ...mangoconn.ServeOption) error {
+	return mangoconn.Serve(l, func(conn net.Conn) { s.rpc.ServeConn(conn) }, opts...)
 }
 
 func must(err error) {
--- a/mangolaned/mangosettings/gateway.go
+++ b/mangolaned/mangosettings/gateway.go
@@ -54,6 +54,12 @@
 	// BodyMemory bounds the memory for the bodies of all calls and responses together,
 	// in bytes. The default follows from MemoryLimit; zero without one means no limit.
 	BodyMemory mangomodel.Bytes `json:",omitempty"`
+	// ClientConnections bounds the connections of clients, HeadMemory the memory for the
+	// heads of their requests, in bytes, and ClientStall how long a client may take to read
+	// 32 KiB. The defaults follow from the descriptors and from BodyMemory.
+	ClientConnections int                 `json:",omitempty"`
+	HeadMemory        mangomodel.Bytes    `json:",omitempty"`
+	ClientStall       mangomodel.Duration `json:",omitempty"`
 	// TraceSpans is the number of finished spans to keep.
 	TraceSpans int `json:",omitempty"`
 	// LogLevel is debug, info, warn or error.
@@ -161,6 +167,9 @@
 	if s.BodyMemory < 0 || s.MemoryLimit > 0 && s.BodyMemory > s.MemoryLimit {
 		return invalid("BodyMemory must be at least 0 and at most MemoryLimit")
 	}
+	if s.ClientConnections < 0 || s.HeadMemory < 0 || s.ClientStall < 0 || s.MemoryLimit > 0 && s.HeadMemory > s.MemoryLimit {
+		return invalid("ClientConnections, HeadMemory and ClientStall must be at least 0, HeadMemory at most MemoryLimit")
+	}
 	if _, err := zapcore.ParseLevel(s.LogLevel); err != nil {
 		return invalid("LogLevel: %v", err)
 	}
