Rest: connections do not wait for the lock of the memory for bodies

With 600 connections that send chunks of a byte, hundreds of refused bodies keep the lock of core/mangomemory busy, and each hand-over waits behind goroutines that decode chunks for their 10 ms. The charge of connections is now a counter without that lock, and the reader of chunks gives way after each read.

Numbers of connections and bounds are unchanged.

--- a/core/mangomemory/budget.go
+++ b/core/mangomemory/budget.go
@@ -87,12 +87,14 @@
 
 // Charge takes n bytes for what is held besides bodies and is bounded elsewhere, or returns
 // them if n is negative. It is never refused: bodies then have less room. The pace of
-// releases leaves it out, since connections stay for minutes.
+// releases leaves it out, since connections stay for minutes. It does not wait for the lock,
+// which hundreds of bodies that are refused at once keep busy, while requests without
+// bodies must not wait.
 func (b *Budget) Charge(n mangomodel.Bytes) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.room.used += n
-	if n < 0 {
+	b.room.charged.Add(int64(n))
+	// Without the lock, the claims that wait are served by the release that holds it.
+	if n < 0 && b.mu.TryLock() {
+		defer b.mu.Unlock()
 		b.room.serve(time.Now())
 	}
 }
--- a/core/mangomemory/room.go
+++ b/core/mangomemory/room.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"maps"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"mangolane/core/mangomodel"
@@ -46,8 +47,10 @@
 // room holds the state of a budget.
 type room struct {
 	limit, used mangomodel.Bytes
-	waiting     []*claim
-	holdings    map[*holding]struct{}
+	// charged are the bytes that are held besides those in use for bodies.
+	charged  atomic.Int64
+	waiting  []*claim
+	holdings map[*holding]struct{}
 	// held and released sum up the time for which bytes were held, in byte seconds, and
 	// these bytes. Older ones fade.
 	held, released float64
@@ -76,7 +79,7 @@
 
 // fits reports whether a body that holds some bytes can have n more at once.
 func (r *room) fits(n, held mangomodel.Bytes) bool {
-	return r.limit <= 0 || r.used+n <= r.limitOf(held+n)
+	return r.limit <= 0 || r.used+mangomodel.Bytes(r.charged.Load())+n <= r.limitOf(held+n)
 }
 
 // request grants a claim, queues it, or refuses it with a fault.
@@ -127,13 +130,13 @@
 	if r.released == 0 || len(r.holdings) == 0 {
 		return 0, false
 	}
-	missing := r.used + ahead + c.Size - r.limitOf(c.held+c.Size)
+	missing := r.used + mangomodel.Bytes(r.charged.Load()) + ahead + c.Size - r.limitOf(c.held+c.Size)
 	mean := time.Duration(r.held / r.released * float64(time.Second))
 	if missing <= 0 {
 		return 0, true
 	}
 	// Those that follow are expected to stay for as long.
-	rounds := (missing - 1) / r.used
+	rounds := (missing - 1) / max(r.used, 1)
 	missing -= rounds * r.used
 	list := slices.SortedFunc(maps.Keys(r.holdings), func(a, b *holding) int { return a.since.Compare(b.since) })
 	for _, h := range list {
--- a/core/mangorest/guard.go
+++ b/core/mangorest/guard.go
@@ -4,6 +4,7 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -170,6 +171,10 @@
 
 // readChunks reads a part of a body in chunks.
 func (c *guardedConn) readChunks(p []byte) (int, error) {
+	// Chunks of a byte that come without end keep the decoder of net/http busy without a
+	// wait. Hundreds of such goroutines would each use the 10 ms that the scheduler gives
+	// them, before others run that wait for a lock or a response.
+	runtime.Gosched()
 	n, err := c.receive(p)
 	n, done, ok := c.scanChunks(p[:n])
 	switch {
