Rest: bodies of routes are bounded as read, each and together

go-zero compares only the length that a client sends, so that mangolaned read bodies in chunks, and compressed ones, without end. Routes now get a body that ends with 413 beyond the limit and with 429 (not run) without memory; mangolaned has BodyMemory, 256 MiB. TestBodiesOfRoutesAreBounded was seen to fail before: 2 MiB in chunks against a limit of 1 MiB got 200.

--- a/core/mangorest/respond.go
+++ b/core/mangorest/respond.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"encoding/json"
-	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -48,9 +47,9 @@
 // Read decodes a request's body strictly as one JSON document.
 func Read[In any](r *http.Request) (In, error) {
 	var zero In
-	data, err := io.ReadAll(r.Body)
+	data, err := ReadBody(r)
 	if err != nil {
-		return zero, mangomodel.NewFault(mangomodel.StepParse, "", mangomodel.CodeInvalid, mangomodel.RunNot, err)
+		return zero, err
 	}
 	return mangoconfig.Decode[In](data)
 }
--- a/core/mangorest/server.go
+++ b/core/mangorest/server.go
@@ -31,6 +31,7 @@
 	"github.com/zeromicro/go-zero/core/trace"
 	"github.com/zeromicro/go-zero/rest"
 
+	"mangolane/core/mangomemory"
 	"mangolane/core/mangomodel"
 )
 
@@ -65,6 +66,7 @@
 
 type options struct {
 	maxBody mangomodel.Bytes
+	bodies  *mangomemory.Budget
 	clients Clients
 }
 
@@ -81,7 +83,7 @@
 	if err != nil {
 		return nil, mangomodel.Errors.Wrap(err)
 	}
-	o := options{maxBody: defaultMaxBody}
+	o := options{maxBody: defaultMaxBody, bodies: mangomemory.New(0)}
 	for _, opt := range opts {
 		opt(&o)
 	}
@@ -99,7 +101,7 @@
 	if err != nil {
 		return nil, mangomodel.Errors.Wrap(err)
 	}
-	server.AddRoutes(routes)
+	server.AddRoutes(o.boundBodies(routes))
 	return &Server{rest: server, started: make(chan struct{}), limiter: newIdleLimiter(unlimitedIdle, nil), guard: newGuard(name, o.clients)}, nil
 }
 
--- a/mangolaned/mangodaemon/daemon.go
+++ b/mangolaned/mangodaemon/daemon.go
@@ -19,6 +19,7 @@
 	"mangolane/core/mangocommand"
 	"mangolane/core/mangoentry"
 	"mangolane/core/mangomember"
+	"mangolane/core/mangomemory"
 	"mangolane/core/mangomodel"
 	"mangolane/core/mangorest"
 	"mangolane/core/mangorevision"
@@ -100,7 +101,8 @@
 // newServers creates the HTTP servers of callers and operators.
 func (d *Daemon) newServers(handler *mangofront.Handler, admin *mangoadmin.Admin) error {
 	var err error
-	if d.front, err = mangorest.NewServer("front", d.settings.Front, handler.Routes(), mangorest.WithMaxBody(d.settings.MaxBody)); err != nil {
+	if d.front, err = mangorest.NewServer("front", d.settings.Front, handler.Routes(), mangorest.WithMaxBody(d.settings.MaxBody),
+		mangorest.WithBodyMemory(mangomemory.New(d.settings.BodyMemory))); err != nil {
 		return err
 	}
 	d.admin, err = mangorest.NewServer("admin", d.settings.Admin, admin.Routes())
--- a/mangolaned/mangofront/front.go
+++ b/mangolaned/mangofront/front.go
@@ -22,7 +22,6 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"net/http"
 	"strings"
 	"sync/atomic"
@@ -214,9 +213,9 @@
 	if len(key) > maxKeyLength {
 		return mangoentry.Request{}, invalid("%s is longer than %d bytes", mangowire.HeaderIdempotency, maxKeyLength)
 	}
-	body, err := io.ReadAll(r.Body)
+	body, err := mangorest.ReadBody(r)
 	if err != nil {
-		return mangoentry.Request{}, invalid("cannot read the request body: %v", err)
+		return mangoentry.Request{}, err
 	}
 	return mangoentry.Request{
 		ID: h.nextRequestID(), Workspace: ws, Call: call, Key: mangomodel.IdempotencyKey(key), Body: body,
--- a/mangolaned/mangosettings/settings.go
+++ b/mangolaned/mangosettings/settings.go
@@ -51,6 +51,9 @@
 	RandomSeed uint64 `json:",omitempty"`
 	// DrainTimeout bounds a graceful shutdown.
 	DrainTimeout mangomodel.Duration `json:",omitempty"`
+	// BodyMemory bounds the memory for the bodies of all callers' requests together, in
+	// bytes; a body takes three times its size.
+	BodyMemory mangomodel.Bytes `json:",omitempty"`
 	// MaxBody bounds the body of a caller's request, in bytes.
 	MaxBody mangomodel.Bytes `json:",omitempty"`
 	// MaxTokens bounds the number of generated tokens that a caller may request.
@@ -74,12 +77,17 @@
 
 // Defaults of optional settings.
 const (
-	defaultDrainTimeout                   = 2 * time.Minute
-	defaultMaxBody      mangomodel.Bytes  = 1 << 20
-	defaultMaxTokens    mangomodel.Tokens = 4096
-	defaultTraceSpans                     = 4096
-	defaultLogLevel                       = "info"
-	minInterval                           = 10 * time.Millisecond
+	defaultDrainTimeout                  = 2 * time.Minute
+	defaultMaxBody      mangomodel.Bytes = 1 << 20
+	// defaultCallerMemory has room for 80 bodies of the default size limit at a time.
+	defaultCallerMemory mangomodel.Bytes = 256 << 20
+	// bodyFactor lets one body of the size limit be read and decoded, with a twentieth of
+	// BodyMemory left for small ones.
+	bodyFactor                          = 4
+	defaultMaxTokens  mangomodel.Tokens = 4096
+	defaultTraceSpans                   = 4096
+	defaultLogLevel                     = "info"
+	minInterval                         = 10 * time.Millisecond
 )
 
 // Read reads settings from a file, applies the defaults and checks them.
@@ -113,6 +121,7 @@
 func (s *Settings) setDefaults() {
 	setDefault(&s.DrainTimeout, mangomodel.Duration(defaultDrainTimeout))
 	setDefault(&s.MaxBody, defaultMaxBody)
+	setDefault(&s.BodyMemory, defaultCallerMemory)
 	setDefault(&s.MaxTokens, defaultMaxTokens)
 	setDefault(&s.ProbeInterval, mangomodel.Duration(mangoagent.DefaultProbeInterval))
 	setDefault(&s.LoadInterval, mangomodel.Duration(mangoagent.DefaultLoadInterval))
@@ -150,8 +159,8 @@
 			return invalid("every interval must be at least %v", minInterval)
 		}
 	}
-	if s.DrainTimeout <= 0 || s.MaxBody <= 0 || s.MaxTokens <= 0 || s.TraceSpans <= 0 || s.TableWrites <= 0 {
-		return invalid("DrainTimeout, MaxBody, MaxTokens, TableWrites and TraceSpans must be positive")
+	if s.DrainTimeout <= 0 || s.MaxBody <= 0 || s.BodyMemory < bodyFactor*s.MaxBody || s.MaxTokens <= 0 || s.TraceSpans <= 0 || s.TableWrites <= 0 {
+		return invalid("DrainTimeout, MaxBody, MaxTokens, TableWrites and TraceSpans must be positive, BodyMemory at least %d times MaxBody", bodyFactor)
 	}
 	if _, err := zapcore.ParseLevel(s.LogLevel); err != nil {
 		return invalid("LogLevel: %v", err)
