--- a/core/mangohead/head_test.go
+++ b/core/mangohead/head_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"runtime"
 	"strings"
 	"testing"
 
@@ -75,6 +76,7 @@
 				}
 				kept = append(kept, r.Header)
 			}
+			runtime.KeepAlive(kept)
 		}
 	}).AllocedBytesPerOp() / heads
 	t.Logf("%d bytes sent, %d allocated, cost %d", len(text), perHead, h.Cost())
