--- a/mangolaned/mangodaemon/daemon.go
+++ b/mangolaned/mangodaemon/daemon.go
@@ -19,12 +19,14 @@
 	"mangolane/core/mangocommand"
 	"mangolane/core/mangoentry"
 	"mangolane/core/mangomember"
+	"mangolane/core/mangomemory"
 	"mangolane/core/mangomodel"
 	"mangolane/core/mangorest"
 	"mangolane/core/mangorevision"
 	"mangolane/core/mangoroute"
 	"mangolane/mangolaned/mangoadmin"
 	"mangolane/mangolaned/mangobackend"
+	"mangolane/mangolaned/mangoconn"
 	"mangolane/mangolaned/mangofront"
 	"mangolane/mangolaned/mangolog"
 	"mangolane/mangolaned/mangometrics"
@@ -99,7 +101,8 @@
 // newServers creates the HTTP servers of callers and operators.
 func (d *Daemon) newServers(handler *mangofront.Handler, admin *mangoadmin.Admin) error {
 	var err error
-	if d.front, err = mangorest.NewServer("front", d.settings.Front, handler.Routes(), mangorest.WithMaxBody(d.settings.MaxBody)); err != nil {
+	if d.front, err = mangorest.NewServer("front", d.settings.Front, handler.Routes(), mangorest.WithMaxBody(d.settings.MaxBody),
+		mangorest.WithBodyMemory(mangomemory.New(d.settings.BodyMemory))); err != nil {
 		return err
 	}
 	d.admin, err = mangorest.NewServer("admin", d.settings.Admin, admin.Routes())
@@ -141,8 +144,15 @@
 	return err
 }
 
+// peerLimits bounds the connections of other daemons: a quarter of the descriptors, and
+// 8 MiB for large messages that are read.
+func peerLimits() mangoconn.ServeOption {
+	const share, least, messages = 0.25, 32, 8 << 20
+	return mangoconn.WithLimits(mangoconn.Limits{Connections: mangorest.DescriptorShare(share, least), Messages: messages})
+}
+
 func (d *Daemon) servePeers(l net.Listener) {
-	if err := d.peers.Serve(l); err != nil {
+	if err := d.peers.Serve(l, peerLimits()); err != nil {
 		d.logger.Error("peers", mangolog.FaultFields(err)...)
 	}
 }
--- a/mangolaned/mangogateway/metrics.go
+++ b/mangolaned/mangogateway/metrics.go
@@ -27,6 +27,8 @@
 type metrics struct {
 	registry   gometrics.Registry
 	workspaces *workspaceCounts
+	// closed are the connections that were closed since the last log line of each cause.
+	closed occurrences
 }
 
 func newMetrics() *metrics {
