Load: plain servers are chosen by their estimated load

The choice by counted calls knows of each server what the daemon's own calls showed less than 300 ms ago, which is mostly nothing. Package mangoload keeps how long the calls to each server took, with less weight for older ones, adds up the records of all daemons at a board, and gives each server a share of the daemon's calls in turn. Calls leave a data centre when its servers are busy, gradually. The pool uses it after EstimateLoads only.

The light loads are simulated four times as long, and the slow hosts are drawn apart from the calls, since the figures of two runs differed by chance.

--- a/core/mangolease/lease.go
+++ b/core/mangolease/lease.go
@@ -122,6 +122,9 @@
 	Saw    Outcome
 	// Load is the server's load report; nil if the response had none.
 	Load *mangotraffic.LoadReport
+	// Took is the time from the lease to the end of the response, at plain servers only;
+	// zero if it is not known.
+	Took time.Duration
 }
 
 // Announcement is what a server has announced about itself in an answer of any kind.
--- a/core/mangopool/even_test.go
+++ b/core/mangopool/even_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"mangolane/core/mangolease"
+	"mangolane/core/mangoload"
 	"mangolane/core/mangomodel"
 	"mangolane/core/mangotraffic"
 )
@@ -49,11 +50,14 @@
 // part of the daemons.
 type evenLoad struct {
 	name        string
+	seed        uint64
 	daemons     int
 	dataCentres int
 	// rate is the number of calls per second and data centre. It varies with a relative
 	// amplitude and a period of 17 s, with a different phase in each data centre.
 	rate, amplitude float64
+	// length is longer where few calls come; the default is evenLength.
+	length time.Duration
 	// hot multiplies the rate of the first data centre, if it is not zero.
 	hot float64
 	// changing is set if each host is slow at times. No daemon can learn within a window
@@ -66,6 +70,8 @@
 	cut, blind bool
 	// event changes the servers after eventAt.
 	event func(*evenSim)
+	// estimated is set for the choice by estimated loads.
+	estimated bool
 	// full is set for a choice that knows the state of all servers.
 	full bool
 }
@@ -92,7 +98,9 @@
 // evenSim is a simulation of daemons, each with a pool of its own.
 type evenSim struct {
 	evenLoad
-	rng     *rand.Rand
+	rng *rand.Rand
+	// slow draws the slow hosts, which are then the same for each choice of servers.
+	slow    *rand.Rand
 	began   time.Time
 	now     time.Time
 	events  eventHeap
@@ -138,7 +146,7 @@
 // runEven simulates a load.
 func runEven(l evenLoad) *evenSim {
 	began := time.Unix(1_000_000, 0)
-	s := &evenSim{evenLoad: l, rng: rand.New(rand.NewPCG(7, 11)), began: began, now: began}
+	s := &evenSim{evenLoad: l, rng: rand.New(rand.NewPCG(l.seed, 11)), slow: rand.New(rand.NewPCG(l.seed, 12)), began: began, now: began}
 	for i := range l.daemons {
 		s.pools = append(s.pools, New(mangomodel.Holder{Daemon: mangomodel.DaemonID(fmt.Sprint("d", i))},
 			map[mangomodel.DataCentreID]mangomodel.RegionID{"a": "r", "b": "r", "c": "r"}))
@@ -146,6 +154,9 @@
 	for i := range 6 * l.dataCentres {
 		s.add(dataCentre(i%l.dataCentres), []float64{1, 1, 1 / 1.3}[i/l.dataCentres%3])
 	}
+	if l.estimated {
+		s.estimate()
+	}
 	if l.changing {
 		s.repeat(slowPeriod, s.changeSlow)
 	}
@@ -156,7 +167,7 @@
 	if l.event != nil {
 		s.after(eventAt, func() { l.event(s) })
 	}
-	for end := began.Add(evenLength); ; {
+	for end := began.Add(max(l.length, evenLength)); ; {
 		e := heap.Pop(&s.events).(event)
 		if s.now = e.at; s.now.After(end) {
 			return s
@@ -165,6 +176,26 @@
 	}
 }
 
+// estimate makes the daemons estimate the loads, and pass on what their calls showed in
+// their renewals.
+func (s *evenSim) estimate() {
+	board := mangoload.NewBoard()
+	for i, p := range s.pools {
+		p.EstimateLoads(dataCentre(i%s.dataCentres), mangoload.DefaultDistanceCost)
+		if s.cut && i%2 == 1 {
+			continue
+		}
+		s.repeat(s.renewal, func() {
+			list := p.LoadRecords(s.now)
+			s.after(oneWay, func() {
+				board.Record(p.self.Daemon, list, s.now)
+				response := board.Records(s.now)
+				s.after(oneWay, func() { p.SetSharedLoads(response, s.now) })
+			})
+		})
+	}
+}
+
 // add adds a server on which work takes the given part of the usual time.
 func (s *evenSim) add(dc mangomodel.DataCentreID, factor float64) *evenServer {
 	x := &evenServer{Server: mangotraffic.Server{
@@ -180,7 +211,7 @@
 func (s *evenSim) changeSlow() {
 	for _, x := range s.servers {
 		x.slowdown = 1
-		if s.rng.Float64() < slowShare {
+		if s.slow.Float64() < slowShare {
 			x.slowdown = slowFactor
 		}
 	}
@@ -232,6 +263,7 @@
 	}
 	granted := s.now
 	finish := func(o mangolease.Observation) {
+		o.Took = s.now.Sub(granted)
 		p.Observe(o, s.now)
 		p.Release(id, s.now)
 		if o.Saw == mangolease.OutcomeFull {
@@ -352,8 +384,8 @@
 	add := func(s *evenSim) { s.add("a", 1) }
 	const r = 250 * time.Millisecond
 	return []evenLoad{
-		{name: "measured", daemons: 75, dataCentres: 1, rate: 202, amplitude: 0.55, changing: true, renewal: r},
-		{name: "measured, steady hosts", daemons: 75, dataCentres: 1, rate: 202, amplitude: 0.55, renewal: r},
+		{name: "measured", daemons: 75, dataCentres: 1, rate: 202, amplitude: 0.55, length: 4 * evenLength, changing: true, renewal: r},
+		{name: "measured, steady hosts", daemons: 75, dataCentres: 1, rate: 202, amplitude: 0.55, length: 4 * evenLength, renewal: r},
 		{name: "three quarters full", daemons: 75, dataCentres: 1, rate: 1900, renewal: r},
 		{name: "three quarters full, renewals of 50 ms", daemons: 75, dataCentres: 1, rate: 1900, renewal: r / 5},
 		{name: "three quarters full, renewals of 500 ms", daemons: 75, dataCentres: 1, rate: 1900, renewal: 2 * r},
@@ -385,6 +417,31 @@
 	}
 }
 
+// TestEstimatedLoad guards against servers that are overloaded in turn while others are
+// idle.
+func TestEstimatedLoad(t *testing.T) { testEstimated(t, false) }
+
+// TestEstimatedLoadOfChangingHosts guards against calls that wait at hosts that are slow
+// for 600 ms. It fails: see docs/design/load.md.
+func TestEstimatedLoadOfChangingHosts(t *testing.T) { testEstimated(t, true) }
+
+func testEstimated(t *testing.T, changing bool) {
+	for _, l := range evenLoads() {
+		if l.changing != changing {
+			continue
+		}
+		t.Run(l.name, func(t *testing.T) {
+			full := l.fullKnowledge()
+			l.estimated = true
+			estimated := runEven(l).result()
+			t.Logf("%v; full knowledge: %v", estimated, full)
+			if broken := l.broken(estimated, full); len(broken) > 0 {
+				t.Errorf("exceeded %v", broken)
+			}
+		})
+	}
+}
+
 // fullKnowledge returns the figures of the load with full knowledge.
 func (l evenLoad) fullKnowledge() evenResult {
 	l.full = true
--- a/core/mangopool/list.go
+++ b/core/mangopool/list.go
@@ -21,6 +21,7 @@
 	case !b.server.SameIncarnation(&server):
 		b = newBackend(server)
 		p.backends[server.ID] = b
+		p.forgetLoad(server.ID)
 	default:
 		if b.server.Stage != server.Stage {
 			b.orderedUntil = time.Time{}
@@ -90,6 +91,7 @@
 
 func (p *Pool) remove(id mangomodel.ServerID, now time.Time) {
 	delete(p.backends, id)
+	p.forgetLoad(id)
 	p.withdrawals.Unlisted(id, now)
 	p.changed, p.groups = true, nil
 }
--- a/core/mangopool/observe.go
+++ b/core/mangopool/observe.go
@@ -25,6 +25,7 @@
 		b.untracked, b.untrackedAt = max(c.Load.Running+c.Load.Waiting-len(b.runs), 0), now
 		b.slowdown, b.slowdownAt = c.Load.Slowdown, now
 	}
+	p.recordSample(b, c, now)
 	switch c.Saw {
 	case mangolease.OutcomeSuccess:
 		b.health = b.health.Succeeded()
--- a/core/mangopool/placement.go
+++ b/core/mangopool/placement.go
@@ -51,6 +51,10 @@
 // place chooses the best servers for a demand.
 func (p *Pool) place(pending *mangolease.PendingDemand, now time.Time) (placement, bool) {
 	d := &pending.Demand
+	if d.Generation == nil && p.loads != nil {
+		b := p.estimated(pending, now)
+		return placement{server: b}, b != nil
+	}
 	if d.Generation == nil {
 		b := p.best(pending, mangotraffic.StageNone, now, func(b *backend) (float64, bool) { return p.plainCost(b, d, now) })
 		return placement{server: b}, b != nil
--- a/core/mangopool/pool.go
+++ b/core/mangopool/pool.go
@@ -18,6 +18,7 @@
 	"mangolane/core/mangobackoff"
 	"mangolane/core/mangolease"
 	"mangolane/core/mangoleaving"
+	"mangolane/core/mangoload"
 	"mangolane/core/mangomodel"
 	"mangolane/core/mangoquery"
 	"mangolane/core/mangoroster"
@@ -38,6 +39,10 @@
 	groups      map[group][]*backend
 	withdrawals *mangoleaving.Withdrawals
 	backoffs    *mangobackoff.Board
+	// loads estimates the loads of plain servers; nil if they are counted.
+	loads *mangoload.Table
+	// origin is this daemon's data centre; empty if loads are counted.
+	origin mangomodel.DataCentreID
 	// daemons is the number of daemons that share the servers.
 	daemons int
 	// changed is set while the list differs from the last result of Listed.
