Fleet: renewals pass on what calls showed of plain servers; the unevenness is measured

A daemon sends a plain server one call in seconds, so its own figures are older than what they count. With estimated loads its renewals now carry the records of its calls to the scheduler of the service, and the response brings the sums of all daemons: at most 32 records a message. With the choice by counted calls nothing of this is sent.

The pool also measures, from the figures that it has anyway, the calls in progress at the busiest plain server against the mean over 100 ms and 1 s, answers of servers with waiting calls while another one had free slots, and the age of the figure that decided.

go test ./mangofleet ./mangobroker ./mangorelay ./mangoquery passes.

--- a/core/mangobroker/broker.go
+++ b/core/mangobroker/broker.go
@@ -120,6 +120,8 @@
 	if g.scheduler.Holder == g.broker.self.Holder {
 		return
 	}
+	// Only the daemons that place calls to plain servers use how long these took.
+	o.Took = 0
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.observed = append(g.observed, o)
--- a/core/mangobroker/exchange.go
+++ b/core/mangobroker/exchange.go
@@ -12,6 +12,7 @@
 	"mangolane/core/mangocrash"
 	"mangolane/core/mangofleet"
 	"mangolane/core/mangolease"
+	"mangolane/core/mangoload"
 	"mangolane/core/mangomodel"
 	"mangolane/core/mangooutlier"
 	"mangolane/core/mangopanic"
@@ -55,6 +56,9 @@
 	// request only. In a response, Ejections are the outliers among these servers.
 	Outcomes  map[mangomodel.ServerID]mangooutlier.Counts
 	Ejections []mangofleet.Ejection
+	// Loads are what calls showed of the plain servers whose service the scheduler of the
+	// two schedules: in a request those of the sender, in a response those of all daemons.
+	Loads mangoload.Records
 	// Withdrawals are the servers that have announced that they leave, as far as the
 	// list does not say so: in a request those that announced it to the sender, in a
 	// response all that the sender has recorded.
@@ -140,16 +144,18 @@
 	began := time.Now()
 	if m.Holder == b.self.Holder {
 		leases := b.progress()
-		b.apply(mangofleet.Renew{Holder: b.self.Holder, Leases: leases, Outcomes: b.fleet.View().Outcomes})
+		b.apply(mangofleet.Renew{Holder: b.self.Holder, Leases: leases, Outcomes: b.fleet.View().Outcomes, Loads: b.loads(m)})
 		b.markRenewed(m, leases, began)
 		b.setAllowances(m, b.fleet.View().Allowances(b.self.Holder))
+		b.setLoads(b.fleet.View().SharedLoads(time.Now()))
 		return
 	}
 	leases := b.progress()
-	response, err := b.exchange(ctx, m.Address, leases)
+	response, err := b.exchange(ctx, m.Address, leases, b.loads(m))
 	if err == nil {
 		b.markRenewed(m, leases, began)
 		b.setAllowances(m, response.Allowances)
+		b.setLoads(response.Loads)
 		if len(response.Ejections) > 0 {
 			b.apply(mangofleet.EjectServers{Ejections: response.Ejections})
 		}
@@ -183,12 +189,13 @@
 	b.apply(mangofleet.SetAllowances{Allowances: own, From: m.Holder.Daemon})
 }
 
-// exchange sends a message with the progress of leases and applies the response.
-func (b *Broker) exchange(ctx context.Context, at mangomodel.Address, leases []mangolease.Progress) (ExchangeMessage, error) {
+// exchange sends a message with the progress of leases and the load records, and applies
+// the response.
+func (b *Broker) exchange(ctx context.Context, at mangomodel.Address, leases []mangolease.Progress, loads mangoload.Records) (ExchangeMessage, error) {
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
 	msg := b.Compose(ExchangeMessage{})
-	msg.Leases, msg.Outcomes = leases, b.fleet.View().Outcomes
+	msg.Leases, msg.Outcomes, msg.Loads = leases, b.fleet.View().Outcomes, loads
 	began := time.Now()
 	response, err := b.peers.Exchange(ctx, at, msg)
 	if err != nil {
@@ -290,7 +297,7 @@
 	for _, addr := range addrs {
 		running.Go(func() {
 			defer mangopanic.Catch(b.log, "exchange")
-			_, err := b.exchange(ctx, addr, b.progress())
+			_, err := b.exchange(ctx, addr, b.progress(), nil)
 			mu.Lock()
 			defer mu.Unlock()
 			errs[addr] = err
--- a/core/mangobroker/receive.go
+++ b/core/mangobroker/receive.go
@@ -21,13 +21,16 @@
 		return ExchangeMessage{}, err
 	}
 	msg.List.Cursor = position
-	renew := mangofleet.Renew{Holder: msg.From.Holder, Leases: msg.Leases, Usages: msg.Usages, Outcomes: msg.Outcomes, Backoffs: msg.Backoffs}
+	renew := mangofleet.Renew{Holder: msg.From.Holder, Leases: msg.Leases, Usages: msg.Usages, Outcomes: msg.Outcomes, Backoffs: msg.Backoffs, Loads: msg.Loads}
 	if err := b.fleet.Do(ctx, renew); err != nil {
 		return ExchangeMessage{}, err
 	}
 	response := b.Compose(msg)
 	response.Allowances = b.fleet.View().Allowances(msg.From.Holder)
 	response.Ejections = b.fleet.View().Ejections
+	if len(msg.Loads) > 0 {
+		response.Loads = b.fleet.View().SharedLoads(time.Now())
+	}
 	return response, nil
 }
 
--- a/core/mangofleet/fleet.go
+++ b/core/mangofleet/fleet.go
@@ -14,6 +14,7 @@
 	"mangolane/core/mangojournal"
 	"mangolane/core/mangolease"
 	"mangolane/core/mangoleaving"
+	"mangolane/core/mangoload"
 	"mangolane/core/mangoloop"
 	"mangolane/core/mangomodel"
 	"mangolane/core/mangooutage"
@@ -151,6 +152,10 @@
 	// schedulers do not know yet.
 	Announced uint64
 
+	// loads and sharedLoads are the load records of this daemon and of all, at loadsAt.
+	loads, sharedLoads mangoload.Records
+	loadsAt            time.Time
+
 	schedulers map[mangotraffic.ServiceName][]mangoroster.Member
 	// expired marks the servers of Listed whose entries have vanished and whose
 	// grace period runs.
--- a/core/mangofleet/renew.go
+++ b/core/mangofleet/renew.go
@@ -7,6 +7,7 @@
 	"mangolane/core/mangobackoff"
 	"mangolane/core/mangobudget"
 	"mangolane/core/mangolease"
+	"mangolane/core/mangoload"
 	"mangolane/core/mangomodel"
 	"mangolane/core/mangooutlier"
 	"mangolane/core/mangopool"
@@ -25,6 +26,8 @@
 	Usages mangobudget.Usages
 	// Outcomes are the recent outcomes of the holder's calls to plain servers.
 	Outcomes map[mangomodel.ServerID]mangooutlier.Counts
+	// Loads are what the holder's calls showed of plain servers.
+	Loads mangoload.Records
 	// Backoffs are the servers that have asked the holder for time.
 	Backoffs []mangobackoff.Entry
 }
@@ -40,6 +43,10 @@
 	s.pool.SetDaemons(s.daemonCount())
 	s.board.Record(c.Holder, c.Outcomes, now)
 	s.ejectOutliers(now)
+	// Other messages than renewals have no records.
+	if s.loads != nil && len(c.Loads) > 0 {
+		s.loads.Record(c.Holder.Daemon, c.Loads, now)
+	}
 	s.allowances = maps.Clone(s.allowances)
 	maps.DeleteFunc(s.allowances, func(h mangomodel.Holder, _ mangobudget.Allowances) bool {
 		return h.Daemon == c.Holder.Daemon && h.Incarnation < c.Holder.Incarnation
--- a/core/mangofleet/state.go
+++ b/core/mangofleet/state.go
@@ -8,6 +8,7 @@
 	"mangolane/core/mangocrash"
 	"mangolane/core/mangojournal"
 	"mangolane/core/mangolease"
+	"mangolane/core/mangoload"
 	"mangolane/core/mangoloop"
 	"mangolane/core/mangomodel"
 	"mangolane/core/mangooutage"
@@ -50,10 +51,14 @@
 	board      *mangooutlier.Board
 	ejected    map[mangomodel.ServerID]time.Time
 	outliersAt time.Time
-	roster     *mangoroster.Roster
-	suspects   *mangocrash.Table
-	quarantine *mangoquarantine.Tracker
-	listRead   time.Time
+	// loads adds up the load records of all daemons that renew here; nil if loads are not
+	// estimated.
+	loads        *mangoload.Board
+	loadObserver LoadObserver
+	roster       *mangoroster.Roster
+	suspects     *mangocrash.Table
+	quarantine   *mangoquarantine.Tracker
+	listRead     time.Time
 	// routingRead is when the configuration was last known to be current.
 	routingRead time.Time
 	// readFailed is when this daemon last failed to read the list. outages decides how
@@ -151,6 +156,8 @@
 		v.Usages, v.Outcomes, v.quarantineMessage = last.Usages, last.Outcomes, last.quarantineMessage
 	}
 	v.Ejections = s.ejections(now)
+	s.publishLoads(v, last, now)
+	s.reportMeasures()
 	if list, ok := s.pool.Listed(); ok {
 		v.Listed, v.expired = list.Servers, list.Expired
 		v.withdrawn, v.unconfirmed = list.Withdrawn, list.Unconfirmed
--- a/core/mangoload/load.go
+++ b/core/mangoload/load.go
@@ -60,7 +60,7 @@
 // DefaultDistanceCost is the cost of one step of distance, as an increase of load. With it
 // calls leave a data centre for another one of the region at 0.7 of its slots, where the
 // wait for a slot begins to exceed the round trip of 11 ms for some calls, and for another
-// region at 1.0, where all calls wait.
+// region at 0.9 of the slots of the region, where most calls wait.
 const DefaultDistanceCost = 0.1
 
 // Sample is what one call showed of its server.
@@ -202,6 +202,9 @@
 	Took time.Duration
 	// Share is the server's share of the daemon's next calls.
 	Share float64
+	// Age is the time since the last figure of the server was received; zero if there is
+	// none.
+	Age time.Duration
 }
 
 // Choose returns the index of the server for the next call, with the estimates of all
@@ -256,11 +259,23 @@
 		// A call that takes longer than usual shows that the server has become slow before
 		// its end does.
 		took = max(took, overdue*c.Oldest.Seconds())
-		estimates[i] = Estimate{Load: max(load, float64(c.Own)/n), Took: time.Duration(took * float64(time.Second))}
+		estimates[i] = Estimate{Load: max(load, float64(c.Own)/n), Took: time.Duration(took * float64(time.Second)), Age: t.age(c.ID, now)}
 	}
 	return estimates
 }
 
+// age returns the time since the last figure of a server was received; zero if there is none.
+func (t *Table) age(id mangomodel.ServerID, now time.Time) time.Duration {
+	at := t.own[id].at
+	if shared := t.shared[id].at; shared.After(at) {
+		at = shared
+	}
+	if at.IsZero() {
+		return 0
+	}
+	return now.Sub(at)
+}
+
 // setShares sets the shares of the candidates, nearer ones first.
 func (t *Table) setShares(list []Candidate, estimates []Estimate) {
 	left := 1.0
--- a/core/mangopool/estimated.go
+++ b/core/mangopool/estimated.go
@@ -65,9 +65,9 @@
 	p.loads.SetShared(listed, now)
 }
 
-// estimated returns the server of a plain call by the estimated loads, or nil if none has
-// room.
-func (p *Pool) estimated(pending *mangolease.PendingDemand, now time.Time) *backend {
+// estimated chooses the server of a plain call by the estimated loads. It reports false if
+// none has room.
+func (p *Pool) estimated(pending *mangolease.PendingDemand, now time.Time) (placement, bool) {
 	var candidates []mangoload.Candidate
 	var servers []*backend
 	for _, b := range p.members(group{pending.Demand.Service, mangotraffic.StageNone}) {
@@ -81,11 +81,11 @@
 		}
 		candidates, servers = append(candidates, c), append(servers, b)
 	}
-	i, _ := p.loads.Choose(candidates, now)
+	i, estimates := p.loads.Choose(candidates, now)
 	if i < 0 {
-		return nil
+		return placement{}, false
 	}
-	return servers[i]
+	return placement{server: servers[i], loadAge: estimates[i].Age, estimate: estimates[i]}, true
 }
 
 // recordSample adds what a call showed of a plain server.
--- a/core/mangopool/lease.go
+++ b/core/mangopool/lease.go
@@ -115,6 +115,9 @@
 	if !ok {
 		return
 	}
+	if l.demand.Generation == nil {
+		p.measure(l.demand.Service, now)
+	}
 	p.releasePrefill(id, l)
 	if b, ok := p.backends[l.server]; ok {
 		b.removeRun(id)
@@ -143,6 +146,10 @@
 		Server: place.server.server, Waited: now.Sub(pending.ArrivedAt),
 		Scheduler: p.self.Daemon, Running: len(place.server.runs), Free: place.server.free(now), Peak: place.peak,
 	}
+	if pending.Demand.Generation == nil {
+		p.measure(pending.Demand.Service, now)
+		granted.LoadAge, granted.Load, granted.Share = place.loadAge, place.estimate.Load, place.estimate.Share
+	}
 	place.server.addRun(pending.Lease, l)
 	p.backoffs.Started(granted.Server.Ref(), pending.Lease.Holder, now)
 	if place.prefill != nil {
--- a/core/mangopool/observe.go
+++ b/core/mangopool/observe.go
@@ -20,6 +20,7 @@
 	if !ok {
 		return false
 	}
+	p.measureAnswer(b, c, now)
 	before := b.health.Until
 	if c.Load != nil {
 		b.untracked, b.untrackedAt = max(c.Load.Running+c.Load.Waiting-len(b.runs), 0), now
--- a/core/mangopool/placement.go
+++ b/core/mangopool/placement.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"mangolane/core/mangolease"
+	"mangolane/core/mangoload"
 	"mangolane/core/mangomodel"
 	"mangolane/core/mangotraffic"
 )
@@ -46,18 +47,25 @@
 	server, prefill *backend
 	// peak is the predicted peak memory of the decode server.
 	peak mangomodel.Tokens
+	// loadAge is the age of the load figure of a plain server; zero if it was not used.
+	// estimate is set if loads are estimated.
+	loadAge  time.Duration
+	estimate mangoload.Estimate
 }
 
 // place chooses the best servers for a demand.
 func (p *Pool) place(pending *mangolease.PendingDemand, now time.Time) (placement, bool) {
 	d := &pending.Demand
 	if d.Generation == nil && p.loads != nil {
-		b := p.estimated(pending, now)
-		return placement{server: b}, b != nil
+		return p.estimated(pending, now)
 	}
 	if d.Generation == nil {
 		b := p.best(pending, mangotraffic.StageNone, now, func(b *backend) (float64, bool) { return p.plainCost(b, d, now) })
-		return placement{server: b}, b != nil
+		place := placement{server: b}
+		if b != nil && now.Sub(b.untrackedAt) < plainLoadTTL {
+			place.loadAge = now.Sub(b.untrackedAt)
+		}
+		return place, b != nil
 	}
 	decode := p.best(pending, mangotraffic.StageDecode, now, func(b *backend) (float64, bool) { return p.decodeCost(b, pending, now) })
 	if decode == nil {
--- a/core/mangopool/pool.go
+++ b/core/mangopool/pool.go
@@ -43,6 +43,9 @@
 	loads *mangoload.Table
 	// origin is this daemon's data centre; empty if loads are counted.
 	origin mangomodel.DataCentreID
+	// meters measure the loads of plain services, and measures is what they measured.
+	meters   map[mangotraffic.ServiceName][]*mangoload.Meter
+	measures LoadMeasures
 	// daemons is the number of daemons that share the servers.
 	daemons int
 	// changed is set while the list differs from the last result of Listed.
@@ -56,6 +59,7 @@
 		backends: make(map[mangomodel.ServerID]*backend),
 		leases:   make(map[mangolease.ID]*lease),
 		stats:    make(map[mangotraffic.ServiceName]*serviceStats),
+		meters:   make(map[mangotraffic.ServiceName][]*mangoload.Meter),
 		changed:  true,
 
 		withdrawals: mangoleaving.New(),
--- a/core/mangoquery/import_test.go
+++ b/core/mangoquery/import_test.go
@@ -56,6 +56,7 @@
 		{"mangobalance", []string{"mangofleet", "mangopool", "mangoloop", "mangowire", "mangorest"}, "decisions must not depend on the loop or encodings"},
 		{"mangoqueue", []string{"mangofleet", "mangopool", "mangoloop", "mangowire", "mangorest"}, "decisions must not depend on the loop or encodings"},
 		{"mangooutlier", []string{"mangofleet", "mangopool", "mangoloop", "mangowire", "mangorest"}, "decisions must not depend on the loop or encodings"},
+		{"mangoload", []string{"mangofleet", "mangopool", "mangoloop", "mangowire", "mangorest"}, "decisions must not depend on the loop or encodings"},
 		{"mangoleaving", []string{"mangofleet", "mangopool", "mangoloop", "mangowire", "mangorest"}, "decisions must not depend on the loop or encodings"},
 		{"mangobackoff", []string{"mangofleet", "mangopool", "mangoloop", "mangowire", "mangorest"}, "decisions must not depend on the loop or encodings"},
 		{"mangoshutdown", []string{"mangofleet", "mangopool", "mangoloop", "mangowire", "mangorest"}, "decisions must not depend on the loop or encodings"},
--- a/core/mangorelay/observe.go
+++ b/core/mangorelay/observe.go
@@ -1,6 +1,8 @@
 package mangorelay
 
 import (
+	"time"
+
 	"mangolane/core/mangoexchange"
 	"mangolane/core/mangofleet"
 	"mangolane/core/mangolease"
@@ -25,6 +27,9 @@
 }
 
 func (j *job) report(cmd mangofleet.Observe) {
+	if j.service.Engine == nil {
+		cmd.Observation.Took = time.Since(j.leasedAt)
+	}
 	j.apply(cmd)
 	j.grant.Observe(cmd.Observation)
 }
