--- a/mangolaned/mangogateway/gateway.go
+++ b/mangolaned/mangogateway/gateway.go
@@ -87,7 +87,7 @@
 	times := mangobound.Within(s.ChangeTime())
 	fleet := mangofleet.New(mangofleet.Self{Member: self, Regions: s.Regions, MinDaemons: len(s.Seeds)}, func() mangobudget.Limits {
 		return current.Load().RetryLimits(time.Since(started))
-	}, mangofleet.WithObserver(o), mangofleet.WithTimes(times))
+	}, append(loadOptions(&s, o), mangofleet.WithObserver(o), mangofleet.WithTimes(times))...)
 	memory := mangomemory.New(s.BodyMemory, mangomemory.WithObserver(o))
 	m.watch(memory)
 	servers := newServers(fleet, memory)
--- a/mangolaned/mangogateway/observe.go
+++ b/mangolaned/mangogateway/observe.go
@@ -36,12 +36,14 @@
 // ExchangeFinished logs and counts an exchange with a server.
 func (o observer) ExchangeFinished(e mangoexchange.Exchange) {
 	o.metrics.exchangeFinished(e)
+	o.metrics.chosen(e.Lease)
 	fields := []zap.Field{
 		zap.String("Request", string(e.Call.ID)), zap.Stringer("Phase", e.Phase),
 		zap.String("Server", string(e.Server.ID)), zap.Uint32("Attempt", uint32(e.Attempt)),
 		zap.Duration("Waited", e.Lease.Waited), zap.String("Scheduler", string(e.Lease.Scheduler)),
 		zap.Int("Running", e.Lease.Running), zap.Int("Free", e.Lease.Free), zap.Int64("Peak", int64(e.Lease.Peak)), zap.Duration("Took", e.Took), zap.Duration("ListAge", e.ListAge),
 	}
+	fields = append(fields, loadFields(e.Lease)...)
 	if e.Err != nil {
 		if len(e.Call.Parts) > 0 {
 			fields = append(fields, zap.Int("Events", e.Events), zap.Any("Parts", e.Call.Parts))
--- a/mangolaned/mangogateway/reload_test.go
+++ b/mangolaned/mangogateway/reload_test.go
@@ -10,6 +10,7 @@
 	"github.com/onsi/gomega"
 	"go.uber.org/zap"
 
+	"mangolane/core/mangoload"
 	"mangolane/core/mangomodel"
 	"mangolane/mangolaned/mangosettings"
 )
@@ -30,6 +31,7 @@
 		{"order lease", func(s *mangosettings.Gateway) { s.OrderLease = mangomodel.Duration(time.Second) }, true},
 		{"spans", func(s *mangosettings.Gateway) { s.TraceSpans = 9 }, true},
 		{"share of a core", func(s *mangosettings.Gateway) { s.CoreShare = 0.1 }, true},
+		{"server choice", func(s *mangosettings.Gateway) { s.ServerChoice = mangoload.ChoiceEstimated }, true},
 		{"link rate", func(s *mangosettings.Gateway) { s.LinkRate = 20 }, true},
 	}
 	for _, test := range tests {
--- a/mangolaned/mangosettings/gateway.go
+++ b/mangolaned/mangosettings/gateway.go
@@ -9,6 +9,7 @@
 	"mangolane/core/mangobound"
 	"mangolane/core/mangobudget"
 	"mangolane/core/mangoconfig"
+	"mangolane/core/mangoload"
 	"mangolane/core/mangomodel"
 )
 
@@ -41,6 +42,10 @@
 	// OrderLease is the time after a daemon's stage change order during which
 	// no other daemon may order the engines of the same service.
 	OrderLease mangomodel.Duration `json:",omitempty"`
+	// ServerChoice is how plain servers are chosen. DistanceCost is the cost of a step of
+	// distance for ChoiceEstimated, as an increase of load.
+	ServerChoice mangoload.Choice `json:",omitempty"`
+	DistanceCost float64          `json:",omitempty"`
 	// Seeds are addresses of other daemons to contact at startup.
 	Seeds []mangomodel.Address `json:",omitempty"`
 	// Cores is the number of cores; a value below 1 counts as 1. CoreShare is
@@ -96,6 +101,7 @@
 	setDefault(&s.DrainTime, mangomodel.Duration(mangobound.Standard))
 	setDefault(&s.ConfigTime, mangomodel.Duration(mangobound.Standard))
 	setDefault(&s.OrderLease, mangomodel.Duration(defaultOrderLease))
+	setDefault(&s.DistanceCost, mangoload.DefaultDistanceCost)
 	setDefault(&s.BodyMemory, defaultBodyMemory(s.MemoryLimit))
 	return s, s.check()
 }
@@ -158,6 +164,9 @@
 	if s.MemoryLimit < 0 || s.LogRate < 1 || s.TraceSpans < 1 || s.OrderLease < 0 {
 		return invalid("MemoryLimit and OrderLease must be at least 0, LogRate and TraceSpans at least 1")
 	}
+	if s.DistanceCost < 0 || s.DistanceCost > 1 {
+		return invalid("DistanceCost must be between 0 and 1")
+	}
 	if s.BodyMemory < 0 || s.MemoryLimit > 0 && s.BodyMemory > s.MemoryLimit {
 		return invalid("BodyMemory must be at least 0 and at most MemoryLimit")
 	}
