Load: servers far slower than the mean get less than their part of the capacity

The simulation is the same in each run: pools sort their servers, and a daemon reports its oldest unfinished call at a server only.

--- a/core/mangoload/load.go
+++ b/core/mangoload/load.go
@@ -36,11 +36,12 @@
 	// priorWeight is the weight, in samples, of the mean of all servers in the estimate
 	// for one: of a server without samples nothing else is known.
 	priorWeight = 2.0
-	// speedExponent makes slow servers get less than their part of the capacity. With 1 a
-	// server that is 2.5 times slower than five others gets 7% of the calls, which are
-	// then the slowest hundredth. With 1.6 the load begins to oscillate when renewals take
-	// 500 ms.
-	speedExponent = 1.25
+	// A server that takes more than slowRatio times the mean gets less than its part of the
+	// capacity, by the power slowExponent of the excess. With its part alone a server that
+	// is 2.5 times slower than five others has 7% of the calls, which are then the slowest
+	// hundredth. Without slowRatio the load of 300 daemons oscillates: a daemon with few
+	// calls takes a second to follow a change.
+	slowRatio, slowExponent = 1.5, 2
 	// leaveLoad is the load of the servers at a distance from which on calls go further
 	// if that costs nothing, and leaveRange the increase of load at which nearly all of
 	// them do. A smaller range makes the load oscillate, since it is known with a delay.
@@ -95,6 +96,9 @@
 
 // aged returns the record after some time.
 func (r Record) aged(d time.Duration) Record {
+	if r == (Record{}) {
+		return r
+	}
 	load, speed := math.Exp(-d.Seconds()/loadDecay.Seconds()), math.Exp(-d.Seconds()/speedDecay.Seconds())
 	return Record{r.Loads * load, r.Load * load, r.Calls * speed, r.Seconds * speed}
 }
@@ -278,15 +282,19 @@
 
 // setShares sets the shares of the candidates, nearer ones first.
 func (t *Table) setShares(list []Candidate, estimates []Estimate) {
+	mean := 0.0
+	for _, e := range estimates {
+		mean += e.Took.Seconds() / float64(len(estimates))
+	}
 	left := 1.0
 	for distance, next := nextDistance(list, -1), 0; distance >= 0 && left > 0; distance = next {
 		next = nextDistance(list, distance)
-		weight, load, slots := 0.0, 0.0, 0.0
+		sum, load, slots := 0.0, 0.0, 0.0
 		for i, c := range list {
 			if c.Distance == distance {
 				n := float64(max(c.Slots, 1))
-				estimates[i].Share = n / math.Pow(estimates[i].Took.Seconds(), speedExponent)
-				weight += estimates[i].Share
+				estimates[i].Share = n * weight(estimates[i].Took.Seconds(), mean)
+				sum += estimates[i].Share
 				load, slots = load+n*estimates[i].Load, slots+n
 			}
 		}
@@ -298,7 +306,7 @@
 		left -= kept
 		for i, c := range list {
 			if c.Distance == distance {
-				estimates[i].Share *= kept / weight
+				estimates[i].Share *= kept / sum
 			}
 		}
 	}
@@ -314,3 +322,13 @@
 	}
 	return next
 }
+
+// weight returns the share of a slot of a server that takes some time for a call, where all
+// take mean, up to a factor.
+func weight(took, mean float64) float64 {
+	w := 1 / took
+	if x := took / (slowRatio * mean); x > 1 {
+		w /= math.Pow(x, slowExponent)
+	}
+	return w
+}
--- a/core/mangoload/meter.go
+++ b/core/mangoload/meter.go
@@ -1,35 +1,34 @@
 package mangoload
 
-import (
-	"time"
-
-	"mangolane/core/mangomodel"
-)
+import "time"
 
 // minInProgress is the mean number of calls in progress at all servers together below which
 // a window is not measured: a single call is always at one server.
 const minInProgress = 1.0
 
 // Meter measures how unevenly the calls in progress at the servers of a service are spread,
-// over windows of one length. The zero time begins a window at the first call of Advance.
+// over windows of one length.
 type Meter struct {
 	length       time.Duration
 	began, since time.Time
-	// held holds the time integral of the calls in progress, in seconds.
-	held map[mangomodel.ServerID]float64
+	// held holds the time integral of the calls in progress at each server, in seconds.
+	held []float64
 }
 
-// NewMeter returns a Meter with windows of a length.
-func NewMeter(length time.Duration) *Meter {
-	return &Meter{length: length, held: make(map[mangomodel.ServerID]float64)}
+// NewMeter returns a Meter of a number of servers with windows of a length, the first of
+// which begins now.
+func NewMeter(servers int, length time.Duration, now time.Time) *Meter {
+	return &Meter{length: length, began: now, since: now, held: make([]float64, servers)}
 }
 
-// Advance adds the numbers of calls in progress since the last call of Advance. If the window
-// has ended, it returns the busiest server against the mean, and begins another one.
-func (m *Meter) Advance(list map[mangomodel.ServerID]int, now time.Time) (float64, bool) {
+// Advance adds the numbers of calls in progress at the servers since the last call of
+// Advance. If the window has ended, it returns the busiest server against the mean, and
+// begins another one.
+func (m *Meter) Advance(list []int, now time.Time) (float64, bool) {
 	end := m.began.Add(m.length)
-	for id, n := range list {
-		m.held[id] += float64(n) * min(now.Sub(m.since), end.Sub(m.since)).Seconds()
+	d := min(now.Sub(m.since), end.Sub(m.since)).Seconds()
+	for i, n := range list {
+		m.held[i] += float64(n) * d
 	}
 	m.since = now
 	if now.Before(end) {
--- a/core/mangopool/estimated.go
+++ b/core/mangopool/estimated.go
@@ -42,15 +42,23 @@
 		return nil
 	}
 	list := p.loads.Report(now)
-	for _, l := range p.leases {
-		b, ok := p.backends[l.server]
-		if age := now.Sub(l.grantedAt); ok && b.server.Stage == mangotraffic.StageNone && age >= stuckAfter {
-			list[l.server] = list[l.server].WithUnfinished(age)
+	for id, b := range p.backends {
+		if age := b.oldest(now); b.server.Stage == mangotraffic.StageNone && age >= stuckAfter {
+			list[id] = list[id].WithUnfinished(age)
 		}
 	}
 	return list
 }
 
+// oldest returns how long the oldest of this daemon's calls at a plain server is in progress.
+func (b *backend) oldest(now time.Time) time.Duration {
+	age := time.Duration(0)
+	for _, l := range b.runs {
+		age = max(age, now.Sub(l.grantedAt))
+	}
+	return age
+}
+
 // SetSharedLoads replaces what the calls of all daemons showed of the plain servers.
 func (p *Pool) SetSharedLoads(list mangoload.Records, now time.Time) {
 	if p.loads == nil {
@@ -75,11 +83,10 @@
 		if !p.mayUse(b, pending, now) || float64(len(b.runs)) >= slots*(1+plainQueue) {
 			continue
 		}
-		c := mangoload.Candidate{ID: b.server.ID, Slots: b.server.Slots, Distance: p.distance(pending.Demand.Origin, b.server.DataCentre), Own: len(b.runs)}
-		for _, l := range b.runs {
-			c.Oldest = max(c.Oldest, now.Sub(l.grantedAt))
-		}
-		candidates, servers = append(candidates, c), append(servers, b)
+		candidates, servers = append(candidates, mangoload.Candidate{
+			ID: b.server.ID, Slots: b.server.Slots, Distance: p.distance(pending.Demand.Origin, b.server.DataCentre),
+			Own: len(b.runs), Oldest: b.oldest(now),
+		}), append(servers, b)
 	}
 	i, estimates := p.loads.Choose(candidates, now)
 	if i < 0 {
--- a/core/mangopool/pool.go
+++ b/core/mangopool/pool.go
@@ -13,6 +13,8 @@
 package mangopool
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"mangolane/core/mangobackoff"
@@ -93,10 +95,16 @@
 func (p *Pool) members(g group) []*backend {
 	if p.groups == nil {
 		p.groups = make(map[group][]*backend)
+		// The meters number the servers as the groups do.
+		clear(p.meters)
 		for _, b := range p.backends {
 			g := group{b.server.Service, b.server.Stage}
 			p.groups[g] = append(p.groups[g], b)
 		}
+		// Sums of floating-point numbers depend on the order.
+		for _, list := range p.groups {
+			slices.SortFunc(list, func(a, b *backend) int { return cmp.Compare(a.server.ID, b.server.ID) })
+		}
 	}
 	return p.groups[g]
 }
--- a/core/mangopool/uneven.go
+++ b/core/mangopool/uneven.go
@@ -5,7 +5,6 @@
 
 	"mangolane/core/mangolease"
 	"mangolane/core/mangoload"
-	"mangolane/core/mangomodel"
 	"mangolane/core/mangotraffic"
 )
 
@@ -37,16 +36,17 @@
 
 // measure measures the load of a plain service until now. It is called before each change.
 func (p *Pool) measure(service mangotraffic.ServiceName, now time.Time) {
+	servers := p.members(group{service, mangotraffic.StageNone})
 	meters, ok := p.meters[service]
 	if !ok {
 		for _, length := range unevenWindows {
-			meters = append(meters, mangoload.NewMeter(length))
+			meters = append(meters, mangoload.NewMeter(len(servers), length, now))
 		}
 		p.meters[service] = meters
 	}
-	list := make(map[mangomodel.ServerID]int)
-	for _, b := range p.members(group{service, mangotraffic.StageNone}) {
-		list[b.server.ID] = b.inProgress(now)
+	list := make([]int, len(servers))
+	for i, b := range servers {
+		list[i] = b.inProgress(now)
 	}
 	for i, m := range meters {
 		if ratio, ok := m.Advance(list, now); ok {
