--- a/core/mangofleet/load.go
+++ b/core/mangofleet/load.go
@@ -22,9 +22,9 @@
 	// loadsInterval is how often views determine the load records anew. It adds to the age
 	// of the records, which renewals pass on within [mangopool.RenewInterval].
 	loadsInterval = 25 * time.Millisecond
-	// maxLoads bounds the records of a message, of about 40 bytes each. If there are more,
+	// maxLoads bounds the records of a message, of about 35 bytes each. If there are more,
 	// each message has others.
-	maxLoads = 32
+	maxLoads = 16
 )
 
 // LoadObserver is notified of what the daemon measures of the loads of plain servers. Its
--- a/core/mangoload/board.go
+++ b/core/mangoload/board.go
@@ -34,11 +34,14 @@
 // weight with time, as all samples do.
 func (b *Board) Record(from mangomodel.DaemonID, list Records, now time.Time) {
 	last := b.reports[from]
+	load, speed := decays(now.Sub(last.at))
 	for id, r := range last.records {
-		b.add(id, r.aged(now.Sub(last.at)).times(-1), now)
+		b.add(id, list[id].add(r.times(-load, -speed)), now)
 	}
 	for id, r := range list {
-		b.add(id, r, now)
+		if _, ok := last.records[id]; !ok {
+			b.add(id, r, now)
+		}
 	}
 	if len(list) == 0 {
 		delete(b.reports, from)
--- a/core/mangoload/load.go
+++ b/core/mangoload/load.go
@@ -85,8 +85,8 @@
 	return Record{r.Loads + other.Loads, r.Load + other.Load, r.Calls + other.Calls, r.Seconds + other.Seconds}
 }
 
-func (r Record) times(x float64) Record {
-	return Record{r.Loads * x, r.Load * x, r.Calls * x, r.Seconds * x}
+func (r Record) times(load, speed float64) Record {
+	return Record{r.Loads * load, r.Load * load, r.Calls * speed, r.Seconds * speed}
 }
 
 // WithUnfinished adds a call that has not ended after some time.
@@ -94,13 +94,18 @@
 	return r.add(Record{Calls: 1, Seconds: after.Seconds()})
 }
 
+// decays returns the factors by which the weights of samples of the load and of the speed
+// fall in some time.
+func decays(d time.Duration) (load, speed float64) {
+	return math.Exp(-d.Seconds() / loadDecay.Seconds()), math.Exp(-d.Seconds() / speedDecay.Seconds())
+}
+
 // aged returns the record after some time.
 func (r Record) aged(d time.Duration) Record {
 	if r == (Record{}) {
 		return r
 	}
-	load, speed := math.Exp(-d.Seconds()/loadDecay.Seconds()), math.Exp(-d.Seconds()/speedDecay.Seconds())
-	return Record{r.Loads * load, r.Load * load, r.Calls * speed, r.Seconds * speed}
+	return r.times(decays(d))
 }
 
 // minWeight is the weight, in samples, below which a record is dropped.
@@ -111,11 +116,14 @@
 // Records holds the records of servers.
 type Records map[mangomodel.ServerID]Record
 
-// Aged returns the records after some time.
+// Aged returns the records after some time. They are rounded, since messages hold five bytes
+// of a number with seven digits and nine of one with more.
 func (l Records) Aged(d time.Duration) Records {
+	round := func(x float64) float64 { return float64(float32(x)) }
 	list := make(Records, len(l))
 	for id, r := range l {
-		list[id] = r.aged(d)
+		r = r.aged(d)
+		list[id] = Record{round(r.Loads), round(r.Load), round(r.Calls), round(r.Seconds)}
 	}
 	return list
 }
--- a/core/mangopool/estimated.go
+++ b/core/mangopool/estimated.go
@@ -43,7 +43,10 @@
 	}
 	list := p.loads.Report(now)
 	for id, b := range p.backends {
-		if age := b.oldest(now); b.server.Stage == mangotraffic.StageNone && age >= stuckAfter {
+		if b.server.Stage != mangotraffic.StageNone {
+			continue
+		}
+		if age := b.oldest(now); age >= stuckAfter {
 			list[id] = list[id].WithUnfinished(age)
 		}
 	}
