--- a/core/mangolease/lease.go
+++ b/core/mangolease/lease.go
@@ -84,12 +84,12 @@
 	// leases and the new one, in tokens.
 	Scheduler     mangomodel.DaemonID
 	Running, Free int
+	Peak          mangomodel.Tokens
 	// LoadAge is the age of the load figure that decided at a plain server; zero if there
 	// was none. If loads are estimated, Load is the estimated number of calls as a share
 	// of the slots, and Share the part of its calls that the daemon sends there.
 	LoadAge     time.Duration
 	Load, Share float64
-	Peak          mangomodel.Tokens
 }
 
 // Progress is a holder's report on a lease.
--- a/mangolaned/mangosettings/gateway_test.go
+++ b/mangolaned/mangosettings/gateway_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/onsi/gomega"
 
+	"mangolane/core/mangoload"
 	"mangolane/core/mangomodel"
 )
 
@@ -24,6 +25,10 @@
 	g.Expect(s.LogLevel).To(gomega.Equal("info"))
 	g.Expect(s.LogRate).To(gomega.Equal(defaultLogRate))
 	g.Expect(s.CanSchedule()).To(gomega.BeTrue())
+	g.Expect(s.ServerChoice).To(gomega.Equal(mangoload.ChoiceCounted))
+	s, err = ParseGateway([]byte(strings.Replace(gateway, `"Daemon"`, `"ServerChoice": "Estimated", "Daemon"`, 1)))
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(s.ServerChoice).To(gomega.Equal(mangoload.ChoiceEstimated))
 }
 
 func TestInvalidGatewaySettingIsNamed(t *testing.T) {
@@ -41,6 +46,8 @@
 		{"LogLevel", `"Daemon"`, `"LogLevel": "loud", "Daemon"`},
 		{"LogRate", `"Daemon"`, `"LogRate": -1, "Daemon"`},
 		{"CoreShare", `"Daemon"`, `"CoreShare": -1, "Daemon"`},
+		{"Choice", `"Daemon"`, `"ServerChoice": "Random", "Daemon"`},
+		{"DistanceCost", `"Daemon"`, `"DistanceCost": 2, "Daemon"`},
 		{"BodyMemory", `"Daemon"`, `"BodyMemory": -1, "Daemon"`},
 		{"BodyMemory", `"Daemon"`, `"MemoryLimit": 50000000, "BodyMemory": 50000001, "Daemon"`},
 	}
