--- a/core/mangorelay/fake_test.go
+++ b/core/mangorelay/fake_test.go
@@ -278,12 +278,12 @@
 
 // startHarness runs f with a daemon that has received a configuration and a list of
 // servers unless it is unsynced.
-func startHarness(t *testing.T, unsynced bool, f func(h *harness)) {
+func startHarness(t *testing.T, unsynced bool, f func(h *harness), opts ...mangofleet.Option) {
 	synctest.Test(t, func(t *testing.T) {
 		self := mangoroster.Member{Holder: mangomodel.Holder{Daemon: "d"}, DataCentre: "a1", Strong: true}
 		fleet := mangofleet.New(mangofleet.Self{Member: self}, func() mangobudget.Limits {
 			return mangobudget.Limits{Fixed: retryBudget, Window: 10 * time.Second}
-		})
+		}, opts...)
 		ctx, cancel := context.WithCancel(context.Background())
 		defer func() {
 			cancel()
