--- a/core/mangopool/even_test.go
+++ b/core/mangopool/even_test.go
@@ -410,6 +410,10 @@
 func TestCountedLoad(t *testing.T) {
 	loads, exceeded := evenLoads(), 0
 	for _, l := range loads {
+		if l.cut || l.renewal != 250*time.Millisecond {
+			// Counted loads are not passed on.
+			continue
+		}
 		counted, full := runEven(l).result(), l.fullKnowledge()
 		broken := l.broken(counted, full)
 		t.Logf("%s: %v; full knowledge: %v; exceeded %v", l.name, counted, full, broken)
