--- a/core/mangobroker/exchange.go
+++ b/core/mangobroker/exchange.go
@@ -12,6 +12,7 @@
 	"mangolane/core/mangocrash"
 	"mangolane/core/mangofleet"
 	"mangolane/core/mangolease"
+	"mangolane/core/mangoload"
 	"mangolane/core/mangomodel"
 	"mangolane/core/mangooutlier"
 	"mangolane/core/mangopanic"
@@ -56,6 +57,9 @@
 	// request only. In a response, Ejections are the outliers among these servers.
 	Outcomes  map[mangomodel.ServerID]mangooutlier.Counts
 	Ejections []mangofleet.Ejection
+	// Loads are what calls showed of the plain servers whose service the scheduler of the
+	// two schedules: in a request those of the sender, in a response those of all daemons.
+	Loads mangoload.Records
 	// Withdrawals are the servers that have announced that they leave, as far as the
 	// list does not say so: in a request those that announced it to the sender, in a
 	// response all that the sender has recorded.
@@ -150,18 +154,20 @@
 	began := time.Now()
 	if m.Holder == b.self.Holder {
 		leases := b.progress()
-		b.apply(mangofleet.Renew{Holder: b.self.Holder, Leases: leases, Outcomes: b.fleet.View().Outcomes})
+		b.apply(mangofleet.Renew{Holder: b.self.Holder, Leases: leases, Outcomes: b.fleet.View().Outcomes, Loads: b.loads(m)})
 		b.markRenewed(m, leases, began)
 		b.setAllowances(m, b.fleet.View().Allowances(b.self.Holder))
 		b.setQuota(b.renewQuota(ctx, m, b.quotaReport(m)), began)
+		b.setLoads(b.fleet.View().SharedLoads(time.Now()))
 		return
 	}
 	leases := b.progress()
-	response, err := b.exchange(ctx, m.Address, leases, b.quotaReport(m))
+	response, err := b.exchange(ctx, m.Address, renewal{leases: leases, quota: b.quotaReport(m), loads: b.loads(m)})
 	if err == nil {
 		b.markRenewed(m, leases, began)
 		b.setQuota(response.QuotaLoans, began)
 		b.setAllowances(m, response.Allowances)
+		b.setLoads(response.Loads)
 		if len(response.Ejections) > 0 {
 			b.apply(mangofleet.EjectServers{Ejections: response.Ejections})
 		}
@@ -195,13 +201,20 @@
 	b.apply(mangofleet.SetAllowances{Allowances: own, From: m.Holder.Daemon})
 }
 
-// exchange sends a message with the progress of leases, and with a report of quotas if it
-// isn't nil, and applies the response.
-func (b *Broker) exchange(ctx context.Context, at mangomodel.Address, leases []mangolease.Progress, quota *mangoquota.Report) (ExchangeMessage, error) {
+// renewal is what a message says beside the state that all messages have.
+type renewal struct {
+	leases []mangolease.Progress
+	// quota is nil except in a message to the accountant.
+	quota *mangoquota.Report
+	loads mangoload.Records
+}
+
+// exchange sends a message with a renewal and applies the response.
+func (b *Broker) exchange(ctx context.Context, at mangomodel.Address, r renewal) (ExchangeMessage, error) {
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
 	msg := b.Compose(ExchangeMessage{})
-	msg.Leases, msg.Outcomes, msg.Quota = leases, b.fleet.View().Outcomes, quota
+	msg.Leases, msg.Outcomes, msg.Quota, msg.Loads = r.leases, b.fleet.View().Outcomes, r.quota, r.loads
 	began := time.Now()
 	response, err := b.peers.Exchange(ctx, at, msg)
 	if err != nil {
@@ -303,7 +316,7 @@
 	for _, addr := range addrs {
 		running.Go(func() {
 			defer mangopanic.Catch(b.log, "exchange")
-			_, err := b.exchange(ctx, addr, b.progress(), nil)
+			_, err := b.exchange(ctx, addr, renewal{leases: b.progress()})
 			mu.Lock()
 			defer mu.Unlock()
 			errs[addr] = err
--- a/core/mangolease/lease.go
+++ b/core/mangolease/lease.go
@@ -116,6 +116,11 @@
 	Peak          mangomodel.Tokens
 	// Place is the place that the demand had; zero without workspaces.
 	Place Place
+	// LoadAge is the age of the load figure that decided at a plain server; zero if there
+	// was none. If loads are estimated, Load is the estimated number of calls as a share
+	// of the slots, and Share the part of its calls that the daemon sends there.
+	LoadAge     time.Duration
+	Load, Share float64
 }
 
 // Progress is a holder's report on a lease.
@@ -153,6 +158,9 @@
 	Saw    Outcome
 	// Load is the server's load report; nil if the response had none.
 	Load *mangotraffic.LoadReport
+	// Took is the time from the lease to the end of the response, at plain servers only;
+	// zero if it is not known.
+	Took time.Duration
 }
 
 // Announcement is what a server has announced about itself in an answer of any kind.
--- a/core/mangopool/pool.go
+++ b/core/mangopool/pool.go
@@ -13,11 +13,14 @@
 package mangopool
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"mangolane/core/mangobackoff"
 	"mangolane/core/mangolease"
 	"mangolane/core/mangoleaving"
+	"mangolane/core/mangoload"
 	"mangolane/core/mangomodel"
 	"mangolane/core/mangoquery"
 	"mangolane/core/mangoroster"
@@ -38,6 +41,13 @@
 	groups      map[group][]*backend
 	withdrawals *mangoleaving.Withdrawals
 	backoffs    *mangobackoff.Board
+	// loads estimates the loads of plain servers; nil if they are counted.
+	loads *mangoload.Table
+	// origin is this daemon's data centre; empty if loads are counted.
+	origin mangomodel.DataCentreID
+	// meters measure the loads of plain services, and measures is what they measured.
+	meters   map[mangotraffic.ServiceName][]*mangoload.Meter
+	measures LoadMeasures
 	// daemons is the number of daemons that share the servers.
 	daemons int
 	// changed is set while the list differs from the last result of Listed.
@@ -51,6 +61,7 @@
 		backends: make(map[mangomodel.ServerID]*backend),
 		leases:   make(map[mangolease.ID]*lease),
 		stats:    make(map[mangotraffic.ServiceName]*serviceStats),
+		meters:   make(map[mangotraffic.ServiceName][]*mangoload.Meter),
 		changed:  true,
 
 		withdrawals: mangoleaving.New(),
@@ -84,10 +95,16 @@
 func (p *Pool) members(g group) []*backend {
 	if p.groups == nil {
 		p.groups = make(map[group][]*backend)
+		// The meters number the servers as the groups do.
+		clear(p.meters)
 		for _, b := range p.backends {
 			g := group{b.server.Service, b.server.Stage}
 			p.groups[g] = append(p.groups[g], b)
 		}
+		// Sums of floating-point numbers depend on the order.
+		for _, list := range p.groups {
+			slices.SortFunc(list, func(a, b *backend) int { return cmp.Compare(a.server.ID, b.server.ID) })
+		}
 	}
 	return p.groups[g]
 }
--- a/mangolaned/mangogateway/gateway.go
+++ b/mangolaned/mangogateway/gateway.go
@@ -88,9 +88,9 @@
 	times := mangobound.Within(s.ChangeTime())
 	fleet := mangofleet.New(mangofleet.Self{Member: self, Regions: s.Regions, MinDaemons: len(s.Seeds), Seeds: s.Seeds}, func() mangobudget.Limits {
 		return current.Load().RetryLimits(time.Since(started))
-	}, mangofleet.WithObserver(o), mangofleet.WithTimes(times), mangofleet.WithBasicShare(s.BasicShare),
+	}, append(loadOptions(&s, o), mangofleet.WithObserver(o), mangofleet.WithTimes(times), mangofleet.WithBasicShare(s.BasicShare),
 		mangofleet.WithQuotaTolerance(func() mangomodel.Share { return current.Load().LentTolerance() }),
-		mangofleet.WithBurstExtension(func() mangoworkspace.Amount { return current.Load().BurstExtension() }))
+		mangofleet.WithBurstExtension(func() mangoworkspace.Amount { return current.Load().BurstExtension() }))...)
 	memory := mangomemory.New(s.BodyMemory, mangomemory.WithObserver(o))
 	m.watch(memory)
 	servers := newServers(fleet, memory)
--- a/mangolaned/mangogateway/observe.go
+++ b/mangolaned/mangogateway/observe.go
@@ -37,6 +37,7 @@
 // ExchangeFinished logs and counts an exchange with a server.
 func (o observer) ExchangeFinished(e mangoexchange.Exchange) {
 	o.metrics.exchangeFinished(e)
+	o.metrics.chosen(e.Lease)
 	fields := []zap.Field{
 		zap.String("Request", string(e.Call.ID)), zap.Stringer("Phase", e.Phase),
 		zap.String("Server", string(e.Server.ID)), zap.Uint32("Attempt", uint32(e.Attempt)),
@@ -45,6 +46,7 @@
 	}
 	fields = append(fields, placeFields(e.Call, e.Lease.Place)...)
 	o.metrics.countPlace(e)
+	fields = append(fields, loadFields(e.Lease)...)
 	if e.Err != nil {
 		if len(e.Call.Parts) > 0 {
 			fields = append(fields, zap.Int("Events", e.Events), zap.Any("Parts", e.Call.Parts))
--- a/mangolaned/mangosettings/gateway.go
+++ b/mangolaned/mangosettings/gateway.go
@@ -9,6 +9,7 @@
 	"mangolane/core/mangobound"
 	"mangolane/core/mangobudget"
 	"mangolane/core/mangoconfig"
+	"mangolane/core/mangoload"
 	"mangolane/core/mangomodel"
 	"mangolane/core/mangoshare"
 	"mangolane/core/mangoworkspace"
@@ -53,6 +54,10 @@
 	// QuotaSlack is the amount, in the unit of a workspace's limit, by which the platform
 	// tolerates in addition that a workspace exceeds its limit within a window.
 	QuotaSlack mangoworkspace.Amount `json:",omitempty"`
+	// ServerChoice is how plain servers are chosen. DistanceCost is the cost of a step of
+	// distance for ChoiceEstimated, as an increase of load.
+	ServerChoice mangoload.Choice `json:",omitempty"`
+	DistanceCost float64          `json:",omitempty"`
 	// Seeds are addresses of other daemons to contact at startup.
 	Seeds []mangomodel.Address `json:",omitempty"`
 	// Cores is the number of cores; a value below 1 counts as 1. CoreShare is
@@ -135,6 +140,7 @@
 	setDefault(&s.ConfigTime, mangomodel.Duration(mangobound.Standard))
 	setDefault(&s.OrderLease, mangomodel.Duration(defaultOrderLease))
 	setDefault(&s.BasicShare, mangoshare.DefaultBasicShare)
+	setDefault(&s.DistanceCost, mangoload.DefaultDistanceCost)
 	setDefault(&s.BodyMemory, defaultBodyMemory(s.MemoryLimit))
 	return s, s.check()
 }
@@ -206,6 +212,9 @@
 	if s.BasicShare < 2 {
 		return invalid("BasicShare must be at least 2, since urgent calls go first")
 	}
+	if s.DistanceCost < 0 || s.DistanceCost > 1 {
+		return invalid("DistanceCost must be between 0 and 1")
+	}
 	if s.BodyMemory < 0 || s.MemoryLimit > 0 && s.BodyMemory > s.MemoryLimit {
 		return invalid("BodyMemory must be at least 0 and at most MemoryLimit")
 	}
