Tests of joined parts: keys for calls of workspaces, one id a request

The parts were tested apart: calls of the relay's tests of shares had a workspace and no key, which the check of keys refuses, two logs of the tests of explain shared the id r8, and a call with a workspace was not marked as restricted.

--- a/core/mangorelay/share_test.go
+++ b/core/mangorelay/share_test.go
@@ -29,15 +29,17 @@
 	return b.Broker.Acquire(ctx, d)
 }
 
-// restrict gives the configuration a workspace whose priority is 2.
-func (h *harness) restrict() {
+// restrict gives the configuration two workspaces, of which "w" has priority 2, and the
+// call the key of one.
+func (h *harness) restrict(id mangomodel.WorkspaceID) {
 	directory, _ := mangoworkspace.NewDirectory([]mangoworkspace.Workspace{
-		{ID: "w", Keys: []mangoworkspace.Digest{mangoworkspace.DigestOf("k")}, Priority: 2, HasPriority: true}, {ID: "none"},
+		{ID: "w", Keys: []mangoworkspace.Digest{keyOf("w")}, Priority: 2, HasPriority: true},
+		{ID: "none", Keys: []mangoworkspace.Digest{keyOf("none")}},
 	})
 	routing := *h.fleet.View().Routing
 	routing.Workspaces = directory
 	h.Expect(h.fleet.Do(context.Background(), mangofleet.InstallRouting{Routing: &routing})).To(gomega.Succeed())
-	h.call.Restricted, h.call.Workspace = true, "w"
+	h.call.Key, h.call.HasKey = keyOf(id), true
 }
 
 // TestRankReachesSchedulerAndServers guards against a workspace's priority that does not go
@@ -50,8 +52,7 @@
 			broker := &rankedBroker{Broker: h.relay.broker}
 			h.relay.broker = broker
 			if workspace != "" {
-				h.restrict()
-				h.call.Workspace = workspace
+				h.restrict(workspace)
 			}
 			h.servers.prefills["p1"] = []step{{err: errNoReply}}
 			h.servers.runs["d1"] = []step{{events: events(1, 2), aborted: true}}
--- a/core/mangorelay/waste_test.go
+++ b/core/mangorelay/waste_test.go
@@ -99,7 +99,7 @@
 				withHarness(t, func(h *harness) {
 					h.newCall(test.target)
 					if restricted {
-						h.restrict()
+						h.restrict("w")
 					}
 					log := &wasteLog{}
 					h.relay.observer = log
--- a/mangolanectl/mangoexplain/explain_test.go
+++ b/mangolanectl/mangoexplain/explain_test.go
@@ -29,7 +29,7 @@
 {"Daemon":"d1","Time":"2026-12-04T10:02:00Z","Message":"configuration entry left out","Revision":7,"Workspace":"hats","Field":"api-keys[1]","Value":"a number"}
 {"Daemon":"d1","Time":"2026-12-04T10:02:01Z","Message":"call finished","Request":"r8","Route":"read","Key":"1f2e3d4c","Step":"Authorise","Code":"Unauthorised","Run":"Not","EndedBy":"Admission","Cause":"unknown key, want the key of a workspace (revision 7, confirmed 40ms ago, route read)"}
 {"Daemon":"d1","Time":"2026-12-04T10:00:05Z","Message":"call finished","Request":"r4","Status":200,"OnTime":false,"First":1.5,"LongestPause":0.1,"Attempts":1}
-{"Daemon":"d1","Time":"2026-12-04T10:02:00Z","Message":"call finished","Request":"r8","Step":"Admission","Code":"QuotaExceeded","Run":"Not","Workspace":"acme","Unit":"Tokens","Rate":29000,"Burst":29000,"Cost":7000,"Used":28000,"UsedAge":0.04,"Alone":false,"Cause":"workspace acme may use 29000 Tokens/s with a burst of 29000; the call costs 7000, and 28000 of the burst were used 40ms ago"}
+{"Daemon":"d1","Time":"2026-12-04T10:02:00Z","Message":"call finished","Request":"r11","Step":"Admission","Code":"QuotaExceeded","Run":"Not","Workspace":"acme","Unit":"Tokens","Rate":29000,"Burst":29000,"Cost":7000,"Used":28000,"UsedAge":0.04,"Alone":false,"Cause":"workspace acme may use 29000 Tokens/s with a burst of 29000; the call costs 7000, and 28000 of the burst were used 40ms ago"}
 `
 
 func messages(lines []Line) []string {
@@ -85,7 +85,7 @@
 		{"r1", "Cause: Overloaded at step Admission: no room (it was not run)"},
 		{"r2", "Cause: none, it was answered in time"},
 		{"r3", "Cause: the logs do not say how it ended"},
-		{"r8", "Cause: QuotaExceeded at step Admission: workspace acme may use 29000 Tokens/s with a burst of 29000; the call costs 7000, and 28000 of the burst were used 40ms ago (it was not run)"},
+		{"r11", "Cause: QuotaExceeded at step Admission: workspace acme may use 29000 Tokens/s with a burst of 29000; the call costs 7000, and 28000 of the burst were used 40ms ago (it was not run)"},
 		{"r4", "Cause: answered late: first after 1.5 s, longest pause 0.1 s, 1 attempts"},
 	}
 	for _, test := range tests {
--- a/mangolaned/mangogateway/workspaces_test.go
+++ b/mangolaned/mangogateway/workspaces_test.go
@@ -55,7 +55,7 @@
 	}
 	err := mangomodel.NewFault(mangomodel.StepAuthorise, "", mangomodel.CodeUnauthorised, mangomodel.RunNot, errors.New("unknown key"))
 	o.CallFinished(mangoexchange.Result{Call: call, Err: err, EndedBy: mangoexchange.EndAdmission})
-	o.CallFinished(mangoexchange.Result{Call: &mangotraffic.Call{ID: "s", Workspace: "hats", Key: call.Key, HasKey: true}, Status: 200})
+	o.CallFinished(mangoexchange.Result{Call: &mangotraffic.Call{ID: "s", Restricted: true, Workspace: "hats", Key: call.Key, HasKey: true}, Status: 200})
 	refused, served := logs.All()[0].ContextMap(), logs.All()[1].ContextMap()
 	g.Expect(refused).To(gomega.HaveKeyWithValue("Key", call.Key.String()))
 	g.Expect(fmt.Sprint(refused)).NotTo(gomega.ContainSubstring("secret"))
