--- a/core/mangotraffic/routing.go
+++ b/core/mangotraffic/routing.go
@@ -143,8 +143,7 @@
 }
 
 // Routing validates the document and returns its Routing.
-func (d *Document) Routing() (*Routing, error) {
-	var opts []RoutingOption
+func (d *Document) Routing(opts ...RoutingOption) (*Routing, error) {
 	if d.Restricted {
 		// The daemon that read the configuration has reported its problems.
 		directory, _ := mangoworkspace.NewDirectory(d.Workspaces)
