mangolanectl: config check FILE

Checks the users' document before it is sent and lists what differs from an earlier version, with the platform's names of fields and no key.

--- a/mangolanectl/main.go
+++ b/mangolanectl/main.go
@@ -10,9 +10,13 @@
 //	mangolanectl query traces [-trace ID]
 //	mangolanectl query key-hash KEY
 //	mangolanectl query explain [-json] REQUEST-ID <LOGS
+//	mangolanectl config check FILE [-against FILE] [-grace DURATION] [-strict] [-json]
+//
+// The exit status is 1 after an error. That of "config check" is 1 for warnings with
+// -strict, and 2 for errors in the document or a file that cannot be read.
 //
 // Verbs under "command" change state and print at most a revision; verbs under
-// "query" only read. The addresses are tried in order until one is available;
+// "query" only read; so do those under "config", without a daemon. The addresses are tried in order until one is available;
 // stop is sent only to the first one. Flags may also be given as environment
 // variables, such as MANGOLANECTL_KEY.
 package main
@@ -34,6 +38,7 @@
 	"mangolane/core/mangomodel"
 	"mangolane/core/mangorest"
 	"mangolane/mangolanectl/mangoclient"
+	"mangolane/mangolanectl/mangoreport"
 )
 
 // defaultTimeout bounds one invocation of the command.
@@ -43,9 +48,23 @@
 	mangorest.DisableFrameworkLog()
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	if err := run(ctx, os.Args[1:]); err != nil && !errors.Is(err, flag.ErrHelp) {
+	err := run(ctx, os.Args[1:])
+	if status := exitStatus(err); status != 0 {
 		fmt.Fprintln(os.Stderr, "mangolanectl:", err)
-		os.Exit(1)
+		os.Exit(status)
+	}
+}
+
+// exitStatus returns the exit status of the process after an error.
+func exitStatus(err error) int {
+	var check *mangoreport.Error
+	switch {
+	case err == nil, errors.Is(err, flag.ErrHelp):
+		return 0
+	case errors.As(err, &check):
+		return int(check.Status)
+	default:
+		return 1
 	}
 }
 
@@ -72,12 +91,13 @@
 	flags.StringVar(&o.key, "key", "", "the operators' key")
 	flags.DurationVar(&o.timeout, "timeout", defaultTimeout, "time limit of the invocation")
 	root := &ffcli.Command{
-		ShortUsage: "mangolanectl [flags] <command|query> <verb> [arguments]",
+		ShortUsage: "mangolanectl [flags] <command|query|config> <verb> [arguments]",
 		FlagSet:    flags,
 		Options:    []ff.Option{ff.WithEnvVarPrefix("MANGOLANECTL")},
 		Subcommands: []*ffcli.Command{
 			{Name: "command", ShortHelp: "change configuration or state", Subcommands: commands(&o), Exec: help},
 			{Name: "query", ShortHelp: "read configuration or state", Subcommands: queries(&o), Exec: help},
+			{Name: "config", ShortHelp: "check files of the platform's users", Subcommands: configs(), Exec: help},
 		},
 		Exec: help,
 	}
