--- a/core/mangorelay/access.go
+++ b/core/mangorelay/access.go
@@ -49,6 +49,7 @@
 	}
 	if d.Restricted {
 		j.call.Restricted, j.call.Workspace = true, d.Workspace
+		j.call.Priority = view.Routing.CallPriority(route, j.call)
 	}
 	// Otherwise a call that was restricted before stays so: its key must not be forwarded
 	// because the workspaces were removed while it waited.
