--- a/review/stand-2/poison.go
+++ b/review/stand-2/poison.go
@@ -122,8 +122,7 @@
 		defer mu.Unlock()
 		answers[fmt.Sprintf("%s %d", who, status)]++
 	}
-	// The sound tenant: four requests a second of the same path, and as many that must run
-	// once.
+	// The sound tenant: four requests a second of the same path, and fifty that must run once.
 	running.Go(func() {
 		for i := 0; time.Now().Before(stop); i++ {
 			to := s.daemons[i%len(s.daemons)]
@@ -133,15 +132,23 @@
 			if status != http.StatusOK {
 				rec.say("%s GET %s at %s: %d %s", id, path, to.name, status, text)
 			}
-			id = fmt.Sprintf("north-post-%d", i)
-			status, _, text = send(to.front, call{"POST", fmt.Sprintf("/retire/%d", i), id, "north-key", "hat"})
-			note("north POST", status)
-			if status != http.StatusOK {
-				rec.say("%s POST at %s: %d %s", id, to.name, status, text)
-			}
 			time.Sleep(250 * time.Millisecond)
 		}
 	})
+	running.Go(func() {
+		for i := 0; time.Now().Before(stop); i++ {
+			running.Go(func() {
+				to := s.daemons[i%len(s.daemons)]
+				id := fmt.Sprintf("north-post-%d", i)
+				status, _, text := send(to.front, call{"POST", fmt.Sprintf("/retire/%d", i), id, "north-key", "hat"})
+				note("north POST", status)
+				if status != http.StatusOK {
+					rec.say("%s POST at %s: %d %s", id, to.name, status, text)
+				}
+			})
+			time.Sleep(20 * time.Millisecond)
+		}
+	})
 	// The other tenant asks every two seconds, at any machine.
 	running.Go(func() {
 		for i := 0; time.Now().Before(stop); i++ {
