A reset during the upload is not the end of an answer

What callers saw: a server answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection while the upload was still being written.

Cause: Linux reports a reset once, to whichever of read and write comes next, and the end of the stream to every read after that. net/http writes a request and reads its response on two goroutines. Where the write is told of the reset, the read returns io.EOF, which ends a response without a length. The load query that confirms such an end (mangoending) succeeds, since the server still runs.

Change: connections of mangorest.Client remember why a write failed. At the end of the stream a write that is still blocked is ended, so that no error is overlooked, and if a write was told that the connection was lost, the read returns that error. EPIPE is no such error: the system reports it for a reset that comes after the peer has ended the stream in order. Every client of HTTP is made there (servers on the users' platform and on mangolane's own interface, the store, the command line), so there is no second place.

--- a/core/mangorest/client.go
+++ b/core/mangorest/client.go
@@ -79,7 +79,7 @@
 func NewClient(peer mangomodel.PeerName, addr mangomodel.Address, opts ...ClientOption) *Client {
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	transport := &http.Transport{
-		DialContext:         dialer.DialContext,
+		DialContext:         dialConn(dialer),
 		MaxIdleConnsPerHost: maxIdleConnections,
 		IdleConnTimeout:     idleTimeout,
 
--- /dev/null
+++ b/core/mangorest/upload_test.go
@@ -0,0 +1,139 @@
+package mangorest
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"mangolane/core/mangomodel"
+)
+
+// uploadBytes is more than the buffers of both sockets take, so that the request is still
+// being written when its server answers.
+const uploadBytes = 12 << 20
+
+// earlyServer answers each request as soon as it has read the head. Then end decides what
+// happens to the connection.
+func earlyServer(t *testing.T, text string, end func(*net.TCPConn, io.Reader)) mangomodel.Address {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	serve := func(conn *net.TCPConn) {
+		defer conn.Close()
+		r := bufio.NewReader(conn)
+		if _, err := http.ReadRequest(r); err != nil {
+			return
+		}
+		_, _ = io.WriteString(conn, text)
+		end(conn, r)
+	}
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go serve(conn.(*net.TCPConn))
+		}
+	}()
+	return mangomodel.Address(l.Addr().String())
+}
+
+// resetConn resets a connection once its peer has had time to read what was sent.
+func resetConn(conn *net.TCPConn, _ io.Reader) {
+	time.Sleep(2 * time.Millisecond)
+	_ = conn.SetLinger(0)
+}
+
+// upload sends a long request and returns the body of the response.
+func upload(g *gomega.WithT, addr mangomodel.Address, body []byte) (string, error) {
+	req, err := http.NewRequest(http.MethodPost, "http://"+string(addr), bytes.NewReader(body))
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	resp, err := NewClient("peer", addr, WithoutReuse()).Send(mangomodel.StepCall, "peer", req)
+	if err != nil {
+		return "", err
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	return string(data), err
+}
+
+// TestResetDuringTheUploadIsNoEnd guards against a response without a length that is taken
+// for whole although its connection was reset: the system reports a reset once, and the
+// goroutine that writes the request may be told instead of the one that reads.
+func TestResetDuringTheUploadIsNoEnd(t *testing.T) {
+	DisableFrameworkLog()
+	body := make([]byte, uploadBytes)
+	for _, field := range []string{"", "Connection: close\r\n", "Transfer-Encoding: chunked\r\n", "Content-Length: 100\r\n"} {
+		t.Run(field, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			part := "part"
+			if field == "Transfer-Encoding: chunked\r\n" {
+				part = "4\r\npart\r\n"
+			}
+			addr := earlyServer(t, "HTTP/1.1 200 OK\r\n"+field+"\r\n"+part, resetConn)
+			for n := range 50 {
+				data, err := upload(g, addr, body)
+				g.Expect(err).To(gomega.HaveOccurred(), "exchange %d: %q taken as whole", n, data)
+			}
+		})
+	}
+}
+
+// TestAnswerBeforeTheUploadEndsArrivesWhole guards against a sound answer that is lost
+// because its server has not read the whole request.
+func TestAnswerBeforeTheUploadEndsArrivesWhole(t *testing.T) {
+	DisableFrameworkLog()
+	const text = "the whole answer"
+	body := make([]byte, uploadBytes)
+	readOn := func(_ *net.TCPConn, r io.Reader) { _, _ = io.CopyN(io.Discard, r, uploadBytes) }
+	halfClose := func(conn *net.TCPConn, r io.Reader) {
+		_ = conn.CloseWrite()
+		_, _ = io.Copy(io.Discard, r)
+	}
+	stopReading := func(conn *net.TCPConn, _ io.Reader) {
+		_ = conn.CloseWrite()
+		time.Sleep(50 * time.Millisecond)
+	}
+	framings := []struct{ name, field, body string }{
+		{"length", fmt.Sprintf("Content-Length: %d\r\n", len(text)), text},
+		{"chunks", "Transfer-Encoding: chunked\r\n", fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(text), text)},
+		{"no length", "", text},
+	}
+	ends := []struct {
+		name string
+		end  func(*net.TCPConn, io.Reader)
+		// unframed is set if the end of a response without a length is sound too.
+		unframed bool
+	}{
+		{"reads on", readOn, true},
+		{"closes its side and reads on", halfClose, true},
+		{"closes its side and reads no more", stopReading, true},
+		{"resets the connection", resetConn, false},
+	}
+	for _, framing := range framings {
+		for _, end := range ends {
+			if framing.field == "" && !end.unframed {
+				continue
+			}
+			t.Run(framing.name+", "+end.name, func(t *testing.T) {
+				g := gomega.NewWithT(t)
+				addr := earlyServer(t, "HTTP/1.1 200 OK\r\n"+framing.field+"\r\n"+framing.body, end.end)
+				for n := range 10 {
+					data, err := upload(g, addr, body)
+					g.Expect(err).NotTo(gomega.HaveOccurred(), "exchange %d", n)
+					g.Expect(data).To(gomega.Equal(text))
+				}
+			})
+		}
+	}
+}
