A whole answer is not lost with the upload that its server refused

What callers saw: a 502 instead of a server's whole answer, for example a refusal with its length, if the server answered a long upload early and then reset the connection.

Cause: net/http closes the connection as soon as a write of the request fails, and drops what the system has received and net/http has not read. Whether the answer or the failed write came first was a race.

Change: a write that fails with ECONNRESET or EPIPE is reported to net/http only once a read has failed or the connection is closed. Nothing waits longer for it: both sides of a connection that was reset end at once. A response that net/http reads to its stated end is delivered up to 50 ms later than before in this case, which is how long net/http waits for the rest of a request.

An answer without a length whose server closed its side before the reset is whole, as the system delivers the close in order.

--- a/core/mangorest/clientconn.go
+++ b/core/mangorest/clientconn.go
@@ -13,8 +13,8 @@
 	"mangolane/core/mangomodel"
 )
 
-// clientConn is the connection of a [Client]. It reports the end of the stream only if the
-// peer has ended it in order.
+// clientConn is the connection of a [Client]. What its peer sent before a reset is read
+// whole, and the end of the stream is reported only if the peer has ended it in order.
 //
 // The system reports a reset once, to a read or to a write, and the end of the stream to
 // every read after that. While a request is being written, the goroutine that reads the
@@ -24,6 +24,14 @@
 	// writing is held during a write, and guards writeErr.
 	writing  sync.Mutex
 	writeErr error
+	// ended is closed once a read has failed or the connection is closed.
+	ended chan struct{}
+	end   func()
+}
+
+func newClientConn(conn net.Conn) *clientConn {
+	ended := make(chan struct{})
+	return &clientConn{Conn: conn, ended: ended, end: sync.OnceFunc(func() { close(ended) })}
 }
 
 // dialConn returns a function that opens connections of a Client.
@@ -33,7 +41,7 @@
 		if err != nil {
 			return nil, err
 		}
-		return &clientConn{Conn: conn}, nil
+		return newClientConn(conn), nil
 	}
 }
 
@@ -45,11 +53,25 @@
 			err = cause
 		}
 	}
+	if err != nil {
+		c.end()
+	}
 	return n, err
 }
 
-// Write writes p and remembers why it failed.
+// Write writes p. It does not report that the peer takes no more of the request until all
+// that the peer has sent was read, since net/http closes the connection after a failed
+// write, and with it drops the response that the peer may have sent before.
 func (c *clientConn) Write(p []byte) (int, error) {
+	n, err := c.write(p)
+	if errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE) {
+		<-c.ended
+	}
+	return n, err
+}
+
+// write writes p and remembers why it failed.
+func (c *clientConn) write(p []byte) (int, error) {
 	c.writing.Lock()
 	defer c.writing.Unlock()
 	n, err := c.Conn.Write(p)
@@ -59,7 +81,7 @@
 	return n, err
 }
 
-// lost returns the error of a write that tells that the connection was lost, although a
+// lost returns the error of a write that was told that the connection is lost, although a
 // read has reported the end of the stream.
 func (c *clientConn) lost() error {
 	// A write that waits for the peer ends here. Nobody needs the rest of the request:
@@ -71,9 +93,15 @@
 	case err == nil, errors.Is(err, os.ErrDeadlineExceeded), errors.Is(err, net.ErrClosed):
 		return nil
 	case errors.Is(err, syscall.EPIPE):
-		// The peer had ended the stream before it refused what came after.
+		// The peer ended the stream before it reset the connection.
 		return nil
 	default:
 		return mangomodel.Errors.New("the connection was lost while the request was being written: %w", err)
 	}
 }
+
+// Close closes the connection.
+func (c *clientConn) Close() error {
+	c.end()
+	return c.Conn.Close()
+}
--- a/core/mangorest/upload_test.go
+++ b/core/mangorest/upload_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -54,8 +55,9 @@
 	_ = conn.SetLinger(0)
 }
 
-// upload sends a long request and returns the body of the response.
-func upload(g *gomega.WithT, addr mangomodel.Address, body []byte) (string, error) {
+// upload sends a long request and returns the body of the response, which it reads after a
+// pause.
+func upload(g *gomega.WithT, addr mangomodel.Address, body []byte, pause time.Duration) (string, error) {
 	req, err := http.NewRequest(http.MethodPost, "http://"+string(addr), bytes.NewReader(body))
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	resp, err := NewClient("peer", addr, WithoutReuse()).Send(mangomodel.StepCall, "peer", req)
@@ -63,6 +65,7 @@
 		return "", err
 	}
 	defer resp.Body.Close()
+	time.Sleep(pause)
 	data, err := io.ReadAll(resp.Body)
 	return string(data), err
 }
@@ -82,7 +85,7 @@
 			}
 			addr := earlyServer(t, "HTTP/1.1 200 OK\r\n"+field+"\r\n"+part, resetConn)
 			for n := range 50 {
-				data, err := upload(g, addr, body)
+				data, err := upload(g, addr, body, 0)
 				g.Expect(err).To(gomega.HaveOccurred(), "exchange %d: %q taken as whole", n, data)
 			}
 		})
@@ -90,10 +93,11 @@
 }
 
 // TestAnswerBeforeTheUploadEndsArrivesWhole guards against a sound answer that is lost
-// because its server has not read the whole request.
+// because its server has not read the whole request: net/http drops what it has not read of
+// a response when it can't write the rest of the request.
 func TestAnswerBeforeTheUploadEndsArrivesWhole(t *testing.T) {
 	DisableFrameworkLog()
-	const text = "the whole answer"
+	text := strings.Repeat("the whole answer\n", 1<<10)
 	body := make([]byte, uploadBytes)
 	readOn := func(_ *net.TCPConn, r io.Reader) { _, _ = io.CopyN(io.Discard, r, uploadBytes) }
 	halfClose := func(conn *net.TCPConn, r io.Reader) {
@@ -119,6 +123,11 @@
 		{"closes its side and reads on", halfClose, true},
 		{"closes its side and reads no more", stopReading, true},
 		{"resets the connection", resetConn, false},
+		{"resets it at once", func(conn *net.TCPConn, _ io.Reader) { _ = conn.SetLinger(0) }, false},
+		{"closes its side and resets the connection", func(conn *net.TCPConn, r io.Reader) {
+			_ = conn.CloseWrite()
+			resetConn(conn, r)
+		}, true},
 	}
 	for _, framing := range framings {
 		for _, end := range ends {
@@ -129,9 +138,11 @@
 				g := gomega.NewWithT(t)
 				addr := earlyServer(t, "HTTP/1.1 200 OK\r\n"+framing.field+"\r\n"+framing.body, end.end)
 				for n := range 10 {
-					data, err := upload(g, addr, body)
-					g.Expect(err).NotTo(gomega.HaveOccurred(), "exchange %d", n)
-					g.Expect(data).To(gomega.Equal(text))
+					for _, pause := range []time.Duration{0, 20 * time.Millisecond} {
+						data, err := upload(g, addr, body, pause)
+						g.Expect(err).NotTo(gomega.HaveOccurred(), "exchange %d, pause %v", n, pause)
+						g.Expect(data).To(gomega.Equal(text))
+					}
 				}
 			})
 		}
