A response with status 000 is a fault

What callers saw: a server in trouble answered with status 000. On mangolane's own interface it counted as the service's answer, and for a call that runs at most once it was recorded as its outcome. Callers got an empty 500 from the front, which can't write such a status (trial with a caller that returns 0, 99 and 1000), at each further try too; a status of 101 was passed on. On the users' platform clients got a 502 already, but what such an answer announces (Server-Leaving, Retry-After) was acted on.

Cause: net/http takes any three characters that strconv.Atoi accepts for a status, such as 000, 099, +99 and -00. Each reader checked by itself whether a status made sense, and mangobackend.Send, by which "a response with any status is a success", did not.

Change: mangohead.Response checks the heads of a response, interim ones included, as they are read, and the connections of mangorest.Client fail at the first byte that can't belong to one: a status line has HTTP/1.x and a status from 100 on, without control bytes. Status 101 is refused too, since no request asks for another protocol. On a reused connection the check begins anew with each request (httptrace.GotConn), so that bodies are not read as heads. Statuses up to 999 pass as before.

--- a/core/mangohead/head.go
+++ b/core/mangohead/head.go
@@ -1,6 +1,7 @@
 // Package mangohead finds where the head of an HTTP/1 request and a body in chunks end in
 // a stream of bytes, and measures what the head takes. It reads no meaning: net/http
-// parses the same bytes afterwards and refuses what is malformed.
+// parses the same bytes afterwards and refuses what is malformed. What net/http accepts of
+// a malformed response is refused here.
 //
 // It is designed for clients that send a byte at a time, lines without end, or tens of
 // thousands of the shortest lines; a Head keeps a few counters and no bytes.
@@ -9,6 +10,9 @@
 //
 //	h := mangohead.NewHead(16384)
 //	n, verdict := h.Scan(data) // n bytes of data belong to the head
+//
+//	var r mangohead.Response
+//	err := r.Scan(data) // fails at the first byte that belongs to no response
 package mangohead
 
 import "mangolane/core/mangomodel"
--- /dev/null
+++ b/core/mangorest/broken_test.go
@@ -0,0 +1,164 @@
+package mangorest
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"mangolane/core/mangomodel"
+)
+
+// serveText starts a server that answers each request of a connection with text. It closes
+// the connection after the first one if the response does not say where it ends, and after
+// a second in any case.
+func serveText(t *testing.T, text string) mangomodel.Address {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	framed := strings.Contains(text, "Content-Length: ") || strings.Contains(text, "Transfer-Encoding: ")
+	serve := func(conn net.Conn) {
+		defer conn.Close()
+		_ = conn.SetDeadline(time.Now().Add(time.Second))
+		for r := bufio.NewReader(conn); ; {
+			req, err := http.ReadRequest(r)
+			if err != nil {
+				return
+			}
+			_, _ = io.Copy(io.Discard, req.Body)
+			if _, err := io.WriteString(conn, text); err != nil || !framed {
+				return
+			}
+		}
+	}
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go serve(conn)
+		}
+	}()
+	return mangomodel.Address(l.Addr().String())
+}
+
+// receive sends a request and reads the whole response.
+func receive(t *testing.T, c *Client) (int, string, error) {
+	resp, err := c.Open(t.Context(), mangomodel.StepCall, http.MethodPost, "/x", nil, []byte("x"))
+	if err != nil {
+		return 0, "", err
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	return resp.StatusCode, string(data), err
+}
+
+// checkResponses makes exchanges over connections of their own and over reused ones.
+func checkResponses(t *testing.T, text string, check func(status int, data string, err error)) {
+	addr := serveText(t, text)
+	single, pooled := NewClient("peer", addr, WithoutReuse()), NewClient("peer", addr)
+	defer pooled.Close()
+	for range 3 {
+		check(receive(t, single))
+		check(receive(t, pooled))
+	}
+	for _, c := range []*Client{single, pooled} {
+		req, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+string(addr), nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		status, data, err := c.Fetch(mangomodel.StepConfigure, req, 2*time.Second, 2*time.Second)
+		check(status, string(data), err)
+	}
+}
+
+const okFields = "Content-Length: 4\r\n\r\nbody"
+
+// brokenStatuses are status lines that no response has.
+var brokenStatuses = map[string]string{
+	"status 000":               "HTTP/1.1 000 Broken\r\n" + okFields,
+	"status 000 without text":  "HTTP/1.1 000\r\n" + okFields,
+	"status 000, no length":    "HTTP/1.1 000 Broken\r\n\r\nbody",
+	"status 000, HTTP/1.0":     "HTTP/1.0 000 Broken\r\n" + okFields,
+	"status 001":               "HTTP/1.1 001 Broken\r\n" + okFields,
+	"status 099":               "HTTP/1.1 099 Broken\r\n" + okFields,
+	"status with a sign":       "HTTP/1.1 +99 Broken\r\n" + okFields,
+	"status -00":               "HTTP/1.1 -00 Broken\r\n" + okFields,
+	"two digits":               "HTTP/1.1 20 OK\r\n" + okFields,
+	"four digits":              "HTTP/1.1 2000 OK\r\n" + okFields,
+	"no digits":                "HTTP/1.1 2x0 OK\r\n" + okFields,
+	"other protocol":           "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\nConnection: Upgrade\r\n\r\nbody",
+	"000 after an interim one": "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 000 Broken\r\n" + okFields,
+	"000 before the final one": "HTTP/1.1 000 Broken\r\nContent-Length: 0\r\n\r\nHTTP/1.1 200 OK\r\n" + okFields,
+	"control byte in its text": "HTTP/1.1 200 O\x00K\r\n" + okFields,
+	"other major version":      "HTTP/2.0 200 OK\r\n" + okFields,
+}
+
+// TestBrokenStatusIsAFault guards against a caller that receives a response whose status
+// says nothing, such as 000, as a response of the peer.
+func TestBrokenStatusIsAFault(t *testing.T) { checkBroken(t, brokenStatuses) }
+
+func checkBroken(t *testing.T, tests map[string]string) {
+	DisableFrameworkLog()
+	for name, text := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			g := gomega.NewWithT(t)
+			checkResponses(t, text, func(status int, data string, err error) {
+				g.Expect(err).To(gomega.HaveOccurred(), "%q taken as status %d and %q", text, status, data)
+				if _, ok := err.(*mangomodel.Fault); ok {
+					g.Expect(mangomodel.AsFault(err, 0).Run).To(gomega.Equal(mangomodel.RunUnknown))
+				}
+			})
+		})
+	}
+}
+
+// TestUnusualResponseArrivesWhole guards against checks of responses that refuse sound ones.
+func TestUnusualResponseArrivesWhole(t *testing.T) {
+	DisableFrameworkLog()
+	tests := []struct {
+		name, text string
+		status     int
+	}{
+		{"no text", "HTTP/1.1 200\r\n" + okFields, 200},
+		{"empty text", "HTTP/1.1 200 \r\n" + okFields, 200},
+		{"text beyond ASCII", "HTTP/1.1 200 d\xe9j\xe0\tvu\r\n" + okFields, 200},
+		{"HTTP/1.0", "HTTP/1.0 200 OK\r\n" + okFields, 200},
+		{"unusual success", "HTTP/1.1 299 Fine\r\n" + okFields, 299},
+		{"redirect", "HTTP/1.1 307 Elsewhere\r\nLocation: /y\r\n" + okFields, 307},
+		{"unusual client error", "HTTP/1.1 499 Gone\r\n" + okFields, 499},
+		{"unusual server error", "HTTP/1.1 599 Oops\r\n" + okFields, 599},
+		{"status above 599", "HTTP/1.1 700 Odd\r\n" + okFields, 700},
+		{"highest status", "HTTP/1.1 999 Odd\r\n" + okFields, 999},
+		{"interim responses", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Hints\r\nLink: a\r\n\r\nHTTP/1.1 199 x\r\n\r\nHTTP/1.1 200 OK\r\n" + okFields, 200},
+		{"every sign of a name", "HTTP/1.1 200 OK\r\n!#$%&'*+-.^_`|~09azAZ: x\r\n" + okFields, 200},
+		{"empty value", "HTTP/1.1 200 OK\r\nA:\r\nB: \t \r\n" + okFields, 200},
+		{"value beyond ASCII", "HTTP/1.1 200 OK\r\nA: d\xe9j\xe0\tvu : x\r\n" + okFields, 200},
+		{"folded value", "HTTP/1.1 200 OK\r\nA: b\r\n c\r\n\td\r\n" + okFields, 200},
+		{"bare line ends", "HTTP/1.1 200 OK\nA: b\nContent-Length: 4\n\nbody", 200},
+		{"no length", "HTTP/1.1 200 OK\r\n\r\nbody", 200},
+		{"no fields", "HTTP/1.1 200 OK\r\n\r\nbody", 200},
+		{"chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nbo\r\n2;x=y\r\ndy\r\n0\r\n\r\n", 200},
+		{"trailers", "HTTP/1.1 200 OK\r\nTrailer: A\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\nA: b\r\nC: d e\r\n\r\n", 200},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			g := gomega.NewWithT(t)
+			checkResponses(t, test.text, func(status int, data string, err error) {
+				g.Expect(err).NotTo(gomega.HaveOccurred())
+				g.Expect(status).To(gomega.Equal(test.status))
+				g.Expect(data).To(gomega.Equal("body"))
+			})
+		})
+	}
+}
--- a/core/mangorest/client.go
+++ b/core/mangorest/client.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"syscall"
 	"time"
 
@@ -119,9 +120,15 @@
 	return c.Send(step, c.peer, req)
 }
 
-// Send sends a request that the caller has built, to the host of its URL.
+// Send sends a request that the caller has built, to the host of its URL. A response whose
+// status line is malformed, or that changes the protocol, is a fault.
 func (c *Client) Send(step mangomodel.Step, peer mangomodel.PeerName, req *http.Request) (*http.Response, error) {
-	resp, err := c.service.DoRequest(req)
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		if info.Reused {
+			info.Conn.(*clientConn).begin()
+		}
+	}}
+	resp, err := c.service.DoRequest(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
 	if err != nil {
 		c.transport.CloseIdleConnections()
 		return nil, mangomodel.NewFault(step, peer, mangomodel.CodeUnavailable, runOf(err), err)
--- a/core/mangorest/clientconn.go
+++ b/core/mangorest/clientconn.go
@@ -10,11 +10,13 @@
 	"syscall"
 	"time"
 
+	"mangolane/core/mangohead"
 	"mangolane/core/mangomodel"
 )
 
-// clientConn is the connection of a [Client]. What its peer sent before a reset is read
-// whole, and the end of the stream is reported only if the peer has ended it in order.
+// clientConn is the connection of a [Client]. A response reaches net/http only as far as its
+// head is one. What the peer sent before a reset is read whole, and the end of the stream is
+// reported only if the peer has ended it in order.
 //
 // The system reports a reset once, to a read or to a write, and the end of the stream to
 // every read after that. While a request is being written, the goroutine that reads the
@@ -27,6 +29,10 @@
 	// ended is closed once a read has failed or the connection is closed.
 	ended chan struct{}
 	end   func()
+
+	// mu guards response, the scan of the response to the current request.
+	mu       sync.Mutex
+	response mangohead.Response
 }
 
 func newClientConn(conn net.Conn) *clientConn {
@@ -45,9 +51,25 @@
 	}
 }
 
+// begin is called before a further request is written.
+func (c *clientConn) begin() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.response = mangohead.Response{}
+}
+
+func (c *clientConn) scan(data []byte) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.response.Scan(data)
+}
+
 // Read reads the connection.
 func (c *clientConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	if broken := c.scan(p[:n]); broken != nil {
+		n, err = 0, broken
+	}
 	if errors.Is(err, io.EOF) {
 		if cause := c.lost(); cause != nil {
 			err = cause
--- /dev/null
+++ b/mangolaned/mangobackend/broken_test.go
@@ -0,0 +1,72 @@
+package mangobackend
+
+import (
+	"context"
+	"testing"
+
+	"github.com/onsi/gomega"
+
+	"mangolane/core/mangoconfig"
+	"mangolane/core/mangoentry"
+	"mangolane/core/mangomodel"
+	"mangolane/core/mangorest"
+	"mangolane/core/mangoroute"
+)
+
+// exchanges are the exchanges with a server, each of which reads its whole answer.
+var exchanges = map[string]func(context.Context, *Backend, mangoconfig.Host) error{
+	"call of a service": func(ctx context.Context, b *Backend, host mangoconfig.Host) error {
+		_, err := b.Send(ctx, host, mangoentry.OutgoingCall{Path: "/x", Body: []byte("x")})
+		return err
+	},
+	"prefill": func(ctx context.Context, b *Backend, host mangoconfig.Host) error {
+		return b.Prefill(ctx, host, mangoroute.PrefillRequest{})
+	},
+	"transfer": func(ctx context.Context, b *Backend, host mangoconfig.Host) error {
+		return b.Import(ctx, host, mangoroute.ImportRequest{})
+	},
+	"cancellation": func(ctx context.Context, b *Backend, host mangoconfig.Host) error {
+		return b.Cancel(ctx, host, mangomodel.Sequence{})
+	},
+	"load": func(ctx context.Context, b *Backend, host mangoconfig.Host) error {
+		_, _, err := b.Load(ctx, host)
+		return err
+	},
+	"stream": func(ctx context.Context, b *Backend, host mangoconfig.Host) error {
+		s, err := b.Decode(ctx, host, mangoroute.DecodeRequest{})
+		if err != nil {
+			return err
+		}
+		return s.Close()
+	},
+}
+
+// checkBroken checks that an answer is a fault in each exchange.
+func checkBroken(t *testing.T, text string) {
+	for name, exchange := range exchanges {
+		t.Run(name+", "+text[:min(len(text), 40)], func(t *testing.T) {
+			t.Parallel()
+			g := gomega.NewWithT(t)
+			host, answer := serveAnswer(t)
+			answer.Store(&cutAnswer{text: text})
+			b := New()
+			for range 2 {
+				err := exchange(t.Context(), b, host)
+				g.Expect(err).To(gomega.HaveOccurred(), "%q", text)
+				g.Expect(mangomodel.AsFault(err, 0).Run).To(gomega.Equal(mangomodel.RunUnknown))
+			}
+		})
+	}
+}
+
+const chunkFields = "Content-Type: application/json\r\nContent-Length: 61\r\n\r\n" + `{"Request":"r","Attempt":1,"Offset":0,"Text":"a","Last":true}`
+
+// TestBrokenStatusIsAFault guards against an answer with status 000 that callers of a service
+// receive as its answer, and that is recorded as the outcome of an operation.
+func TestBrokenStatusIsAFault(t *testing.T) {
+	mangorest.DisableFrameworkLog()
+	for _, status := range []string{"000 Broken", "000", "099 Broken", "+99 Broken", "101 Switching Protocols"} {
+		checkBroken(t, "HTTP/1.1 "+status+"\r\n"+chunkFields)
+		checkBroken(t, "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 "+status+"\r\n"+chunkFields)
+	}
+}
