Bytes after a response are not the response to the next request

What callers saw: on a reused connection the caller of one request could get the response of another, if the peer sent additional bytes after a complete response. Calls of the users' platform and of services have a connection of their own; prefills, transfers, load reports and streams of mangolane's own engines and all calls to its table service reuse connections.

Cause: net/http puts a connection back into its pool before it looks for further bytes, so that the next request may get the connection first. It then takes the bytes for its response. Found while the check of heads was made to hold on reused connections.

Change: mangorest.Client accepts a response only if its head was read after the request had got the connection. If not, the connection is closed and the exchange is a fault. A connection that is new is exempt: a peer may refuse it before it reads a request.

Additional bytes that arrive later than the next request can't be told apart here.

--- a/core/mangorest/client.go
+++ b/core/mangorest/client.go
@@ -120,15 +120,27 @@
 	return c.Send(step, c.peer, req)
 }
 
+// errUnsolicited is the error of a response on a reused connection that was received before
+// its request was sent, and so belongs to none.
+var errUnsolicited = errors.New("response received before its request was sent")
+
 // Send sends a request that the caller has built, to the host of its URL. A response whose
 // status line is malformed, or that changes the protocol, is a fault.
 func (c *Client) Send(step mangomodel.Step, peer mangomodel.PeerName, req *http.Request) (*http.Response, error) {
+	var conn *clientConn
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		conn = info.Conn.(*clientConn)
 		if info.Reused {
-			info.Conn.(*clientConn).begin()
+			conn.begin()
 		}
 	}}
 	resp, err := c.service.DoRequest(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
+	if err == nil && !conn.answered() {
+		// The response to this request may still come.
+		_ = conn.Close()
+		_ = resp.Body.Close()
+		err = errUnsolicited
+	}
 	if err != nil {
 		c.transport.CloseIdleConnections()
 		return nil, mangomodel.NewFault(step, peer, mangomodel.CodeUnavailable, runOf(err), err)
--- a/core/mangorest/clientconn.go
+++ b/core/mangorest/clientconn.go
@@ -58,6 +58,13 @@
 	c.response = mangohead.Response{}
 }
 
+// answered reports whether the final head of the response to the current request was read.
+func (c *clientConn) answered() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.response.Done()
+}
+
 func (c *clientConn) scan(data []byte) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
