A name with a blank or a control byte makes a response malformed

What callers saw: the head of an answer held a line such as "Content-Length : 4", "Bad Name: x" or "Transfer-Encoding : chunked". Clients got it as an answer; where the line states a length or chunks, with additional bytes or the chunk sizes in the body. It was so for calls, reads and streams, in final and interim responses, on the users' platform and on mangolane's own interface, and refusals with such a head were taken as proof that a call had not run. Names with control bytes were refused already.

Cause: net/http accepts blanks in names and keeps such a name as it stands, so that nothing which looks for "Content-Length" finds it. A line that begins with a blank is joined to the value before.

Change: mangohead.Response, which sees every head, accepts only the bytes of a token (RFC 9110, 5.6.2) in a name. A line that begins with a blank continues a value as before, unless it has a colon, with which it may as well be a field: RFC 9112, 5.2 lets a gateway refuse any folded line.

--- a/core/mangohead/response.go
+++ b/core/mangohead/response.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"strings"
 )
 
 var (
@@ -10,6 +11,8 @@
 	ErrStatusLine = errors.New("malformed status line")
 	// ErrProtocol is returned for a response that changes the protocol.
 	ErrProtocol = errors.New("status 101 without a request for another protocol")
+	// ErrField is returned for a line of a head that is not a field.
+	ErrField = errors.New("malformed field")
 )
 
 // statusLine is the beginning of a status line, in which d stands for a digit.
@@ -30,7 +33,10 @@
 const (
 	partStatus linePart = iota
 	partLineStart
-	partLine
+	partName
+	partValue
+	// partFold is within a line that continues the value of the field before it.
+	partFold
 	// partHeadEnd is after the CR of an empty line.
 	partHeadEnd
 	partDone
@@ -38,9 +44,12 @@
 
 // Response checks the heads of the response to one request: those of interim responses, of
 // which there may be any number, and that of the final one. net/http takes each status of
-// three digits, such as 000, for a status. The zero value is at the beginning of a response.
+// three digits, such as 000, for a status. It keeps a field with a blank in its name, which
+// then states no length and no chunks. The zero value is at the beginning of a response.
 type Response struct {
 	part linePart
+	// fields is set after the first field of a head.
+	fields bool
 	// column is the number of bytes of the status line, without its end.
 	column int
 	status int
@@ -68,23 +77,44 @@
 	case partStatus:
 		return r.statusByte(b)
 	case partLineStart:
-		switch b {
-		case '\n':
-			r.endHead()
-		case '\r':
-			r.part = partHeadEnd
-		default:
-			r.part = partLine
+		return r.lineStart(b)
+	case partName:
+		if b == ':' {
+			r.part, r.fields = partValue, true
+		} else if !IsNameByte(b) {
+			return fmt.Errorf("%w: %q in its name", ErrField, b)
 		}
-	case partLine:
+	case partFold:
+		if b == ':' {
+			// It may as well be a field whose name begins with a blank.
+			return fmt.Errorf("%w: blank before its name", ErrField)
+		}
+		fallthrough
+	case partValue:
 		if b == '\n' {
 			r.part = partLineStart
 		}
 	case partHeadEnd:
-		r.part = partLine
-		if b == '\n' {
-			r.endHead()
+		if b != '\n' {
+			return fmt.Errorf("%w: CR in its name", ErrField)
 		}
+		r.endHead()
+	}
+	return nil
+}
+
+func (r *Response) lineStart(b byte) error {
+	switch {
+	case b == '\n':
+		r.endHead()
+	case b == '\r':
+		r.part = partHeadEnd
+	case r.fields && (b == ' ' || b == '\t'):
+		r.part = partFold
+	case IsNameByte(b):
+		r.part = partName
+	default:
+		return fmt.Errorf("%w: %q in its name", ErrField, b)
 	}
 	return nil
 }
@@ -130,4 +160,14 @@
 	r.part = partDone
 }
 
+// IsNameByte reports whether a byte may be part of a field's name.
+func IsNameByte(b byte) bool {
+	switch {
+	case '0' <= b && b <= '9', 'a' <= b && b <= 'z', 'A' <= b && b <= 'Z':
+		return true
+	default:
+		return strings.IndexByte("!#$%&'*+-.^_`|~", b) >= 0
+	}
+}
+
 func isControl(b byte) bool { return b < ' ' || b == 0x7f }
--- a/core/mangorest/broken_test.go
+++ b/core/mangorest/broken_test.go
@@ -106,6 +106,46 @@
 // says nothing, such as 000, as a response of the peer.
 func TestBrokenStatusIsAFault(t *testing.T) { checkBroken(t, brokenStatuses) }
 
+// brokenLines are lines of a head that are no fields, each with the rest of a final response.
+var brokenLines = []struct{ name, lines, rest string }{
+	{"blank within", "Bad Name: x\r\n", okFields},
+	{"blank before the colon", "Name : x\r\n", okFields},
+	{"tab within", "Bad\tName: x\r\n", okFields},
+	{"tab before the colon", "Name\t: x\r\n", okFields},
+	{"blank first", "A: b\r\n Name: x\r\n", okFields},
+	{"tab first", "A: b\r\n\tName: x\r\n", okFields},
+	{"blanks first and within", "A: b\r\n Bad Name: x\r\n", okFields},
+	{"blank first, first line", " Name: x\r\n", okFields},
+	{"zero byte", "Na\x00me: x\r\n", okFields},
+	{"control byte", "Na\x01me: x\r\n", okFields},
+	{"CR", "Na\rme: x\r\n", okFields},
+	{"CR first", "\rName: x\r\n", okFields},
+	{"delete", "Na\x7fme: x\r\n", okFields},
+	{"byte beyond ASCII", "Na\xe9me: x\r\n", okFields},
+	{"no name", ": x\r\n", okFields},
+	{"blank name", " : x\r\n", okFields},
+	{"no colon", "Name\r\n", okFields},
+	{"control byte in a value", "Name: \x01\r\n", okFields},
+	{"bare line ends", "Bad Name: x\n", "Content-Length: 4\n\nbody"},
+	{"length", "Content-Length : 4\r\n", "\r\nbody and more"},
+	{"length in a fold", "A: b\r\n Content-Length: 4\r\n", "\r\nbody and more"},
+	{"chunks", "Transfer-Encoding : chunked\r\n", "\r\n4\r\nbody\r\n0\r\n\r\n"},
+	{"chunks in a fold", "A: b\r\n Transfer-Encoding: chunked\r\n", "\r\n4\r\nbody\r\n0\r\n\r\n"},
+	{"chunks beside a length", "Transfer-Encoding : chunked\r\n", "Content-Length: 14\r\n\r\n4\r\nbody\r\n0\r\n\r\n"},
+}
+
+// TestBrokenFieldIsAFault guards against a head with a line that is no field: net/http
+// keeps a name with a blank, and the length or the chunks that it states do not hold.
+func TestBrokenFieldIsAFault(t *testing.T) {
+	tests := map[string]string{}
+	for _, b := range brokenLines {
+		tests[b.name] = "HTTP/1.1 200 OK\r\n" + b.lines + b.rest
+		tests[b.name+", failure"] = "HTTP/1.1 500 Oops\r\n" + b.lines + b.rest
+		tests[b.name+", interim"] = "HTTP/1.1 103 Early Hints\r\n" + b.lines + "\r\nHTTP/1.1 200 OK\r\n" + okFields
+	}
+	checkBroken(t, tests)
+}
+
 func checkBroken(t *testing.T, tests map[string]string) {
 	DisableFrameworkLog()
 	for name, text := range tests {
--- a/core/mangorest/client.go
+++ b/core/mangorest/client.go
@@ -125,7 +125,7 @@
 var errUnsolicited = errors.New("response received before its request was sent")
 
 // Send sends a request that the caller has built, to the host of its URL. A response whose
-// status line is malformed, or that changes the protocol, is a fault.
+// head is malformed, or that changes the protocol, is a fault.
 func (c *Client) Send(step mangomodel.Step, peer mangomodel.PeerName, req *http.Request) (*http.Response, error) {
 	var conn *clientConn
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
--- a/mangolaned/mangobackend/broken_test.go
+++ b/mangolaned/mangobackend/broken_test.go
@@ -70,3 +70,13 @@
 		checkBroken(t, "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 "+status+"\r\n"+chunkFields)
 	}
 }
+
+// TestBrokenFieldIsAFault guards against an answer in whose head a name holds a blank or a
+// control byte and that is used all the same.
+func TestBrokenFieldIsAFault(t *testing.T) {
+	mangorest.DisableFrameworkLog()
+	for _, line := range []string{"Bad Name: x", "Name : x", "A: b\r\n Name: x", "A: b\r\n\tName: x", "Na\tme: x", "Na\x01me: x"} {
+		checkBroken(t, "HTTP/1.1 200 OK\r\n"+line+"\r\n"+chunkFields)
+		checkBroken(t, "HTTP/1.1 103 Early Hints\r\n"+line+"\r\n\r\nHTTP/1.1 200 OK\r\n"+chunkFields)
+	}
+}
