A recorded response whose status is none is an unknown outcome

What callers saw: an operation that runs at most once and whose service had answered with status 000 or 101 was recorded as done. Each resend got that from the table: an empty 500, or the 101.

Cause: the row of an entry was taken as it was read.

Change: a row whose response has a status outside 200 to 999 can't be decoded, for which the ledger has an answer already: CodeUnknownOutcome, RunUnknown, and the row stays as it is.

Evidence: TestRecordedStatusThatIsNoneIsAnUnknownOutcome red before (at the first such status), green now; mangoproof green.

--- a/core/mangoentry/row.go
+++ b/core/mangoentry/row.go
@@ -50,8 +50,19 @@
 
 func encode(e Entry) ([]byte, error) { return json.Marshal(e) }
 
+// lowestStatus and highestStatus bound the status of a final response.
+const (
+	lowestStatus  = 200
+	highestStatus = 999
+)
+
 func decode(row mangomodel.Row) (Entry, error) {
 	var e Entry
-	err := json.Unmarshal(row.Value, &e)
-	return e, err
+	if err := json.Unmarshal(row.Value, &e); err != nil {
+		return e, err
+	}
+	if status := e.Response.Status; e.State == Done && (status < lowestStatus || status > highestStatus) {
+		return e, fmt.Errorf("the recorded response has status %d, expected %d to %d", status, lowestStatus, highestStatus)
+	}
+	return e, nil
 }
