A refusal that its engine broke off proves nothing

What callers saw: nothing has been reported; found while reading each place that reads answers. An engine of mangolane's own interface that stopped within the body of a refusal of a stream was taken to state that nothing had run, if the JSON until there was whole.

Cause: mangobackend.Decode ignored the error of the read of a refusal's body. The other exchanges (prefill, transfer, cancellation, load) read their bodies whole.

Change: a body that can't be read to its end is a fault with RunUnknown.

Evidence: TestCutRefusalIsNone red for streams before (length and chunks), green for the other exchanges; green now. Whole refusals still count as not run.

--- a/mangolaned/mangobackend/broken_test.go
+++ b/mangolaned/mangobackend/broken_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 
 	"github.com/onsi/gomega"
@@ -80,3 +81,30 @@
 		checkBroken(t, "HTTP/1.1 103 Early Hints\r\n"+line+"\r\n\r\nHTTP/1.1 200 OK\r\n"+chunkFields)
 	}
 }
+
+// TestCutRefusalIsNone guards against a refusal that is taken for the statement that nothing
+// has run although its server stopped within it.
+func TestCutRefusalIsNone(t *testing.T) {
+	mangorest.DisableFrameworkLog()
+	const body = `{"Code":"Overloaded","Run":"Not","Message":"full"}`
+	for name, exchange := range exchanges {
+		if name == "call of a service" {
+			// It has the status of the service's answer.
+			continue
+		}
+		for _, framing := range []string{"Content-Length: 400\r\n\r\n" + body, "Transfer-Encoding: chunked\r\n\r\n" + fmt.Sprintf("%x\r\n%s\r\n", len(body), body)} {
+			t.Run(name, func(t *testing.T) {
+				g := gomega.NewWithT(t)
+				host, answer := serveAnswer(t)
+				for _, reset := range []bool{false, true} {
+					answer.Store(&cutAnswer{"HTTP/1.1 503 Busy\r\nContent-Type: application/json\r\n" + framing, reset})
+					err := exchange(t.Context(), New(), host)
+					g.Expect(mangomodel.AsFault(err, 0).Run).To(gomega.Equal(mangomodel.RunUnknown), "%v", err)
+				}
+				answer.Store(&cutAnswer{"HTTP/1.1 503 Busy\r\nContent-Type: application/json\r\nContent-Length: " + fmt.Sprint(len(body)) + "\r\n\r\n" + body, false})
+				err := exchange(t.Context(), New(), host)
+				g.Expect(mangomodel.AsFault(err, 0).Run).To(gomega.Equal(mangomodel.RunNot))
+			})
+		}
+	}
+}
--- a/mangolaned/mangobackend/engine.go
+++ b/mangolaned/mangobackend/engine.go
@@ -71,7 +71,12 @@
 	if resp.StatusCode != http.StatusOK {
 		defer cancel()
 		defer resp.Body.Close()
-		data, _ := io.ReadAll(io.LimitReader(resp.Body, maxFaultBody))
+		data, err := io.ReadAll(io.LimitReader(resp.Body, maxFaultBody))
+		if err != nil {
+			// What was read may be whole JSON, but is not the whole response.
+			return nil, mangomodel.NewFault(mangomodel.StepDecode, mangomodel.PeerName(server.ID),
+				mangomodel.CodeUnavailable, mangomodel.RunUnknown, err)
+		}
 		return nil, client.ResponseFault(mangomodel.StepDecode, resp.StatusCode, data)
 	}
 	s := &stream{server: server, cancel: cancel, body: resp.Body, chunks: make(chan readResult, streamBuffer), ctx: ctx}
