--- a/mangolaned/mangoconn/pool_test.go
+++ b/mangolaned/mangoconn/pool_test.go
@@ -1,7 +1,9 @@
 package mangoconn
 
 import (
+	"bytes"
 	"context"
+	"encoding/gob"
 	"errors"
 	"net"
 	"net/rpc"
@@ -240,3 +242,42 @@
 	err := echo(New(TCP), to, nil, time.Second)
 	gomega.NewWithT(t).Expect(mangomodel.AsFault(err, 0).Run).To(gomega.Equal(mangomodel.RunNot))
 }
+
+// TestReplyCutDuringTheRequestIsAFault guards against a part of a reply that is taken for a
+// whole one: the other daemon sends it and resets the connection while the request is still
+// being written.
+func TestReplyCutDuringTheRequestIsAFault(t *testing.T) {
+	g := gomega.NewWithT(t)
+	const size = 12 << 20
+	var reply bytes.Buffer
+	enc := gob.NewEncoder(&reply)
+	g.Expect(enc.Encode(rpc.Response{ServiceMethod: "Command.Say"})).To(gomega.Succeed())
+	head := reply.Len()
+	g.Expect(enc.Encode([]byte("reply"))).To(gomega.Succeed())
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	defer l.Close()
+	parts := make(chan []byte, 1)
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			_, _ = conn.Read(make([]byte, 1))
+			_, _ = conn.Write(<-parts)
+			time.Sleep(time.Millisecond)
+			_ = conn.(*net.TCPConn).SetLinger(0)
+			conn.Close()
+		}
+	}()
+	to := Endpoint{Address: mangomodel.Address(l.Addr().String())}
+	for n := range reply.Len() {
+		parts <- reply.Bytes()[:n]
+		var out []byte
+		err := New(TCP).Call(t.Context(), to, mangomodel.StepProbe, "Command.Say", make([]byte, size), &out)
+		g.Expect(err).To(gomega.HaveOccurred(), "%d of %d bytes, of which the head has %d", n, reply.Len(), head)
+		g.Expect(mangomodel.AsFault(err, 0).Run).To(gomega.Equal(mangomodel.RunUnknown))
+		g.Expect(out).To(gomega.BeEmpty())
+	}
+}
--- a/mangolaned/mangoplatform/platform_test.go
+++ b/mangolaned/mangoplatform/platform_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -11,6 +12,7 @@
 	"github.com/onsi/gomega"
 
 	"mangolane/core/mangomodel"
+	"mangolane/core/mangorest"
 )
 
 func TestMalformedHostHidesNoOtherHost(t *testing.T) {
@@ -31,3 +33,38 @@
 		})
 	}
 }
+
+// TestBrokenAnswerDoesNotProveAWrite guards against a write of the table service that counts
+// as done, or as not done, after an answer that is none.
+func TestBrokenAnswerDoesNotProveAWrite(t *testing.T) {
+	mangorest.DisableFrameworkLog()
+	const body = `{"Version":4}`
+	fields := fmt.Sprintf("Content-Type: application/json\r\nContent-Length: %d\r\n\r\n", len(body))
+	for name, head := range map[string]string{
+		"status 000":             "HTTP/1.1 000 Broken\r\n" + fields,
+		"blank in a name":        "HTTP/1.1 200 OK\r\nBad Name: x\r\n" + fields,
+		"blank before the colon": "HTTP/1.1 200 OK\r\n" + strings.ReplaceAll(fields, ":", " :"),
+		"conflict":               "HTTP/1.1 409 Conflict\r\nName : x\r\n" + fields,
+		"interim response":       "HTTP/1.1 103 Early Hints\r\nBad Name: x\r\n\r\nHTTP/1.1 200 OK\r\n" + fields,
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				conn, _, err := http.NewResponseController(w).Hijack()
+				if err != nil {
+					return
+				}
+				defer conn.Close()
+				_, _ = io.WriteString(conn, head+body)
+			}))
+			defer server.Close()
+			p := New(mangomodel.Address(server.Listener.Addr().String()))
+			_, err := p.Put(t.Context(), "k", []byte("v"), 3)
+			g.Expect(err).To(gomega.HaveOccurred())
+			g.Expect(mangomodel.HasCode(err, mangomodel.CodeConflict)).To(gomega.BeFalse())
+			g.Expect(mangomodel.AsFault(err, 0).Run).To(gomega.Equal(mangomodel.RunUnknown))
+			_, err = p.GetObject(t.Context(), "o")
+			g.Expect(err).To(gomega.HaveOccurred())
+		})
+	}
+}
