mangorest: what is checked of responses in one file; tests share their servers

Change: chunkedBody moves beside clientConn; serveConns serves the connections of the tests; the new tests use the table of cut_test.go, which transfers and cancellations join, so that they are cut in their heads too.

--- a/core/mangorest/broken_test.go
+++ b/core/mangorest/broken_test.go
@@ -14,17 +14,31 @@
 	"mangolane/core/mangomodel"
 )
 
-// serveText starts a server that answers each request of a connection with text. It closes
-// the connection after the first one if the response does not say where it ends, and after
-// a second in any case.
-func serveText(t *testing.T, text string) mangomodel.Address {
+// serveConns starts a server that serves each connection on a goroutine.
+func serveConns(t *testing.T, serve func(*net.TCPConn)) mangomodel.Address {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go serve(conn.(*net.TCPConn))
+		}
+	}()
+	return mangomodel.Address(l.Addr().String())
+}
+
+// serveText starts a server that answers each request of a connection with text. It closes
+// the connection after the first one if the response does not say where it ends, and after
+// a second in any case.
+func serveText(t *testing.T, text string) mangomodel.Address {
 	framed := strings.Contains(text, "Content-Length: ") || strings.Contains(text, "Transfer-Encoding: ")
-	serve := func(conn net.Conn) {
+	serve := func(conn *net.TCPConn) {
 		defer conn.Close()
 		_ = conn.SetDeadline(time.Now().Add(time.Second))
 		for r := bufio.NewReader(conn); ; {
@@ -38,16 +52,7 @@
 			}
 		}
 	}
-	go func() {
-		for {
-			conn, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go serve(conn)
-		}
-	}()
-	return mangomodel.Address(l.Addr().String())
+	return serveConns(t, serve)
 }
 
 // receive sends a request and reads the whole response.
--- a/core/mangorest/client.go
+++ b/core/mangorest/client.go
@@ -5,7 +5,6 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -16,7 +15,6 @@
 	"github.com/zeromicro/go-zero/core/breaker"
 	"github.com/zeromicro/go-zero/rest/httpc"
 
-	"mangolane/core/mangohead"
 	"mangolane/core/mangomemory"
 	"mangolane/core/mangomodel"
 	"mangolane/core/mangowire"
@@ -153,27 +151,6 @@
 	return resp, nil
 }
 
-// chunkedBody is the body of a response in chunks. It ends only with trailers whose names
-// are names: net/http accepts others with blanks.
-type chunkedBody struct {
-	io.ReadCloser
-	resp *http.Response
-}
-
-// Read reads the body.
-func (b *chunkedBody) Read(p []byte) (int, error) {
-	n, err := b.ReadCloser.Read(p)
-	if errors.Is(err, io.EOF) {
-		for name, values := range b.resp.Trailer {
-			// A name without values was declared and not sent.
-			if len(values) > 0 && !mangohead.IsName(name) {
-				err = fmt.Errorf("%w: trailer %q", mangohead.ErrField, name)
-			}
-		}
-	}
-	return n, err
-}
-
 // errNoData is the cause of the cancellation of an exchange in which the peer
 // sent no data in time.
 var errNoData = errors.New("no data received from the peer in time")
--- a/core/mangorest/clientconn.go
+++ b/core/mangorest/clientconn.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"os"
 	"sync"
 	"syscall"
@@ -14,8 +16,8 @@
 	"mangolane/core/mangomodel"
 )
 
-// clientConn is the connection of a [Client]. A response reaches net/http only as far as its
-// head is one. What the peer sent before a reset is read whole, and the end of the stream is
+// clientConn is the connection of a [Client]. A read fails where the head of a response is
+// malformed. What the peer sent before a reset is read whole, and the end of the stream is
 // reported only if the peer has ended it in order.
 //
 // The system reports a reset once, to a read or to a write, and the end of the stream to
@@ -51,7 +53,7 @@
 	}
 }
 
-// begin is called before a further request is written.
+// begin is called before another request is written to a reused connection.
 func (c *clientConn) begin() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -134,3 +136,24 @@
 	c.end()
 	return c.Conn.Close()
 }
+
+// chunkedBody is the body of a response in chunks. It fails at its end if the name of a
+// trailer is malformed: net/http accepts names with blanks.
+type chunkedBody struct {
+	io.ReadCloser
+	resp *http.Response
+}
+
+// Read reads the body.
+func (b *chunkedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if errors.Is(err, io.EOF) {
+		for name, values := range b.resp.Trailer {
+			// A name without values was declared and not sent.
+			if len(values) > 0 && !mangohead.IsName(name) {
+				err = fmt.Errorf("%w: trailer %q", mangohead.ErrField, name)
+			}
+		}
+	}
+	return n, err
+}
--- a/core/mangorest/late_test.go
+++ b/core/mangorest/late_test.go
@@ -18,12 +18,7 @@
 // serveTwice starts a server that answers each request with its body, and gives each answer
 // twice.
 func serveTwice(t *testing.T) mangomodel.Address {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { l.Close() })
-	serve := func(conn net.Conn) {
+	serve := func(conn *net.TCPConn) {
 		defer conn.Close()
 		for r := bufio.NewReader(conn); ; {
 			req, err := http.ReadRequest(r)
@@ -40,16 +35,7 @@
 			}
 		}
 	}
-	go func() {
-		for {
-			conn, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go serve(conn)
-		}
-	}()
-	return mangomodel.Address(l.Addr().String())
+	return serveConns(t, serve)
 }
 
 // TestResponseBeforeItsRequestIsAFault guards against bytes after a response that are taken
--- a/core/mangorest/upload_test.go
+++ b/core/mangorest/upload_test.go
@@ -23,11 +23,6 @@
 // earlyServer answers each request as soon as it has read the head. Then end decides what
 // happens to the connection.
 func earlyServer(t *testing.T, text string, end func(*net.TCPConn, io.Reader)) mangomodel.Address {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { l.Close() })
 	serve := func(conn *net.TCPConn) {
 		defer conn.Close()
 		r := bufio.NewReader(conn)
@@ -37,16 +32,7 @@
 		_, _ = io.WriteString(conn, text)
 		end(conn, r)
 	}
-	go func() {
-		for {
-			conn, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go serve(conn.(*net.TCPConn))
-		}
-	}()
-	return mangomodel.Address(l.Addr().String())
+	return serveConns(t, serve)
 }
 
 // resetConn resets a connection once its peer has had time to read what was sent.
--- a/mangolaned/mangobackend/broken_test.go
+++ b/mangolaned/mangobackend/broken_test.go
@@ -1,47 +1,15 @@
 package mangobackend
 
 import (
-	"context"
 	"fmt"
 	"testing"
 
 	"github.com/onsi/gomega"
 
-	"mangolane/core/mangoconfig"
-	"mangolane/core/mangoentry"
 	"mangolane/core/mangomodel"
 	"mangolane/core/mangorest"
-	"mangolane/core/mangoroute"
 )
 
-// exchanges are the exchanges with a server, each of which reads its whole answer.
-var exchanges = map[string]func(context.Context, *Backend, mangoconfig.Host) error{
-	"call of a service": func(ctx context.Context, b *Backend, host mangoconfig.Host) error {
-		_, err := b.Send(ctx, host, mangoentry.OutgoingCall{Path: "/x", Body: []byte("x")})
-		return err
-	},
-	"prefill": func(ctx context.Context, b *Backend, host mangoconfig.Host) error {
-		return b.Prefill(ctx, host, mangoroute.PrefillRequest{})
-	},
-	"transfer": func(ctx context.Context, b *Backend, host mangoconfig.Host) error {
-		return b.Import(ctx, host, mangoroute.ImportRequest{})
-	},
-	"cancellation": func(ctx context.Context, b *Backend, host mangoconfig.Host) error {
-		return b.Cancel(ctx, host, mangomodel.Sequence{})
-	},
-	"load": func(ctx context.Context, b *Backend, host mangoconfig.Host) error {
-		_, _, err := b.Load(ctx, host)
-		return err
-	},
-	"stream": func(ctx context.Context, b *Backend, host mangoconfig.Host) error {
-		s, err := b.Decode(ctx, host, mangoroute.DecodeRequest{})
-		if err != nil {
-			return err
-		}
-		return s.Close()
-	},
-}
-
 // checkBroken checks that an answer is a fault in each exchange.
 func checkBroken(t *testing.T, text string) {
 	for name, exchange := range exchanges {
--- a/mangolaned/mangobackend/cut_test.go
+++ b/mangolaned/mangobackend/cut_test.go
@@ -21,34 +21,42 @@
 	"mangolane/core/mangoroute"
 )
 
+// exchanges are the exchanges with a server, each of which reads its whole answer.
+var exchanges = map[string]func(context.Context, *Backend, mangoconfig.Host) error{
+	"call of a service": func(ctx context.Context, b *Backend, host mangoconfig.Host) error {
+		_, err := b.Send(ctx, host, mangoentry.OutgoingCall{Path: "/x", Body: []byte("x")})
+		return err
+	},
+	"prefill": func(ctx context.Context, b *Backend, host mangoconfig.Host) error {
+		return b.Prefill(ctx, host, mangoroute.PrefillRequest{})
+	},
+	"transfer": func(ctx context.Context, b *Backend, host mangoconfig.Host) error {
+		return b.Import(ctx, host, mangoroute.ImportRequest{})
+	},
+	"cancellation": func(ctx context.Context, b *Backend, host mangoconfig.Host) error {
+		return b.Cancel(ctx, host, mangomodel.Sequence{})
+	},
+	"load": func(ctx context.Context, b *Backend, host mangoconfig.Host) error {
+		_, _, err := b.Load(ctx, host)
+		return err
+	},
+	"stream": func(ctx context.Context, b *Backend, host mangoconfig.Host) error {
+		s, err := b.Decode(ctx, host, mangoroute.DecodeRequest{})
+		if err != nil {
+			return err
+		}
+		defer s.Close()
+		_, err = s.Next(time.Second)
+		return err
+	},
+}
+
 // TestAnswerCutInItsHeadIsAFault guards against an answer of a server that is taken for
 // whole although the server stopped within its head.
 func TestAnswerCutInItsHeadIsAFault(t *testing.T) {
 	mangorest.DisableFrameworkLog()
 	const chunk = `{"Request":"r","Attempt":1,"Offset":0,"Text":"a","Last":true}`
-	tests := map[string]func(context.Context, *Backend, mangoconfig.Host) error{
-		"call of a service": func(ctx context.Context, b *Backend, host mangoconfig.Host) error {
-			_, err := b.Send(ctx, host, mangoentry.OutgoingCall{Path: "/x", Body: []byte("x")})
-			return err
-		},
-		"prefill": func(ctx context.Context, b *Backend, host mangoconfig.Host) error {
-			return b.Prefill(ctx, host, mangoroute.PrefillRequest{})
-		},
-		"load": func(ctx context.Context, b *Backend, host mangoconfig.Host) error {
-			_, _, err := b.Load(ctx, host)
-			return err
-		},
-		"stream": func(ctx context.Context, b *Backend, host mangoconfig.Host) error {
-			s, err := b.Decode(ctx, host, mangoroute.DecodeRequest{})
-			if err != nil {
-				return err
-			}
-			defer s.Close()
-			_, err = s.Next(time.Second)
-			return err
-		},
-	}
-	for name, exchange := range tests {
+	for name, exchange := range exchanges {
 		for _, framing := range []string{fmt.Sprintf("Content-Length: %d\r\n", len(chunk)), "Transfer-Encoding: chunked\r\n", "Connection: close\r\n"} {
 			t.Run(name+", "+framing, func(t *testing.T) {
 				t.Parallel()
