Tests: shorter uploads, and a reader that comes after the reset

Cause: 12 MB a request made the tests slow beside load; 8 MB is still more than both sockets buffer (4 MB and 0.1 MB here). TestResetDuringTheUploadIsNoEnd also reads 10 ms late, when the write has failed before the body is read.

--- a/core/mangorest/upload_test.go
+++ b/core/mangorest/upload_test.go
@@ -18,7 +18,7 @@
 
 // uploadBytes is more than the buffers of both sockets take, so that the request is still
 // being written when its server answers.
-const uploadBytes = 12 << 20
+const uploadBytes = 8 << 20
 
 // earlyServer answers each request as soon as it has read the head. Then end decides what
 // happens to the connection.
@@ -71,8 +71,10 @@
 			}
 			addr := earlyServer(t, "HTTP/1.1 200 OK\r\n"+field+"\r\n"+part, resetConn)
 			for n := range 50 {
-				data, err := upload(g, addr, body, 0)
-				g.Expect(err).To(gomega.HaveOccurred(), "exchange %d: %q taken as whole", n, data)
+				for _, pause := range []time.Duration{0, 10 * time.Millisecond} {
+					data, err := upload(g, addr, body, pause)
+					g.Expect(err).To(gomega.HaveOccurred(), "exchange %d, pause %v: %q taken as whole", n, pause, data)
+				}
 			}
 		})
 	}
--- a/mangolaned/mangobackend/upload_test.go
+++ b/mangolaned/mangobackend/upload_test.go
@@ -20,7 +20,7 @@
 
 // uploadBytes is more than the buffers of both sockets take, so that the request is still
 // being written when its server answers.
-const uploadBytes = 12 << 20
+const uploadBytes = 8 << 20
 
 // serveEarly starts a server that answers a request as soon as it has read the head, and
 // then resets the connection.
