Tests: resets before, during and after uploads of any size

Cause: the tests of the reset had one size of upload and a server that reads nothing of it; plain answers without a length had no test of a reset after the upload. Change: TestResetIsNoEndWhateverTheUpload, from no upload to 8 MB, with a server that reads it first or not.

--- a/core/mangorest/upload_test.go
+++ b/core/mangorest/upload_test.go
@@ -80,6 +80,39 @@
 	}
 }
 
+// TestResetIsNoEndWhateverTheUpload guards against a part of a response without a length that
+// is taken for whole, where the reset comes before, during or after the upload.
+func TestResetIsNoEndWhateverTheUpload(t *testing.T) {
+	DisableFrameworkLog()
+	for _, size := range []int{0, 1, 4 << 10, 128 << 10, 1 << 20, uploadBytes} {
+		for _, readsFirst := range []bool{false, true} {
+			for _, delay := range []time.Duration{0, 5 * time.Millisecond} {
+				t.Run(fmt.Sprintf("%d bytes, read first %v, after %v", size, readsFirst, delay), func(t *testing.T) {
+					g := gomega.NewWithT(t)
+					addr := serveConns(t, func(conn *net.TCPConn) {
+						defer conn.Close()
+						r := bufio.NewReader(conn)
+						req, err := http.ReadRequest(r)
+						if err != nil {
+							return
+						}
+						if readsFirst {
+							_, _ = io.Copy(io.Discard, req.Body)
+						}
+						_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\npart")
+						time.Sleep(delay)
+						_ = conn.SetLinger(0)
+					})
+					for n := range 20 {
+						data, err := upload(g, addr, make([]byte, size), 0)
+						g.Expect(err).To(gomega.HaveOccurred(), "exchange %d: %q taken as whole", n, data)
+					}
+				})
+			}
+		}
+	}
+}
+
 // TestAnswerBeforeTheUploadEndsArrivesWhole guards against a sound answer that is lost
 // because its server has not read the whole request: net/http drops what it has not read of
 // a response when it can't write the rest of the request.
