Calls of another caller do not clear the crashes of a call

Cause: the fingerprint of a call was a hash of host, method, target and body without the caller. A completion clears the crashes of the fingerprint, and the refusal holds for it, so that two callers shared one record. mangoreturn shared its records in the same way.

Change: the ingress hashes the content only; the relay adds the workspace, or the key where there is none, each time that it determines the workspace. The fingerprint is decided in core instead of platform.

--- a/core/mangorelay/access.go
+++ b/core/mangorelay/access.go
@@ -39,8 +39,8 @@
 	return err
 }
 
-// authorise determines the workspace of the call with the configuration in force, or
-// refuses it.
+// authorise determines the workspace of the call, and with it the fingerprint, with the
+// configuration in force, or refuses the call.
 func (j *job) authorise(view *mangofleet.View, route *mangotraffic.Route) error {
 	d, err := decideAccess(view, route, j.call)
 	if err != nil {
@@ -53,6 +53,7 @@
 	}
 	// Otherwise a call that was restricted before stays so: its key must not be forwarded
 	// because the workspaces were removed while it waited.
+	j.call.Identify()
 	return nil
 }
 
--- a/core/mangorelay/fake_test.go
+++ b/core/mangorelay/fake_test.go
@@ -351,7 +351,7 @@
 func (h *harness) newCall(target string) {
 	now := time.Now()
 	h.call = &mangotraffic.Call{
-		ID: "r", Method: "POST", Target: target, Host: "x", Arrived: now, Deadline: now.Add(12 * time.Second), Fingerprint: 7,
+		ID: "r", Method: "POST", Target: target, Host: "x", Arrived: now, Deadline: now.Add(12 * time.Second), Content: 7,
 		Generation: &mangotraffic.Generation{Prompt: 100, MaxOutput: 100},
 	}
 }
--- a/core/mangotraffic/call.go
+++ b/core/mangotraffic/call.go
@@ -35,7 +35,9 @@
 	Parts []mangomodel.PartID
 	// LastEventID is the last event that the client received of an earlier stream.
 	LastEventID EventID
-	// Fingerprint is the same for all retries of a call by its client.
+	// Content is set once the whole call has been read. Fingerprint is the same for all
+	// retries of a call by its client, and differs between callers; Identify sets it.
+	Content     ContentHash
 	Fingerprint mangomodel.Fingerprint
 	// Key is the digest of the key that the client sent, if HasKey is set.
 	Key    mangoworkspace.Digest
