--- /dev/null
+++ b/core/mangoarchive/archive.go
@@ -0,0 +1,322 @@
+// Package mangoarchive saves the records of calls that crash servers in the platform's
+// table service, and restores them when a daemon starts. Daemons have no disk, so that a
+// kill of all of them would forget the records.
+//
+// A row holds the record of one call. A daemon writes what it has seen itself: a first crash
+// a second later, since most such calls complete elsewhere meanwhile, and all else at once.
+// Writes have the version of the row as their condition. If another daemon has changed it,
+// the rows are merged and written again, so that no crash is lost. A call whose crashes are
+// all cleared has no row. Times in rows are those of the store's clock, since the clocks of
+// daemons differ.
+//
+// The load it answers: a call ends with its server and does not complete a few times a
+// second, in a fleet of 410 daemons, and some thousand times when a data centre is lost. Each
+// daemon makes at most five writes a second, of up to 48 rows.
+//
+// # Usage
+//
+//	a := mangoarchive.New(fleet, store, observer)
+//	go a.Run(ctx)
+//	a.Await(ctx) // before calls are accepted
+package mangoarchive
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"mangolane/core/mangocrash"
+	"mangolane/core/mangofleet"
+	"mangolane/core/mangomodel"
+	"mangolane/core/mangopanic"
+)
+
+const (
+	// writeInterval is the mean time between writes, of which writeBurst may follow each
+	// other at once: those of a call that crashes several servers in a row.
+	writeInterval = 200 * time.Millisecond
+	writeBurst    = 4
+	// minBackoff and maxBackoff bound the pause after failed calls.
+	minBackoff = 100 * time.Millisecond
+	maxBackoff = 3200 * time.Millisecond
+	// maxAwait bounds how long a start waits for the records. A daemon without them serves,
+	// and sends no probes.
+	maxAwait = 3 * time.Second
+	// removalInterval is the time between two removals of rows that nobody needs.
+	removalInterval = 10 * time.Minute
+	// maxRows limits the rows that are kept, and maxBatch the rows of a write.
+	maxRows, maxBatch = 5120, 48
+	// restoreBatch is how many records a command restores.
+	restoreBatch = 128
+)
+
+// Fleet is the control state.
+type Fleet interface {
+	Do(ctx context.Context, cmd mangofleet.Command) error
+	View() *mangofleet.View
+}
+
+// Store holds the rows.
+type Store interface {
+	// Rows returns all rows. Those that cannot be decoded are left out.
+	Rows(ctx context.Context) (Table, error)
+	// Replace replaces rows if each still has its version, and removes those without
+	// crashes. Otherwise it changes nothing, and returns the current rows with
+	// [ErrConflict].
+	Replace(ctx context.Context, rows []Row) (Table, error)
+}
+
+// Observer is notified of failures.
+type Observer interface {
+	mangopanic.Observer
+	// ArchiveLost and ArchiveRegained are called when calls to the store begin to fail and
+	// succeed again.
+	ArchiveLost(err error)
+	ArchiveRegained(after time.Duration)
+	// ArchiveRestored is called at the start with the number of rows that were read.
+	ArchiveRestored(rows int)
+}
+
+// ErrConflict is returned by a Store if a row does not have the version that a write
+// requires.
+var ErrConflict = errors.New("a row was changed by another daemon")
+
+// Archive saves and restores records.
+type Archive struct {
+	fleet    Fleet
+	store    Store
+	observer Observer
+	// restored is closed once the records were restored.
+	restored chan struct{}
+
+	// The fields below belong to the goroutine of Run. current is set if the rows were read
+	// and no call has failed since. rows are the rows as last known, and start is the time at
+	// which the store's clock was zero.
+	current bool
+	rows    map[mangomodel.Fingerprint]Row
+	start   time.Time
+	lostAt  time.Time
+	pause   time.Duration
+}
+
+// New returns an Archive. The fleet must have [mangofleet.WithSavedCrashes].
+func New(fleet Fleet, store Store, o Observer) *Archive {
+	return &Archive{
+		fleet: fleet, store: store, observer: o, restored: make(chan struct{}),
+		rows: make(map[mangomodel.Fingerprint]Row), pause: minBackoff,
+	}
+}
+
+// Await waits until the records were restored, and not longer than a start may take.
+func (a *Archive) Await(ctx context.Context) {
+	timer := time.NewTimer(maxAwait)
+	defer timer.Stop()
+	select {
+	case <-a.restored:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// Run restores the records and then saves changes until ctx ends. After a failure it reads
+// the rows again, since other daemons may have changed them meanwhile.
+func (a *Archive) Run(ctx context.Context) {
+	for !a.attempt(ctx, a.restore) {
+		if ctx.Err() != nil {
+			return
+		}
+	}
+	a.observer.ArchiveRestored(len(a.rows))
+	close(a.restored)
+	removal := time.Now().Add(removalInterval)
+	writes := rate.NewLimiter(rate.Every(writeInterval), writeBurst)
+	for ctx.Err() == nil {
+		now := time.Now()
+		if !a.current {
+			a.attempt(ctx, a.restore)
+			continue
+		}
+		if !now.Before(removal) {
+			removal = now.Add(removalInterval)
+			a.attempt(ctx, a.removeOld)
+			continue
+		}
+		unsaved := a.fleet.View().UnsavedCrashes()
+		list, next := due(unsaved, now, removal)
+		if len(list) == 0 {
+			a.awaitChange(ctx, unsaved, next.Sub(now))
+			continue
+		}
+		if !writes.AllowN(now, 1) {
+			// What is due meanwhile is written with it.
+			sleep(ctx, writeInterval)
+			continue
+		}
+		a.attempt(ctx, func(ctx context.Context) error { return a.save(ctx, list) })
+	}
+}
+
+// due returns the records that are due, and when the next one is, or the end if that is
+// earlier.
+func due(list []mangocrash.Unsaved, now, end time.Time) (ready []mangocrash.Unsaved, next time.Time) {
+	for i, u := range list {
+		if u.Due.After(now) {
+			if u.Due.Before(end) {
+				end = u.Due
+			}
+			return list[:i], end
+		}
+	}
+	return list, end
+}
+
+// attempt makes calls to the store. If they fail, it tells the fleet and pauses. A panic
+// counts as a failure.
+func (a *Archive) attempt(ctx context.Context, call func(ctx context.Context) error) bool {
+	err := func() (err error) {
+		defer mangopanic.CatchError(a.observer, "archive", &err)
+		return call(ctx)
+	}()
+	if err == nil {
+		if !a.lostAt.IsZero() {
+			a.observer.ArchiveRegained(time.Since(a.lostAt))
+		}
+		a.current, a.lostAt, a.pause = true, time.Time{}, minBackoff
+		return true
+	}
+	if ctx.Err() != nil {
+		return false
+	}
+	if a.lostAt.IsZero() {
+		a.lostAt = time.Now()
+		a.observer.ArchiveLost(err)
+	}
+	a.current = false
+	// This fails only when the process ends.
+	_ = a.fleet.Do(ctx, mangofleet.CrashesNotSaved{})
+	sleep(ctx, a.pause)
+	a.pause = min(2*a.pause, maxBackoff)
+	return false
+}
+
+// restore reads the rows and merges them into the fleet's records.
+func (a *Archive) restore(ctx context.Context) error {
+	t, err := a.store.Rows(ctx)
+	if err != nil {
+		return err
+	}
+	clear(a.rows)
+	return a.merge(ctx, t)
+}
+
+// merge records the rows of the store and merges them into the fleet's records. The rows
+// seen first are merged first, which the fleet's order makes cheap.
+func (a *Archive) merge(ctx context.Context, t Table) error {
+	a.start = time.Now().Add(-time.Duration(t.Clock))
+	slices.SortFunc(t.Rows, bySeen)
+	var records []mangocrash.Record
+	for _, r := range t.Rows {
+		a.rows[r.Call] = r
+		records = append(records, r.record(a.start))
+	}
+	for batch := range slices.Chunk(records, restoreBatch) {
+		if err := a.fleet.Do(ctx, mangofleet.RestoreCrashes{Records: batch}); err != nil {
+			return err
+		}
+	}
+	return a.fleet.Do(ctx, mangofleet.RestoreCrashes{})
+}
+
+// save writes records. Those that the store holds already are not written. After a conflict
+// with the write of another daemon the next save writes what the merged records add.
+func (a *Archive) save(ctx context.Context, list []mangocrash.Unsaved) error {
+	var changed []Row
+	for _, u := range list {
+		next, current := rowOf(u.Record, a.start), a.rows[u.Call]
+		if next.Version = current.Version; !current.holds(next) {
+			changed = append(changed, next)
+		}
+	}
+	if len(changed) > 0 {
+		t, err := a.store.Replace(ctx, changed)
+		if errors.Is(err, ErrConflict) {
+			for _, r := range changed {
+				delete(a.rows, r.Call)
+			}
+			return a.merge(ctx, t)
+		}
+		if err != nil {
+			return err
+		}
+		a.replaced(changed, t)
+	}
+	return a.fleet.Do(ctx, mangofleet.CrashesSaved{Saved: list, Written: len(changed) > 0})
+}
+
+// replaced records rows that were written.
+func (a *Archive) replaced(rows []Row, t Table) {
+	a.start = time.Now().Add(-time.Duration(t.Clock))
+	if len(a.rows) > maxRows {
+		// The versions are found out by conflicts.
+		clear(a.rows)
+	}
+	for _, r := range rows {
+		if delete(a.rows, r.Call); !r.Empty() {
+			r.Version = t.Version
+			a.rows[r.Call] = r
+		}
+	}
+}
+
+// removeOld removes the rows past their retention, and the oldest ones if there are too
+// many. One daemon does this for all.
+func (a *Archive) removeOld(ctx context.Context) error {
+	if !a.fleet.View().MaintainsArchive() {
+		return nil
+	}
+	t, err := a.store.Rows(ctx)
+	if err != nil {
+		return err
+	}
+	slices.SortFunc(t.Rows, bySeen)
+	var old []Row
+	for i, r := range t.Rows {
+		if len(t.Rows)-i > maxRows || time.Duration(t.Clock-r.Seen) >= mangocrash.Retention {
+			old = append(old, Row{Call: r.Call, Version: r.Version})
+		}
+	}
+	for batch := range slices.Chunk(old, maxBatch) {
+		// A conflict means that a row is in use again. The others are removed next time.
+		if _, err := a.store.Replace(ctx, batch); err != nil && !errors.Is(err, ErrConflict) {
+			return err
+		}
+		sleep(ctx, writeInterval)
+	}
+	return nil
+}
+
+// awaitChange waits until there is a record to be saved that is not among those of a list,
+// some time has passed or ctx ends.
+func (a *Archive) awaitChange(ctx context.Context, known []mangocrash.Unsaved, d time.Duration) {
+	ctx, cancel := context.WithTimeout(ctx, d)
+	defer cancel()
+	var last mangocrash.Change
+	for _, u := range known {
+		last = max(last, u.Change)
+	}
+	if err := a.fleet.Do(ctx, mangofleet.AwaitCrashesUnsaved{After: last}); err != nil {
+		sleep(ctx, minBackoff)
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/core/mangoarchive/archive_test.go
@@ -0,0 +1,393 @@
+package mangoarchive
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"mangolane/core/mangobudget"
+	"mangolane/core/mangocrash"
+	"mangolane/core/mangofleet"
+	"mangolane/core/mangolease"
+	"mangolane/core/mangomodel"
+	"mangolane/core/mangopanic"
+	"mangolane/core/mangoroster"
+)
+
+const deadly mangomodel.Fingerprint = 7
+
+// table is a store whose responses take some time.
+type table struct {
+	mu      sync.Mutex
+	rows    map[mangomodel.Fingerprint]Row
+	version Version
+	down    bool
+	// loseAnswers is how many of the next writes are made without an answer.
+	loseAnswers int
+	writes      int
+	began       time.Time
+}
+
+const latency = 5 * time.Millisecond
+
+var errDown = errors.New("down")
+
+func (t *table) Rows(context.Context) (Table, error) {
+	time.Sleep(latency)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.down {
+		return Table{}, errDown
+	}
+	result := Table{Version: t.version, Clock: Clock(time.Since(t.began))}
+	for _, r := range t.rows {
+		result.Rows = append(result.Rows, r)
+	}
+	return result, nil
+}
+
+func (t *table) Replace(_ context.Context, rows []Row) (Table, error) {
+	time.Sleep(latency)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.writes++
+	if t.down {
+		return Table{}, errDown
+	}
+	result := Table{Version: t.version, Clock: Clock(time.Since(t.began))}
+	conflict := false
+	for _, r := range rows {
+		current, ok := t.rows[r.Call]
+		conflict = conflict || current.Version != r.Version
+		if ok {
+			result.Rows = append(result.Rows, current)
+		}
+	}
+	if conflict {
+		return result, ErrConflict
+	}
+	t.version++
+	result.Version, result.Rows = t.version, nil
+	for _, r := range rows {
+		if delete(t.rows, r.Call); !r.Empty() {
+			r.Version = t.version
+			t.rows[r.Call] = r
+		}
+	}
+	if t.loseAnswers > 0 {
+		t.loseAnswers--
+		return Table{}, errDown
+	}
+	return result, nil
+}
+
+func (t *table) set(down bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.down = down
+}
+
+// size returns the number of rows.
+func (t *table) size() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.rows)
+}
+
+// written returns the number of writes.
+func (t *table) written() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.writes
+}
+
+func (t *table) row(call mangomodel.Fingerprint) Row {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.rows[call]
+}
+
+type observer struct{ mangopanic.Nop }
+
+func (observer) ArchiveLost(error)             {}
+func (observer) ArchiveRegained(time.Duration) {}
+func (observer) ArchiveRestored(int)           {}
+
+// daemons share a table and exchange no messages.
+type daemons struct {
+	*gomega.WithT
+	ctx    context.Context
+	table  *table
+	fleets []*mangofleet.Fleet
+	stop   []context.CancelFunc
+	// probes counts the leases.
+	probes uint64
+}
+
+func withDaemons(t *testing.T, n int, f func(d *daemons)) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		d := &daemons{
+			WithT: gomega.NewWithT(t), ctx: ctx,
+			table: &table{rows: make(map[mangomodel.Fingerprint]Row), began: time.Now()},
+		}
+		d.start(n)
+		f(d)
+		cancel()
+		d.killAll()
+		synctest.Wait()
+	})
+}
+
+func (d *daemons) start(n int) {
+	for range n {
+		self := mangoroster.Member{Holder: mangomodel.Holder{Daemon: "d"}, DataCentre: "a1", Strong: true}
+		fleet := mangofleet.New(mangofleet.Self{Member: self}, func() mangobudget.Limits {
+			return mangobudget.Limits{Window: time.Second}
+		}, mangofleet.WithSavedCrashes())
+		ctx, stop := context.WithCancel(d.ctx)
+		a := New(fleet, d.table, observer{})
+		go fleet.Run(ctx)
+		go a.Run(ctx)
+		d.fleets, d.stop = append(d.fleets, fleet), append(d.stop, stop)
+		a.Await(ctx)
+	}
+}
+
+func (d *daemons) killAll() {
+	for _, stop := range d.stop {
+		stop()
+	}
+	d.fleets, d.stop = nil, nil
+}
+
+func (d *daemons) do(i int, cmd mangofleet.Command) error { return d.fleets[i].Do(d.ctx, cmd) }
+
+func (d *daemons) crash(i int, server mangocrash.Incarnation) {
+	d.Expect(d.do(i, mangofleet.CallAborted{Call: deadly, Server: server})).To(gomega.Succeed())
+}
+
+// refused counts the daemons that refuse the call.
+func (d *daemons) refused() int {
+	n := 0
+	for _, fleet := range d.fleets {
+		if _, err := fleet.View().AdmitCall(deadly, time.Now()); err != nil {
+			n++
+		}
+	}
+	return n
+}
+
+// probe sends the call as a probe if a daemon lets it, and reports whether it was sent.
+func (d *daemons) probe(i int) bool {
+	if probe, err := d.fleets[i].View().AdmitCall(deadly, time.Now()); err != nil || !probe {
+		return false
+	}
+	d.probes++
+	lease := mangolease.ID{Number: d.probes}
+	d.Expect(d.do(i, mangofleet.CallProbed{Call: deadly, Lease: lease})).To(gomega.Succeed())
+	return d.do(i, mangofleet.AwaitCrashesSaved{Call: deadly}) == nil
+}
+
+// TestKillOfAllDaemonsForgetsNoCrash guards against a call that crashes more servers each
+// time that all daemons were killed, whenever that is.
+func TestKillOfAllDaemonsForgetsNoCrash(t *testing.T) {
+	withDaemons(t, 3, func(d *daemons) {
+		for i := range mangocrash.MaxCrashes {
+			d.Expect(d.refused()).To(gomega.BeZero(), "after %d crashes", i)
+			d.crash(i, mangocrash.Incarnation(i))
+			time.Sleep(1200 * time.Millisecond)
+			d.killAll()
+			time.Sleep(500 * time.Millisecond)
+			d.start(3)
+		}
+		d.Expect(d.refused()).To(gomega.Equal(3))
+		for range 2 {
+			d.killAll()
+			d.start(3)
+			d.Expect(d.refused()).To(gomega.Equal(3))
+		}
+	})
+}
+
+// TestThirdCrashIsSavedAtOnce guards against a refused call that is forgotten because all
+// daemons are killed right after it was refused.
+func TestThirdCrashIsSavedAtOnce(t *testing.T) {
+	withDaemons(t, 1, func(d *daemons) {
+		for i := range mangocrash.MaxCrashes {
+			d.crash(0, mangocrash.Incarnation(i))
+		}
+		time.Sleep(3 * latency)
+		d.killAll()
+		d.start(1)
+		d.Expect(d.refused()).To(gomega.Equal(1))
+	})
+}
+
+// TestKillsRenewNoProbe guards against more probes than a refused call may have in all,
+// because daemons are killed right after each.
+func TestKillsRenewNoProbe(t *testing.T) {
+	withDaemons(t, 2, func(d *daemons) {
+		for i := range mangocrash.MaxCrashes {
+			d.crash(0, mangocrash.Incarnation(i))
+		}
+		probes := 0
+		for minute := 0; minute < 60; minute++ {
+			time.Sleep(time.Minute)
+			for i := range d.fleets {
+				if d.probe(i) {
+					probes++
+					d.killAll()
+					d.start(2)
+				}
+			}
+		}
+		d.Expect(probes).To(gomega.Equal(mangocrash.MaxProbes))
+	})
+}
+
+// TestWritesOfSeveralDaemonsLoseNoCrash guards against a daemon that replaces the row of
+// another one, and against a write that is repeated because its answer was lost.
+func TestWritesOfSeveralDaemonsLoseNoCrash(t *testing.T) {
+	withDaemons(t, 5, func(d *daemons) {
+		d.table.mu.Lock()
+		d.table.loseAnswers = 3
+		d.table.mu.Unlock()
+		for i := range d.fleets {
+			d.crash(i, mangocrash.Incarnation(i))
+		}
+		time.Sleep(10 * time.Second)
+		d.Expect(d.table.row(deadly).Crashes).To(gomega.HaveLen(5))
+		writes := d.table.written()
+		time.Sleep(5 * time.Minute)
+		d.Expect(d.table.written()).To(gomega.Equal(writes), "nothing is left to be written")
+	})
+}
+
+// TestClearedCallHasNoRow guards against a refusal of a sound call that is back after a kill
+// of all daemons, and against rows of calls that completed at once.
+func TestClearedCallHasNoRow(t *testing.T) {
+	withDaemons(t, 2, func(d *daemons) {
+		completed := mangofleet.Observe{Observation: mangolease.Observation{Server: "s"}, Completed: deadly}
+		d.crash(0, 1)
+		time.Sleep(100 * time.Millisecond)
+		d.Expect(d.do(0, completed)).To(gomega.Succeed())
+		time.Sleep(5 * time.Second)
+		d.Expect(d.table.written()).To(gomega.BeZero())
+		for i := range mangocrash.MaxCrashes {
+			d.crash(0, mangocrash.Incarnation(10+i))
+		}
+		time.Sleep(5 * time.Second)
+		d.Expect(d.table.row(deadly).Crashes).To(gomega.HaveLen(mangocrash.MaxCrashes))
+		d.Expect(d.do(0, completed)).To(gomega.Succeed())
+		time.Sleep(5 * time.Second)
+		d.Expect(d.table.size()).To(gomega.BeZero())
+		d.killAll()
+		d.start(2)
+		d.Expect(d.refused()).To(gomega.BeZero())
+	})
+}
+
+// exchange sends what each daemon knows to all others.
+func (d *daemons) exchange() {
+	for _, from := range d.fleets {
+		for _, to := range d.fleets {
+			d.Expect(to.Do(d.ctx, mangofleet.MergeCrashes{Message: from.View().Crashes(false)})).To(gomega.Succeed())
+		}
+	}
+}
+
+// TestClearanceByAnotherDaemonRemovesTheRow guards against a sound call that is refused after
+// a kill of all daemons, because the daemon at which it completed knew of no row.
+func TestClearanceByAnotherDaemonRemovesTheRow(t *testing.T) {
+	for _, restart := range []bool{false, true} {
+		withDaemons(t, 3, func(d *daemons) {
+			for i := range mangocrash.MaxCrashes {
+				d.crash(0, mangocrash.Incarnation(i))
+			}
+			time.Sleep(time.Second)
+			d.Expect(d.table.size()).To(gomega.Equal(1))
+			if restart {
+				d.killAll()
+				d.start(3)
+			}
+			d.exchange()
+			completed := mangofleet.Observe{Observation: mangolease.Observation{Server: "s"}, Completed: deadly}
+			d.Expect(d.do(1, completed)).To(gomega.Succeed())
+			d.exchange()
+			time.Sleep(5 * time.Second)
+			d.Expect(d.table.size()).To(gomega.BeZero(), "restarted before: %v", restart)
+		})
+	}
+}
+
+// TestNoProbeWhileTheStoreIsAway guards against a probe that daemons that start anew do not
+// know of, and against a daemon that does not serve, or forgets what it has not saved.
+func TestNoProbeWhileTheStoreIsAway(t *testing.T) {
+	withDaemons(t, 1, func(d *daemons) {
+		d.table.set(true)
+		for i := range mangocrash.MaxCrashes {
+			d.crash(0, mangocrash.Incarnation(i))
+		}
+		time.Sleep(mangocrash.FirstProbe + time.Second)
+		d.Expect(d.probe(0)).To(gomega.BeFalse())
+		d.table.set(false)
+		time.Sleep(maxBackoff + time.Second)
+		d.Expect(d.table.row(deadly).Crashes).To(gomega.HaveLen(mangocrash.MaxCrashes))
+		d.table.set(true)
+		d.Expect(d.probe(0)).To(gomega.BeFalse(), "the store is away when the probe is saved")
+		d.table.set(false)
+		time.Sleep(6*mangocrash.FirstProbe + time.Second)
+		d.Expect(d.probe(0)).To(gomega.BeTrue())
+
+		d.table.set(true)
+		d.killAll()
+		began := time.Now()
+		d.start(1)
+		d.Expect(time.Since(began)).To(gomega.Equal(maxAwait))
+		d.Expect(d.refused()).To(gomega.BeZero())
+		d.table.set(false)
+		time.Sleep(maxBackoff + time.Second)
+		d.Expect(d.refused()).To(gomega.Equal(1))
+	})
+}
+
+// TestOldRowsAreRemoved guards against a table that grows without end.
+func TestOldRowsAreRemoved(t *testing.T) {
+	withDaemons(t, 1, func(d *daemons) {
+		for i := range 100 {
+			cmd := mangofleet.CallAborted{Call: mangomodel.Fingerprint(100 + i), Server: 1}
+			d.Expect(d.do(0, cmd)).To(gomega.Succeed())
+		}
+		time.Sleep(time.Minute)
+		d.Expect(d.table.size()).To(gomega.Equal(100))
+		time.Sleep(mangocrash.Retention / 2)
+		d.crash(0, 1)
+		time.Sleep(mangocrash.Retention/2 + 2*removalInterval)
+		d.Expect(d.table.size()).To(gomega.Equal(1))
+		d.table.mu.Lock()
+		for i := range maxRows + 100 {
+			call := mangomodel.Fingerprint(1000 + i)
+			d.table.rows[call] = Row{Call: call, Version: 1, Seen: Clock(time.Since(d.table.began)), Crashes: []Event{{ID: 1}}}
+		}
+		d.table.mu.Unlock()
+		time.Sleep(2 * removalInterval)
+		d.Expect(d.table.size()).To(gomega.Equal(maxRows))
+	})
+}
+
+// TestRestoredTimesAreNotInTheFuture guards against a store whose clock begins anew, after
+// which times of rows would lie ahead and a refusal would not end.
+func TestRestoredTimesAreNotInTheFuture(t *testing.T) {
+	g, now := gomega.NewWithT(t), time.Now()
+	r := Row{Call: 7, Seen: Clock(time.Hour), Crashes: []Event{{ID: 1, At: Clock(-time.Minute)}, {ID: 2, At: Clock(time.Hour)}}}.record(now)
+	g.Expect(r.Seen).To(gomega.BeTemporally("<=", time.Now()))
+	g.Expect(r.Crashes[0].At).To(gomega.BeTemporally("==", now.Add(-time.Minute)))
+	g.Expect(slices.ContainsFunc(r.Crashes, func(o mangocrash.Occurrence) bool { return o.At.After(time.Now()) })).To(gomega.BeFalse())
+}
--- a/core/mangocrash/crash.go
+++ b/core/mangocrash/crash.go
@@ -16,6 +16,10 @@
 //     remain, and daemons that repeat the cleared ones do not revive them.
 //   - A refused call may be probed MaxProbes times in all, at growing intervals.
 //
+// A table that is created with [WithSaving] tells which records its owner should save
+// outside of the daemons, so that a kill of all of them forgets none: [Table.Unsaved],
+// [Table.Saved] and [Table.Restore].
+//
 // A [Table] has no lock, goroutine or clock; its owner passes the time. Messages can arrive
 // repeatedly and in any order.
 //
@@ -162,6 +166,10 @@
 	// seen is when the call last crashed a server or arrived, at any daemon, and told
 	// when this was last announced.
 	seen, told time.Time
+	// saved is the time up to which seen was saved; zero if the record was not. written is
+	// set if this daemon has saved it.
+	saved   time.Time
+	written bool
 }
 
 func (x *record) refused() bool { return x.crashes.uncleared() >= MaxCrashes }
--- a/core/mangocrash/table.go
+++ b/core/mangocrash/table.go
@@ -33,15 +33,33 @@
 	// arrived last.
 	digest uint64
 	uneven time.Time
+	// saving is set if the records are saved. unsaved are the changes that are not, and
+	// unsavedList the published records of these, stale if a change is not part of it.
+	saving       bool
+	changes      Change
+	unsaved      map[mangomodel.Fingerprint]pending
+	unsavedList  []Unsaved
+	unsavedStale bool
 }
 
+// Option configures a Table.
+type Option func(*Table)
+
+// WithSaving makes the table tell which records its owner should save.
+func WithSaving() Option { return func(t *Table) { t.saving = true } }
+
 // New returns an empty table.
-func New() *Table {
-	return &Table{
+func New(opts ...Option) *Table {
+	t := &Table{
 		calls:    make(map[mangomodel.Fingerprint]*list.Element),
 		refused:  shelf{list.New(), maxRefused},
 		suspects: shelf{list.New(), maxSuspects},
+		unsaved:  make(map[mangomodel.Fingerprint]pending),
 	}
+	for _, opt := range opts {
+		opt(t)
+	}
+	return t
 }
 
 // RecordCrash records that a server ended a call of this daemon before completion.
@@ -88,6 +106,9 @@
 	if x.refused() && now.Sub(x.told) >= seenInterval {
 		t.announce(x, now, true)
 	}
+	if x.refused() && now.Sub(x.saved) >= seenSaveInterval && !t.IsUnsaved(call) {
+		t.markUnsaved(x, now)
+	}
 }
 
 // Crashes returns the number of crashes of a call that are not cleared.
@@ -128,7 +149,7 @@
 		x = t.remove(e)
 	}
 	known, cleared := x.weight()
-	seen := x.seen
+	seen, refused := x.seen, x.refused()
 	apply(x)
 	t.insert(x)
 	k, c := x.weight()
@@ -137,6 +158,16 @@
 	if changed || x.refused() && x.seen.Sub(seen) >= seenInterval/2 {
 		t.announce(x, now, own)
 	}
+	if _, kept := t.calls[call]; !kept || !changed {
+		return
+	}
+	// A daemon that clears crashes need not know whether they were saved, so that those who
+	// know save the clearance too.
+	if own || c > cleared && (x.written || refused && !x.saved.IsZero()) {
+		t.markUnsaved(x, now)
+	} else if t.IsUnsaved(call) {
+		t.unsavedStale = true
+	}
 }
 
 // remove takes a record out of the table.
@@ -152,6 +183,10 @@
 func (t *Table) drop(e *list.Element) {
 	x := t.remove(e)
 	t.stale = t.stale || x.refused()
+	if t.IsUnsaved(x.call) {
+		delete(t.unsaved, x.call)
+		t.unsavedStale = true
+	}
 }
 
 // insert adds a record at its place and drops the one that was not seen for the longest
--- /dev/null
+++ b/core/mangocrash/unsaved.go
@@ -0,0 +1,151 @@
+package mangocrash
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"mangolane/core/mangomodel"
+)
+
+const (
+	// saveDelay is how long a change is kept back that the outcome of the same call often
+	// makes obsolete: the first crash, and a clearance.
+	saveDelay = time.Second
+	// seenSaveInterval is how often a record is saved for no other reason than that its
+	// call still arrives.
+	seenSaveInterval = time.Hour
+	// maxUnsaved limits the records that Unsaved returns.
+	maxUnsaved = 48
+)
+
+// Occurrence is a crash or a probe that is not cleared.
+type Occurrence struct {
+	ID uint64
+	At time.Time
+}
+
+// Record is what is known of a call without what was cleared. It is empty if everything
+// was.
+type Record struct {
+	Call mangomodel.Fingerprint
+	// Seen is when the call last crashed a server or arrived.
+	Seen            time.Time
+	Crashes, Probes []Occurrence
+}
+
+// Empty reports whether a record need not be kept.
+func (r Record) Empty() bool { return len(r.Crashes) == 0 }
+
+// Change numbers the changes of a table.
+type Change uint64
+
+// Unsaved is a record with changes that are not saved.
+type Unsaved struct {
+	Record
+	// Change is the last of them.
+	Change Change
+	// Due is when the record should be saved.
+	Due time.Time
+}
+
+// pending is a change that is not saved.
+type pending struct {
+	change Change
+	due    time.Time
+}
+
+// markUnsaved marks a record as changed by this daemon. One that the next crash makes
+// refused, or that is refused, is due at once.
+func (t *Table) markUnsaved(x *record, now time.Time) {
+	if !t.saving {
+		return
+	}
+	due := now.Add(saveDelay)
+	if x.crashes.uncleared() >= MaxCrashes-1 {
+		due = now
+	}
+	if p, ok := t.unsaved[x.call]; ok && p.due.Before(due) {
+		due = p.due
+	}
+	t.changes++
+	t.unsaved[x.call] = pending{t.changes, due}
+	t.unsavedStale = true
+}
+
+// IsUnsaved reports whether the record of a call has changes that are not saved.
+func (t *Table) IsUnsaved(call mangomodel.Fingerprint) bool {
+	_, ok := t.unsaved[call]
+	return ok
+}
+
+// Unsaved returns the records that are due first and not saved. Further ones follow once
+// these are.
+func (t *Table) Unsaved() []Unsaved {
+	if !t.unsavedStale {
+		return t.unsavedList
+	}
+	list := make([]Unsaved, 0, len(t.unsaved))
+	for call, p := range t.unsaved {
+		list = append(list, Unsaved{Record: Record{Call: call}, Change: p.change, Due: p.due})
+	}
+	slices.SortFunc(list, func(a, b Unsaved) int { return cmp.Or(a.Due.Compare(b.Due), cmp.Compare(a.Change, b.Change)) })
+	list = slices.Clip(list[:min(len(list), maxUnsaved)])
+	for i := range list {
+		list[i].Record = t.calls[list[i].Call].Value.(*record).kept()
+	}
+	t.unsavedList, t.unsavedStale = list, false
+	return list
+}
+
+// Saved records that the records were saved as Unsaved returned them.
+func (t *Table) Saved(list []Unsaved) {
+	for _, u := range list {
+		if p, ok := t.unsaved[u.Call]; !ok || p.change != u.Change {
+			continue
+		}
+		delete(t.unsaved, u.Call)
+		t.unsavedStale = true
+		x := t.calls[u.Call].Value.(*record)
+		x.saved, x.written = u.Seen, true
+	}
+}
+
+// Restore merges saved records.
+func (t *Table) Restore(list []Record, now time.Time) {
+	for _, r := range list {
+		t.mergeReport(Report{
+			Call: r.Call, Seen: now.Sub(r.Seen), Crashes: reportOf(r.Crashes, now), Probes: reportOf(r.Probes, now),
+		}, now)
+		e, ok := t.calls[r.Call]
+		if !ok {
+			continue
+		}
+		if x := e.Value.(*record); r.Seen.After(x.saved) {
+			x.saved = r.Seen
+		}
+	}
+}
+
+func reportOf(list []Occurrence, now time.Time) []Event {
+	var events []Event
+	for _, o := range list {
+		events = append(events, Event{ID: o.ID, Age: now.Sub(o.At)})
+	}
+	return events
+}
+
+// kept returns the record without what was cleared.
+func (x *record) kept() Record {
+	return Record{Call: x.call, Seen: x.seen, Crashes: x.crashes.kept(), Probes: x.probes.kept()}
+}
+
+func (list events) kept() []Occurrence {
+	var kept []Occurrence
+	for _, e := range list {
+		if !e.cleared {
+			kept = append(kept, Occurrence{e.id, e.at})
+		}
+	}
+	return kept
+}
--- /dev/null
+++ b/core/mangofleet/archive.go
@@ -0,0 +1,125 @@
+package mangofleet
+
+import (
+	"slices"
+	"time"
+
+	"mangolane/core/mangocrash"
+	"mangolane/core/mangoloop"
+	"mangolane/core/mangomodel"
+)
+
+// archive is the part of the control state that concerns the saved records of calls that
+// crash servers.
+type archive struct {
+	// enabled is set if the records are saved, and current if the store could be read and
+	// written last.
+	enabled, current bool
+	// waiters are the replies to those that wait until a record is saved.
+	waiters []archiveWaiter
+	// listener is the reply to the one that waits for a change, and after the change that
+	// it knows.
+	listener *mangoloop.Reply
+	after    mangocrash.Change
+}
+
+type archiveWaiter struct {
+	call  mangomodel.Fingerprint
+	reply mangoloop.Reply
+}
+
+// WithSavedCrashes makes the fleet publish the records of calls that crash servers for
+// [RestoreCrashes] and [CrashesSaved]. No refused call is probed while these fail.
+func WithSavedCrashes() Option {
+	return func(s *state) {
+		s.suspects = mangocrash.New(mangocrash.WithSaving())
+		s.archive.enabled = true
+	}
+}
+
+// RestoreCrashes merges records that were read from the store.
+type RestoreCrashes struct{ Records []mangocrash.Record }
+
+// Apply implements [Command].
+func (c RestoreCrashes) Apply(s *state, now time.Time) error {
+	s.suspects.Restore(c.Records, now)
+	s.changed.crashes, s.archive.current = true, true
+	return nil
+}
+
+// CrashesSaved records that the store holds records as the view listed them.
+type CrashesSaved struct {
+	Saved []mangocrash.Unsaved
+	// Written is set if the store was written for that.
+	Written bool
+}
+
+// Apply implements [Command].
+func (c CrashesSaved) Apply(s *state, _ time.Time) error {
+	s.suspects.Saved(c.Saved)
+	s.archive.current = s.archive.current || c.Written
+	s.archive.waiters = slices.DeleteFunc(s.archive.waiters, func(w archiveWaiter) bool {
+		if s.suspects.IsUnsaved(w.call) {
+			return false
+		}
+		w.reply.Send(nil)
+		return true
+	})
+	return nil
+}
+
+// CrashesNotSaved records that the store could not be read or written.
+type CrashesNotSaved struct{}
+
+// Apply implements [Command].
+func (CrashesNotSaved) Apply(s *state, _ time.Time) error {
+	s.archive.current = false
+	for _, w := range s.archive.waiters {
+		w.reply.Send(ProbeNotSaved())
+	}
+	s.archive.waiters = nil
+	return nil
+}
+
+// AwaitCrashesSaved waits until the record of a call is saved. If that fails, the error is
+// [ProbeNotSaved].
+type AwaitCrashesSaved struct{ Call mangomodel.Fingerprint }
+
+// Await keeps the reply until the record is saved.
+func (c AwaitCrashesSaved) Await(s *state, r mangoloop.Reply) {
+	if !s.suspects.IsUnsaved(c.Call) {
+		r.Send(nil)
+		return
+	}
+	s.archive.waiters = append(s.archive.waiters, archiveWaiter{c.Call, r})
+}
+
+// Apply implements [Command].
+func (AwaitCrashesSaved) Apply(*state, time.Time) error { return nil }
+
+// AwaitCrashesUnsaved waits until the view lists a change after one. A further such command
+// replaces it.
+type AwaitCrashesUnsaved struct{ After mangocrash.Change }
+
+// Await keeps the reply until there is such a change.
+func (c AwaitCrashesUnsaved) Await(s *state, r mangoloop.Reply) {
+	s.archive.listener, s.archive.after = &r, c.After
+}
+
+// Apply implements [Command].
+func (AwaitCrashesUnsaved) Apply(*state, time.Time) error { return nil }
+
+// UnsavedCrashes returns the records to be saved, those that are due first.
+func (v *View) UnsavedCrashes() []mangocrash.Unsaved { return v.unsavedCrashes }
+
+// publishUnsaved publishes the records to be saved. The reply to the listener is delivered
+// after the view.
+func (s *state) publishUnsaved(v *View) {
+	v.unsavedCrashes = s.suspects.Unsaved()
+	v.probesUnsaved = s.archive.enabled && !s.archive.current
+	isNew := func(u mangocrash.Unsaved) bool { return u.Change > s.archive.after }
+	if s.archive.listener != nil && slices.ContainsFunc(v.unsavedCrashes, isNew) {
+		s.archive.listener.Send(nil)
+		s.archive.listener = nil
+	}
+}
--- a/core/mangofleet/fleet.go
+++ b/core/mangofleet/fleet.go
@@ -177,6 +177,10 @@
 	stageChanges map[mangotraffic.ServiceName]mangopool.StageChange
 	granted      mangoquery.Index[mangolease.ID, mangolease.Lease]
 	refusedCalls mangocrash.Verdicts
+	// unsavedCrashes are the records to be saved, and probesUnsaved is set if a probe could
+	// not be.
+	unsavedCrashes []mangocrash.Unsaved
+	probesUnsaved  bool
 	// crashRequest and crashResponse are computed now and then, since others merge them
 	// repeatedly.
 	crashRequest, crashResponse mangocrash.Message
@@ -263,6 +267,10 @@
 	return slices.DeleteFunc(v.Sightings(now), func(s mangoroster.Sighting) bool { return !candidates[s.Member.Holder.Daemon] })
 }
 
+// MaintainsArchive reports whether this daemon removes the saved records that nobody needs
+// any more.
+func (v *View) MaintainsArchive() bool { return v.defaultScheduler.Holder.Daemon == v.self }
+
 // Allowances returns how many retries an incarnation of a daemon may make until
 // its next renewal.
 func (v *View) Allowances(h mangomodel.Holder) mangobudget.Allowances { return v.allowances[h] }
--- a/core/mangofleet/state.go
+++ b/core/mangofleet/state.go
@@ -86,6 +86,7 @@
 	// schedulers do not know yet.
 	announced uint64
 	quota     quotas
+	archive   archive
 }
 
 // viewParts marks the parts of the published view that are out of date.
@@ -186,6 +187,7 @@
 		v.crashRequest, v.crashResponse = s.suspects.Message(now, false), s.suspects.Message(now, true)
 	}
 	v.refusedCalls = s.suspects.Verdicts()
+	s.publishUnsaved(v)
 	if s.changed.outcomes || now.Sub(s.membersAt) >= membersInterval {
 		v.Outcomes = s.outcomes.Counts(now)
 	}
--- a/core/mangofleet/suspect.go
+++ b/core/mangofleet/suspect.go
@@ -9,9 +9,10 @@
 	"mangolane/core/mangotraffic"
 )
 
-// unknownProbeDelay is when a probe may be asked for again that the scheduler refused
-// because it has no record of the call: the daemons exchange their records meanwhile.
-const unknownProbeDelay = 3 * time.Second
+// probeDelay is when a probe may be asked for again that the scheduler refused because it
+// has no record of the call, or that could not be saved: the daemons exchange their records
+// meanwhile, or the store returns.
+const probeDelay = 3 * time.Second
 
 // MergeCrashes merges what another daemon knows about calls that crash servers.
 type MergeCrashes struct{ Message mangocrash.Message }
@@ -37,7 +38,8 @@
 }
 
 // CallProbed records that a call that crashed too many servers is sent to another one with
-// a lease that its scheduler granted for that.
+// a lease that its scheduler granted for that. The call must not be sent before
+// [AwaitCrashesSaved] has returned.
 type CallProbed struct {
 	Call  mangomodel.Fingerprint
 	Lease mangolease.ID
@@ -70,9 +72,21 @@
 }
 
 // AdmitCall returns a fault if a call has crashed too many servers. Otherwise probe is set
-// if the call may only be sent as a probe.
+// if the call may only be sent as a probe. A probe that cannot be saved is refused, since
+// daemons that start anew would count it for none.
 func (v *View) AdmitCall(call mangomodel.Fingerprint, now time.Time) (probe bool, err error) {
-	return callFault(v.refusedCalls, call, now)
+	probe, err = callFault(v.refusedCalls, call, now)
+	if probe && err == nil && v.probesUnsaved {
+		return false, ProbeNotSaved()
+	}
+	return probe, err
+}
+
+// ProbeNotSaved returns the fault of a call that may only be sent as a probe that is saved.
+func ProbeNotSaved() error {
+	f := refused(mangomodel.CodeQuarantined, "call quarantined: it crashed servers, and a probe cannot be saved at present")
+	f.RetryAfter = probeDelay
+	return f
 }
 
 // Crashes returns what this daemon tells others about calls that crash servers: in a
@@ -92,7 +106,7 @@
 		return err
 	}
 	f := refused(mangomodel.CodeQuarantined, "call quarantined: it crashes servers, and the scheduler has no probe for it")
-	f.RetryAfter = unknownProbeDelay
+	f.RetryAfter = probeDelay
 	return f
 }
 
--- a/core/mangofollow/follow.go
+++ b/core/mangofollow/follow.go
@@ -101,6 +101,8 @@
 	source   Source
 	observer Observer
 	times    mangobound.Times
+	// prerequisite is awaited before the first configuration is installed.
+	prerequisite Prerequisite
 }
 
 // Option configures a Follower.
@@ -109,9 +111,25 @@
 // WithTimes sets how long reads take; the default holds the standard bound.
 func WithTimes(t mangobound.Times) Option { return func(f *Follower) { f.times = t } }
 
+// Prerequisite is something that a daemon must have before it serves calls.
+type Prerequisite interface {
+	// Await returns when the daemon has it or need not wait for it any more.
+	Await(ctx context.Context)
+}
+
+// WithPrerequisite sets what is awaited before the first configuration that was read is
+// installed. One that another daemon sends is not delayed, since that daemon serves calls.
+func WithPrerequisite(p Prerequisite) Option { return func(f *Follower) { f.prerequisite = p } }
+
+type noPrerequisite struct{}
+
+func (noPrerequisite) Await(context.Context) {}
+
 // New returns a Follower.
 func New(fleet Fleet, source Source, observer Observer, opts ...Option) *Follower {
-	f := &Follower{fleet: fleet, source: source, observer: observer, times: mangobound.Within(mangobound.Standard)}
+	f := &Follower{
+		fleet: fleet, source: source, observer: observer, times: mangobound.Within(mangobound.Standard), prerequisite: noPrerequisite{},
+	}
 	for _, opt := range opts {
 		opt(f)
 	}
@@ -195,6 +213,10 @@
 	if routing == nil {
 		return false, f.fleet.Do(ctx, mangofleet.RoutingUnchanged{Cursor: to, Age: age})
 	}
+	if f.fleet.View().Routing == nil {
+		f.prerequisite.Await(ctx)
+		age = f.ageOfRead(began, after)
+	}
 	before := f.fleet.View().Routing
 	err = f.fleet.Do(ctx, mangofleet.InstallRouting{Routing: routing, Cursor: to, Age: age, From: platform})
 	if err != nil {
--- a/core/mangofollow/follow_test.go
+++ b/core/mangofollow/follow_test.go
@@ -226,6 +226,35 @@
 	})
 }
 
+// records is a Prerequisite that a test fulfils.
+type records chan struct{}
+
+func (r records) Await(ctx context.Context) {
+	select {
+	case <-r:
+	case <-ctx.Done():
+	}
+}
+
+// TestFirstConfigurationWaitsForThePrerequisite guards against a daemon that serves calls
+// before it knows which of them crash servers.
+func TestFirstConfigurationWaitsForThePrerequisite(t *testing.T) {
+	start(t, func(g *gomega.WithT, s *source, fleet *mangofleet.Fleet, _ func()) {
+		ctx, cancel := context.WithCancel(context.Background())
+		defer func() {
+			cancel()
+			synctest.Wait()
+		}()
+		r := make(records)
+		go New(fleet, s, &watcher{}, WithPrerequisite(r)).Run(ctx)
+		time.Sleep(2 * time.Second)
+		g.Expect(fleet.View().Ready()).To(gomega.BeFalse())
+		close(r)
+		synctest.Wait()
+		g.Expect(fleet.View().Ready()).To(gomega.BeTrue())
+	})
+}
+
 func TestChangesAreAppliedAtOnce(t *testing.T) {
 	follow(t, func(g *gomega.WithT, s *source, fleet *mangofleet.Fleet, _ *watcher) {
 		g.Expect(fleet.View().Routing.Revision).To(gomega.BeEquivalentTo(1))
--- a/core/mangorelay/crash.go
+++ b/core/mangorelay/crash.go
@@ -1,11 +1,18 @@
 package mangorelay
 
 import (
+	"context"
 	"time"
 
+	"mangolane/core/mangofleet"
+	"mangolane/core/mangolease"
 	"mangolane/core/mangomodel"
 )
 
+// probeSaveTimeout bounds the wait until a probe is saved: two writes to a store that is one
+// region away and busy.
+const probeSaveTimeout = 400 * time.Millisecond
+
 // begun reports whether the client has received events. The servers of such a call are
 // likely to have ended for other reasons.
 func (j *job) begun() bool { return j.result.Events > 0 }
@@ -31,3 +38,15 @@
 	}
 	return err
 }
+
+// recordProbe records that the call is sent as a probe, and waits until that is saved.
+// Otherwise daemons that start anew together would send further ones.
+func (j *job) recordProbe(ctx context.Context, lease mangolease.ID) error {
+	j.apply(mangofleet.CallProbed{Call: j.call.Fingerprint, Lease: lease})
+	ctx, cancel := context.WithTimeout(ctx, probeSaveTimeout)
+	defer cancel()
+	if err := j.relay.fleet.Do(ctx, mangofleet.AwaitCrashesSaved{Call: j.call.Fingerprint}); err != nil {
+		return mangofleet.ProbeNotSaved()
+	}
+	return nil
+}
--- a/core/mangorelay/crash_test.go
+++ b/core/mangorelay/crash_test.go
@@ -148,3 +148,51 @@
 		h.Expect(err).To(gomega.HaveOccurred())
 	})
 }
+
+// TestProbeIsSavedBeforeItIsSent guards against a probe that daemons that start anew together
+// do not know of, so that they send the call again.
+func TestProbeIsSavedBeforeItIsSent(t *testing.T) {
+	tests := []struct {
+		name  string
+		after func(f *mangofleet.Fleet) mangofleet.Command
+		sent  bool
+	}{
+		{"saved", func(f *mangofleet.Fleet) mangofleet.Command {
+			return mangofleet.CrashesSaved{Saved: f.View().UnsavedCrashes()}
+		}, true},
+		{"not saved", func(*mangofleet.Fleet) mangofleet.Command { return mangofleet.CrashesNotSaved{} }, false},
+		{"no outcome", nil, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			withHarness(t, func(h *harness) {
+				self := mangoroster.Member{Holder: mangomodel.Holder{Daemon: "e"}, DataCentre: "a1", Strong: true}
+				h.fleet = mangofleet.New(mangofleet.Self{Member: self}, func() mangobudget.Limits {
+					return mangobudget.Limits{Window: time.Second}
+				}, mangofleet.WithSavedCrashes())
+				ctx, cancel := context.WithCancel(context.Background())
+				defer cancel()
+				go h.fleet.Run(ctx)
+				h.configure()
+				h.relay = New(h.fleet, mangobroker.New(self, h.fleet, nil), h.servers)
+				h.refuse()
+				h.Expect(h.fleet.Do(ctx, mangofleet.CrashesSaved{Saved: h.fleet.View().UnsavedCrashes(), Written: true})).To(gomega.Succeed())
+				time.Sleep(mangocrash.FirstProbe)
+				if test.after != nil {
+					time.AfterFunc(10*time.Millisecond, func() { h.Expect(h.fleet.Do(ctx, test.after(h.fleet))).To(gomega.Succeed()) })
+				}
+				h.newCall("/read/")
+				fault := h.serve()
+				h.Expect(len(h.servers.sent) > 0).To(gomega.Equal(test.sent))
+				if test.sent {
+					h.Expect(fault).To(gomega.BeNil())
+					return
+				}
+				h.Expect(fault.Code).To(gomega.Equal(mangomodel.CodeQuarantined))
+				h.Expect(fault.Run).To(gomega.Equal(mangomodel.RunNot))
+				h.Expect(fault.RetryAfter).To(gomega.BeNumerically(">", 0))
+				h.Expect(h.fleet.View().Leases).To(gomega.BeZero())
+			})
+		})
+	}
+}
--- a/core/mangorelay/relay.go
+++ b/core/mangorelay/relay.go
@@ -306,7 +306,10 @@
 		}
 	}
 	if j.probe = probe; probe {
-		j.apply(mangofleet.CallProbed{Call: j.call.Fingerprint, Lease: grant.ID})
+		if err := j.recordProbe(ctx, grant.ID); err != nil {
+			grant.Release()
+			return nil, err
+		}
 	}
 	j.grant, j.leasedAt = grant, time.Now()
 	j.attempts++
--- a/mangolaned/mangogateway/gateway.go
+++ b/mangolaned/mangogateway/gateway.go
@@ -19,6 +19,7 @@
 	"github.com/zeromicro/go-zero/rest"
 	"go.uber.org/zap"
 
+	"mangolane/core/mangoarchive"
 	"mangolane/core/mangobound"
 	"mangolane/core/mangobroker"
 	"mangolane/core/mangobudget"
@@ -72,10 +73,27 @@
 	observer        observer
 	recorder        *mangotrace.Recorder
 	memory          *mangomemory.Budget
+	// archive is nil if the records of calls that crash servers are not saved.
+	archive *mangoarchive.Archive
+}
+
+// Option configures a Gateway.
+type Option func(*options)
+
+type options struct{ archive mangoarchive.Store }
+
+// WithArchive sets the store in which the records of calls that crash servers are saved.
+// Without one a kill of all daemons forgets them.
+func WithArchive(store mangoarchive.Store) Option {
+	return func(o *options) { o.archive = store }
 }
 
 // New returns a Gateway that does not run yet.
-func New(s mangosettings.Gateway, logger *zap.Logger, level zap.AtomicLevel, source Store, newServers NewServers) *Gateway {
+func New(s mangosettings.Gateway, logger *zap.Logger, level zap.AtomicLevel, source Store, newServers NewServers, opts ...Option) *Gateway {
+	var chosen options
+	for _, opt := range opts {
+		opt(&chosen)
+	}
 	self := mangoroster.Member{
 		Holder:     mangomodel.Holder{Daemon: s.Daemon, Incarnation: mangomodel.Incarnation(time.Now().UnixNano())},
 		DataCentre: s.DataCentre, Address: s.Peer, Strong: s.CanSchedule(),
@@ -86,11 +104,21 @@
 	m := newMetrics()
 	o := observer{logger: logger, metrics: m}
 	times := mangobound.Within(s.ChangeTime())
+	fleetOptions := append(loadOptions(&s, o), mangofleet.WithObserver(o), mangofleet.WithTimes(times), mangofleet.WithBasicShare(s.BasicShare),
+		mangofleet.WithQuotaTolerance(func() mangomodel.Share { return current.Load().LentTolerance() }),
+		mangofleet.WithBurstExtension(func() mangoworkspace.Amount { return current.Load().BurstExtension() }))
+	followOptions := []mangofollow.Option{mangofollow.WithTimes(times)}
+	if chosen.archive != nil {
+		fleetOptions = append(fleetOptions, mangofleet.WithSavedCrashes())
+	}
 	fleet := mangofleet.New(mangofleet.Self{Member: self, Regions: s.Regions, MinDaemons: len(s.Seeds), Seeds: s.Seeds}, func() mangobudget.Limits {
 		return current.Load().RetryLimits(time.Since(started))
-	}, append(loadOptions(&s, o), mangofleet.WithObserver(o), mangofleet.WithTimes(times), mangofleet.WithBasicShare(s.BasicShare),
-		mangofleet.WithQuotaTolerance(func() mangomodel.Share { return current.Load().LentTolerance() }),
-		mangofleet.WithBurstExtension(func() mangoworkspace.Amount { return current.Load().BurstExtension() }))...)
+	}, fleetOptions...)
+	var archive *mangoarchive.Archive
+	if chosen.archive != nil {
+		archive = mangoarchive.New(fleet, chosen.archive, o)
+		followOptions = append(followOptions, mangofollow.WithPrerequisite(archive))
+	}
 	memory := mangomemory.New(s.BodyMemory, mangomemory.WithObserver(o))
 	m.watch(memory)
 	servers := newServers(fleet, memory)
@@ -101,7 +129,8 @@
 		settings: s, current: current, level: level, logger: logger, fleet: fleet, broker: broker, metrics: m, observer: o, recorder: recorder, memory: memory,
 		relay: mangorelay.New(fleet, broker, servers, mangorelay.WithObserver(o), mangorelay.WithMemory(memory),
 			mangorelay.WithTracer(mangotrace.Install(recorder, s.Daemon))),
-		follower: mangofollow.New(fleet, source, o, mangofollow.WithTimes(times)),
+		follower: mangofollow.New(fleet, source, o, followOptions...),
+		archive:  archive,
 		stageController: mangostage.New(self.Holder, fleet, servers, source, servers,
 			mangostage.WithOrderLease(s.OrderLease.Std()), mangostage.WithObserver(o)),
 	}
@@ -145,6 +174,9 @@
 	workCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	var running sync.WaitGroup
 	running.Go(func() { g.fleet.Run(workCtx) })
+	if g.archive != nil {
+		running.Go(func() { g.archive.Run(workCtx) })
+	}
 	running.Go(func() { g.follower.Run(workCtx) })
 	running.Go(func() { g.broker.Run(workCtx) })
 	running.Go(func() { g.stageController.Run(workCtx) })
--- a/mangolaned/mangogateway/observe.go
+++ b/mangolaned/mangogateway/observe.go
@@ -116,6 +116,21 @@
 	o.logger.Info("platform regained", zap.String("Record", string(r)), zap.Duration("After", after))
 }
 
+// ArchiveLost logs and counts that records of calls that crash servers can no longer be
+// saved.
+func (o observer) ArchiveLost(err error) {
+	o.metrics.count("Archive.Lost", 1)
+	o.logger.Warn("archive lost", mangolog.FaultFields(err)...)
+}
+
+// ArchiveRegained logs that such records can be saved again.
+func (o observer) ArchiveRegained(after time.Duration) {
+	o.logger.Info("archive regained", zap.Duration("After", after))
+}
+
+// ArchiveRestored logs how many such records were read at the start.
+func (o observer) ArchiveRestored(rows int) { o.logger.Info("archive restored", zap.Int("Rows", rows)) }
+
 // RoutingRejected logs a configuration that was read but not applied.
 func (o observer) RoutingRejected(rev mangomodel.Revision, err error) {
 	o.logger.Warn("configuration not applied", append(mangolog.FaultFields(err), zap.Uint64("Revision", uint64(rev)))...)
--- a/mangostand/mangoworker/faults.go
+++ b/mangostand/mangoworker/faults.go
@@ -27,6 +27,9 @@
 	// CutWithin and CutBetween are the shares of streams that a reset breaks off
 	// within an event and between two events.
 	CutWithin, CutBetween Share
+	// Deadly is the path of the plain calls that crash the server when it begins to run
+	// them. Empty means none.
+	Deadly string
 }
 
 // includes reports whether a request at a server belongs to a share.
--- a/mangostand/mangoworker/worker.go
+++ b/mangostand/mangoworker/worker.go
@@ -290,6 +290,10 @@
 	if faults.Hang.includes(w.ID, id, "hang") {
 		w.hang(r, id)
 	}
+	if faults.Deadly != "" && r.URL.Path == faults.Deadly {
+		w.Crash()
+		return
+	}
 	rw.Header().Set(fieldSignature, "s."+w.ID)
 	if w.Stage == "" {
 		time.Sleep(stepTime)
