Archive: a start after an outage does not wait for its backoff

Change: Await ends the pause, and the wait adds to the age.

TestStartAfterAnOutageIsNotDelayed failed without the first change (the wait was above 10 ms).

--- a/core/mangoarchive/archive.go
+++ b/core/mangoarchive/archive.go
@@ -91,6 +91,8 @@
 	observer Observer
 	// restored is closed once the records were restored.
 	restored chan struct{}
+	// awaited is signalled when Await is called, so that a pause after a failure ends.
+	awaited chan struct{}
 
 	// The fields below belong to the goroutine of Run. current is set if the rows were read
 	// and no call has failed since. rows are the rows as last known, and start is the time at
@@ -105,13 +107,18 @@
 // New returns an Archive. The fleet must have [mangofleet.WithSavedCrashes].
 func New(fleet Fleet, store Store, o Observer) *Archive {
 	return &Archive{
-		fleet: fleet, store: store, observer: o, restored: make(chan struct{}),
+		fleet: fleet, store: store, observer: o, restored: make(chan struct{}), awaited: make(chan struct{}, 1),
 		rows: make(map[mangomodel.Fingerprint]Row), pause: minBackoff,
 	}
 }
 
-// Await waits until the records were restored, and not longer than a start may take.
+// Await waits until the records were restored, and not longer than a start may take. The
+// caller has found the store to respond.
 func (a *Archive) Await(ctx context.Context) {
+	select {
+	case a.awaited <- struct{}{}:
+	default:
+	}
 	timer := time.NewTimer(maxAwait)
 	defer timer.Stop()
 	select {
@@ -197,7 +204,13 @@
 	a.current = false
 	// This fails only when the process ends.
 	_ = a.fleet.Do(ctx, mangofleet.CrashesNotSaved{})
-	sleep(ctx, a.pause)
+	timer := time.NewTimer(a.pause)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-a.awaited:
+	case <-ctx.Done():
+	}
 	a.pause = min(2*a.pause, maxBackoff)
 	return false
 }
--- a/core/mangoarchive/archive_test.go
+++ b/core/mangoarchive/archive_test.go
@@ -358,6 +358,23 @@
 	})
 }
 
+// TestStartAfterAnOutageIsNotDelayed guards against a daemon that serves only seconds after the
+// store is back, because the archive pauses after its failures.
+func TestStartAfterAnOutageIsNotDelayed(t *testing.T) {
+	withDaemons(t, 0, func(d *daemons) {
+		d.table.set(true)
+		fleet := mangofleet.New(mangofleet.Self{}, func() mangobudget.Limits { return mangobudget.Limits{Window: time.Second} }, mangofleet.WithSavedCrashes())
+		a := New(fleet, d.table, observer{})
+		go fleet.Run(d.ctx)
+		go a.Run(d.ctx)
+		time.Sleep(30 * time.Second)
+		d.table.set(false)
+		began := time.Now()
+		a.Await(d.ctx)
+		d.Expect(time.Since(began)).To(gomega.BeNumerically("<=", 2*latency))
+	})
+}
+
 // TestOldRowsAreRemoved guards against a table that grows without end.
 func TestOldRowsAreRemoved(t *testing.T) {
 	withDaemons(t, 1, func(d *daemons) {
--- a/core/mangofollow/follow.go
+++ b/core/mangofollow/follow.go
@@ -213,9 +213,9 @@
 	if routing == nil {
 		return false, f.fleet.Do(ctx, mangofleet.RoutingUnchanged{Cursor: to, Age: age})
 	}
-	if f.fleet.View().Routing == nil {
+	if read := time.Now(); f.fleet.View().Routing == nil {
 		f.prerequisite.Await(ctx)
-		age = f.ageOfRead(began, after)
+		age += mangomodel.Elapsed(read, time.Now())
 	}
 	before := f.fleet.View().Routing
 	err = f.fleet.Do(ctx, mangofleet.InstallRouting{Routing: routing, Cursor: to, Age: age, From: platform})
--- a/core/mangofollow/follow_test.go
+++ b/core/mangofollow/follow_test.go
@@ -252,6 +252,7 @@
 		close(r)
 		synctest.Wait()
 		g.Expect(fleet.View().Ready()).To(gomega.BeTrue())
+		g.Expect(time.Since(fleet.View().RoutingRead)).To(gomega.BeNumerically(">", time.Second), "the configuration was read before")
 	})
 }
 
