Crashes of prefill servers count for the call

What callers would see: a streaming call whose prompt crashes prefill servers is sent on with each retry, twice each, until all prefill servers are set aside, and calls beside it find none.

Cause: CallAborted was applied for exchanges that run a call. A prefill counted only for the parts of the prompt that other calls share.

Change: a prefill that its server broke off counts for the call if the server does not respond to a load query any more.

--- a/core/mangorelay/crash_test.go
+++ b/core/mangorelay/crash_test.go
@@ -196,3 +196,37 @@
 		})
 	}
 }
+
+// TestCrashesInPrefillsCount guards against a call that crashes a prefill server with each
+// retry without end, since a prefill is no run of the call. A prefill that failed at a server
+// that still responds is no crash.
+func TestCrashesInPrefillsCount(t *testing.T) {
+	for _, crashed := range []bool{true, false} {
+		withHarness(t, func(h *harness) {
+			var last *mangomodel.Fault
+			h.servers.unreachable = make(map[mangomodel.ServerID]bool)
+			for range 6 {
+				for _, id := range ids("p1", "p2") {
+					h.servers.prefills[id] = []step{{err: errNoReply}}
+					h.servers.unreachable[id] = crashed
+				}
+				for _, id := range ids("d1", "d2") {
+					h.servers.runs[id] = []step{{status: 500}}
+				}
+				h.newCall("/resume/")
+				last = h.serve()
+				time.Sleep(3 * time.Second)
+			}
+			prefills := 0
+			for _, id := range h.servers.sent {
+				if id == "p1" || id == "p2" {
+					prefills++
+				}
+			}
+			h.Expect(mangomodel.HasCode(last, mangomodel.CodeQuarantined)).To(gomega.Equal(crashed), "%v after %d prefills", last, prefills)
+			if crashed {
+				h.Expect(prefills).To(gomega.Equal(mangocrash.MaxCrashes))
+			}
+		})
+	}
+}
--- a/core/mangorelay/parts.go
+++ b/core/mangorelay/parts.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"mangolane/core/mangocrash"
 	"mangolane/core/mangofleet"
 	"mangolane/core/mangomodel"
 	"mangolane/core/mangopanic"
@@ -79,8 +80,27 @@
 // recordCrash records that the call may have crashed a server, which ended the exchange
 // before its first event. A server that still responds has only reset a connection.
 func (j *job) recordCrash(ctx context.Context, server mangotraffic.Server) {
+	if len(j.suspectParts()) == 0 || j.received > 0 || !j.crashed(ctx, server) {
+		return
+	}
+	j.recordCrashOfParts(server)
+}
+
+// recordPrefillCrash records the same for a prefill. It counts for the whole call too, as an
+// exchange that runs the call does without this check.
+func (j *job) recordPrefillCrash(ctx context.Context, server mangotraffic.Server) {
+	if !j.crashed(ctx, server) {
+		return
+	}
+	if !j.begun() {
+		j.apply(mangofleet.CallAborted{Call: j.call.Fingerprint, Server: mangocrash.IncarnationOf(server.ID, server.Born)})
+	}
+	j.recordCrashOfParts(server)
+}
+
+func (j *job) recordCrashOfParts(server mangotraffic.Server) {
 	parts := j.suspectParts()
-	if len(parts) == 0 || j.received > 0 || !j.crashed(ctx, server) {
+	if len(parts) == 0 {
 		return
 	}
 	crash := mangoquarantine.Crash{Server: server.ID, Born: mangoquarantine.Birth(server.Born.UnixMilli())}
--- a/core/mangorelay/prefill.go
+++ b/core/mangorelay/prefill.go
@@ -63,7 +63,7 @@
 		j.observe(server.ID, prefillOutcome(&f), nil)
 		// A prefill that this daemon has cancelled is no sign of a crash.
 		if left := j.next != nil; !left && f.Run != mangomodel.RunNot {
-			j.recordCrash(ctx, server)
+			j.recordPrefillCrash(ctx, server)
 		}
 	}
 	if f.Run == mangomodel.RunNot && f.Code == mangomodel.CodeUnavailable {
