Tables: a row of calls that crash servers that cannot be read is replaced

Cause, found while reading: such a row was left out, so that a daemon took it for absent and its write conflicted without end, with all others of the batch.

Change: it counts as a row without crashes, with its version.

--- a/core/mangoarchive/archive.go
+++ b/core/mangoarchive/archive.go
@@ -61,7 +61,7 @@
 
 // Store holds the rows.
 type Store interface {
-	// Rows returns all rows. Those that cannot be decoded are left out.
+	// Rows returns all rows. Those that cannot be decoded have no crashes.
 	Rows(ctx context.Context) (Table, error)
 	// Replace replaces rows if each still has its version, and removes those without
 	// crashes. Otherwise it changes nothing, and returns the current rows with
