--- a/core/mangoarchive/row.go
+++ b/core/mangoarchive/row.go
@@ -18,7 +18,7 @@
 
 // Event is a crash or a probe of a call.
 type Event struct {
-	ID uint64
+	ID mangocrash.EventID
 	At Clock
 }
 
--- a/core/mangocrash/unsaved.go
+++ b/core/mangocrash/unsaved.go
@@ -19,9 +19,12 @@
 	maxUnsaved = 48
 )
 
+// EventID identifies a crash of a call by an [Incarnation], or a probe by a [ProbeID].
+type EventID uint64
+
 // Occurrence is a crash or a probe that is not cleared.
 type Occurrence struct {
-	ID uint64
+	ID EventID
 	At time.Time
 }
 
@@ -130,7 +133,7 @@
 func reportOf(list []Occurrence, now time.Time) []Event {
 	var events []Event
 	for _, o := range list {
-		events = append(events, Event{ID: o.ID, Age: now.Sub(o.At)})
+		events = append(events, Event{ID: uint64(o.ID), Age: now.Sub(o.At)})
 	}
 	return events
 }
@@ -144,7 +147,7 @@
 	var kept []Occurrence
 	for _, e := range list {
 		if !e.cleared {
-			kept = append(kept, Occurrence{e.id, e.at})
+			kept = append(kept, Occurrence{EventID(e.id), e.at})
 		}
 	}
 	return kept
--- a/core/mangofleet/archive.go
+++ b/core/mangofleet/archive.go
@@ -108,18 +108,3 @@
 
 // Apply implements [Command].
 func (AwaitCrashesUnsaved) Apply(*state, time.Time) error { return nil }
-
-// UnsavedCrashes returns the records to be saved, those that are due first.
-func (v *View) UnsavedCrashes() []mangocrash.Unsaved { return v.unsavedCrashes }
-
-// publishUnsaved publishes the records to be saved. The reply to the listener is delivered
-// after the view.
-func (s *state) publishUnsaved(v *View) {
-	v.unsavedCrashes = s.suspects.Unsaved()
-	v.probesUnsaved = s.archive.enabled && !s.archive.current
-	isNew := func(u mangocrash.Unsaved) bool { return u.Change > s.archive.after }
-	if s.archive.listener != nil && slices.ContainsFunc(v.unsavedCrashes, isNew) {
-		s.archive.listener.Send(nil)
-		s.archive.listener = nil
-	}
-}
--- a/core/mangofleet/fleet.go
+++ b/core/mangofleet/fleet.go
@@ -267,10 +267,6 @@
 	return slices.DeleteFunc(v.Sightings(now), func(s mangoroster.Sighting) bool { return !candidates[s.Member.Holder.Daemon] })
 }
 
-// MaintainsArchive reports whether this daemon removes the saved records that nobody needs
-// any more.
-func (v *View) MaintainsArchive() bool { return v.defaultScheduler.Holder.Daemon == v.self }
-
 // Allowances returns how many retries an incarnation of a daemon may make until
 // its next renewal.
 func (v *View) Allowances(h mangomodel.Holder) mangobudget.Allowances { return v.allowances[h] }
