A probe that reaches no server does not count

What callers would see: a sound call that is refused for crashes that it met is refused for good if its three probes meet servers that cannot be reached, or are not sent since the daemon stops, the key was withdrawn or the retry budget is used up.

Cause: a probe counted when its lease was granted, whatever became of it.

Change: a probe that reached no server is cancelled, at all daemons and in its saved record. One that a server rejects has reached it and counts, as the limit of three says.

TestProbeThatReachesNoServerDoesNotCount: plain calls and streams were refused after three such probes before, and are served now.

--- a/core/mangocrash/crash.go
+++ b/core/mangocrash/crash.go
@@ -14,7 +14,8 @@
 //   - A call that completes clears the crashes recorded so far at the daemon that served
 //     it. A clearance refers to single crashes, so that crashes that it could not know of
 //     remain, and daemons that repeat the cleared ones do not revive them.
-//   - A refused call may be probed MaxProbes times in all, at growing intervals.
+//   - A refused call may be probed MaxProbes times in all, at growing intervals. Those
+//     that have reached no server do not count.
 //
 // A table that is created with [WithSaving] tells which records its owner should save
 // outside of the daemons, so that a kill of all of them forgets none: [Table.Unsaved],
@@ -148,6 +149,13 @@
 	return n > 0
 }
 
+// clearID clears the event with an id.
+func (list events) clearID(id uint64) {
+	for i := range list {
+		list[i].cleared = list[i].cleared || list[i].id == id
+	}
+}
+
 // last returns the time of the last uncleared event.
 func (list events) last() time.Time {
 	var last time.Time
--- a/core/mangocrash/table.go
+++ b/core/mangocrash/table.go
@@ -81,6 +81,14 @@
 	})
 }
 
+// CancelProbe records that a probe has reached no server.
+func (t *Table) CancelProbe(call mangomodel.Fingerprint, probe ProbeID, now time.Time) {
+	if _, ok := t.calls[call]; !ok {
+		return
+	}
+	t.change(call, now, true, func(x *record) { x.probes.clearID(uint64(probe)) })
+}
+
 // RecordCompletion records that a call has completed at a server, which clears its
 // crashes.
 func (t *Table) RecordCompletion(call mangomodel.Fingerprint, now time.Time) {
--- a/core/mangofleet/suspect.go
+++ b/core/mangofleet/suspect.go
@@ -52,6 +52,19 @@
 	return nil
 }
 
+// CallNotProbed records that a probe has reached no server.
+type CallNotProbed struct {
+	Call  mangomodel.Fingerprint
+	Lease mangolease.ID
+}
+
+// Apply implements [Command].
+func (c CallNotProbed) Apply(s *state, now time.Time) error {
+	s.suspects.CancelProbe(c.Call, mangocrash.ProbeOf(c.Lease), now)
+	s.changed.crashes = true
+	return nil
+}
+
 // AdmitCall counts a client's call towards the retry budget of its service. It
 // fails for a call that has crashed too many servers, and for one with a part that has.
 type AdmitCall struct {
--- a/core/mangorelay/crash.go
+++ b/core/mangorelay/crash.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"mangolane/core/mangoexchange"
 	"mangolane/core/mangofleet"
 	"mangolane/core/mangolease"
 	"mangolane/core/mangomodel"
@@ -50,3 +51,14 @@
 	}
 	return nil
 }
+
+// cancelProbe records that the call that was to be sent as a probe has reached no server. A
+// server that rejects it was reached.
+func (j *job) cancelProbe(lease mangolease.ID, err error) {
+	if !j.probe || err == nil || j.runs > 0 || j.rejected || j.sends[mangoexchange.PhasePrefill] > 0 {
+		return
+	}
+	if mangomodel.AsFault(err, mangomodel.StepCall).Run == mangomodel.RunNot {
+		j.apply(mangofleet.CallNotProbed{Call: j.call.Fingerprint, Lease: lease})
+	}
+}
--- a/core/mangorelay/crash_test.go
+++ b/core/mangorelay/crash_test.go
@@ -231,3 +231,45 @@
 		})
 	}
 }
+
+// TestProbeThatReachesNoServerDoesNotCount guards against a sound call that is refused for
+// good, because its probes met servers that could not be reached. One that a server rejects
+// has reached it.
+func TestProbeThatReachesNoServerDoesNotCount(t *testing.T) {
+	for _, test := range []struct {
+		name, target string
+		step         step
+		served       bool
+	}{
+		{"unreachable", "/read/", step{err: errNoConn}, true},
+		{"unreachable, stream", "/resume/", step{err: errNoConn}, true},
+		{"rejected", "/read/", step{notRun: true}, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			withHarness(t, func(h *harness) {
+				h.refuse()
+				wait := mangocrash.FirstProbe
+				for range mangocrash.MaxProbes {
+					time.Sleep(wait)
+					wait *= 6
+					for _, id := range ids("s1", "s2", "d1", "d2") {
+						h.servers.runs[id] = []step{test.step}
+					}
+					for _, id := range ids("p1", "p2") {
+						h.servers.prefills[id] = []step{test.step}
+					}
+					h.newCall(test.target)
+					fault := h.serve()
+					h.Expect(fault).NotTo(gomega.BeNil())
+					h.Expect(fault.Run).To(gomega.Equal(mangomodel.RunNot))
+				}
+				clear(h.servers.runs)
+				clear(h.servers.prefills)
+				time.Sleep(wait)
+				h.newCall(test.target)
+				fault := h.serve()
+				h.Expect(fault == nil).To(gomega.Equal(test.served), "%v", fault)
+			})
+		})
+	}
+}
--- a/core/mangorelay/plain.go
+++ b/core/mangorelay/plain.go
@@ -82,6 +82,7 @@
 	timer.Stop()
 	j.keep(h, err)
 	end(err)
+	j.cancelProbe(grant.ID, err)
 	if err == nil {
 		j.relay.shutdown.record(j.service.Name, time.Since(j.leasedAt), j.passage().size)
 	}
@@ -204,7 +205,7 @@
 		outcome = mangolease.OutcomeMisdirected
 	}
 	j.observe(server.ID, outcome, resp.Load)
-	j.avoid = append(j.avoid, server.ID)
+	j.avoid, j.rejected = append(j.avoid, server.ID), true
 	return mangomodel.Faultf(mangomodel.StepCall, mangomodel.PeerName(server.ID), mangomodel.CodeOverloaded, mangomodel.RunNot,
 		"status %d, not run", resp.Head.Status)
 }
--- a/core/mangorelay/relay.go
+++ b/core/mangorelay/relay.go
@@ -124,6 +124,8 @@
 	attempts mangomodel.Attempt
 	// unreached counts those whose server could not be reached.
 	unreached mangomodel.Attempt
+	// rejected is set once a server has stated that it did not run the call.
+	rejected bool
 	// sends counts the requests sent in each phase.
 	sends [mangoexchange.NumPhases]int
 	// avoid lists the servers that further demands exclude.
--- a/core/mangorelay/stream.go
+++ b/core/mangorelay/stream.go
@@ -67,10 +67,13 @@
 	defer grant.Release()
 	if grant.Lease.Prefill != nil {
 		if err := j.prefill(ctx, grant); err != nil {
+			j.cancelProbe(grant.ID, err)
 			return err
 		}
 	}
-	return j.generate(ctx, grant)
+	err = j.generate(ctx, grant)
+	j.cancelProbe(grant.ID, err)
+	return err
 }
 
 // streamDemand returns the demand for a decode slot and, unless the prompt is
