Archive: what an older copy of the store lacks is written again

What callers would see: the store returns from an older copy, all daemons are killed later, and a refused call crashes three more servers.

Cause: a record that was saved counted as saved for good.

Change: after a failed call, and every 10 minutes at one daemon, the rows are read and compared with the records that were saved or are refused; what the rows lack is due again. Rows that are equal are not written.

TestOlderCopyOfTheStoreForgetsNoCrash failed without it, with an outage that the daemons notice.

--- a/core/mangoarchive/archive.go
+++ b/core/mangoarchive/archive.go
@@ -23,6 +23,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"slices"
 	"time"
 
@@ -129,7 +130,8 @@
 }
 
 // Run restores the records and then saves changes until ctx ends. After a failure it reads
-// the rows again, since other daemons may have changed them meanwhile.
+// the rows again: other daemons may have changed them meanwhile, and the store may have
+// returned from an older copy.
 func (a *Archive) Run(ctx context.Context) {
 	for !a.attempt(ctx, a.restore) {
 		if ctx.Err() != nil {
@@ -143,12 +145,12 @@
 	for ctx.Err() == nil {
 		now := time.Now()
 		if !a.current {
-			a.attempt(ctx, a.restore)
+			a.attempt(ctx, a.reconcile)
 			continue
 		}
 		if !now.Before(removal) {
 			removal = now.Add(removalInterval)
-			a.attempt(ctx, a.removeOld)
+			a.attempt(ctx, a.maintain)
 			continue
 		}
 		unsaved := a.fleet.View().UnsavedCrashes()
@@ -225,6 +227,14 @@
 	return a.merge(ctx, t)
 }
 
+// reconcile reads the rows, and makes the records due that say more.
+func (a *Archive) reconcile(ctx context.Context) error {
+	if err := a.restore(ctx); err != nil {
+		return err
+	}
+	return a.fleet.Do(ctx, mangofleet.ResaveCrashes{})
+}
+
 // merge records the rows of the store and merges them into the fleet's records. The rows
 // seen first are merged first, which the fleet's order makes cheap.
 func (a *Archive) merge(ctx context.Context, t Table) error {
@@ -284,20 +294,20 @@
 	}
 }
 
-// removeOld removes the rows past their retention, and the oldest ones if there are too
-// many. One daemon does this for all.
-func (a *Archive) removeOld(ctx context.Context) error {
+// maintain removes the rows past their retention, and the oldest ones if there are too many.
+// One daemon does this for all.
+func (a *Archive) maintain(ctx context.Context) error {
 	if !a.fleet.View().MaintainsArchive() {
 		return nil
 	}
-	t, err := a.store.Rows(ctx)
-	if err != nil {
+	if err := a.reconcile(ctx); err != nil {
 		return err
 	}
-	slices.SortFunc(t.Rows, bySeen)
+	list := slices.SortedFunc(maps.Values(a.rows), bySeen)
+	now := Clock(time.Since(a.start))
 	var old []Row
-	for i, r := range t.Rows {
-		if len(t.Rows)-i > maxRows || time.Duration(t.Clock-r.Seen) >= mangocrash.Retention {
+	for i, r := range list {
+		if len(list)-i > maxRows || time.Duration(now-r.Seen) >= mangocrash.Retention {
 			old = append(old, Row{Call: r.Call, Version: r.Version})
 		}
 	}
--- a/core/mangoarchive/archive_test.go
+++ b/core/mangoarchive/archive_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"slices"
 	"sync"
 	"testing"
@@ -141,6 +142,8 @@
 		f(d)
 		cancel()
 		d.killAll()
+		// Calls to the store end.
+		time.Sleep(2 * latency)
 		synctest.Wait()
 	})
 }
@@ -358,6 +361,53 @@
 	})
 }
 
+// TestOlderCopyOfTheStoreForgetsNoCrash guards against a store that returns from an older copy,
+// with an outage that the daemons notice or without, and a kill of all daemons after that.
+func TestOlderCopyOfTheStoreForgetsNoCrash(t *testing.T) {
+	for _, noticed := range []bool{true, false} {
+		withDaemons(t, 2, func(d *daemons) {
+			const cleared mangomodel.Fingerprint = 9
+			d.Expect(d.do(0, mangofleet.CallAborted{Call: cleared, Server: 1})).To(gomega.Succeed())
+			time.Sleep(2 * time.Second)
+			d.table.mu.Lock()
+			older := maps.Clone(d.table.rows)
+			d.table.mu.Unlock()
+			for i := range mangocrash.MaxCrashes {
+				d.crash(0, mangocrash.Incarnation(i))
+			}
+			d.Expect(d.do(0, mangofleet.Observe{Completed: cleared})).To(gomega.Succeed())
+			time.Sleep(2 * time.Second)
+			d.Expect(d.table.row(deadly).Crashes).To(gomega.HaveLen(mangocrash.MaxCrashes))
+			d.table.mu.Lock()
+			d.table.rows, d.table.down = older, noticed
+			d.table.mu.Unlock()
+			if noticed {
+				d.Expect(d.do(0, mangofleet.CallAborted{Call: 10, Server: 1})).To(gomega.Succeed())
+				time.Sleep(10 * time.Second)
+				d.table.set(false)
+				time.Sleep(10 * time.Second)
+			}
+			for end := time.Now().Add(2 * removalInterval); time.Now().Before(end); time.Sleep(250 * time.Millisecond) {
+				d.exchange()
+			}
+			d.Expect(d.table.row(deadly).Crashes).To(gomega.HaveLen(mangocrash.MaxCrashes), "noticed: %v", noticed)
+			d.Expect(d.table.row(cleared).Empty()).To(gomega.BeTrue())
+		})
+	}
+}
+
+// TestNoWritesWithoutCrashes guards against calls to the store on days without crashes.
+func TestNoWritesWithoutCrashes(t *testing.T) {
+	withDaemons(t, 2, func(d *daemons) {
+		for range 100 {
+			d.Expect(d.do(0, mangofleet.Observe{Completed: deadly})).To(gomega.Succeed())
+			_ = d.do(1, mangofleet.AdmitCall{Service: "app", Call: deadly})
+			time.Sleep(time.Minute)
+		}
+		d.Expect(d.table.written()).To(gomega.BeZero())
+	})
+}
+
 // TestStartAfterAnOutageIsNotDelayed guards against a daemon that serves only seconds after the
 // store is back, because the archive pauses after its failures.
 func TestStartAfterAnOutageIsNotDelayed(t *testing.T) {
--- a/core/mangocrash/unsaved.go
+++ b/core/mangocrash/unsaved.go
@@ -114,6 +114,16 @@
 	}
 }
 
+// Resave marks the records as unsaved that were saved or are refused. The store may hold
+// older ones again.
+func (t *Table) Resave(now time.Time) {
+	for _, e := range t.calls {
+		if x := e.Value.(*record); x.refused() || !x.saved.IsZero() {
+			t.markUnsaved(x, now)
+		}
+	}
+}
+
 // Restore merges saved records.
 func (t *Table) Restore(list []Record, now time.Time) {
 	for _, r := range list {
--- a/core/mangofleet/archive.go
+++ b/core/mangofleet/archive.go
@@ -47,6 +47,16 @@
 	return nil
 }
 
+// ResaveCrashes makes records due that were saved before, since the store may have returned
+// from an older copy.
+type ResaveCrashes struct{}
+
+// Apply implements [Command].
+func (ResaveCrashes) Apply(s *state, now time.Time) error {
+	s.suspects.Resave(now)
+	return nil
+}
+
 // CrashesSaved records that the store holds records as the view listed them.
 type CrashesSaved struct {
 	Saved []mangocrash.Unsaved
