A crash counts once whatever the delay of the store's answers

What callers saw: a call that had crashed two servers was refused as having crashed four.

Cause: a crash is known by the incarnation of its server and, within two seconds, by its time, since not all servers state their incarnation. Restored times are off by as much as an answer of the store reaches the daemon late, so that the same crash counted again after each conflict, and at daemons that had restored it with another delay.

Change: an incarnation that its server states identifies the crash at any time. For others a restored crash is the known one within ten seconds, one for one, and changes no known time. Rows are compared by their events only.

--- a/core/mangoarchive/row.go
+++ b/core/mangoarchive/row.go
@@ -41,8 +41,6 @@
 }
 
 const (
-	// maxClockError is the error of times in rows: a response's time in transit.
-	maxClockError = 2 * time.Second
 	// seenInterval is how much later a call must have been seen for a row to be replaced
 	// for that.
 	seenInterval = 30 * time.Minute
@@ -86,7 +84,8 @@
 	return Row{Call: r.Call, Seen: Clock(r.Seen.Sub(start)), Crashes: events(r.Crashes), Probes: events(r.Probes)}
 }
 
-// holds reports whether a row says the same as another one.
+// holds reports whether a row says the same as another one. The times of events are not
+// compared: they never change, and those of a row have an error.
 func (r Row) holds(next Row) bool {
 	if r.Empty() || next.Empty() {
 		return r.Empty() && next.Empty()
@@ -98,10 +97,13 @@
 	if len(a) != len(b) {
 		return false
 	}
-	for _, x := range a {
-		if !slices.ContainsFunc(b, func(y Event) bool { return x.ID == y.ID && time.Duration(x.At-y.At).Abs() < maxClockError }) {
-			return false
+	ids := func(list []Event) []mangocrash.EventID {
+		var ids []mangocrash.EventID
+		for _, e := range list {
+			ids = append(ids, e.ID)
 		}
+		slices.Sort(ids)
+		return ids
 	}
-	return true
+	return slices.Equal(ids(a), ids(b))
 }
--- a/core/mangocrash/crash.go
+++ b/core/mangocrash/crash.go
@@ -62,12 +62,20 @@
 	maxEvents = 8
 )
 
-// Incarnation identifies the process of a server.
+// Incarnation identifies the process of a server. Without the bit stated it identifies all
+// processes with the id of a server that does not state when it started.
 type Incarnation uint64
 
-// IncarnationOf returns the identity of the server process that was started at a time.
+const stated = 1 << 63
+
+// IncarnationOf returns the identity of the server process that was started at a time; the
+// Unix epoch means that the server does not state it.
 func IncarnationOf(id mangomodel.ServerID, born time.Time) Incarnation {
-	return Incarnation(xxhash.Sum64String(string(id) + "\x00" + strconv.FormatInt(born.UnixMilli(), 10)))
+	i := Incarnation(xxhash.Sum64String(string(id) + "\x00" + strconv.FormatInt(born.UnixMilli(), 10)))
+	if born.UnixMilli() > 0 {
+		return i | stated
+	}
+	return i &^ stated
 }
 
 // ProbeID identifies a probe.
@@ -114,12 +122,18 @@
 	return n
 }
 
-// add adds an event, or merges it with one of the same id within the time same. Times
-// merge to the earlier one, since each transfer between daemons delays them.
-func (list events) add(e event, same time.Duration) events {
+// same reports whether two events are one: they have the same id and, for crashes of servers
+// that do not state their incarnation, are within a time. Zero means any time.
+func (e event) same(x event, within time.Duration) bool {
+	return e.id == x.id && (within == 0 || e.id&stated != 0 || e.at.Sub(x.at).Abs() < within)
+}
+
+// add adds an event, or merges it with one that is the same within a time. Times merge to the
+// earlier one, since each transfer between daemons delays them.
+func (list events) add(e event, within time.Duration) events {
 	for i := range list {
 		x := &list[i]
-		if x.id != e.id || same > 0 && e.at.Sub(x.at).Abs() >= same {
+		if !e.same(*x, within) {
 			continue
 		}
 		if e.at.Before(x.at) {
@@ -128,11 +142,14 @@
 		x.cleared = x.cleared || e.cleared
 		return list
 	}
-	list = append(list, e)
+	return append(list, e).limit()
+}
+
+// limit drops an event if there are too many: a cleared one first, and then the newest.
+func (list events) limit() events {
 	if len(list) <= maxEvents {
 		return list
 	}
-	// A cleared event is dropped first, and then the newest.
 	drop := slices.IndexFunc(list, func(x event) bool { return x.cleared })
 	if drop < 0 {
 		drop = len(list) - 1
--- a/core/mangocrash/unsaved.go
+++ b/core/mangocrash/unsaved.go
@@ -15,6 +15,9 @@
 	// seenSaveInterval is how often a record is saved for no other reason than that its
 	// call still arrives.
 	seenSaveInterval = time.Hour
+	// restoreError is the error of saved times: the time in transit of a response of a slow
+	// store to a busy daemon, when the record was saved and when it is restored.
+	restoreError = 10 * time.Second
 	// maxUnsaved limits the records that Unsaved returns.
 	maxUnsaved = 48
 )
@@ -124,28 +127,41 @@
 	}
 }
 
-// Restore merges saved records.
+// Restore merges saved records. Their times have an error of some seconds, so that they
+// change none of those that are known.
 func (t *Table) Restore(list []Record, now time.Time) {
+	t.expire(now)
 	for _, r := range list {
-		t.mergeReport(Report{
-			Call: r.Call, Seen: now.Sub(r.Seen), Crashes: reportOf(r.Crashes, now), Probes: reportOf(r.Probes, now),
-		}, now)
-		e, ok := t.calls[r.Call]
-		if !ok {
+		if now.Sub(r.Seen) >= Retention || r.Empty() {
 			continue
 		}
-		if x := e.Value.(*record); r.Seen.After(x.saved) {
-			x.saved = r.Seen
-		}
+		_, known := t.calls[r.Call]
+		t.change(r.Call, now, false, func(x *record) {
+			x.crashes, x.probes = x.crashes.restore(r.Crashes, restoreError), x.probes.restore(r.Probes, 0)
+			if !known || r.Seen.Sub(x.seen) > restoreError {
+				x.seen = r.Seen
+			}
+			if r.Seen.After(x.saved) {
+				x.saved = r.Seen
+			}
+		})
 	}
 }
 
-func reportOf(list []Occurrence, now time.Time) []Event {
-	var events []Event
-	for _, o := range list {
-		events = append(events, Event{ID: uint64(o.ID), Age: now.Sub(o.At)})
+// restore adds the saved events that are not known within an error of their times. Each known
+// event stands for one saved one, since a server that does not state its incarnation may end
+// several times.
+func (list events) restore(saved []Occurrence, within time.Duration) events {
+	unmatched := slices.Clone(list)
+	for _, o := range saved[:min(len(saved), maxEvents)] {
+		e := event{id: uint64(o.ID), at: o.At}
+		if i := slices.IndexFunc(unmatched, func(x event) bool { return e.same(x, within) }); i >= 0 {
+			unmatched = slices.Delete(unmatched, i, i+1)
+			continue
+		}
+		list = append(list, e).limit()
 	}
-	return events
+	return list
 }
 
 // kept returns the record without what was cleared.
