Archive: a start does not wait for rows that the store refuses

Cause: the first configuration that was read waited up to 3 s for the rows of calls that crash servers, also if their read was refused at once.

Change: the wait ends after two failed reads, of which the first may have begun before, and after a second. The daemon then serves without the rows and sends no probes until they are read.

TestNoProbeWhileTheStoreIsAway demanded the 3 s; it now demands that a refused read delays the start by the time of two calls at most. TestSilentStoreDelaysNoStart is new. Both fail on the code before.

--- a/core/mangoarchive/archive.go
+++ b/core/mangoarchive/archive.go
@@ -43,9 +43,11 @@
 	// minBackoff and maxBackoff bound the pause after failed calls.
 	minBackoff = 100 * time.Millisecond
 	maxBackoff = 3200 * time.Millisecond
-	// maxAwait bounds how long a start waits for the records. A daemon without them serves,
-	// and sends no probes.
-	maxAwait = 3 * time.Second
+	// maxAwait bounds how long a start waits for the records, and maxAwaitFailures the calls
+	// that may fail meanwhile, of which the first may have begun before. A daemon without the
+	// records serves, and sends no probes.
+	maxAwait         = time.Second
+	maxAwaitFailures = 2
 	// removalInterval is the time between two removals of rows that nobody needs.
 	removalInterval = 10 * time.Minute
 	// maxRows limits the rows that are kept, and maxBatch the rows of a write.
@@ -92,8 +94,9 @@
 	observer Observer
 	// restored is closed once the records were restored.
 	restored chan struct{}
-	// awaited is signalled when Await is called, so that a pause after a failure ends.
-	awaited chan struct{}
+	// awaited is signalled by Await, so that a pause after a failure ends, and failed after
+	// each failure.
+	awaited, failed chan struct{}
 
 	// The fields below belong to the goroutine of Run. current is set if the rows were read
 	// and no call has failed since. rows are the rows as last known, and start is the time at
@@ -108,24 +111,40 @@
 // New returns an Archive. The fleet must have [mangofleet.WithSavedCrashes].
 func New(fleet Fleet, store Store, o Observer) *Archive {
 	return &Archive{
-		fleet: fleet, store: store, observer: o, restored: make(chan struct{}), awaited: make(chan struct{}, 1),
+		fleet: fleet, store: store, observer: o, restored: make(chan struct{}),
+		awaited: make(chan struct{}, 1), failed: make(chan struct{}, 1),
 		rows: make(map[mangomodel.Fingerprint]Row), pause: minBackoff,
 	}
 }
 
 // Await waits until the records were restored, and not longer than a start may take. The
-// caller has found the store to respond.
+// caller has found the store to respond, which may still refuse the read of the records.
 func (a *Archive) Await(ctx context.Context) {
 	select {
-	case a.awaited <- struct{}{}:
+	case <-a.failed:
 	default:
 	}
 	timer := time.NewTimer(maxAwait)
 	defer timer.Stop()
+	for range maxAwaitFailures {
+		signal(a.awaited)
+		select {
+		case <-a.restored:
+			return
+		case <-a.failed:
+		case <-timer.C:
+			return
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// signal signals a channel of capacity 1.
+func signal(c chan<- struct{}) {
 	select {
-	case <-a.restored:
-	case <-timer.C:
-	case <-ctx.Done():
+	case c <- struct{}{}:
+	default:
 	}
 }
 
@@ -206,6 +225,7 @@
 	a.current = false
 	// This fails only when the process ends.
 	_ = a.fleet.Do(ctx, mangofleet.CrashesNotSaved{})
+	signal(a.failed)
 	timer := time.NewTimer(a.pause)
 	defer timer.Stop()
 	select {
--- a/core/mangoarchive/archive_test.go
+++ b/core/mangoarchive/archive_test.go
@@ -363,7 +363,7 @@
 		d.killAll()
 		began := time.Now()
 		d.start(1)
-		d.Expect(time.Since(began)).To(gomega.Equal(maxAwait))
+		d.Expect(time.Since(began)).To(gomega.BeNumerically("<=", 2*latency), "the store refuses the read at once")
 		d.Expect(d.refused()).To(gomega.BeZero())
 		d.table.set(false)
 		time.Sleep(maxBackoff + time.Second)
@@ -472,6 +472,19 @@
 	})
 }
 
+// TestSilentStoreDelaysNoStart guards against a daemon that does not serve because the store
+// does not answer the read of the records.
+func TestSilentStoreDelaysNoStart(t *testing.T) {
+	withDaemons(t, 0, func(d *daemons) {
+		d.table.mu.Lock()
+		d.table.late = 5 * time.Second
+		d.table.mu.Unlock()
+		began := time.Now()
+		d.start(1)
+		d.Expect(time.Since(began)).To(gomega.Equal(maxAwait))
+	})
+}
+
 // TestOldRowsAreRemoved guards against a table that grows without end.
 func TestOldRowsAreRemoved(t *testing.T) {
 	withDaemons(t, 1, func(d *daemons) {
