Stand-in of the store: a drill, after which it continues from an older copy

Cause: no stand-in plays the drill of the users' pages, in which versions go back and are given out again. Change: Copy and Restore, and a POST to /stand/copy and /stand/restore?away=1s while it runs; Store-Era in all responses, one higher after each Restore; 410 for a version that the store does not have.

--- a/mangostand/mangotable/doc.go
+++ b/mangostand/mangotable/doc.go
@@ -6,6 +6,9 @@
 // value to /stand/rows?table=TABLE&key=KEY, and removes them with [Store.Remove]
 // or a DELETE of that path.
 //
+// A store can come back from an older copy, with [Store.Copy] and [Store.Restore] or with
+// a POST to /stand/copy and then to /stand/restore?away=1s.
+//
 // # Usage
 //
 //	s := mangotable.New()
--- a/mangostand/mangotable/http.go
+++ b/mangostand/mangotable/http.go
@@ -1,6 +1,7 @@
 package mangotable
 
 import (
+	"cmp"
 	"encoding/json"
 	"io"
 	"net/http"
@@ -15,6 +16,12 @@
 	// pathStand is not part of the platform's protocol. It writes rows of any
 	// table.
 	pathStand = "/stand/rows"
+	// pathCopy takes a copy of the store, and pathRestore makes it continue from the last
+	// one. Neither is part of the platform's protocol.
+	pathCopy    = "/stand/copy"
+	pathRestore = "/stand/restore"
+	// headerEra is in all responses.
+	headerEra = "Store-Era"
 	// pageRows is the maximum number of rows of the response to a read. A feed
 	// returns all changes at once.
 	pageRows = 500
@@ -40,10 +47,15 @@
 
 // ServeHTTP serves one request.
 func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if r.URL.Path == pathStand {
+	switch r.URL.Path {
+	case pathStand:
 		s.serveStand(w, r)
 		return
+	case pathCopy, pathRestore:
+		s.serveDrill(w, r)
+		return
 	}
+	setEra(w, s.currentStamp())
 	switch s.currentOutage() {
 	case OutageBusy:
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -79,14 +91,37 @@
 	s.change([]Row{{Table: q.Get("table"), Key: q.Get("key"), Value: value}})
 }
 
+// serveDrill takes a copy of the store, or makes it continue from the last one. It then
+// rejects all requests for the time that the parameter away says.
+func (s *Store) serveDrill(w http.ResponseWriter, r *http.Request) {
+	if r.Method != http.MethodPost {
+		w.WriteHeader(http.StatusMethodNotAllowed)
+		return
+	}
+	if r.URL.Path == pathCopy {
+		c := s.Copy()
+		s.lastCopy.Store(&c)
+		return
+	}
+	away, err := time.ParseDuration(cmp.Or(r.URL.Query().Get("away"), "0s"))
+	last := s.lastCopy.Load()
+	if err != nil || last == nil {
+		http.Error(w, "no copy was taken, or away is no duration", http.StatusBadRequest)
+		return
+	}
+	s.SetOutage(OutageBusy)
+	s.Restore(*last)
+	time.AfterFunc(away, func() { s.SetOutage(OutageNone) })
+}
+
 func (s *Store) serveRead(w http.ResponseWriter, r *http.Request) {
 	q := r.URL.Query()
 	limit := pageRows
 	if n, err := strconv.Atoi(q.Get("limit")); err == nil {
 		limit = min(max(n, 1), pageRows)
 	}
-	rows, version, more := s.read(q.Get("table"), q.Get("part"), q.Get("from"), q.Get("to"), limit)
-	s.respond(w, http.StatusOK, page{Rows: rows, Version: version, More: more})
+	rows, at, more := s.read(q.Get("table"), q.Get("part"), q.Get("from"), q.Get("to"), limit)
+	s.respond(w, http.StatusOK, at, page{Rows: rows, More: more})
 }
 
 func (s *Store) serveFeed(w http.ResponseWriter, r *http.Request) {
@@ -101,19 +136,20 @@
 	timer := time.NewTimer(time.Duration(wait) * time.Millisecond)
 	defer timer.Stop()
 	for {
-		rows, version, changed, ok := s.changes(q.Get("table"), after)
+		rows, at, changed, ok := s.changes(q.Get("table"), after)
 		if !ok {
+			setEra(w, at)
 			w.WriteHeader(http.StatusGone)
 			return
 		}
 		if len(rows) > 0 {
-			s.respond(w, http.StatusOK, page{Rows: rows, Version: version})
+			s.respond(w, http.StatusOK, at, page{Rows: rows})
 			return
 		}
 		select {
 		case <-changed:
 		case <-timer.C:
-			s.respond(w, http.StatusOK, page{Version: version})
+			s.respond(w, http.StatusOK, at, page{})
 			return
 		case <-r.Context().Done():
 			return
@@ -138,7 +174,7 @@
 			return
 		}
 	}
-	current, version, ok := s.transact(t.Precondition, rows)
+	current, at, ok := s.transact(t.Precondition, rows)
 	if s.currentOutage() == OutageLost {
 		<-r.Context().Done()
 		return
@@ -147,14 +183,21 @@
 	if !ok {
 		status = http.StatusPreconditionFailed
 	}
-	s.respond(w, status, page{Rows: current, Version: version})
+	s.respond(w, status, at, page{Rows: current})
 }
 
-func (s *Store) respond(w http.ResponseWriter, status int, p page) {
+// respond sends a page as of some version.
+func (s *Store) respond(w http.ResponseWriter, status int, at stamp, p page) {
 	time.Sleep(s.currentLatency())
+	p.Version = at.version
 	p.Now = time.Since(s.started).Milliseconds()
 	w.Header().Set("Content-Type", "application/json")
+	setEra(w, at)
 	w.WriteHeader(status)
 	// The write fails only if the caller has disconnected.
 	_ = json.NewEncoder(w).Encode(p)
 }
+
+func setEra(w http.ResponseWriter, at stamp) {
+	w.Header().Set(headerEra, strconv.FormatUint(at.era, 10))
+}
--- a/mangostand/mangotable/store.go
+++ b/mangostand/mangotable/store.go
@@ -2,9 +2,11 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"mangolane/core/mangomodel"
@@ -40,25 +42,32 @@
 	OutageLost
 )
 
+// stamp is the version of a store, and how often the store has continued from an older
+// copy, from 1 on.
+type stamp struct{ version, era uint64 }
+
 // Store is an emulated store. A mutex guards it because its HTTP server calls it
 // from many goroutines.
 type Store struct {
 	started time.Time
+	// lastCopy is the copy that was taken over HTTP.
+	lastCopy atomic.Pointer[Copy]
 
 	mu      sync.Mutex
 	rows    map[rowID]Row
 	history []Row
 	// oldest is the version before the first change in the history.
-	oldest, version uint64
-	outage          Outage
-	latency         time.Duration
+	oldest  uint64
+	now     stamp
+	outage  Outage
+	latency time.Duration
 	// changed is closed at the next change.
 	changed chan struct{}
 }
 
 // New returns an empty store.
 func New() *Store {
-	return &Store{started: time.Now(), rows: make(map[rowID]Row), changed: make(chan struct{})}
+	return &Store{started: time.Now(), now: stamp{era: 1}, rows: make(map[rowID]Row), changed: make(chan struct{})}
 }
 
 // Put writes a row whose value is v as JSON.
@@ -80,7 +89,37 @@
 func (s *Store) Compact() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.history, s.oldest = nil, s.version
+	s.history, s.oldest = nil, s.now.version
+}
+
+// Copy is the state of a store at some time.
+type Copy struct {
+	rows            map[rowID]Row
+	history         []Row
+	oldest, version uint64
+}
+
+// Copy returns a copy of the store's state.
+func (s *Store) Copy() Copy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return Copy{rows: maps.Clone(s.rows), history: slices.Clone(s.history), oldest: s.oldest, version: s.now.version}
+}
+
+// Restore makes the store continue from a copy. What was written since is lost, and its
+// versions are given out again.
+func (s *Store) Restore(c Copy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rows, s.history = maps.Clone(c.rows), slices.Clone(c.history)
+	s.oldest, s.now = c.oldest, stamp{c.version, s.now.era + 1}
+	s.notify()
+}
+
+// notify wakes the feeds that wait.
+func (s *Store) notify() {
+	close(s.changed)
+	s.changed = make(chan struct{})
 }
 
 // SetOutage sets the failure mode.
@@ -111,9 +150,9 @@
 
 // apply writes rows in one transaction.
 func (s *Store) apply(rows []Row) {
-	s.version++
+	s.now.version++
 	for _, r := range rows {
-		r.Version = s.version
+		r.Version = s.now.version
 		if r.Deleted {
 			delete(s.rows, r.id())
 		} else {
@@ -121,13 +160,12 @@
 		}
 		s.history = append(s.history, r)
 	}
-	close(s.changed)
-	s.changed = make(chan struct{})
+	s.notify()
 }
 
 // transact applies a transaction if its preconditions hold. Otherwise it returns
 // false and the current rows of the preconditions.
-func (s *Store) transact(preconditions, rows []Row) ([]Row, uint64, bool) {
+func (s *Store) transact(preconditions, rows []Row) ([]Row, stamp, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	holds := true
@@ -140,15 +178,15 @@
 		}
 	}
 	if !holds {
-		return current, s.version, false
+		return current, s.now, false
 	}
 	s.apply(rows)
-	return nil, s.version, true
+	return nil, s.now, true
 }
 
 // read returns at most limit rows of a table with keys in [from, to), and whether
 // there are more. An empty to sets no upper bound.
-func (s *Store) read(table, part, from, to string, limit int) ([]Row, uint64, bool) {
+func (s *Store) read(table, part, from, to string, limit int) ([]Row, stamp, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var list []Row
@@ -159,17 +197,17 @@
 	}
 	slices.SortFunc(list, func(a, b Row) int { return strings.Compare(a.Key, b.Key) })
 	more := len(list) > limit
-	return list[:min(len(list), limit)], s.version, more
+	return list[:min(len(list), limit)], s.now, more
 }
 
 // changes returns the changes of a table after a version, and a channel that is
 // closed at the next change. It returns false if the history does not reach back
-// to that version.
-func (s *Store) changes(table string, after uint64) ([]Row, uint64, <-chan struct{}, bool) {
+// to that version, or there is no such version.
+func (s *Store) changes(table string, after uint64) ([]Row, stamp, <-chan struct{}, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if after < s.oldest {
-		return nil, 0, nil, false
+	if after < s.oldest || after > s.now.version {
+		return nil, s.now, nil, false
 	}
 	var list []Row
 	for _, r := range s.history {
@@ -177,7 +215,13 @@
 			list = append(list, r)
 		}
 	}
-	return list, s.version, s.changed, true
+	return list, s.now, s.changed, true
+}
+
+func (s *Store) currentStamp() stamp {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.now
 }
 
 func (s *Store) currentOutage() Outage {
