Logs: which lists and configurations are ignored, at which position and era

Cause: a list that ends before the position reached, or begins after it, was dropped without a line (ChangeServers.Apply), and Store-Era was read nowhere, so that the logs could not tell a store that came back from an older copy from a change that a feed skipped. Change: a position is an era and a version; both stand in the lines 'list ignored', 'configuration not applied' and 'server listed'; the counter Lists.Ignored counts all, also those of daemons that are a few changes behind, which are not logged. What is compared is unchanged. Measured: tests of the changed packages pass.

--- a/core/mangobroker/broker_test.go
+++ b/core/mangobroker/broker_test.go
@@ -212,7 +212,7 @@
 	bubble(t, func(g *gomega.WithT, ctx context.Context, m *mesh) {
 		list := []*daemon{m.start("a", 1), m.start("b", 1, "a"), m.start("c", 1, "a")}
 		read := func() {
-			cmd := mangofleet.ChangeServers{Full: true, Cursor: 9}
+			cmd := mangofleet.ChangeServers{Full: true, Cursor: mangotraffic.Cursor{Position: 9}}
 			for _, id := range []mangomodel.ServerID{"s1", "s2", "s3"} {
 				cmd.Changes = append(cmd.Changes, mangotraffic.ServerChange{ID: id, Server: &mangotraffic.Server{ID: id, Service: service, DataCentre: "a1", Slots: 2}})
 			}
--- a/core/mangobroker/crash_test.go
+++ b/core/mangobroker/crash_test.go
@@ -34,7 +34,7 @@
 // keepPlainCurrent reads the list for a daemon until ctx ends.
 func (d *daemon) keepPlainCurrent(ctx context.Context) {
 	server := mangotraffic.Server{ID: "s", Service: plainService, DataCentre: "a1", Slots: 50}
-	list := mangofleet.ChangeServers{Full: true, Cursor: 10, Changes: []mangotraffic.ServerChange{{ID: "s", Server: &server}}}
+	list := mangofleet.ChangeServers{Full: true, Cursor: mangotraffic.Cursor{Position: 10}, Changes: []mangotraffic.ServerChange{{ID: "s", Server: &server}}}
 	for d.fleet.Do(ctx, list) == nil {
 		select {
 		case <-time.After(500 * time.Millisecond):
--- a/core/mangobroker/fetch.go
+++ b/core/mangobroker/fetch.go
@@ -36,7 +36,7 @@
 	Routing *mangotraffic.Document
 	// RoutingAge is the time since the daemon knew its configuration to be the newest one.
 	RoutingAge time.Duration
-	// List is the whole list or the changes to it. Its cursor is 0 if the other
+	// List is the whole list or the changes to it. Its cursor is zero if the other
 	// daemon is up to date or the list of this daemon is stale.
 	List mangofleet.ChangeServers
 }
@@ -79,7 +79,7 @@
 // newerThan reports whether the revision or the cursor is greater than that of
 // other.
 func (v StateVersion) newerThan(other StateVersion) bool {
-	return v.Revision > other.Revision || v.Cursor > other.Cursor
+	return v.Revision > other.Revision || v.Cursor.After(other.Cursor)
 }
 
 // Snapshot returns the state of this daemon that is newer than other.
@@ -89,7 +89,7 @@
 	if view.Routing != nil && view.Routing.Revision > other.Revision {
 		s.Routing, s.RoutingAge = view.Routing.Document(), now.Sub(view.RoutingRead)
 	}
-	if view.ListCursor <= other.Cursor || view.Stale(now) {
+	if !view.ListCursor.After(other.Cursor) || view.Stale(now) {
 		return s
 	}
 	var ok bool
@@ -166,7 +166,7 @@
 	from := mangomodel.PeerName(m.Holder.Daemon)
 	// The state may have aged for as long as the call took.
 	took := mangomodel.Elapsed(start, time.Now())
-	if snapshot.List.Cursor > 0 {
+	if !snapshot.List.Cursor.IsZero() {
 		snapshot.List = snapshot.List.Delayed(took)
 		snapshot.List.Age += took
 		snapshot.List.From = from
--- a/core/mangobroker/fetch_test.go
+++ b/core/mangobroker/fetch_test.go
@@ -72,7 +72,7 @@
 		time.Sleep(time.Second)
 		for _, n := range []int{maxChanges, maxChanges + 1} {
 			before := a.broker.stateVersion()
-			cmd := mangofleet.ChangeServers{Cursor: before.Cursor + 1}
+			cmd := mangofleet.ChangeServers{Cursor: mangotraffic.Cursor{Position: before.Cursor.Position + 1}}
 			for i := range n {
 				s := mangotraffic.Server{ID: mangomodel.ServerID(fmt.Sprint(i)), Service: service}
 				cmd.Changes = append(cmd.Changes, mangotraffic.ServerChange{ID: s.ID, Server: &s})
--- a/core/mangobroker/load_test.go
+++ b/core/mangobroker/load_test.go
@@ -24,7 +24,7 @@
 				m.options = []mangofleet.Option{mangofleet.WithEstimatedLoads(mangoload.DefaultDistanceCost)}
 			}
 			list := []*daemon{m.start("a", 1), m.start("b", 1, "a"), m.start("c", 1, "a")}
-			cmd := mangofleet.ChangeServers{Full: true, Cursor: 9}
+			cmd := mangofleet.ChangeServers{Full: true, Cursor: mangotraffic.Cursor{Position: 9}}
 			for _, id := range []mangomodel.ServerID{"slow", "s2", "s3"} {
 				cmd.Changes = append(cmd.Changes, mangotraffic.ServerChange{ID: id, Server: &mangotraffic.Server{ID: id, Service: service, DataCentre: "a1", Slots: 2}})
 			}
--- a/core/mangobroker/mesh_test.go
+++ b/core/mangobroker/mesh_test.go
@@ -206,7 +206,7 @@
 func (d *daemon) readList(g *gomega.WithT) {
 	decode := mangotraffic.Server{ID: "d", Service: service, DataCentre: "a1", Stage: mangotraffic.StageDecode, Slots: 2}
 	prefill := mangotraffic.Server{ID: "p", Service: service, DataCentre: "a1", Stage: mangotraffic.StagePrefill, Slots: 2}
-	g.Expect(d.fleet.Do(context.Background(), mangofleet.ChangeServers{Full: true, Cursor: 9, Changes: []mangotraffic.ServerChange{
+	g.Expect(d.fleet.Do(context.Background(), mangofleet.ChangeServers{Full: true, Cursor: mangotraffic.Cursor{Position: 9}, Changes: []mangotraffic.ServerChange{
 		{ID: "d", Server: &decode}, {ID: "p", Server: &prefill},
 	}})).To(gomega.Succeed())
 }
--- a/core/mangobroker/outage_test.go
+++ b/core/mangobroker/outage_test.go
@@ -85,7 +85,7 @@
 				}
 				time.Sleep(time.Second)
 			}
-			removal := mangofleet.ChangeServers{Changes: []mangotraffic.ServerChange{{ID: "d"}}, Cursor: 10}
+			removal := mangofleet.ChangeServers{Changes: []mangotraffic.ServerChange{{ID: "d"}}, Cursor: mangotraffic.Cursor{Position: 10}}
 			g.Expect(a.fleet.Do(ctx, removal)).To(gomega.Succeed())
 			removed := time.Now()
 			listed := func(d *daemon) bool {
@@ -93,9 +93,9 @@
 				return ok
 			}
 			g.Expect(listed(a)).To(gomega.Equal(witness))
-			for b.fleet.View().ListCursor < 10 {
+			for b.fleet.View().ListCursor.Position < 10 {
 				time.Sleep(50 * time.Millisecond)
-				g.Expect(a.fleet.Do(ctx, mangofleet.ChangeServers{Cursor: 10})).To(gomega.Succeed())
+				g.Expect(a.fleet.Do(ctx, mangofleet.ChangeServers{Cursor: mangotraffic.Cursor{Position: 10}})).To(gomega.Succeed())
 			}
 			g.Expect(time.Since(removed)).To(gomega.BeNumerically("<", relistTime))
 			g.Expect(listed(b)).To(gomega.Equal(witness))
--- a/core/mangobroker/receive.go
+++ b/core/mangobroker/receive.go
@@ -7,6 +7,7 @@
 	"mangolane/core/mangofleet"
 	"mangolane/core/mangomodel"
 	"mangolane/core/mangoroster"
+	"mangolane/core/mangotraffic"
 )
 
 // Receive applies another daemon's message and returns the response.
@@ -16,7 +17,7 @@
 	// exchangeTimeout or not at all.
 	msg.List.Changes, msg.List.Full, msg.RevisionAge = nil, false, 0
 	position := msg.List.Cursor
-	msg.List.Cursor = 0
+	msg.List.Cursor = mangotraffic.Cursor{}
 	if err := b.applyMessage(ctx, msg); err != nil {
 		return ExchangeMessage{}, err
 	}
@@ -71,7 +72,7 @@
 	}
 	version := StateVersion{Revision: msg.Revision, Cursor: msg.List.Cursor}
 	if msg.From.Stale {
-		version.Cursor = 0
+		version.Cursor = mangotraffic.Cursor{}
 	}
 	b.addOffer(offer{from: msg.From, version: version})
 	return nil
@@ -80,7 +81,7 @@
 // applyList applies the list changes of a message. A message without changes
 // confirms that the list at the message's position is current.
 func (b *Broker) applyList(ctx context.Context, msg ExchangeMessage) error {
-	if msg.List.Cursor == 0 || msg.From.Stale {
+	if msg.List.Cursor.IsZero() || msg.From.Stale {
 		return nil
 	}
 	msg.List.From = mangomodel.PeerName(msg.From.Holder.Daemon)
--- a/core/mangofleet/announce_test.go
+++ b/core/mangofleet/announce_test.go
@@ -26,8 +26,8 @@
 	s1 := plain("s1", "a1")
 	newer := s1
 	newer.Slots = 3
-	put := func(cursor mangotraffic.Cursor, s *mangotraffic.Server) ChangeServers {
-		return ChangeServers{After: cursor - 1, Cursor: cursor, Changes: []mangotraffic.ServerChange{{ID: "s1", Server: s}}}
+	put := func(position uint64, s *mangotraffic.Server) ChangeServers {
+		return ChangeServers{After: mangotraffic.Cursor{Position: position - 1}, Cursor: mangotraffic.Cursor{Position: position}, Changes: []mangotraffic.ServerChange{{ID: "s1", Server: s}}}
 	}
 	snapshot := put(9, &s1)
 	snapshot.Full = true
@@ -40,7 +40,7 @@
 		{"newer entry of the same incarnation", []Command{put(6, &newer)}},
 		{"snapshot", []Command{snapshot}},
 		{"entry lost and restored", []Command{put(6, nil), put(7, &s1)}},
-		{"entry lost in an outage and restored", []Command{ChangeServers{Full: true, Cursor: 6, Changes: []mangotraffic.ServerChange{{ID: "s1", Grace: grace}, {ID: "s2", Grace: grace}}}, put(7, &s1)}},
+		{"entry lost in an outage and restored", []Command{ChangeServers{Full: true, Cursor: mangotraffic.Cursor{Position: 6}, Changes: []mangotraffic.ServerChange{{ID: "s1", Grace: grace}, {ID: "s2", Grace: grace}}}, put(7, &s1)}},
 		{"renewals without it", []Command{Renew{Holder: mangomodel.Holder{Daemon: "d2"}}, Withdraw{From: "d2"}}},
 	}
 	for _, test := range tests {
@@ -55,12 +55,12 @@
 				x.Expect(x.fleet.View().MayUse("s1")).To(gomega.BeFalse())
 				x.Expect(x.observed.withdrawn).To(gomega.HaveLen(1))
 				s2 := plain("s2", "b1")
-				x.do(ChangeServers{Cursor: 10, Changes: []mangotraffic.ServerChange{{ID: "s2", Server: &s2}}})
+				x.do(ChangeServers{Cursor: mangotraffic.Cursor{Position: 10}, Changes: []mangotraffic.ServerChange{{ID: "s2", Server: &s2}}})
 				_, lease := x.mustAcquire(call())
 				x.Expect(lease.Server.ID).To(gomega.BeEquivalentTo("s2"))
 				restarted := s1
 				restarted.Born = s1.Born.Add(time.Second)
-				x.do(ChangeServers{Cursor: 11, Changes: []mangotraffic.ServerChange{{ID: "s1", Server: &restarted}}})
+				x.do(ChangeServers{Cursor: mangotraffic.Cursor{Position: 11}, Changes: []mangotraffic.ServerChange{{ID: "s1", Server: &restarted}}})
 				x.fleet.Announced(leaves(s1))
 				x.do(Withdraw{Servers: []mangotraffic.ServerRef{s1.Ref()}, From: "d2"})
 				x.Expect(x.fleet.View().HasWithdrawn([]mangotraffic.ServerRef{s1.Ref()})).To(gomega.BeTrue())
--- a/core/mangofleet/fleet.go
+++ b/core/mangofleet/fleet.go
@@ -56,6 +56,9 @@
 	RoutingChanged(rev mangomodel.Revision, from mangomodel.PeerName)
 	// ServersChanged is called with changes of the server list.
 	ServersChanged(cmd ChangeServers)
+	// ListIgnored is called with changes that are not applied, since they end before the
+	// position reached or begin after it.
+	ListIgnored(cmd ChangeServers, reached mangotraffic.Cursor)
 	// HealthChanged is called when a server is ejected or becomes usable again.
 	HealthChanged(server mangotraffic.Server, r mangohealth.Record, now time.Time)
 	// ServerWithdrawn is called when a server has announced that it leaves: in the
@@ -96,6 +99,7 @@
 
 func (nopObserver) RoutingChanged(mangomodel.Revision, mangomodel.PeerName)          {}
 func (nopObserver) ServersChanged(ChangeServers)                                     {}
+func (nopObserver) ListIgnored(ChangeServers, mangotraffic.Cursor)                   {}
 func (nopObserver) HealthChanged(mangotraffic.Server, mangohealth.Record, time.Time) {}
 func (nopObserver) ServerWithdrawn(mangotraffic.ServerRef, mangomodel.RequestID, mangomodel.PeerName) {
 }
--- a/core/mangofleet/fleet_test.go
+++ b/core/mangofleet/fleet_test.go
@@ -43,6 +43,7 @@
 	mangopanic.Nop
 	revisions []mangomodel.Revision
 	lists     []ChangeServers
+	ignored   []ChangeServers
 	usable    []bool
 	withdrawn []mangomodel.ServerID
 	backoffs  []mangolease.Announcement
@@ -57,6 +58,9 @@
 }
 
 func (o *recordingObserver) ServersChanged(cmd ChangeServers) { o.lists = append(o.lists, cmd) }
+func (o *recordingObserver) ListIgnored(cmd ChangeServers, _ mangotraffic.Cursor) {
+	o.ignored = append(o.ignored, cmd)
+}
 
 func (o *recordingObserver) HealthChanged(_ mangotraffic.Server, r mangohealth.Record, now time.Time) {
 	o.usable = append(o.usable, r.Usable(now))
@@ -123,8 +127,8 @@
 }
 
 // list replaces the whole list by the servers, as read at a position.
-func (x *fixture) list(cursor mangotraffic.Cursor, servers ...mangotraffic.Server) {
-	cmd := ChangeServers{Full: true, Cursor: cursor}
+func (x *fixture) list(position uint64, servers ...mangotraffic.Server) {
+	cmd := ChangeServers{Full: true, Cursor: mangotraffic.Cursor{Position: position}}
 	for i := range servers {
 		cmd.Changes = append(cmd.Changes, mangotraffic.ServerChange{ID: servers[i].ID, Server: &servers[i]})
 	}
--- a/core/mangofleet/list.go
+++ b/core/mangofleet/list.go
@@ -24,7 +24,7 @@
 
 // Apply implements [Command].
 func (c InstallRouting) Apply(s *state, now time.Time) error {
-	s.routingCursor = max(s.routingCursor, c.Cursor)
+	s.routingCursor = mangotraffic.MaxCursor(s.routingCursor, c.Cursor)
 	if s.routing != nil && c.Routing.Revision < s.routing.Revision {
 		return mangomodel.Faultf(mangomodel.StepConfigure, "", mangomodel.CodeConflict, mangomodel.RunNot,
 			"revision %d is older than the active revision %d", c.Routing.Revision, s.routing.Revision)
@@ -50,7 +50,7 @@
 
 // Apply implements [Command].
 func (c RoutingUnchanged) Apply(s *state, now time.Time) error {
-	s.routingCursor = max(s.routingCursor, c.Cursor)
+	s.routingCursor = mangotraffic.MaxCursor(s.routingCursor, c.Cursor)
 	s.confirmRouting(c.Age, now)
 	return nil
 }
@@ -92,11 +92,18 @@
 	From mangomodel.PeerName
 }
 
+// Platform is the peer from which changes come that were read from the platform's record.
+const Platform mangomodel.PeerName = "platform"
+
+// FromPlatform reports whether the changes were read from the platform's record.
+func (c ChangeServers) FromPlatform() bool { return c.From == Platform }
+
 // Apply implements [Command].
 func (c ChangeServers) Apply(s *state, now time.Time) error {
 	read := now.Add(-c.Age)
 	s.readAt(read, now)
-	if c.Cursor < s.listCursor || c.After > s.listCursor && !c.Full {
+	if c.Cursor.Before(s.listCursor) || c.After.After(s.listCursor) && !c.Full {
+		s.observer.ListIgnored(c, s.listCursor)
 		return nil
 	}
 	if read.After(s.listRead) {
@@ -176,7 +183,7 @@
 		return ChangeServers{}, false
 	}
 	return ChangeServers{
-		Changes: changes, Age: now.Sub(v.ListRead), After: min(after, v.ListCursor), Cursor: v.ListCursor,
+		Changes: changes, Age: now.Sub(v.ListRead), After: mangotraffic.MinCursor(after, v.ListCursor), Cursor: v.ListCursor,
 	}, true
 }
 
--- a/core/mangofleet/list_test.go
+++ b/core/mangofleet/list_test.go
@@ -39,7 +39,7 @@
 func TestRemovedEntryIsDroppedAtOnce(t *testing.T) {
 	bubble(t, func(x *fixture) {
 		x.list(1, plain("s1", "a1"), plain("s2", "a1"))
-		x.do(ChangeServers{Changes: []mangotraffic.ServerChange{{ID: "s1"}}, Cursor: 2})
+		x.do(ChangeServers{Changes: []mangotraffic.ServerChange{{ID: "s1"}}, Cursor: mangotraffic.Cursor{Position: 2}})
 		x.Expect(x.listed()).To(gomega.ConsistOf(mangomodel.ServerID("s2")))
 	})
 }
@@ -52,10 +52,10 @@
 		time.Sleep(5 * time.Second)
 		x.do(ReadFailed{})
 		time.Sleep(time.Second)
-		x.do(ChangeServers{Full: true, Cursor: 2})
+		x.do(ChangeServers{Full: true, Cursor: mangotraffic.Cursor{Position: 2}})
 		x.Expect(x.listed()).To(gomega.ConsistOf(mangomodel.ServerID("s1"), mangomodel.ServerID("s2")))
 		relisted := plain("s1", "a1")
-		x.do(ChangeServers{Changes: []mangotraffic.ServerChange{{ID: "s1", Server: &relisted}}, Cursor: 3})
+		x.do(ChangeServers{Changes: []mangotraffic.ServerChange{{ID: "s1", Server: &relisted}}, Cursor: mangotraffic.Cursor{Position: 3}})
 		time.Sleep(grace + time.Millisecond)
 		x.do(RoutingUnchanged{})
 		x.Expect(x.listed()).To(gomega.ConsistOf(mangomodel.ServerID("s1")))
@@ -67,8 +67,8 @@
 func TestShorterGraceHolds(t *testing.T) {
 	bubble(t, func(x *fixture) {
 		x.list(1, plain("s1", "a1"), plain("s2", "a1"))
-		x.do(ChangeServers{Changes: []mangotraffic.ServerChange{{ID: "s1", Grace: grace}, {ID: "s2", Grace: grace}}, Cursor: 2})
-		x.do(ChangeServers{Changes: []mangotraffic.ServerChange{{ID: "s1", Grace: grace / 4}}, Cursor: 3})
+		x.do(ChangeServers{Changes: []mangotraffic.ServerChange{{ID: "s1", Grace: grace}, {ID: "s2", Grace: grace}}, Cursor: mangotraffic.Cursor{Position: 2}})
+		x.do(ChangeServers{Changes: []mangotraffic.ServerChange{{ID: "s1", Grace: grace / 4}}, Cursor: mangotraffic.Cursor{Position: 3}})
 		time.Sleep(grace/4 + time.Millisecond)
 		x.do(RoutingUnchanged{})
 		x.Expect(x.listed()).To(gomega.ConsistOf(mangomodel.ServerID("s2")))
@@ -78,7 +78,7 @@
 func TestOldChangesAreIgnored(t *testing.T) {
 	bubble(t, func(x *fixture) {
 		x.list(5, plain("s1", "a1"))
-		x.do(ChangeServers{Full: true, Cursor: 4})
+		x.do(ChangeServers{Full: true, Cursor: mangotraffic.Cursor{Position: 4}})
 		x.Expect(x.listed()).To(gomega.ConsistOf(mangomodel.ServerID("s1")))
 	})
 }
@@ -100,21 +100,21 @@
 	bubble(t, func(x *fixture) {
 		x.list(1, plain("s1", "a1"))
 		s2 := plain("s2", "a1")
-		x.do(ChangeServers{Changes: []mangotraffic.ServerChange{{ID: "s2", Server: &s2}}, Cursor: 2})
-		x.do(ChangeServers{Changes: []mangotraffic.ServerChange{{ID: "s1", Grace: grace}}, Cursor: 3})
+		x.do(ChangeServers{Changes: []mangotraffic.ServerChange{{ID: "s2", Server: &s2}}, Cursor: mangotraffic.Cursor{Position: 2}})
+		x.do(ChangeServers{Changes: []mangotraffic.ServerChange{{ID: "s1", Grace: grace}}, Cursor: mangotraffic.Cursor{Position: 3}})
 		now, view := time.Now(), x.fleet.View()
-		none, ok := view.ChangesAfter(3, now)
+		none, ok := view.ChangesAfter(mangotraffic.Cursor{Position: 3}, now)
 		x.Expect(ok).To(gomega.BeTrue())
 		x.Expect(none.Changes).To(gomega.BeEmpty())
-		last, ok := view.ChangesAfter(2, now)
+		last, ok := view.ChangesAfter(mangotraffic.Cursor{Position: 2}, now)
 		x.Expect(ok).To(gomega.BeTrue())
 		x.Expect(last.Full).To(gomega.BeFalse())
 		x.Expect(last.Changes).To(gomega.Equal([]mangotraffic.ServerChange{{ID: "s1", Grace: grace}}))
-		later, _ := view.ChangesAfter(2, now.Add(grace/4))
+		later, _ := view.ChangesAfter(mangotraffic.Cursor{Position: 2}, now.Add(grace/4))
 		x.Expect(later.Changes[0].Grace).To(gomega.Equal(grace * 3 / 4))
 		x.Expect(last.Delayed(grace / 4).Changes).To(gomega.Equal(later.Changes))
-		x.Expect(last.After).To(gomega.BeEquivalentTo(2))
-		_, ok = view.ChangesAfter(0, now)
+		x.Expect(last.After).To(gomega.Equal(mangotraffic.Cursor{Position: 2}))
+		_, ok = view.ChangesAfter(mangotraffic.Cursor{Position: 0}, now)
 		x.Expect(ok).To(gomega.BeFalse(), "the whole list is needed")
 		list := view.List(now)
 		x.Expect(list.Full).To(gomega.BeTrue())
@@ -128,12 +128,12 @@
 	bubble(t, func(x *fixture) {
 		x.list(2, plain("s1", "a1"))
 		time.Sleep(time.Second)
-		x.do(ChangeServers{After: 3, Cursor: 4, Changes: []mangotraffic.ServerChange{{ID: "s1"}}})
+		x.do(ChangeServers{After: mangotraffic.Cursor{Position: 3}, Cursor: mangotraffic.Cursor{Position: 4}, Changes: []mangotraffic.ServerChange{{ID: "s1"}}})
 		x.Expect(x.fleet.View().Listed).To(gomega.HaveLen(1))
-		x.Expect(x.fleet.View().ListCursor).To(gomega.BeEquivalentTo(2))
+		x.Expect(x.fleet.View().ListCursor).To(gomega.Equal(mangotraffic.Cursor{Position: 2}))
 		x.Expect(x.fleet.View().Stale(time.Now().Add(mangobound.Within(mangobound.Standard).Age))).To(gomega.BeTrue())
-		x.do(ChangeServers{After: 2, Cursor: 4})
-		x.Expect(x.fleet.View().ListCursor).To(gomega.BeEquivalentTo(4))
+		x.do(ChangeServers{After: mangotraffic.Cursor{Position: 2}, Cursor: mangotraffic.Cursor{Position: 4}})
+		x.Expect(x.fleet.View().ListCursor).To(gomega.Equal(mangotraffic.Cursor{Position: 4}))
 		x.Expect(x.fleet.View().Stale(time.Now().Add(mangobound.Within(mangobound.Standard).Age))).To(gomega.BeFalse())
 	})
 }
--- a/core/mangofleet/observer_test.go
+++ b/core/mangofleet/observer_test.go
@@ -18,18 +18,19 @@
 func TestObserverIsNotifiedOnce(t *testing.T) {
 	bubble(t, func(x *fixture) {
 		x.list(2, plain("s1", "a1"))
-		x.do(ChangeServers{Cursor: 2, Age: time.Second})
-		old := ChangeServers{Cursor: 1, From: "d2", Changes: []mangotraffic.ServerChange{{ID: "s1"}}}
+		x.do(ChangeServers{Cursor: mangotraffic.Cursor{Position: 2}, Age: time.Second})
+		old := ChangeServers{Cursor: mangotraffic.Cursor{Position: 1}, From: "d2", Changes: []mangotraffic.ServerChange{{ID: "s1"}}}
 		x.do(old)
 		routing, err := mangotraffic.NewRouting(3, nil, nil, mangotraffic.Limits{})
 		x.Expect(err).NotTo(gomega.HaveOccurred())
 		x.do(InstallRouting{Routing: routing, From: "d2"})
-		x.do(InstallRouting{Routing: routing, Cursor: 9, From: "platform"})
+		x.do(InstallRouting{Routing: routing, Cursor: mangotraffic.Cursor{Position: 9}, From: "platform"})
 		older, err := mangotraffic.NewRouting(2, nil, nil, mangotraffic.Limits{})
 		x.Expect(err).NotTo(gomega.HaveOccurred())
 		x.Expect(x.fleet.Do(context.Background(), InstallRouting{Routing: older})).NotTo(gomega.Succeed())
 		x.Expect(x.observed.revisions).To(gomega.Equal([]mangomodel.Revision{1, 3}))
 		x.Expect(x.observed.lists).To(gomega.HaveLen(1))
+		x.Expect(x.observed.ignored).To(gomega.Equal([]ChangeServers{old}))
 	})
 }
 
--- a/core/mangofleet/outage_test.go
+++ b/core/mangofleet/outage_test.go
@@ -70,7 +70,7 @@
 	}
 	slices.SortStableFunc(w.record, func(a, b removal) int { return cmp.Compare(a.at, b.at) })
 	for i := range w.record {
-		w.record[i].cursor = mangotraffic.Cursor(i + 2)
+		w.record[i].cursor = mangotraffic.Cursor{Position: uint64(i + 2)}
 	}
 }
 
@@ -133,7 +133,7 @@
 			continue
 		}
 		for i, d := range w.daemons {
-			if !w.at(i, now, eventPause) && d.state.listCursor >= r.cursor && now-d.thawed > relaySlack && d.uses(r.server) {
+			if !w.at(i, now, eventPause) && !d.state.listCursor.Before(r.cursor) && now-d.thawed > relaySlack && d.uses(r.server) {
 				rt.Fatalf("daemon %d uses %s %v after the store's return", i, r.server, now-returned)
 			}
 		}
--- a/core/mangofleet/world_test.go
+++ b/core/mangofleet/world_test.go
@@ -116,7 +116,7 @@
 		s := newState(Self{Member: self}, func() mangobudget.Limits { return mangobudget.Limits{Window: time.Second} })
 		d := &reader{state: s, since: -1, renewAt: time.Duration(i) * step}
 		w.daemons = append(w.daemons, d)
-		list := ChangeServers{Full: true, Cursor: 1}
+		list := ChangeServers{Full: true, Cursor: mangotraffic.Cursor{Position: 1}}
 		for k := range maxEvents {
 			server := plain(serverID(k), "a1")
 			list.Changes = append(list.Changes, mangotraffic.ServerChange{ID: server.ID, Server: &server})
@@ -188,7 +188,7 @@
 	var list []mangotraffic.ServerChange
 	cursor := after
 	for _, r := range w.record {
-		if r.cursor <= after || r.at > w.now {
+		if !r.cursor.After(after) || r.at > w.now {
 			continue
 		}
 		change := mangotraffic.ServerChange{ID: r.server}
@@ -262,7 +262,7 @@
 // snapshot plays a fetch of the whole list.
 func (w *world) snapshot(from, to int, now time.Duration) {
 	s := w.daemons[from].state
-	if s.listCursor <= w.daemons[to].state.listCursor || w.age(w.daemons[from], now) > standard.Age {
+	if !s.listCursor.After(w.daemons[to].state.listCursor) || w.age(w.daemons[from], now) > standard.Age {
 		return
 	}
 	list, v := w.daemons[from].list(), w.view(from)
@@ -280,7 +280,7 @@
 			x.reads.Reads = x.reads.Reads.Delayed(took)
 		}
 		w.apply(d, x.reads, now)
-		if x.response && x.list.Cursor > 0 {
+		if x.response && !x.list.Cursor.IsZero() {
 			x.list = x.list.Delayed(took)
 			x.list.Age += took
 			w.apply(d, x.list, now)
--- a/core/mangofollow/follow.go
+++ b/core/mangofollow/follow.go
@@ -86,15 +86,12 @@
 	PlatformLost(r Record, err error)
 	PlatformRegained(r Record, after time.Duration)
 	// RoutingRejected is called for a configuration that was read and is not
-	// applied.
-	RoutingRejected(rev mangomodel.Revision, err error)
+	// applied, with the position at which it was read.
+	RoutingRejected(rev mangomodel.Revision, at mangotraffic.Cursor, err error)
 	// EntriesLeftOut is called for a configuration that is applied without some entries.
 	EntriesLeftOut(rev mangomodel.Revision, problems []mangoworkspace.Problem)
 }
 
-// platform is the peer from which a Follower's commands say they were received.
-const platform mangomodel.PeerName = "platform"
-
 // Follower follows a Source.
 type Follower struct {
 	fleet    Fleet
@@ -203,8 +200,8 @@
 	after := f.fleet.View().RoutingCursor
 	routing, to, err := f.source.Routing(ctx, after, w)
 	if errors.Is(err, ErrCursorExpired) {
-		after = 0
-		routing, to, err = f.source.Routing(ctx, 0, Wait{Data: w.Data})
+		after = mangotraffic.Cursor{}
+		routing, to, err = f.source.Routing(ctx, after, Wait{Data: w.Data})
 	}
 	if err != nil {
 		return false, err
@@ -218,9 +215,9 @@
 		age += mangomodel.Elapsed(read, time.Now())
 	}
 	before := f.fleet.View().Routing
-	err = f.fleet.Do(ctx, mangofleet.InstallRouting{Routing: routing, Cursor: to, Age: age, From: platform})
+	err = f.fleet.Do(ctx, mangofleet.InstallRouting{Routing: routing, Cursor: to, Age: age, From: mangofleet.Platform})
 	if err != nil {
-		f.observer.RoutingRejected(routing.Revision, err)
+		f.observer.RoutingRejected(routing.Revision, to, err)
 	}
 	// A read of a whole record returns a revision that was reported before.
 	if known := before != nil && before.Revision == routing.Revision; err == nil && !known && len(routing.Problems) > 0 {
@@ -238,20 +235,20 @@
 	after := f.fleet.View().ListCursor
 	changes, to, err := f.source.Servers(ctx, after, w)
 	if errors.Is(err, ErrCursorExpired) {
-		after = 0
-		changes, to, err = f.source.Servers(ctx, 0, Wait{Data: w.Data})
+		after = mangotraffic.Cursor{}
+		changes, to, err = f.source.Servers(ctx, after, Wait{Data: w.Data})
 	}
 	if err != nil {
 		return false, err
 	}
-	cmd := mangofleet.ChangeServers{Changes: changes, Full: after == 0, Cursor: to, Age: f.ageOfRead(began, after), From: platform}
+	cmd := mangofleet.ChangeServers{Changes: changes, Full: after.IsZero(), Cursor: to, Age: f.ageOfRead(began, after), From: mangofleet.Platform}
 	return len(changes) > 0, f.fleet.Do(ctx, cmd)
 }
 
 // ageOfRead returns the age of what a read has returned that began at a time. A response
 // that is older than a read for changes may take lay in a suspended host.
 func (f *Follower) ageOfRead(began time.Time, after mangotraffic.Cursor) time.Duration {
-	if took := mangomodel.Elapsed(began, time.Now()); after != 0 && took > f.times.Follow() {
+	if took := mangomodel.Elapsed(began, time.Now()); !after.IsZero() && took > f.times.Follow() {
 		return took
 	}
 	return 0
--- a/core/mangofollow/follow_test.go
+++ b/core/mangofollow/follow_test.go
@@ -53,7 +53,7 @@
 func (s *source) wait(ctx context.Context, after mangotraffic.Cursor, wait time.Duration) (bool, error) {
 	s.mu.Lock()
 	s.reads++
-	down, expired, changed := s.down, after != 0 && after < s.oldestCursor, after < s.cursor
+	down, expired, changed := s.down, !after.IsZero() && after.Before(s.oldestCursor), after.Before(s.cursor)
 	panics := s.panics > 0
 	s.panics--
 	s.mu.Unlock()
@@ -107,6 +107,9 @@
 	return changes, s.cursor, nil
 }
 
+// compact discards all changes so far and the next one. The caller holds the lock.
+func (s *source) compact() { s.oldestCursor = mangotraffic.Cursor{Position: s.cursor.Position + 1} }
+
 // count returns how many reads were made.
 func (s *source) count() int {
 	s.mu.Lock()
@@ -124,7 +127,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	f()
-	s.cursor++
+	s.cursor.Position++
 }
 
 // TestStartWaitsForOthers checks that daemons that start together do not all
@@ -177,7 +180,7 @@
 	w.regained++
 }
 
-func (*watcher) RoutingRejected(mangomodel.Revision, error) {}
+func (*watcher) RoutingRejected(mangomodel.Revision, mangotraffic.Cursor, error) {}
 
 func (w *watcher) EntriesLeftOut(rev mangomodel.Revision, problems []mangoworkspace.Problem) {
 	w.mu.Lock()
@@ -211,7 +214,7 @@
 // ends.
 func startWith(t *testing.T, w *watcher, times mangobound.Times, f func(g *gomega.WithT, s *source, fleet *mangofleet.Fleet, run func())) {
 	synctest.Test(t, func(t *testing.T) {
-		s := &source{revision: 1, cursor: 1, servers: map[mangomodel.ServerID]mangotraffic.Server{"s1": {ID: "s1", Service: "app"}}}
+		s := &source{revision: 1, cursor: mangotraffic.Cursor{Position: 1}, servers: map[mangomodel.ServerID]mangotraffic.Server{"s1": {ID: "s1", Service: "app"}}}
 		self := mangoroster.Member{Holder: mangomodel.Holder{Daemon: "d"}, DataCentre: "a1", Strong: true}
 		fleet := mangofleet.New(mangofleet.Self{Member: self}, func() mangobudget.Limits {
 			return mangobudget.Limits{Window: time.Second}
@@ -274,7 +277,7 @@
 			s.revision, s.problems = 2, []mangoworkspace.Problem{{Workspace: "hats", Field: "f", Value: "-1", Want: "more"}}
 		})
 		time.Sleep(2 * time.Second)
-		s.change(func() { s.oldestCursor = s.cursor + 1 })
+		s.change(func() { s.compact() })
 		time.Sleep(2 * time.Second)
 		w.mu.Lock()
 		defer w.mu.Unlock()
@@ -299,7 +302,8 @@
 func TestExpiredCursorReadsWholeRecord(t *testing.T) {
 	follow(t, func(g *gomega.WithT, s *source, fleet *mangofleet.Fleet, w *watcher) {
 		s.change(func() {
-			s.revision, s.oldestCursor = 3, s.cursor+1
+			s.revision = 3
+			s.compact()
 			s.servers = map[mangomodel.ServerID]mangotraffic.Server{"s2": {ID: "s2", Service: "app"}}
 		})
 		time.Sleep(2 * time.Second)
@@ -371,7 +375,7 @@
 				}
 				s.change(func() { s.servers, s.removed = nil, []mangomodel.ServerID{"s1"} })
 				s.setDown(false)
-				for fleet.View().ListCursor < 2 {
+				for fleet.View().ListCursor.Position < 2 {
 					time.Sleep(10 * time.Millisecond)
 				}
 				g.Expect(fleet.View().Listed).To(gomega.HaveLen(map[bool]int{true: 1}[test.kept]))
--- a/core/mangojournal/journal.go
+++ b/core/mangojournal/journal.go
@@ -6,9 +6,9 @@
 //
 // # Usage
 //
-//	j := mangojournal.Journal{}.Reset(7)
-//	j = j.With(mangojournal.Entry{Changes: changes, At: now, Cursor: 8})
-//	changes, ok := j.After(7, now)
+//	j := mangojournal.Journal{}.Reset(mangotraffic.Cursor{Position: 7})
+//	j = j.With(mangojournal.Entry{Changes: changes, At: now, Cursor: next})
+//	changes, ok := j.After(last, now)
 package mangojournal
 
 import (
@@ -54,12 +54,12 @@
 // After returns all changes after a position, each with what is left of its grace.
 // It reports false if some of them are no longer kept.
 func (j Journal) After(cursor mangotraffic.Cursor, now time.Time) ([]mangotraffic.ServerChange, bool) {
-	if cursor < j.base {
+	if cursor.Before(j.base) {
 		return nil, false
 	}
 	var changes []mangotraffic.ServerChange
 	for _, e := range j.entries {
-		if e.Cursor <= cursor {
+		if !e.Cursor.After(cursor) {
 			continue
 		}
 		for _, c := range e.Changes {
--- a/core/mangorelay/ending_test.go
+++ b/core/mangorelay/ending_test.go
@@ -9,7 +9,6 @@
 
 	"mangolane/core/mangoending"
 	"mangolane/core/mangomodel"
-	"mangolane/core/mangotraffic"
 )
 
 // TestCrashIsNoEndOfAnUnframedResponse guards against a response that a crash of its
@@ -82,7 +81,7 @@
 			h.call.Target = "/once/1"
 			h.Expect(h.serve()).NotTo(gomega.BeNil())
 			time.Sleep(time.Second)
-			h.restart(mangotraffic.Cursor(i+2), "d1", "d2")
+			h.restart(uint64(i+2), "d1", "d2")
 		}
 		h.Expect(h.quarantined("deadly")).To(gomega.BeTrue())
 		h.Expect(h.quarantined("o1")).To(gomega.BeFalse())
--- a/core/mangorelay/fake_test.go
+++ b/core/mangorelay/fake_test.go
@@ -331,7 +331,7 @@
 		{ID: "p1", Service: "llm", DataCentre: "a1", Slots: 4, Stage: mangotraffic.StagePrefill},
 		{ID: "p2", Service: "llm", DataCentre: "a2", Slots: 4, Stage: mangotraffic.StagePrefill},
 	}
-	cmd := mangofleet.ChangeServers{Full: true, Cursor: 1}
+	cmd := mangofleet.ChangeServers{Full: true, Cursor: mangotraffic.Cursor{Position: 1}}
 	for i := range list {
 		cmd.Changes = append(cmd.Changes, mangotraffic.ServerChange{ID: list[i].ID, Server: &list[i]})
 	}
@@ -341,9 +341,9 @@
 }
 
 // list adds a decode server to the list at a position.
-func (h *harness) list(cursor mangotraffic.Cursor, id mangomodel.ServerID) {
+func (h *harness) list(position uint64, id mangomodel.ServerID) {
 	server := mangotraffic.Server{ID: id, Service: "llm", DataCentre: "a1", Slots: 4, Stage: mangotraffic.StageDecode}
-	cmd := mangofleet.ChangeServers{Cursor: cursor, Changes: []mangotraffic.ServerChange{{ID: id, Server: &server}}}
+	cmd := mangofleet.ChangeServers{Cursor: mangotraffic.Cursor{Position: position}, Changes: []mangotraffic.ServerChange{{ID: id, Server: &server}}}
 	h.Expect(h.fleet.Do(context.Background(), cmd)).To(gomega.Succeed())
 }
 
--- a/core/mangorelay/handover_test.go
+++ b/core/mangorelay/handover_test.go
@@ -18,7 +18,7 @@
 
 // remove takes servers off the list, so that no call can continue there.
 func (h *harness) remove(list ...mangomodel.ServerID) {
-	cmd := mangofleet.ChangeServers{Cursor: 2}
+	cmd := mangofleet.ChangeServers{Cursor: mangotraffic.Cursor{Position: 2}}
 	for _, id := range list {
 		cmd.Changes = append(cmd.Changes, mangotraffic.ServerChange{ID: id})
 	}
@@ -209,7 +209,7 @@
 
 func TestUnreachableServersDoNotUseUpTheAttemptsOfAStream(t *testing.T) {
 	withHarness(t, func(h *harness) {
-		cmd := mangofleet.ChangeServers{Cursor: 2}
+		cmd := mangofleet.ChangeServers{Cursor: mangotraffic.Cursor{Position: 2}}
 		for id, centre := range map[mangomodel.ServerID]mangomodel.DataCentreID{"p3": "a2", "p4": "far"} {
 			server := mangotraffic.Server{ID: id, Service: "llm", DataCentre: centre, Slots: 4, Stage: mangotraffic.StagePrefill}
 			cmd.Changes = append(cmd.Changes, mangotraffic.ServerChange{ID: id, Server: &server})
--- a/core/mangorelay/parts_test.go
+++ b/core/mangorelay/parts_test.go
@@ -20,8 +20,8 @@
 }
 
 // restart lists new incarnations of servers.
-func (h *harness) restart(cursor mangotraffic.Cursor, list ...mangomodel.ServerID) {
-	cmd := mangofleet.ChangeServers{Cursor: cursor}
+func (h *harness) restart(position uint64, list ...mangomodel.ServerID) {
+	cmd := mangofleet.ChangeServers{Cursor: mangotraffic.Cursor{Position: position}}
 	for _, id := range list {
 		server := h.fleet.View().Listed[id]
 		server.Born = time.Now()
@@ -61,7 +61,7 @@
 				}
 			}
 			time.Sleep(time.Second)
-			h.restart(mangotraffic.Cursor(2*i+2), "d1", "d2")
+			h.restart(uint64(2*i+2), "d1", "d2")
 			h.servers.runs["d1"], h.servers.runs["d2"] = []step{{events: events(1, 3)}}, []step{{events: events(1, 3)}}
 			h.newPromptCall("shared", "sound")
 			h.Expect(h.serve()).To(gomega.BeNil())
@@ -105,7 +105,7 @@
 					h.call.Target = "/once/1"
 					h.serve()
 					time.Sleep(time.Second)
-					h.restart(mangotraffic.Cursor(i+2), "p1", "p2", "d1", "d2")
+					h.restart(uint64(i+2), "p1", "p2", "d1", "d2")
 				}
 				h.Expect(h.quarantined("deadly")).To(gomega.Equal(test.want))
 				h.Expect(h.quarantined("o1")).To(gomega.BeFalse())
@@ -126,7 +126,7 @@
 			h.newPromptCall("sound", own)
 			h.serve()
 			time.Sleep(time.Second)
-			h.restart(mangotraffic.Cursor(i+2), "p1", "p2")
+			h.restart(uint64(i+2), "p1", "p2")
 		}
 		h.Expect(h.quarantined("sound")).To(gomega.BeFalse())
 	})
--- a/core/mangorelay/relay_test.go
+++ b/core/mangorelay/relay_test.go
@@ -375,7 +375,7 @@
 	withHarness(t, func(h *harness) {
 		leaving := mangotraffic.Server{ID: "s1", Service: "app", DataCentre: "a1", Slots: 4, State: mangotraffic.StateLeaving}
 		h.Expect(h.fleet.Do(context.Background(), mangofleet.ChangeServers{
-			Changes: []mangotraffic.ServerChange{{ID: "s1", Server: &leaving}}, Cursor: 2,
+			Changes: []mangotraffic.ServerChange{{ID: "s1", Server: &leaving}}, Cursor: mangotraffic.Cursor{Position: 2},
 		})).To(gomega.Succeed())
 		h.Expect(h.serve()).To(gomega.BeNil())
 		h.Expect(h.servers.sent).To(gomega.Equal(ids("s2")))
--- a/core/mangorest/broken_test.go
+++ b/core/mangorest/broken_test.go
@@ -80,8 +80,12 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		status, data, err := c.Fetch(mangomodel.StepConfigure, req, 2*time.Second, 2*time.Second)
-		check(status, string(data), err)
+		f, err := c.Fetch(mangomodel.StepConfigure, req, 2*time.Second, 2*time.Second)
+		if err != nil {
+			check(0, "", err)
+			continue
+		}
+		check(f.Status, string(f.Body), nil)
 	}
 }
 
--- a/core/mangorest/client.go
+++ b/core/mangorest/client.go
@@ -155,28 +155,35 @@
 // sent no data in time.
 var errNoData = errors.New("no data received from the peer in time")
 
+// Fetched is a response that was read.
+type Fetched struct {
+	Status int
+	Header http.Header
+	Body   []byte
+}
+
 // Fetch sends a request that the caller has built and reads the response. It fails
 // if the response does not begin within responseTimeout, if no data is received for
 // dataTimeout within it, or if its body exceeds maxFetchedBody bytes. A large
 // response over a slow link thus completes, and an unresponsive connection does
 // not block the caller.
-func (c *Client) Fetch(step mangomodel.Step, req *http.Request, responseTimeout, dataTimeout time.Duration) (int, []byte, error) {
+func (c *Client) Fetch(step mangomodel.Step, req *http.Request, responseTimeout, dataTimeout time.Duration) (*Fetched, error) {
 	ctx, cancel := context.WithCancelCause(req.Context())
 	defer cancel(nil)
 	watchdog := time.AfterFunc(responseTimeout, func() { cancel(errNoData) })
 	defer watchdog.Stop()
 	resp, err := c.Send(step, c.peer, req.WithContext(ctx))
 	if err != nil {
-		return 0, nil, err
+		return nil, err
 	}
 	defer resp.Body.Close()
 	watchdog.Reset(dataTimeout)
 	body := io.TeeReader(resp.Body, onWrite(func() { watchdog.Reset(dataTimeout) }))
 	data, err := readLimited(body, maxFetchedBody)
 	if err != nil {
-		return 0, nil, mangomodel.NewFault(step, c.peer, mangomodel.CodeUnavailable, mangomodel.RunUnknown, err)
+		return nil, mangomodel.NewFault(step, c.peer, mangomodel.CodeUnavailable, mangomodel.RunUnknown, err)
 	}
-	return resp.StatusCode, data, nil
+	return &Fetched{Status: resp.StatusCode, Header: resp.Header, Body: data}, nil
 }
 
 // readLimited reads a body of at most limit bytes. A longer one is an error, since
--- a/core/mangorest/cut_test.go
+++ b/core/mangorest/cut_test.go
@@ -36,9 +36,9 @@
 			return c.Exchange(r.Context(), step, r.Method, r.URL.Path, nil, nil)
 		},
 		"fetch": func(c *Client, r *http.Request) error {
-			status, _, err := c.Fetch(step, r, time.Second, time.Second)
-			if err == nil && status != http.StatusOK {
-				return c.ResponseFault(step, status, nil)
+			f, err := c.Fetch(step, r, time.Second, time.Second)
+			if err == nil && f.Status != http.StatusOK {
+				return c.ResponseFault(step, f.Status, nil)
 			}
 			return err
 		},
--- a/core/mangorest/fetch_test.go
+++ b/core/mangorest/fetch_test.go
@@ -49,13 +49,13 @@
 			defer server.Close()
 			req, err := http.NewRequestWithContext(t.Context(), http.MethodGet, server.URL, nil)
 			g.Expect(err).NotTo(gomega.HaveOccurred())
-			_, data, err := NewClient("peer", "127.0.0.1:1").Fetch(mangomodel.StepConfigure, req, 3*idle, idle)
+			f, err := NewClient("peer", "127.0.0.1:1").Fetch(mangomodel.StepConfigure, req, 3*idle, idle)
 			if !test.complete {
 				g.Expect(err).To(gomega.HaveOccurred())
 				return
 			}
 			g.Expect(err).NotTo(gomega.HaveOccurred())
-			g.Expect(string(data)).To(gomega.Equal(strings.Repeat("x", test.parts)))
+			g.Expect(string(f.Body)).To(gomega.Equal(strings.Repeat("x", test.parts)))
 		})
 	}
 }
--- a/core/mangostage/change_test.go
+++ b/core/mangostage/change_test.go
@@ -160,7 +160,7 @@
 		f := mangofleet.New(mangofleet.Self{Member: mangoroster.Member{Holder: mangomodel.Holder{Daemon: "a"}}}, func() mangobudget.Limits { return mangobudget.Limits{Window: time.Second} })
 		go f.Run(ctx)
 		server := mangotraffic.Server{ID: "p", Service: "llm", Stage: mangotraffic.StageDecode}
-		g.Expect(f.Do(ctx, mangofleet.ChangeServers{Full: true, Cursor: 1, Changes: []mangotraffic.ServerChange{{ID: "p", Server: &server}}})).To(gomega.Succeed())
+		g.Expect(f.Do(ctx, mangofleet.ChangeServers{Full: true, Cursor: mangotraffic.Cursor{Position: 1}, Changes: []mangotraffic.ServerChange{{ID: "p", Server: &server}}})).To(gomega.Succeed())
 		queried := 0
 		p := platform{reported: func() { queried++ }}
 		controller := New(mangomodel.Holder{Daemon: "a"}, f, &p, &p, &p)
--- a/core/mangotraffic/server.go
+++ b/core/mangotraffic/server.go
@@ -76,7 +76,3 @@
 	// expired while the store was away.
 	Grace time.Duration
 }
-
-// Cursor is a position in the change history of the platform's records. Zero means
-// that nothing has been read yet.
-type Cursor uint64
--- a/mangolaned/mangogateway/observe.go
+++ b/mangolaned/mangogateway/observe.go
@@ -132,8 +132,8 @@
 func (o observer) ArchiveRestored(rows int) { o.logger.Info("archive restored", zap.Int("Rows", rows)) }
 
 // RoutingRejected logs a configuration that was read but not applied.
-func (o observer) RoutingRejected(rev mangomodel.Revision, err error) {
-	o.logger.Warn("configuration not applied", append(mangolog.FaultFields(err), zap.Uint64("Revision", uint64(rev)))...)
+func (o observer) RoutingRejected(rev mangomodel.Revision, at mangotraffic.Cursor, err error) {
+	o.logger.Warn("configuration not applied", append(mangolog.FaultFields(err), zap.Uint64("Revision", uint64(rev)), zap.Stringer("Cursor", at))...)
 }
 
 // EntriesLeftOut logs and counts the entries of a configuration that are not used.
@@ -213,7 +213,7 @@
 // ServersChanged logs changes to the server list, or a whole list in one line.
 func (o observer) ServersChanged(c mangofleet.ChangeServers) {
 	from := []zap.Field{
-		zap.Duration("Age", c.Age), zap.String("From", string(c.From)),
+		zap.Duration("Age", c.Age), zap.String("From", string(c.From)), zap.Stringer("Cursor", c.Cursor),
 	}
 	if c.Full || len(c.Changes) > maxLoggedChanges {
 		o.logger.Info("servers listed", append(from, zap.Int("Servers", len(c.Changes)), zap.Bool("Full", c.Full))...)
@@ -224,6 +224,17 @@
 	}
 }
 
+// ListIgnored logs and counts changes to the server list that are not applied. Those of
+// other daemons that are a few changes behind are usual, and only counted.
+func (o observer) ListIgnored(c mangofleet.ChangeServers, reached mangotraffic.Cursor) {
+	o.metrics.count("Lists.Ignored", 1)
+	if c.Cursor.Era == reached.Era && !c.FromPlatform() {
+		return
+	}
+	o.logger.Warn("list ignored", zap.String("From", string(c.From)), zap.Bool("Full", c.Full), zap.Int("Changes", len(c.Changes)),
+		zap.Stringer("After", c.After), zap.Stringer("Cursor", c.Cursor), zap.Stringer("Reached", reached))
+}
+
 // serverChangeObject marshals a change to the server list as one log object.
 type serverChangeObject mangotraffic.ServerChange
 
--- a/mangolaned/mangomesh/late_test.go
+++ b/mangolaned/mangomesh/late_test.go
@@ -23,7 +23,7 @@
 	routing, err := mangotraffic.NewRouting(1, nil, services, mangotraffic.Limits{})
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	g.Expect(fleet.Do(t.Context(), mangofleet.InstallRouting{Routing: routing})).To(gomega.Succeed())
-	g.Expect(fleet.Do(t.Context(), mangofleet.ChangeServers{Full: true, Cursor: 1})).To(gomega.Succeed())
+	g.Expect(fleet.Do(t.Context(), mangofleet.ChangeServers{Full: true, Cursor: mangotraffic.Cursor{Position: 1}})).To(gomega.Succeed())
 	peers, scheduler := NewPeers(), mangoroster.Member{Address: addr}
 	for i, patience := range []time.Duration{50 * time.Millisecond, -100 * time.Millisecond, -700 * time.Millisecond, -3 * time.Second} {
 		demand := mangolease.Demand{Service: "llm", Generation: &mangotraffic.Generation{Prompt: 100, MaxOutput: 10}, Patience: patience}
--- a/mangolaned/mangomesh/snapshot_test.go
+++ b/mangolaned/mangomesh/snapshot_test.go
@@ -33,7 +33,7 @@
 	}
 	routing, err := mangotraffic.NewRouting(7, routes, []mangotraffic.Service{{Name: "app"}}, mangotraffic.Limits{BodyBytes: 5})
 	g.Expect(err).NotTo(gomega.HaveOccurred())
-	list := mangofleet.ChangeServers{Full: true, Cursor: 9}
+	list := mangofleet.ChangeServers{Full: true, Cursor: mangotraffic.Cursor{Position: 9}}
 	for i := range count {
 		id := mangomodel.ServerID(fmt.Sprintf("i-%x", i*7919))
 		server := mangotraffic.Server{ID: id, Service: "app", Address: "10.1.64.9:8101", DataCentre: "almaty-a", Slots: 12, Born: time.UnixMilli(int64(i))}
@@ -62,7 +62,7 @@
 	rest, err := NewPeers().Snapshot(context.Background(), addr, mangobroker.StateVersion{Revision: 7})
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	g.Expect(rest.Routing).To(gomega.BeNil())
-	g.Expect(rest.List.Cursor).To(gomega.BeEquivalentTo(9))
+	g.Expect(rest.List.Cursor).To(gomega.Equal(mangotraffic.Cursor{Position: 9}))
 }
 
 // serve runs a daemon's server on loopback.
