Positions of an older era of the store are before all later ones

What callers saw: 404 for a route that had been added (CONFIG), and requests at servers that had left (DRAIN), for good, at all daemons. Cause: a position in the store's record was a number. A store that comes back from an older copy gives out the same numbers again, so that lists and configurations of the new era were ignored until their positions had passed the old one, and a feed from the old position skipped what was written below it. Change: positions are ordered by era, then by version. Other daemons hear of the new list as of any newer one. Why it works: eras never go back, so that no position is given out twice.

--- a/core/mangofleet/list.go
+++ b/core/mangofleet/list.go
@@ -86,7 +86,8 @@
 	Age time.Duration
 	// After is the position before the changes, and Cursor the one after them.
 	// A command is ignored if Cursor is before the position already reached. It
-	// cannot be applied if After is beyond that position, unless Full is set.
+	// cannot be applied if After is beyond that position, or Cursor of a later era,
+	// unless Full is set.
 	After, Cursor mangotraffic.Cursor
 	// From is the peer that they were received from.
 	From mangomodel.PeerName
@@ -102,7 +103,8 @@
 func (c ChangeServers) Apply(s *state, now time.Time) error {
 	read := now.Add(-c.Age)
 	s.readAt(read, now)
-	if c.Cursor.Before(s.listCursor) || c.After.After(s.listCursor) && !c.Full {
+	gap := !c.Full && (c.After.After(s.listCursor) || c.Cursor.Era > s.listCursor.Era)
+	if gap || c.Cursor.Before(s.listCursor) {
 		s.observer.ListIgnored(c, s.listCursor)
 		return nil
 	}
--- a/core/mangofollow/follow.go
+++ b/core/mangofollow/follow.go
@@ -51,7 +51,7 @@
 )
 
 // ErrCursorExpired is returned by a Source that no longer keeps the changes after
-// a cursor.
+// a cursor, or that has come back from an older copy since.
 var ErrCursorExpired = errors.New("the changes after the cursor are no longer kept")
 
 // Source reads records. With a zero cursor it reads the whole record at once;
--- a/core/mangotraffic/cursor.go
+++ b/core/mangotraffic/cursor.go
@@ -9,15 +9,19 @@
 // never goes back, and is zero if the store does not say.
 type Era uint64
 
-// Cursor is a position in the change history of the platform's records. The zero Cursor
-// means that nothing has been read yet.
+// Cursor is a position in the change history of the platform's records. A store that comes
+// back from an older copy gives out positions again, so that those of two eras are not
+// comparable by number: all positions of a later era are after those of an earlier one. The
+// zero Cursor means that nothing has been read yet.
 type Cursor struct {
 	Era      Era
 	Position uint64
 }
 
 // Compare returns -1 if c is before o, 0 if they are the same, and 1 if c is after o.
-func (c Cursor) Compare(o Cursor) int { return cmp.Compare(c.Position, o.Position) }
+func (c Cursor) Compare(o Cursor) int {
+	return cmp.Or(cmp.Compare(c.Era, o.Era), cmp.Compare(c.Position, o.Position))
+}
 
 // Before reports whether c is before o.
 func (c Cursor) Before(o Cursor) bool { return c.Compare(o) < 0 }
