Tests: a command has its reply before the fleet of the test ends

Cause: a race of the test. The command that the timer sends wakes the call, whose test then ends the loop before the loop has replied to the timer. Change: the test waits until the loop is idle before it checks anything; what it checks is unchanged.

--- a/core/mangorelay/crash_test.go
+++ b/core/mangorelay/crash_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/onsi/gomega"
@@ -184,6 +185,8 @@
 				}
 				h.newCall("/read/")
 				fault := h.serve()
+				// The command has its reply before the fleet ends.
+				synctest.Wait()
 				h.Expect(len(h.servers.sent) > 0).To(gomega.Equal(test.sent))
 				if test.sent {
 					h.Expect(fault).To(gomega.BeNil())
