A server that left is not revived by an older copy of the list

What callers saw: requests at a server that had said it leaves, or whose entry had been removed, after the store came back from a copy that still names it as ready (DRAIN). Cause: the first list of the new era replaced what the daemons knew. Change: mangodeparture keeps for a minute which incarnations have left. In the first list of an era, one that had announced that it leaves is withdrawn, as after an announcement in an answer, which also tells the other daemons. One whose entry was removed is deferred until the entry is written again, or for 6 s, in which the store removes the entry of a server that is gone; a live one that had lost its entry is used then. Logs: 'platform restored from an older copy', 'server deferred', 'server withdrawn'. Why it works: within one era only a write can list a server that has left.

--- /dev/null
+++ b/core/mangodeparture/departure.go
@@ -0,0 +1,147 @@
+// Package mangodeparture keeps which backend servers have left the list lately, and decides
+// which entries of an older copy of the list are used.
+//
+// After the platform's store has come back from an older copy of itself, the list names
+// servers that have left since the copy. One that had announced that it leaves stays out of
+// use. One whose entry was removed may have lost it while it was cut off, and may live: its
+// entry is deferred until it is written again, or until the store has had the time to remove
+// the entry of a server that is gone.
+//
+// # Usage
+//
+//	d := mangodeparture.New()
+//	d.Left(server, now)
+//	switch d.Judge(entry, now) { ... } // for each entry of the older copy
+//	for _, server := range d.Confirmed(now) { ... } // when NextDue says so
+package mangodeparture
+
+//go:generate go run github.com/dmarkham/enumer@v1.7.2 -type=Verdict -trimprefix=Verdict -output=verdict_string.go
+
+import (
+	"maps"
+	"time"
+
+	"mangolane/core/mangomodel"
+	"mangolane/core/mangotraffic"
+)
+
+const (
+	// Retention is how long a departure is kept. Copies of the store are some seconds old.
+	Retention = time.Minute
+	// ConfirmTime is how long the entry of a server that had left is deferred: some
+	// heartbeats more than the store waits for before it removes an entry.
+	ConfirmTime = 6 * time.Second
+)
+
+// Verdict is what becomes of an entry of an older copy.
+type Verdict int
+
+const (
+	// VerdictUse means that the server has not left, or is another incarnation.
+	VerdictUse Verdict = iota
+	// VerdictDefer means that the entry had been removed.
+	VerdictDefer
+	// VerdictWithdraw means that the server had announced that it leaves.
+	VerdictWithdraw
+)
+
+// departure is a server that has left the list.
+type departure struct {
+	server  mangotraffic.ServerRef
+	leaving bool
+	at      time.Time
+}
+
+// deferral is an entry that is not used yet.
+type deferral struct {
+	server mangotraffic.Server
+	until  time.Time
+}
+
+// Departures holds the servers that have left lately and the deferred entries. It has no
+// clock and no goroutine: its owner passes in the time.
+type Departures struct {
+	left     map[mangomodel.ServerID]departure
+	deferred map[mangomodel.ServerID]deferral
+}
+
+// New returns an empty record.
+func New() *Departures {
+	return &Departures{left: make(map[mangomodel.ServerID]departure), deferred: make(map[mangomodel.ServerID]deferral)}
+}
+
+// Left records that the entry of a server was removed.
+func (d *Departures) Left(server *mangotraffic.Server, now time.Time) {
+	maps.DeleteFunc(d.left, func(_ mangomodel.ServerID, x departure) bool { return now.Sub(x.at) >= Retention })
+	d.left[server.ID] = departure{server.Ref(), server.State == mangotraffic.StateLeaving, now}
+}
+
+// Written records that the entry of a server was written or removed, so that it is no
+// longer that of the older copy.
+func (d *Departures) Written(id mangomodel.ServerID) {
+	delete(d.left, id)
+	delete(d.deferred, id)
+}
+
+// Restored drops the deferred entries, before those of a newer copy are judged.
+func (d *Departures) Restored() { clear(d.deferred) }
+
+// Judge decides about an entry of an older copy, and keeps it if it is deferred.
+func (d *Departures) Judge(server *mangotraffic.Server, now time.Time) Verdict {
+	x, ok := d.left[server.ID]
+	switch {
+	case !ok || now.Sub(x.at) >= Retention || server.Ref().After(x.server):
+		return VerdictUse
+	case x.leaving || server.State == mangotraffic.StateLeaving:
+		return VerdictWithdraw
+	default:
+		d.deferred[server.ID] = deferral{*server, now.Add(ConfirmTime)}
+		return VerdictDefer
+	}
+}
+
+// Keep drops the deferred entries that a whole list does not have, and reports for which
+// servers of the list there is one.
+func (d *Departures) Keep(listed map[mangomodel.ServerID]*mangotraffic.Server) map[mangomodel.ServerID]bool {
+	kept := make(map[mangomodel.ServerID]bool)
+	for id, x := range d.deferred {
+		if server := listed[id]; server != nil && !server.Ref().After(x.server.Ref()) {
+			kept[id] = true
+		} else {
+			delete(d.deferred, id)
+		}
+	}
+	return kept
+}
+
+// Deferred returns the deferred entries.
+func (d *Departures) Deferred() []mangotraffic.Server {
+	var list []mangotraffic.Server
+	for _, x := range d.deferred {
+		list = append(list, x.server)
+	}
+	return list
+}
+
+// Confirmed removes and returns the entries that are deferred no longer.
+func (d *Departures) Confirmed(now time.Time) []mangotraffic.Server {
+	var list []mangotraffic.Server
+	for id, x := range d.deferred {
+		if !now.Before(x.until) {
+			list = append(list, x.server)
+			d.Written(id)
+		}
+	}
+	return list
+}
+
+// NextDue returns when Confirmed has to be called next; zero if nothing is deferred.
+func (d *Departures) NextDue() time.Time {
+	var due time.Time
+	for _, x := range d.deferred {
+		if due.IsZero() || x.until.Before(due) {
+			due = x.until
+		}
+	}
+	return due
+}
--- a/core/mangofleet/era_test.go
+++ b/core/mangofleet/era_test.go
@@ -3,9 +3,12 @@
 import (
 	"context"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/onsi/gomega"
 
+	"mangolane/core/mangodeparture"
 	"mangolane/core/mangomodel"
 	"mangolane/core/mangotraffic"
 )
@@ -60,3 +63,46 @@
 		x.Expect(x.fleet.View().RoutingCursor).To(gomega.Equal(mangotraffic.Cursor{Era: 2, Position: 4}))
 	})
 }
+
+// TestServerThatLeftIsNotRevivedByAnOlderCopy guards against work for a server that has left,
+// since an older copy of the list still names it. The entry of a removed one is used once
+// it is written again, or has outlived the time in which the store removes it.
+func TestServerThatLeftIsNotRevivedByAnOlderCopy(t *testing.T) {
+	at := func(era mangotraffic.Era, position uint64) mangotraffic.Cursor {
+		return mangotraffic.Cursor{Era: era, Position: position}
+	}
+	s1, leaving, s2 := plain("s1", "a1"), plain("s1", "a1"), plain("s2", "a1")
+	leaving.State = mangotraffic.StateLeaving
+	list := []mangotraffic.ServerChange{{ID: "s1", Server: &s1}, {ID: "s2", Server: &s2}}
+	gone := []mangotraffic.ServerChange{{ID: "s1"}}
+	older := ChangeServers{Full: true, Cursor: at(2, 3), Changes: list}
+	tests := []struct {
+		name  string
+		left  []mangotraffic.ServerChange
+		then  ChangeServers
+		after time.Duration
+		used  bool
+	}{
+		{"removed", gone, ChangeServers{Cursor: at(2, 3)}, mangodeparture.ConfirmTime - time.Millisecond, false},
+		{"removed, still listed later", gone, ChangeServers{Cursor: at(2, 3)}, mangodeparture.ConfirmTime, true},
+		{"removed, written again", gone, ChangeServers{Cursor: at(2, 4), Changes: list[:1]}, 0, true},
+		{"removed, in a further list", gone, ChangeServers{Full: true, Cursor: at(2, 9), Changes: list}, 0, false},
+		{"leaving", []mangotraffic.ServerChange{{ID: "s1", Server: &leaving}}, ChangeServers{Cursor: at(2, 3)}, time.Hour, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			bubble(t, func(x *fixture) {
+				x.do(ChangeServers{Full: true, Cursor: at(1, 60), Changes: list})
+				x.do(ChangeServers{Cursor: at(1, 61), Changes: test.left})
+				x.do(older)
+				x.Expect(x.fleet.View().MayUse("s1")).To(gomega.BeFalse())
+				x.Expect(x.fleet.View().MayUse("s2")).To(gomega.BeTrue())
+				x.do(test.then)
+				time.Sleep(test.after)
+				synctest.Wait()
+				x.Expect(x.fleet.View().MayUse("s1")).To(gomega.Equal(test.used))
+				x.Expect(x.fleet.View().List(time.Now()).Changes).To(gomega.HaveLen(2), "other daemons are told of the entry")
+			})
+		})
+	}
+}
--- a/core/mangofleet/fleet.go
+++ b/core/mangofleet/fleet.go
@@ -59,6 +59,11 @@
 	// ListIgnored is called with changes that are not applied, since they end before the
 	// position reached or begin after it.
 	ListIgnored(cmd ChangeServers, reached mangotraffic.Cursor)
+	// StoreRestored is called with the first list of an era, after one of an earlier era.
+	StoreRestored(from, to mangotraffic.Cursor)
+	// EntryDeferred is called for an entry in that list that is not used for some time, since
+	// it had been removed before.
+	EntryDeferred(server mangotraffic.ServerRef, d time.Duration)
 	// HealthChanged is called when a server is ejected or becomes usable again.
 	HealthChanged(server mangotraffic.Server, r mangohealth.Record, now time.Time)
 	// ServerWithdrawn is called when a server has announced that it leaves: in the
@@ -100,6 +105,8 @@
 func (nopObserver) RoutingChanged(mangomodel.Revision, mangomodel.PeerName)          {}
 func (nopObserver) ServersChanged(ChangeServers)                                     {}
 func (nopObserver) ListIgnored(ChangeServers, mangotraffic.Cursor)                   {}
+func (nopObserver) StoreRestored(from, to mangotraffic.Cursor)                       {}
+func (nopObserver) EntryDeferred(mangotraffic.ServerRef, time.Duration)              {}
 func (nopObserver) HealthChanged(mangotraffic.Server, mangohealth.Record, time.Time) {}
 func (nopObserver) ServerWithdrawn(mangotraffic.ServerRef, mangomodel.RequestID, mangomodel.PeerName) {
 }
@@ -172,6 +179,9 @@
 	// expired marks the servers of Listed whose entries have vanished and whose
 	// grace period runs.
 	expired map[mangomodel.ServerID]bool
+	// deferred are the entries that are not used yet, since they had been removed before the
+	// store came back from an older copy.
+	deferred []mangotraffic.Server
 	// withdrawn holds the servers that have announced that they leave. unconfirmed are
 	// those that the list still names as ready.
 	withdrawn   map[mangomodel.ServerID]mangoleaving.Withdrawal
--- a/core/mangofleet/fleet_test.go
+++ b/core/mangofleet/fleet_test.go
@@ -44,6 +44,8 @@
 	revisions []mangomodel.Revision
 	lists     []ChangeServers
 	ignored   []ChangeServers
+	restored  int
+	deferred  []mangomodel.ServerID
 	usable    []bool
 	withdrawn []mangomodel.ServerID
 	backoffs  []mangolease.Announcement
@@ -57,7 +59,11 @@
 	o.revisions = append(o.revisions, rev)
 }
 
-func (o *recordingObserver) ServersChanged(cmd ChangeServers) { o.lists = append(o.lists, cmd) }
+func (o *recordingObserver) ServersChanged(cmd ChangeServers)       { o.lists = append(o.lists, cmd) }
+func (o *recordingObserver) StoreRestored(_, _ mangotraffic.Cursor) { o.restored++ }
+func (o *recordingObserver) EntryDeferred(ref mangotraffic.ServerRef, _ time.Duration) {
+	o.deferred = append(o.deferred, ref.ID)
+}
 func (o *recordingObserver) ListIgnored(cmd ChangeServers, _ mangotraffic.Cursor) {
 	o.ignored = append(o.ignored, cmd)
 }
--- a/core/mangofleet/list.go
+++ b/core/mangofleet/list.go
@@ -111,6 +111,9 @@
 	if read.After(s.listRead) {
 		s.listRead = read
 	}
+	if c.Full {
+		c.Changes = s.withoutDeparted(c, now)
+	}
 	c.Changes = s.withGraces(c.Changes, now)
 	if len(c.Changes) > 0 {
 		s.observer.ServersChanged(c)
@@ -122,7 +125,9 @@
 	}
 	if c.Full {
 		for _, id := range s.pool.Missing(listed) {
-			s.pool.RemoveServer(id, s.outages.Grace(now), now)
+			grace := s.outages.Grace(now)
+			s.removing(id, grace, now)
+			s.pool.RemoveServer(id, grace, now)
 		}
 	}
 	s.appendJournal(c, now)
@@ -154,7 +159,9 @@
 }
 
 func (s *state) applyChange(change mangotraffic.ServerChange, now time.Time) {
+	s.departures.Written(change.ID)
 	if change.Server == nil {
+		s.removing(change.ID, change.Grace, now)
 		s.pool.RemoveServer(change.ID, change.Grace, now)
 		return
 	}
@@ -190,7 +197,8 @@
 }
 
 // List returns the command that replaces another daemon's list by this daemon's.
-// Servers whose grace period runs are left out: they reappear or are removed soon.
+// Servers whose grace period runs are left out: they reappear or are removed soon. Entries
+// that are deferred are not: the other daemon knows which servers have left.
 func (v *View) List(now time.Time) ChangeServers {
 	cmd := ChangeServers{Full: true, Cursor: v.ListCursor, Age: now.Sub(v.ListRead)}
 	for id, server := range v.Listed {
@@ -199,6 +207,9 @@
 		}
 		cmd.Changes = append(cmd.Changes, mangotraffic.ServerChange{ID: id, Server: &server})
 	}
+	for _, server := range v.deferred {
+		cmd.Changes = append(cmd.Changes, mangotraffic.ServerChange{ID: server.ID, Server: &server})
+	}
 	return cmd
 }
 
--- a/core/mangofleet/state.go
+++ b/core/mangofleet/state.go
@@ -6,6 +6,7 @@
 	"mangolane/core/mangobound"
 	"mangolane/core/mangobudget"
 	"mangolane/core/mangocrash"
+	"mangolane/core/mangodeparture"
 	"mangolane/core/mangojournal"
 	"mangolane/core/mangolease"
 	"mangolane/core/mangoload"
@@ -71,6 +72,7 @@
 	// long servers whose entries vanished are still used.
 	readFailed time.Time
 	outages    *mangooutage.Record
+	departures *mangodeparture.Departures
 	// listCursor and routingCursor are the positions reached in the platform's
 	// records; journal holds the latest changes of the list.
 	listCursor, routingCursor mangotraffic.Cursor
@@ -115,6 +117,7 @@
 		suspects:   mangocrash.New(),
 		quarantine: mangoquarantine.New(),
 		outages:    mangooutage.New(self.Holder.Daemon, times.Outage()),
+		departures: mangodeparture.New(),
 		changed:    viewParts{members: true},
 	}
 	s.quota = newQuotas(s)
@@ -123,7 +126,7 @@
 
 // Tick removes expired entries and leases, and serves the queue.
 func (s *state) Tick(now time.Time) {
-	s.pool.RemoveExpired(now)
+	s.removeExpired(now)
 	s.pool.ExpireHolders(now)
 	s.expireQuotaWaiters(now)
 	s.serveQueue(now)
@@ -131,7 +134,7 @@
 
 // NextDue returns when Tick has to be called next, if ever.
 func (s *state) NextDue() (time.Time, bool) {
-	due := earliest(s.pool.NextDue(), s.quotaDue())
+	due := earliest(earliest(s.pool.NextDue(), s.quotaDue()), s.departures.NextDue())
 	for _, w := range s.queue {
 		due = earliest(due, w.Deadline)
 	}
@@ -159,7 +162,7 @@
 		ListRead: s.listRead, RoutingRead: s.routingRead, granted: s.pool.Granted(), allowances: s.allowances,
 		ListCursor: s.listCursor, RoutingCursor: s.routingCursor, journal: s.journal, self: s.self.Holder.Daemon, times: s.times,
 		quotaAsk: s.quota.ask, quotaReport: s.quota.report, quotaReplies: s.quota.replies,
-		Announced: s.announced, readFailed: s.readFailed, returned: s.outages.Returned(),
+		deferred: s.departures.Deferred(), Announced: s.announced, readFailed: s.readFailed, returned: s.outages.Returned(),
 	}
 	if last != nil {
 		v.Listed, v.Members, v.schedulers = last.Listed, last.Members, last.schedulers
--- a/core/mangopool/list.go
+++ b/core/mangopool/list.go
@@ -108,13 +108,17 @@
 	}
 }
 
-// RemoveExpired removes the servers whose grace period has ended, and old withdrawals.
-func (p *Pool) RemoveExpired(now time.Time) {
+// RemoveExpired removes and returns the servers whose grace period has ended. It also removes
+// old withdrawals.
+func (p *Pool) RemoveExpired(now time.Time) []mangotraffic.Server {
+	var removed []mangotraffic.Server
 	for id, b := range p.backends {
 		if !b.removeAt.IsZero() && !now.Before(b.removeAt) {
+			removed = append(removed, b.server)
 			p.remove(id, now)
 		}
 	}
 	p.withdrawals.Expire(now)
 	p.backoffs.Expire(now)
+	return removed
 }
--- a/core/mangopool/observe.go
+++ b/core/mangopool/observe.go
@@ -66,6 +66,26 @@
 	return servers
 }
 
+// Server returns a listed server.
+func (p *Pool) Server(id mangomodel.ServerID) (mangotraffic.Server, bool) {
+	b, ok := p.backends[id]
+	if !ok {
+		return mangotraffic.Server{}, false
+	}
+	return b.server, true
+}
+
+// LeavingServers returns the listed servers that finish their current work only.
+func (p *Pool) LeavingServers() []mangotraffic.ServerRef {
+	var list []mangotraffic.ServerRef
+	for _, b := range p.backends {
+		if b.server.State == mangotraffic.StateLeaving {
+			list = append(list, b.server.Ref())
+		}
+	}
+	return list
+}
+
 // Health returns a listed server and its health record.
 func (p *Pool) Health(id mangomodel.ServerID) (mangotraffic.Server, mangohealth.Record) {
 	b, ok := p.backends[id]
--- a/mangolaned/mangogateway/observe.go
+++ b/mangolaned/mangogateway/observe.go
@@ -235,6 +235,18 @@
 		zap.Stringer("After", c.After), zap.Stringer("Cursor", c.Cursor), zap.Stringer("Reached", reached))
 }
 
+// StoreRestored logs and counts that the platform's store has come back from an older copy.
+func (o observer) StoreRestored(from, to mangotraffic.Cursor) {
+	o.metrics.count("Platform.Restored", 1)
+	o.logger.Warn("platform restored from an older copy", zap.Stringer("Reached", from), zap.Stringer("Cursor", to))
+}
+
+// EntryDeferred logs and counts an entry of that copy that is not used for some time.
+func (o observer) EntryDeferred(server mangotraffic.ServerRef, d time.Duration) {
+	o.metrics.count("Servers.Deferred", 1)
+	o.logger.Info("server deferred", zap.String("Server", string(server.ID)), zap.Time("Born", server.Born), zap.Duration("For", d))
+}
+
 // serverChangeObject marshals a change to the server list as one log object.
 type serverChangeObject mangotraffic.ServerChange
 
