Entries that an older copy of the store lacks are tolerated for two seconds

What callers saw: refusals, as servers that were listed after the copy dropped out of the list until they had written their entries again; all servers of a service, if it was just replaced. Cause: whether entries may have been lost was decided by the length of an outage, and a drill may be shorter than that. Change: the first list of an era counts as the return of the store, so that what it lacks is removed after the two seconds that the users' pages give for it.

--- a/core/mangofleet/list.go
+++ b/core/mangofleet/list.go
@@ -112,7 +112,7 @@
 		s.listRead = read
 	}
 	if c.Full {
-		c.Changes = s.withoutDeparted(c, now)
+		c.Changes = s.withoutDeparted(c, read, now)
 	}
 	c.Changes = s.withGraces(c.Changes, now)
 	if len(c.Changes) > 0 {
--- a/core/mangofleet/restore.go
+++ b/core/mangofleet/restore.go
@@ -10,11 +10,12 @@
 )
 
 // withoutDeparted returns the entries of a whole list that are used at once. In the first
-// list of an era the store has come back from an older copy, which may name servers that
-// have left since.
-func (s *state) withoutDeparted(c ChangeServers, now time.Time) []mangotraffic.ServerChange {
+// list of an era, which was read at a time, the store has come back from an older copy: it
+// may name servers that have left since, and lack live ones.
+func (s *state) withoutDeparted(c ChangeServers, read, now time.Time) []mangotraffic.ServerChange {
 	if c.Cursor.Era > s.listCursor.Era && !s.listCursor.IsZero() {
 		s.observer.StoreRestored(s.listCursor, c.Cursor)
+		s.outages.Restored(read)
 		return s.judged(c.Changes, now)
 	}
 	listed := make(map[mangomodel.ServerID]*mangotraffic.Server, len(c.Changes))
--- a/core/mangooutage/outage.go
+++ b/core/mangooutage/outage.go
@@ -7,6 +7,9 @@
 // list, and which daemons have failed to read it since. The store was away if nobody
 // read it for some time and more than one daemon failed to, or the only one did.
 //
+// A store that comes back from an older copy lacks the entries that were written since. It
+// was away, however shortly.
+//
 // An outage ends with the first read by any daemon, whichever daemon learns of it. The
 // grace of the entries that were lost in it begins there.
 //
@@ -16,6 +19,7 @@
 //	r.Failed(self, now)
 //	r.Failed(other, now.Add(-age))
 //	r.Read(now, others)
+//	r.Restored(now)
 //	grace := r.Grace(now)
 package mangooutage
 
@@ -81,6 +85,8 @@
 	failed failures
 	// last is the last gap that may have been an outage.
 	last gap
+	// restored is when the store was first read after it came back from an older copy.
+	restored time.Time
 }
 
 // New returns a record without reads. The store may have been away if nobody read the list
@@ -126,10 +132,18 @@
 	r.last.failed = r.last.failed.within(r.last.from, r.last.to)
 }
 
+// Restored records that the store was read at a time, for the first time since it came back
+// from an older copy.
+func (r *Record) Restored(at time.Time) {
+	if at.After(r.restored) {
+		r.restored = at
+	}
+}
+
 // Returned returns when the store returned from the last outage; zero if there was none.
 func (r *Record) Returned() time.Time {
-	if r.last.to.Sub(r.last.from) < r.minOutage || !r.witnessed() {
-		return time.Time{}
+	if r.last.to.Sub(r.last.from) < r.minOutage || !r.witnessed() || r.restored.After(r.last.to) {
+		return r.restored
 	}
 	return r.last.to
 }
