Fencing tokens grow over a drill with the store

Cause: a token was the store's version of the claim, which the store gives out again once it has come back from an older copy: an engine got a lower token after a higher one, or one token from two daemons. By the same number a daemon took another one's claim for its own and ordered within its lease. Change: a token is the era in 11 bits and the version in 42, so that readers of 53 bits keep it exact. Without an era it is the version, as before. A version or an era beyond that permits no order.

--- a/core/mangostage/change.go
+++ b/core/mangostage/change.go
@@ -60,8 +60,12 @@
 	if err != nil {
 		return 0, notSent(err)
 	}
+	lastToken, err := NewFencingToken(last.Era, last.Version)
+	if err != nil {
+		return 0, notSent(err)
+	}
 	me := c.self.Daemon
-	if last.Holder != "" && last.Version != c.lastVersion[change.Service] && last.Age < max(c.orderLease+2*orderTimeout, mangobalance.SettleTime) {
+	if last.Holder != "" && lastToken != c.lastToken[change.Service] && last.Age < max(c.orderLease+2*orderTimeout, mangobalance.SettleTime) {
 		return 0, mangomodel.Faultf(mangomodel.StepConfigure, mangomodel.PeerName(last.Holder), mangomodel.CodeConflict, mangomodel.RunNot,
 			"its last claim is %v old and blocks other claims", last.Age)
 	}
@@ -76,7 +80,7 @@
 	if err != nil {
 		return 0, notSent(err)
 	}
-	c.lastVersion[change.Service] = uint64(token)
+	c.lastToken[change.Service] = token
 	if took := mangomodel.Elapsed(began, time.Now()); took >= orderTimeout {
 		return token, mangomodel.Faultf(mangomodel.StepConfigure, mangomodel.PeerName(change.Server.ID), mangomodel.CodeTimeout, mangomodel.RunNot,
 			"the claim was taken %v after it was begun, and an order may follow within %v", took, orderTimeout)
--- a/core/mangostage/change_test.go
+++ b/core/mangostage/change_test.go
@@ -46,8 +46,8 @@
 		return 0, p.takeErr
 	}
 	time.Sleep(p.pause)
-	p.claim = Claim{Holder: holder, Version: last.Version + 1}
-	return FencingToken(p.claim.Version), nil
+	p.claim = Claim{Holder: holder, Version: last.Version + 1, Era: last.Era}
+	return NewFencingToken(p.claim.Era, p.claim.Version)
 }
 
 func (p *platform) Order(_ context.Context, _ mangotraffic.Server, o Order) error {
--- a/core/mangostage/stage.go
+++ b/core/mangostage/stage.go
@@ -38,9 +38,6 @@
 	Report(ctx context.Context, server mangotraffic.Server) (mangotraffic.LoadReport, error)
 }
 
-// FencingToken numbers orders. A later order has a higher one.
-type FencingToken uint64
-
 // Claim is the last claim to order stage changes of a service, as recorded by the
 // platform.
 type Claim struct {
@@ -50,15 +47,18 @@
 	Age time.Duration
 	// Now is the platform's clock when the claim was read.
 	Now time.Duration
-	// Version changes with every claim.
+	// Version changes with every claim of an era.
 	Version uint64
+	// Era is that of the platform's store when the claim was read.
+	Era mangotraffic.Era
 }
 
 // ClaimStore keeps the claims on the platform.
 type ClaimStore interface {
 	// LastClaim returns the last claim of a service.
 	LastClaim(ctx context.Context, service mangotraffic.ServiceName) (Claim, error)
-	// TakeClaim claims the service if last is still its last claim.
+	// TakeClaim claims the service if last is still its last claim. The token is
+	// [NewFencingToken] of the new claim.
 	TakeClaim(ctx context.Context, service mangotraffic.ServiceName, holder mangomodel.DaemonID, last Claim) (FencingToken, error)
 }
 
@@ -96,9 +96,9 @@
 	orders     Orders
 	orderLease time.Duration
 	log        Observer
-	// lastVersion is the version of this incarnation's last claim of each
-	// service. Only the goroutine that orders stage changes uses it.
-	lastVersion map[mangotraffic.ServiceName]uint64
+	// lastToken is the token of this incarnation's last claim of each service.
+	// Only the goroutine that orders stage changes uses it.
+	lastToken map[mangotraffic.ServiceName]FencingToken
 }
 
 // Option configures a Controller.
@@ -115,7 +115,7 @@
 func New(self mangomodel.Holder, fleet Fleet, reporter LoadReporter, claims ClaimStore, orders Orders, opts ...Option) *Controller {
 	c := &Controller{
 		self: self, fleet: fleet, reporter: reporter, claims: claims, orders: orders, orderLease: defaultOrderLease, log: nopObserver{},
-		lastVersion: make(map[mangotraffic.ServiceName]uint64),
+		lastToken: make(map[mangotraffic.ServiceName]FencingToken),
 	}
 	for _, opt := range opts {
 		opt(c)
