A claim that the store lost blocks others for as long as one it has

Cause: after a drill the row of a service names an older claim, or there is none, while the order of a claim that is gone may still be in transit. Another daemon, or one that had just started, ordered at once. The age of the claim that is left may be negative, since the store's clock goes back, and blocked all daemons for as long as the clock had run before. Change: a claim says in which era it was taken. One of the current era is the last one, and its age counts. Else the order lease and the time in transit run from when this daemon first knew the era, or first read a claim of an earlier one: that may have been written late, over one of this era. A daemon that starts in an era without a claim can't tell it from one in which the claims were lost, so it waits as well.

--- a/core/mangostage/change.go
+++ b/core/mangostage/change.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	"mangolane/core/mangobalance"
 	"mangolane/core/mangofleet"
 	"mangolane/core/mangomodel"
 	"mangolane/core/mangopool"
@@ -24,6 +23,9 @@
 	ticker := time.NewTicker(changeInterval)
 	defer ticker.Stop()
 	for {
+		if list := c.fleet.View().ListCursor; !list.IsZero() {
+			c.eras.observe(list.Era, time.Now())
+		}
 		for _, name := range c.fleet.View().Services() {
 			if change, ok := c.fleet.View().StageChange(name); ok && c.schedules(name) {
 				c.changeStage(ctx, change)
@@ -51,7 +53,8 @@
 // blocks it for the order lease and the time in which the order of that claim may
 // still be in transit, and at least for [mangobalance.SettleTime]. By then the
 // engine that changed should be listed with its new stage; the recorded stages are
-// out of date until it is.
+// out of date until it is. After the store came back from an older copy, which may lack
+// claims, all claims are blocked for the order lease and that time.
 func (c *Controller) order(ctx context.Context, change mangopool.StageChange) (FencingToken, error) {
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
@@ -64,11 +67,16 @@
 	if err != nil {
 		return 0, notSent(err)
 	}
-	me := c.self.Daemon
-	if last.Holder != "" && lastToken != c.lastToken[change.Service] && last.Age < max(c.orderLease+2*orderTimeout, mangobalance.SettleTime) {
+	now := time.Now()
+	if !c.eras.observe(last.Era, now) {
+		return 0, mangomodel.Faultf(mangomodel.StepConfigure, "", mangomodel.CodeBackend, mangomodel.RunNot,
+			"the last claim was read in era %d of the store, which has ended", last.Era)
+	}
+	if left := c.blocked(change.Service, last, lastToken, now); left > 0 {
 		return 0, mangomodel.Faultf(mangomodel.StepConfigure, mangomodel.PeerName(last.Holder), mangomodel.CodeConflict, mangomodel.RunNot,
-			"its last claim is %v old and blocks other claims", last.Age)
+			"its last claim, or one that the store lost, blocks other claims for %v", left)
 	}
+	me := c.self.Daemon
 	if err := c.usable(change.Server.ID); err != nil {
 		return 0, err
 	}
--- a/core/mangostage/change_test.go
+++ b/core/mangostage/change_test.go
@@ -46,7 +46,7 @@
 		return 0, p.takeErr
 	}
 	time.Sleep(p.pause)
-	p.claim = Claim{Holder: holder, Version: last.Version + 1, Era: last.Era}
+	p.claim = Claim{Holder: holder, Version: last.Version + 1, Era: last.Era, TakenIn: last.Era}
 	return NewFencingToken(p.claim.Era, p.claim.Version)
 }
 
--- a/core/mangostage/fence_test.go
+++ b/core/mangostage/fence_test.go
@@ -56,7 +56,7 @@
 		}
 		g.Expect(order()).To(gomega.Succeed())
 		own := p.claim.Version
-		p.claim = Claim{Holder: "b", Version: own, Era: 1}
+		p.claim = Claim{Holder: "b", Version: own, Era: 1, TakenIn: 1}
 		g.Expect(order()).NotTo(gomega.Succeed())
 		g.Expect(p.orders).To(gomega.HaveLen(1))
 		time.Sleep(mangobalance.SettleTime)
--- a/core/mangostage/stage.go
+++ b/core/mangostage/stage.go
@@ -4,7 +4,8 @@
 // The load reports state what the engines run in addition to the recorded leases,
 // and go to the fleet. The fleet decides whether an engine should change its
 // stage; a [Controller] orders the change, with a fencing token from the
-// platform, if no other daemon has ordered one within the order lease.
+// platform, if no other daemon has ordered one within the order lease. A claim that a
+// platform lost, which came back from an older copy, counts as taken at its return.
 //
 // # Usage
 //
@@ -49,8 +50,9 @@
 	Now time.Duration
 	// Version changes with every claim of an era.
 	Version uint64
-	// Era is that of the platform's store when the claim was read.
-	Era mangotraffic.Era
+	// Era is that of the platform's store when the claim was read, and TakenIn the one
+	// in which it was taken, zero if that is not known.
+	Era, TakenIn mangotraffic.Era
 }
 
 // ClaimStore keeps the claims on the platform.
@@ -99,6 +101,7 @@
 	// lastToken is the token of this incarnation's last claim of each service.
 	// Only the goroutine that orders stage changes uses it.
 	lastToken map[mangotraffic.ServiceName]FencingToken
+	eras      eraWatch
 }
 
 // Option configures a Controller.
@@ -115,7 +118,7 @@
 func New(self mangomodel.Holder, fleet Fleet, reporter LoadReporter, claims ClaimStore, orders Orders, opts ...Option) *Controller {
 	c := &Controller{
 		self: self, fleet: fleet, reporter: reporter, claims: claims, orders: orders, orderLease: defaultOrderLease, log: nopObserver{},
-		lastToken: make(map[mangotraffic.ServiceName]FencingToken),
+		lastToken: make(map[mangotraffic.ServiceName]FencingToken), eras: eraWatch{read: make(map[mangotraffic.ServiceName]firstRead)},
 	}
 	for _, opt := range opts {
 		opt(c)
