Crash rows: an answer of another era is not relied on

Cause: the condition of a write is the version of a row, which the store may have given out again for the row of another daemon. The write replaced that row, and what the store had lost besides stayed lost. A lower version of a new era was taken for the answer to an earlier write. Change: answers name their era. After one of a later era than that of the rows held, the rows are read again and merged, and what they lack is due again; the write does not count. One of an earlier era counts as a failed call.

--- a/core/mangoarchive/archive.go
+++ b/core/mangoarchive/archive.go
@@ -33,6 +33,7 @@
 	"mangolane/core/mangofleet"
 	"mangolane/core/mangomodel"
 	"mangolane/core/mangopanic"
+	"mangolane/core/mangotraffic"
 )
 
 const (
@@ -68,8 +69,9 @@
 	Rows(ctx context.Context) (Table, error)
 	// Replace replaces rows if each still has its version, and removes those without
 	// crashes. Otherwise it changes nothing, and returns the current rows with
-	// [ErrConflict].
-	Replace(ctx context.Context, rows []Row) (Table, error)
+	// [ErrConflict]. The versions are of an era. If the result is of another one, a row
+	// may have had its version by accident.
+	Replace(ctx context.Context, era mangotraffic.Era, rows []Row) (Table, error)
 }
 
 // Observer is notified of failures.
@@ -87,6 +89,14 @@
 // requires.
 var ErrConflict = errors.New("a row was changed by another daemon")
 
+// errEarlierEra is the error of an answer that was delayed until the store had come back
+// from an older copy, and errLaterEra that of a write on rows of an earlier era, after
+// which they were read again.
+var (
+	errEarlierEra = errors.New("response of an earlier era of the store")
+	errLaterEra   = errors.New("the store has come back from an older copy")
+)
+
 // Archive saves and restores records.
 type Archive struct {
 	fleet    Fleet
@@ -99,10 +109,11 @@
 	awaited, failed chan struct{}
 
 	// The fields below belong to the goroutine of Run. current is set if the rows were read
-	// and no call has failed since. rows are the rows as last known, and start is the time at
-	// which the store's clock was zero.
+	// and no call has failed since. rows are the rows as last known, era is that of their
+	// versions, and start is the time at which the store's clock was zero.
 	current bool
 	rows    map[mangomodel.Fingerprint]Row
+	era     mangotraffic.Era
 	start   time.Time
 	lostAt  time.Time
 	pause   time.Duration
@@ -243,7 +254,11 @@
 	if err != nil {
 		return err
 	}
+	if t.Era < a.era {
+		return errEarlierEra
+	}
 	clear(a.rows)
+	a.era = t.Era
 	return a.merge(ctx, t)
 }
 
@@ -284,13 +299,16 @@
 		}
 	}
 	if len(changed) > 0 {
-		t, err := a.store.Replace(ctx, changed)
+		t, err := a.replace(ctx, changed)
 		if errors.Is(err, ErrConflict) {
 			for _, r := range changed {
 				delete(a.rows, r.Call)
 			}
 			return a.merge(ctx, t)
 		}
+		if errors.Is(err, errLaterEra) {
+			return nil
+		}
 		if err != nil {
 			return err
 		}
@@ -299,6 +317,25 @@
 	return a.fleet.Do(ctx, mangofleet.CrashesSaved{Saved: list, Written: len(changed) > 0})
 }
 
+// replace replaces rows as the store does. After an answer of a later era the rows are read
+// again, and the records that say more are due again: one that another daemon wrote in that
+// era may have been replaced.
+func (a *Archive) replace(ctx context.Context, rows []Row) (Table, error) {
+	t, err := a.store.Replace(ctx, a.era, rows)
+	switch {
+	case err != nil && !errors.Is(err, ErrConflict):
+		return Table{}, err
+	case t.Era < a.era:
+		return Table{}, errEarlierEra
+	case t.Era > a.era:
+		if err := a.reconcile(ctx); err != nil {
+			return Table{}, err
+		}
+		return Table{}, errLaterEra
+	}
+	return t, err
+}
+
 // replaced records rows that were written.
 func (a *Archive) replaced(rows []Row, t Table) {
 	a.start = time.Now().Add(-time.Duration(t.Clock))
@@ -333,7 +370,11 @@
 	}
 	for batch := range slices.Chunk(old, maxBatch) {
 		// A conflict means that a row is in use again. The others are removed next time.
-		if _, err := a.store.Replace(ctx, batch); err != nil && !errors.Is(err, ErrConflict) {
+		_, err := a.replace(ctx, batch)
+		if errors.Is(err, errLaterEra) {
+			return nil
+		}
+		if err != nil && !errors.Is(err, ErrConflict) {
 			return err
 		}
 		sleep(ctx, writeInterval)
--- a/core/mangoarchive/daemons_test.go
+++ b/core/mangoarchive/daemons_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -17,6 +18,7 @@
 	"mangolane/core/mangomodel"
 	"mangolane/core/mangopanic"
 	"mangolane/core/mangoroster"
+	"mangolane/core/mangotraffic"
 )
 
 const deadly mangomodel.Fingerprint = 7
@@ -26,6 +28,7 @@
 	mu      sync.Mutex
 	rows    map[mangomodel.Fingerprint]Row
 	version Version
+	era     mangotraffic.Era
 	down    bool
 	// late is how much later answers arrive than they were made.
 	late time.Duration
@@ -50,14 +53,14 @@
 	if t.down {
 		return Table{}, errDown
 	}
-	result := Table{Version: t.version, Clock: Clock(time.Since(t.began))}
+	result := Table{Version: t.version, Clock: Clock(time.Since(t.began)), Era: t.era}
 	for _, r := range t.rows {
 		result.Rows = append(result.Rows, r)
 	}
 	return result, nil
 }
 
-func (t *table) Replace(_ context.Context, rows []Row) (Table, error) {
+func (t *table) Replace(_ context.Context, _ mangotraffic.Era, rows []Row) (Table, error) {
 	time.Sleep(latency)
 	t.mu.Lock()
 	defer func() {
@@ -69,7 +72,7 @@
 	if t.down {
 		return Table{}, errDown
 	}
-	result := Table{Version: t.version, Clock: Clock(time.Since(t.began))}
+	result := Table{Version: t.version, Clock: Clock(time.Since(t.began)), Era: t.era}
 	conflict := false
 	for _, r := range rows {
 		current, ok := t.rows[r.Call]
@@ -96,6 +99,19 @@
 	return result, nil
 }
 
+// copy returns a function that makes the table continue from its present state.
+func (t *table) copy() func() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	rows, version := maps.Clone(t.rows), t.version
+	return func() {
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		t.rows, t.version = maps.Clone(rows), version
+		t.era++
+	}
+}
+
 func (t *table) set(down bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/core/mangoarchive/row.go
+++ b/core/mangoarchive/row.go
@@ -7,10 +7,12 @@
 
 	"mangolane/core/mangocrash"
 	"mangolane/core/mangomodel"
+	"mangolane/core/mangotraffic"
 )
 
 type (
-	// Version is the store's version of a row, zero for one that does not exist.
+	// Version is the store's version of a row, zero for one that does not exist. Those of
+	// two eras of the store are not comparable.
 	Version uint64
 	// Clock is a time of the store's clock.
 	Clock time.Duration
@@ -36,8 +38,9 @@
 	Rows []Row
 	// Version is that of the whole store, which the rows that were replaced have now.
 	Version Version
-	// Clock is the store's time at the response.
+	// Clock is the store's time at the response, and Era its era.
 	Clock Clock
+	Era   mangotraffic.Era
 }
 
 const (
