Crash rows: what the store lost in a drill is written again at once

Cause: only a failed call of the archive, or the daemon that maintains the rows every 10 minutes, noticed that the store had come back from an older copy. A kill of all daemons before that forgot what the copy lacked. Change: the list of a new era wakes the archive. A daemon that has seen crashes itself reads the rows and writes those of its records that they lack. 5 to 10 s later, at another moment at each, daemons that know any record read the rows once more and write what nobody has: records of daemons that are gone, and rows that were replaced by a daemon that knew an older version. A daemon without records makes no call. An answer of an earlier era than one heard of is late.

--- a/core/mangoarchive/archive.go
+++ b/core/mangoarchive/archive.go
@@ -24,6 +24,7 @@
 	"context"
 	"errors"
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -53,6 +54,11 @@
 	removalInterval = 10 * time.Minute
 	// maxRows limits the rows that are kept, and maxBatch the rows of a write.
 	maxRows, maxBatch = 5120, 48
+	// secondDelay is the time from when a daemon hears of a new era of the store until it
+	// reads the rows a second time, and secondSpread how much longer that may be, so that
+	// not all daemons do at once. By then all have heard of the era and written what they
+	// have seen themselves.
+	secondDelay, secondSpread = 5 * time.Second, 5 * time.Second
 	// restoreBatch is how many records a command restores.
 	restoreBatch = 128
 )
@@ -117,6 +123,10 @@
 	start   time.Time
 	lostAt  time.Time
 	pause   time.Duration
+	// known is the latest era that this daemon has heard of, and second when the rows are
+	// read a second time in it, zero if they were.
+	known  mangotraffic.Era
+	second time.Time
 }
 
 // New returns an Archive. The fleet must have [mangofleet.WithSavedCrashes].
@@ -161,7 +171,8 @@
 
 // Run restores the records and then saves changes until ctx ends. After a failure it reads
 // the rows again: other daemons may have changed them meanwhile, and the store may have
-// returned from an older copy.
+// returned from an older copy. After such a return a daemon writes at once what it has seen
+// itself and the store has lost, and a little later what nobody has written.
 func (a *Archive) Run(ctx context.Context) {
 	for !a.attempt(ctx, a.restore) {
 		if ctx.Err() != nil {
@@ -170,21 +181,37 @@
 	}
 	a.observer.ArchiveRestored(len(a.rows))
 	close(a.restored)
+	a.known = a.era
 	removal := time.Now().Add(removalInterval)
 	writes := rate.NewLimiter(rate.Every(writeInterval), writeBurst)
 	for ctx.Err() == nil {
-		now := time.Now()
+		now, view := time.Now(), a.fleet.View()
+		a.learn(max(a.era, view.ListCursor.Era), now)
 		if !a.current {
 			a.attempt(ctx, a.reconcile)
 			continue
 		}
+		unsaved := view.UnsavedCrashes()
+		if a.era < a.known && (view.OwnsCrashes() || len(unsaved) > 0) {
+			a.attempt(ctx, a.reconcileOwn)
+			continue
+		}
+		if !a.second.IsZero() && !now.Before(a.second) {
+			if a.second = (time.Time{}); view.KnowsCrashes() {
+				a.attempt(ctx, a.reconcile)
+			}
+			continue
+		}
 		if !now.Before(removal) {
 			removal = now.Add(removalInterval)
 			a.attempt(ctx, a.maintain)
 			continue
 		}
-		unsaved := a.fleet.View().UnsavedCrashes()
-		list, next := due(unsaved, now, removal)
+		end := removal
+		if !a.second.IsZero() && a.second.Before(end) {
+			end = a.second
+		}
+		list, next := due(unsaved, now, end)
 		if len(list) == 0 {
 			a.awaitChange(ctx, unsaved, next.Sub(now))
 			continue
@@ -212,6 +239,13 @@
 	return list, end
 }
 
+// learn records that the store has reached an era.
+func (a *Archive) learn(era mangotraffic.Era, now time.Time) {
+	if era > a.known {
+		a.known, a.second = era, now.Add(secondDelay+rand.N(secondSpread))
+	}
+}
+
 // attempt makes calls to the store. If they fail, it tells the fleet and pauses. A panic
 // counts as a failure.
 func (a *Archive) attempt(ctx context.Context, call func(ctx context.Context) error) bool {
@@ -254,7 +288,7 @@
 	if err != nil {
 		return err
 	}
-	if t.Era < a.era {
+	if t.Era < max(a.era, a.known) {
 		return errEarlierEra
 	}
 	clear(a.rows)
@@ -270,6 +304,15 @@
 	return a.fleet.Do(ctx, mangofleet.ResaveCrashes{})
 }
 
+// reconcileOwn reads the rows, and makes the records due that this daemon has changed and
+// that say more.
+func (a *Archive) reconcileOwn(ctx context.Context) error {
+	if err := a.restore(ctx); err != nil {
+		return err
+	}
+	return a.fleet.Do(ctx, mangofleet.ResaveCrashes{Own: true})
+}
+
 // merge records the rows of the store and merges them into the fleet's records. The rows
 // seen first are merged first, which the fleet's order makes cheap.
 func (a *Archive) merge(ctx context.Context, t Table) error {
@@ -318,8 +361,8 @@
 }
 
 // replace replaces rows as the store does. After an answer of a later era the rows are read
-// again, and the records that say more are due again: one that another daemon wrote in that
-// era may have been replaced.
+// again, and the records that say more are due again. The row of another daemon may have been
+// replaced, which then writes it at its second reading.
 func (a *Archive) replace(ctx context.Context, rows []Row) (Table, error) {
 	t, err := a.store.Replace(ctx, a.era, rows)
 	switch {
@@ -328,7 +371,7 @@
 	case t.Era < a.era:
 		return Table{}, errEarlierEra
 	case t.Era > a.era:
-		if err := a.reconcile(ctx); err != nil {
+		if err := a.reconcileOwn(ctx); err != nil {
 			return Table{}, err
 		}
 		return Table{}, errLaterEra
--- a/core/mangoarchive/daemons_test.go
+++ b/core/mangoarchive/daemons_test.go
@@ -34,8 +34,9 @@
 	late time.Duration
 	// loseAnswers is how many of the next writes are made without an answer.
 	loseAnswers int
-	writes      int
-	began       time.Time
+	// sent counts the rows of all writes.
+	reads, writes, sent int
+	began               time.Time
 }
 
 const latency = 5 * time.Millisecond
@@ -50,6 +51,7 @@
 		t.mu.Unlock()
 		time.Sleep(late)
 	}()
+	t.reads++
 	if t.down {
 		return Table{}, errDown
 	}
@@ -69,6 +71,7 @@
 		time.Sleep(late)
 	}()
 	t.writes++
+	t.sent += len(rows)
 	if t.down {
 		return Table{}, errDown
 	}
@@ -132,6 +135,20 @@
 	return t.writes
 }
 
+// read returns the number of reads.
+func (t *table) read() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.reads
+}
+
+// rowsSent returns the number of rows of all writes.
+func (t *table) rowsSent() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.sent
+}
+
 func (t *table) row(call mangomodel.Fingerprint) Row {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/core/mangocrash/crash.go
+++ b/core/mangocrash/crash.go
@@ -192,9 +192,9 @@
 	// when this was last announced.
 	seen, told time.Time
 	// saved is the time up to which seen was saved; zero if the record was not. written is
-	// set if this daemon has saved it.
-	saved   time.Time
-	written bool
+	// set if this daemon has saved it, and own if this daemon has changed it.
+	saved        time.Time
+	written, own bool
 }
 
 func (x *record) refused() bool { return x.crashes.uncleared() >= MaxCrashes }
--- a/core/mangocrash/table.go
+++ b/core/mangocrash/table.go
@@ -33,9 +33,10 @@
 	// arrived last.
 	digest uint64
 	uneven time.Time
-	// saving is set if the records are saved. unsaved are the changes that are not, and
+	// own is set if this daemon has changed a record. saving is set if the records are
+	// saved. unsaved are the changes that are not, and
 	// unsavedList the published records of these, stale if a change is not part of it.
-	saving       bool
+	own, saving  bool
 	changes      Change
 	unsaved      map[mangomodel.Fingerprint]pending
 	unsavedList  []Unsaved
@@ -172,6 +173,7 @@
 	// A daemon that clears crashes need not know whether they were saved, so that those who
 	// know save the clearance too.
 	if own || c > cleared && (x.written || refused && !x.saved.IsZero()) {
+		x.own, t.own = x.own || own, t.own || own
 		t.markUnsaved(x, now)
 	} else if t.IsUnsaved(call) {
 		t.unsavedStale = true
--- a/core/mangocrash/unsaved.go
+++ b/core/mangocrash/unsaved.go
@@ -120,13 +120,28 @@
 // Resave marks the records as unsaved that were saved or are refused. The store may hold
 // older ones again.
 func (t *Table) Resave(now time.Time) {
+	t.resave(now, func(x *record) bool { return x.refused() || !x.saved.IsZero() })
+}
+
+// ResaveOwn marks those as unsaved that this daemon has changed and saved.
+func (t *Table) ResaveOwn(now time.Time) {
+	t.resave(now, func(x *record) bool { return x.own && !x.saved.IsZero() })
+}
+
+func (t *Table) resave(now time.Time, chosen func(*record) bool) {
 	for _, e := range t.calls {
-		if x := e.Value.(*record); x.refused() || !x.saved.IsZero() {
+		if x := e.Value.(*record); chosen(x) {
 			t.markUnsaved(x, now)
 		}
 	}
 }
 
+// Own reports whether this daemon has changed a record, since or before it was dropped.
+func (t *Table) Own() bool { return t.own }
+
+// Len returns the number of records.
+func (t *Table) Len() int { return len(t.calls) }
+
 // Restore merges saved records. Their times have an error of some seconds, so that they
 // change none of those that are known.
 func (t *Table) Restore(list []Record, now time.Time) {
--- a/core/mangofleet/archive.go
+++ b/core/mangofleet/archive.go
@@ -18,9 +18,11 @@
 	// waiters are the replies to those that wait until a record is saved.
 	waiters []archiveWaiter
 	// listener is the reply to the one that waits for a change, and after the change that
-	// it knows.
+	// it knows. restored is set until a listener has heard that the store came back from
+	// an older copy.
 	listener *mangoloop.Reply
 	after    mangocrash.Change
+	restored bool
 }
 
 type archiveWaiter struct {
@@ -49,14 +51,25 @@
 
 // ResaveCrashes makes records due that were saved before, since the store may have returned
 // from an older copy.
-type ResaveCrashes struct{}
+type ResaveCrashes struct {
+	// Own is set if only the records are meant that this daemon has changed.
+	Own bool
+}
 
 // Apply implements [Command].
-func (ResaveCrashes) Apply(s *state, now time.Time) error {
-	s.suspects.Resave(now)
+func (c ResaveCrashes) Apply(s *state, now time.Time) error {
+	if c.Own {
+		s.suspects.ResaveOwn(now)
+	} else {
+		s.suspects.Resave(now)
+	}
 	return nil
 }
 
+// storeRestored records that the store came back from an older copy. The view's list is of
+// its new era then.
+func (s *state) storeRestored(time.Time) { s.archive.restored = true }
+
 // CrashesSaved records that the store holds records as the view listed them.
 type CrashesSaved struct {
 	Saved []mangocrash.Unsaved
@@ -107,8 +120,8 @@
 // Apply implements [Command].
 func (AwaitCrashesSaved) Apply(*state, time.Time) error { return nil }
 
-// AwaitCrashesUnsaved waits until the view lists a change after one. A further such command
-// replaces it.
+// AwaitCrashesUnsaved waits until the view lists a change after one, or the list is of a
+// later era of the store. A further such command replaces it.
 type AwaitCrashesUnsaved struct{ After mangocrash.Change }
 
 // Await keeps the reply until there is such a change.
--- a/core/mangofleet/fleet.go
+++ b/core/mangofleet/fleet.go
@@ -182,9 +182,10 @@
 	granted      mangoquery.Index[mangolease.ID, mangolease.Lease]
 	refusedCalls mangocrash.Verdicts
 	// unsavedCrashes are the records to be saved, and probesUnsaved is set if a probe could
-	// not be.
-	unsavedCrashes []mangocrash.Unsaved
-	probesUnsaved  bool
+	// not be. ownsCrashes is set if this daemon has changed a record, and knowsCrashes if
+	// it has any.
+	unsavedCrashes                           []mangocrash.Unsaved
+	probesUnsaved, ownsCrashes, knowsCrashes bool
 	// crashRequest and crashResponse are computed now and then, since others merge them
 	// repeatedly.
 	crashRequest, crashResponse mangocrash.Message
--- a/core/mangofleet/list.go
+++ b/core/mangofleet/list.go
@@ -108,6 +108,9 @@
 		s.observer.ListIgnored(c, s.listCursor)
 		return nil
 	}
+	if c.Cursor.Era > s.listCursor.Era && !s.listCursor.IsZero() {
+		s.storeRestored(now)
+	}
 	if read.After(s.listRead) {
 		s.listRead = read
 	}
