Crash rows: a clock that was set back renews no record

Cause: the store's clock may go back in a drill. Rows written before then lie in its future: they counted as current, so that they were kept beyond their retention, and a restart of all daemons took their crashes for ones of that moment. Change: a row that was seen later than its record by half an hour is written again with times of the present clock; smaller steps are within the error of saved times.

--- a/core/mangoarchive/era_test.go
+++ b/core/mangoarchive/era_test.go
@@ -189,3 +189,40 @@
 		d.Expect(d.table.rowsSent() - sent).To(gomega.Equal(fleet))
 	})
 }
+
+// TestRowsOfAClockThatWasSetBackAreWrittenAgain guards against rows that lie in the future of
+// the store's clock, so that they are kept beyond their retention, and a restart of all daemons
+// takes their crashes for ones of that moment.
+func TestRowsOfAClockThatWasSetBackAreWrittenAgain(t *testing.T) {
+	withDaemons(t, 0, func(d *daemons) {
+		d.table.era = 1
+		d.start(3)
+		for i := range d.fleets {
+			d.learn(i, 1)
+		}
+		time.Sleep(24 * time.Hour)
+		for i := range mangocrash.MaxCrashes {
+			d.crash(0, mangocrash.Incarnation(i))
+		}
+		d.exchange()
+		time.Sleep(2 * time.Second)
+		d.table.copy()()
+		d.table.mu.Lock()
+		d.table.began = time.Now()
+		d.table.mu.Unlock()
+		for i := range d.fleets {
+			d.learn(i, 2)
+		}
+		writes := d.table.written()
+		time.Sleep(secondDelay + secondSpread + time.Second)
+		r := d.table.row(deadly)
+		d.Expect(r.Crashes).To(gomega.HaveLen(mangocrash.MaxCrashes))
+		d.Expect(time.Duration(r.Seen)).To(gomega.BeNumerically("<=", 0))
+		for _, e := range r.Crashes {
+			d.Expect(time.Duration(e.At)).To(gomega.BeNumerically("<=", 0))
+		}
+		d.Expect(d.table.written() - writes).To(gomega.Equal(1))
+		time.Sleep(mangocrash.Retention + 2*removalInterval)
+		d.Expect(d.table.size()).To(gomega.BeZero())
+	})
+}
--- a/core/mangoarchive/row.go
+++ b/core/mangoarchive/row.go
@@ -44,8 +44,8 @@
 }
 
 const (
-	// seenInterval is how much later a call must have been seen for a row to be replaced
-	// for that.
+	// seenInterval is by how much the time at which a call was last seen must differ for a
+	// row to be replaced for that.
 	seenInterval = 30 * time.Minute
 )
 
@@ -93,7 +93,8 @@
 	if r.Empty() || next.Empty() {
 		return r.Empty() && next.Empty()
 	}
-	return time.Duration(next.Seen-r.Seen) < seenInterval && sameEvents(r.Crashes, next.Crashes) && sameEvents(r.Probes, next.Probes)
+	// A row that was seen later than its record is of a clock that was set back since.
+	return time.Duration(next.Seen-r.Seen).Abs() < seenInterval && sameEvents(r.Crashes, next.Crashes) && sameEvents(r.Probes, next.Probes)
 }
 
 func sameEvents(a, b []Event) bool {
