A blocked stage change is not tried in each interval

Cause: while the claim of another daemon blocked one's own, each interval of 0.5 s read the claim again and kept new work from the engine for that call; the wait in a new era would add ten calls for a service at each start of a fleet.

--- a/core/mangostage/change.go
+++ b/core/mangostage/change.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"mangolane/core/mangobalance"
 	"mangolane/core/mangofleet"
 	"mangolane/core/mangomodel"
 	"mangolane/core/mangopool"
@@ -40,6 +41,9 @@
 }
 
 func (c *Controller) changeStage(ctx context.Context, change mangopool.StageChange) {
+	if time.Now().Before(c.blockedUntil[change.Service]) {
+		return
+	}
 	c.apply(mangofleet.OrderBegun{Server: change.Server.ID, To: change.To})
 	token, err := c.order(ctx, change)
 	if err != nil {
@@ -73,6 +77,7 @@
 			"the last claim was read in era %d of the store, which has ended", last.Era)
 	}
 	if left := c.blocked(change.Service, last, lastToken, now); left > 0 {
+		c.blockedUntil[change.Service] = now.Add(min(left, mangobalance.SettleTime))
 		return 0, mangomodel.Faultf(mangomodel.StepConfigure, mangomodel.PeerName(last.Holder), mangomodel.CodeConflict, mangomodel.RunNot,
 			"its last claim, or one that the store lost, blocks other claims for %v", left)
 	}
--- a/core/mangostage/era_test.go
+++ b/core/mangostage/era_test.go
@@ -27,6 +27,7 @@
 	version uint64
 	era     mangotraffic.Era
 	clock   time.Time
+	reads   int
 	// delay returns how much later a write is made, without an answer.
 	delay func() time.Duration
 }
@@ -40,6 +41,7 @@
 func (s *claims) LastClaim(context.Context, mangotraffic.ServiceName) (Claim, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.reads++
 	last := s.last
 	last.Now, last.Era = time.Since(s.clock), s.era
 	last.Age = last.Now - s.claimed
@@ -304,3 +306,28 @@
 		})
 	}
 }
+
+// TestBlockedChangeIsNotTriedAgainAndAgain guards against a call to the store in each interval
+// of a wait that is known.
+func TestBlockedChangeIsNotTriedAgainAndAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		s, e := newClaims(), newEngine()
+		c := newDaemon("a", s, e)
+		for began := time.Now(); time.Since(began) < lostWait; time.Sleep(changeInterval) {
+			c.changeStage(t.Context(), change)
+		}
+		g.Expect(s.reads).To(gomega.Equal(1))
+		g.Expect(e.count()).To(gomega.BeZero())
+		c.changeStage(t.Context(), change)
+		g.Expect(e.count()).To(gomega.Equal(1))
+		_, err := s.take("b", Claim{Version: s.newest(), Era: 1})
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		restore := s.copy(true)
+		restore()
+		c.changeStage(t.Context(), change)
+		time.Sleep(lostWait)
+		c.changeStage(t.Context(), change)
+		g.Expect(e.count()).To(gomega.Equal(2))
+	})
+}
--- a/core/mangostage/stage.go
+++ b/core/mangostage/stage.go
@@ -102,6 +102,9 @@
 	// Only the goroutine that orders stage changes uses it.
 	lastToken map[mangotraffic.ServiceName]FencingToken
 	eras      eraWatch
+	// blockedUntil is when the claim of another daemon should no longer block. No change
+	// is tried before, since a try costs a call and keeps work from the engine.
+	blockedUntil map[mangotraffic.ServiceName]time.Time
 }
 
 // Option configures a Controller.
@@ -119,6 +122,7 @@
 	c := &Controller{
 		self: self, fleet: fleet, reporter: reporter, claims: claims, orders: orders, orderLease: defaultOrderLease, log: nopObserver{},
 		lastToken: make(map[mangotraffic.ServiceName]FencingToken), eras: eraWatch{read: make(map[mangotraffic.ServiceName]firstRead)},
+		blockedUntil: make(map[mangotraffic.ServiceName]time.Time),
 	}
 	for _, opt := range opts {
 		opt(c)
