--- a/core/mangoarchive/daemons_test.go
+++ b/core/mangoarchive/daemons_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -17,6 +18,7 @@
 	"mangolane/core/mangomodel"
 	"mangolane/core/mangopanic"
 	"mangolane/core/mangoroster"
+	"mangolane/core/mangotraffic"
 )
 
 const deadly mangomodel.Fingerprint = 7
@@ -26,13 +28,15 @@
 	mu      sync.Mutex
 	rows    map[mangomodel.Fingerprint]Row
 	version Version
+	era     mangotraffic.Era
 	down    bool
 	// late is how much later answers arrive than they were made.
 	late time.Duration
 	// loseAnswers is how many of the next writes are made without an answer.
 	loseAnswers int
-	writes      int
-	began       time.Time
+	// sent counts the rows of all writes.
+	reads, writes, sent int
+	began               time.Time
 }
 
 const latency = 5 * time.Millisecond
@@ -47,17 +51,18 @@
 		t.mu.Unlock()
 		time.Sleep(late)
 	}()
+	t.reads++
 	if t.down {
 		return Table{}, errDown
 	}
-	result := Table{Version: t.version, Clock: Clock(time.Since(t.began))}
+	result := Table{Version: t.version, Clock: Clock(time.Since(t.began)), Era: t.era}
 	for _, r := range t.rows {
 		result.Rows = append(result.Rows, r)
 	}
 	return result, nil
 }
 
-func (t *table) Replace(_ context.Context, rows []Row) (Table, error) {
+func (t *table) Replace(_ context.Context, _ mangotraffic.Era, rows []Row) (Table, error) {
 	time.Sleep(latency)
 	t.mu.Lock()
 	defer func() {
@@ -66,10 +71,11 @@
 		time.Sleep(late)
 	}()
 	t.writes++
+	t.sent += len(rows)
 	if t.down {
 		return Table{}, errDown
 	}
-	result := Table{Version: t.version, Clock: Clock(time.Since(t.began))}
+	result := Table{Version: t.version, Clock: Clock(time.Since(t.began)), Era: t.era}
 	conflict := false
 	for _, r := range rows {
 		current, ok := t.rows[r.Call]
@@ -96,6 +102,19 @@
 	return result, nil
 }
 
+// copy returns a function that makes the table continue from its present state.
+func (t *table) copy() func() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	rows, version := maps.Clone(t.rows), t.version
+	return func() {
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		t.rows, t.version = maps.Clone(rows), version
+		t.era++
+	}
+}
+
 func (t *table) set(down bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -116,6 +135,20 @@
 	return t.writes
 }
 
+// read returns the number of reads.
+func (t *table) read() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.reads
+}
+
+// rowsSent returns the number of rows of all writes.
+func (t *table) rowsSent() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.sent
+}
+
 func (t *table) row(call mangomodel.Fingerprint) Row {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/core/mangoarchive/row.go
+++ b/core/mangoarchive/row.go
@@ -7,10 +7,12 @@
 
 	"mangolane/core/mangocrash"
 	"mangolane/core/mangomodel"
+	"mangolane/core/mangotraffic"
 )
 
 type (
-	// Version is the store's version of a row, zero for one that does not exist.
+	// Version is the store's version of a row, zero for one that does not exist. Those of
+	// two eras of the store are not comparable.
 	Version uint64
 	// Clock is a time of the store's clock.
 	Clock time.Duration
@@ -36,13 +38,14 @@
 	Rows []Row
 	// Version is that of the whole store, which the rows that were replaced have now.
 	Version Version
-	// Clock is the store's time at the response.
+	// Clock is the store's time at the response, and Era its era.
 	Clock Clock
+	Era   mangotraffic.Era
 }
 
 const (
-	// seenInterval is how much later a call must have been seen for a row to be replaced
-	// for that.
+	// seenInterval is by how much the time at which a call was last seen must differ for a
+	// row to be replaced for that.
 	seenInterval = 30 * time.Minute
 )
 
@@ -90,7 +93,8 @@
 	if r.Empty() || next.Empty() {
 		return r.Empty() && next.Empty()
 	}
-	return time.Duration(next.Seen-r.Seen) < seenInterval && sameEvents(r.Crashes, next.Crashes) && sameEvents(r.Probes, next.Probes)
+	// A row that was seen later than its record is of a clock that was set back since.
+	return time.Duration(next.Seen-r.Seen).Abs() < seenInterval && sameEvents(r.Crashes, next.Crashes) && sameEvents(r.Probes, next.Probes)
 }
 
 func sameEvents(a, b []Event) bool {
--- a/core/mangostage/change.go
+++ b/core/mangostage/change.go
@@ -24,6 +24,9 @@
 	ticker := time.NewTicker(changeInterval)
 	defer ticker.Stop()
 	for {
+		if list := c.fleet.View().ListCursor; !list.IsZero() {
+			c.eras.observe(list.Era, time.Now())
+		}
 		for _, name := range c.fleet.View().Services() {
 			if change, ok := c.fleet.View().StageChange(name); ok && c.schedules(name) {
 				c.changeStage(ctx, change)
@@ -38,6 +41,9 @@
 }
 
 func (c *Controller) changeStage(ctx context.Context, change mangopool.StageChange) {
+	if time.Now().Before(c.blockedUntil[change.Service]) {
+		return
+	}
 	c.apply(mangofleet.OrderBegun{Server: change.Server.ID, To: change.To})
 	token, err := c.order(ctx, change)
 	if err != nil {
@@ -51,7 +57,8 @@
 // blocks it for the order lease and the time in which the order of that claim may
 // still be in transit, and at least for [mangobalance.SettleTime]. By then the
 // engine that changed should be listed with its new stage; the recorded stages are
-// out of date until it is.
+// out of date until it is. After the store came back from an older copy, which may lack
+// claims, all claims are blocked for the order lease and that time.
 func (c *Controller) order(ctx context.Context, change mangopool.StageChange) (FencingToken, error) {
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
@@ -60,11 +67,21 @@
 	if err != nil {
 		return 0, notSent(err)
 	}
-	me := c.self.Daemon
-	if last.Holder != "" && last.Version != c.lastVersion[change.Service] && last.Age < max(c.orderLease+2*orderTimeout, mangobalance.SettleTime) {
+	lastToken, err := NewFencingToken(last.Era, last.Version)
+	if err != nil {
+		return 0, notSent(err)
+	}
+	now := time.Now()
+	if !c.eras.observe(last.Era, now) {
+		return 0, mangomodel.Faultf(mangomodel.StepConfigure, "", mangomodel.CodeBackend, mangomodel.RunNot,
+			"the last claim was read in era %d of the store, which has ended", last.Era)
+	}
+	if left := c.blocked(change.Service, last, lastToken, now); left > 0 {
+		c.blockedUntil[change.Service] = now.Add(min(left, mangobalance.SettleTime))
 		return 0, mangomodel.Faultf(mangomodel.StepConfigure, mangomodel.PeerName(last.Holder), mangomodel.CodeConflict, mangomodel.RunNot,
-			"its last claim is %v old and blocks other claims", last.Age)
+			"its last claim, or one that the store lost, blocks other claims for %v", left)
 	}
+	me := c.self.Daemon
 	if err := c.usable(change.Server.ID); err != nil {
 		return 0, err
 	}
@@ -76,7 +93,7 @@
 	if err != nil {
 		return 0, notSent(err)
 	}
-	c.lastVersion[change.Service] = uint64(token)
+	c.lastToken[change.Service] = token
 	if took := mangomodel.Elapsed(began, time.Now()); took >= orderTimeout {
 		return token, mangomodel.Faultf(mangomodel.StepConfigure, mangomodel.PeerName(change.Server.ID), mangomodel.CodeTimeout, mangomodel.RunNot,
 			"the claim was taken %v after it was begun, and an order may follow within %v", took, orderTimeout)
--- a/core/mangostage/stage.go
+++ b/core/mangostage/stage.go
@@ -4,7 +4,8 @@
 // The load reports state what the engines run in addition to the recorded leases,
 // and go to the fleet. The fleet decides whether an engine should change its
 // stage; a [Controller] orders the change, with a fencing token from the
-// platform, if no other daemon has ordered one within the order lease.
+// platform, if no other daemon has ordered one within the order lease. A claim that a
+// platform lost, which came back from an older copy, counts as taken at its return.
 //
 // # Usage
 //
@@ -38,9 +39,6 @@
 	Report(ctx context.Context, server mangotraffic.Server) (mangotraffic.LoadReport, error)
 }
 
-// FencingToken numbers orders. A later order has a higher one.
-type FencingToken uint64
-
 // Claim is the last claim to order stage changes of a service, as recorded by the
 // platform.
 type Claim struct {
@@ -50,15 +48,19 @@
 	Age time.Duration
 	// Now is the platform's clock when the claim was read.
 	Now time.Duration
-	// Version changes with every claim.
+	// Version changes with every claim of an era.
 	Version uint64
+	// Era is that of the platform's store when the claim was read, and TakenIn the one
+	// in which it was taken, zero if that is not known.
+	Era, TakenIn mangotraffic.Era
 }
 
 // ClaimStore keeps the claims on the platform.
 type ClaimStore interface {
 	// LastClaim returns the last claim of a service.
 	LastClaim(ctx context.Context, service mangotraffic.ServiceName) (Claim, error)
-	// TakeClaim claims the service if last is still its last claim.
+	// TakeClaim claims the service if last is still its last claim. The token is
+	// [NewFencingToken] of the new claim.
 	TakeClaim(ctx context.Context, service mangotraffic.ServiceName, holder mangomodel.DaemonID, last Claim) (FencingToken, error)
 }
 
@@ -96,9 +98,13 @@
 	orders     Orders
 	orderLease time.Duration
 	log        Observer
-	// lastVersion is the version of this incarnation's last claim of each
-	// service. Only the goroutine that orders stage changes uses it.
-	lastVersion map[mangotraffic.ServiceName]uint64
+	// lastToken is the token of this incarnation's last claim of each service.
+	// Only the goroutine that orders stage changes uses it.
+	lastToken map[mangotraffic.ServiceName]FencingToken
+	eras      eraWatch
+	// blockedUntil is when the claim of another daemon should no longer block. No change
+	// is tried before, since a try costs a call and keeps work from the engine.
+	blockedUntil map[mangotraffic.ServiceName]time.Time
 }
 
 // Option configures a Controller.
@@ -115,7 +121,8 @@
 func New(self mangomodel.Holder, fleet Fleet, reporter LoadReporter, claims ClaimStore, orders Orders, opts ...Option) *Controller {
 	c := &Controller{
 		self: self, fleet: fleet, reporter: reporter, claims: claims, orders: orders, orderLease: defaultOrderLease, log: nopObserver{},
-		lastVersion: make(map[mangotraffic.ServiceName]uint64),
+		lastToken: make(map[mangotraffic.ServiceName]FencingToken), eras: eraWatch{read: make(map[mangotraffic.ServiceName]firstRead)},
+		blockedUntil: make(map[mangotraffic.ServiceName]time.Time),
 	}
 	for _, opt := range opts {
 		opt(c)
