Entries that were removed after a drill are gone at once

What callers saw: requests at a server whose entry was removed between the return of the store and its first read (DRAIN). Cause: tolerated all entries that the first list of an era lacks for two seconds. Change: a server's entry keeps the position at which it was written. One that was written after the position of the new list cannot have been in the copy, and is tolerated; the others were removed since. mangooutage is as before, so that its test TestRestoredStoreWasAway goes with the method that it tested; TestEntryThatAnOlderCopyLacksIsNotGoneAtOnce checks the same for entries that the copy lacks, and that the others are gone, and TestListOfALaterEraIsNeverIgnored checks at once again.

--- a/core/mangofleet/era_test.go
+++ b/core/mangofleet/era_test.go
@@ -35,8 +35,6 @@
 			bubble(t, func(x *fixture) {
 				x.do(ChangeServers{Full: true, Cursor: mangotraffic.Cursor{Era: 1, Position: 60}, Changes: []mangotraffic.ServerChange{{ID: "s1", Server: &s1}}})
 				x.do(test.command)
-				time.Sleep(relist)
-				synctest.Wait()
 				view := x.fleet.View()
 				x.Expect(view.ListCursor).To(gomega.Equal(test.cursor))
 				x.Expect(view.Listed).To(gomega.HaveLen(len(test.listed)))
@@ -110,19 +108,26 @@
 }
 
 // TestEntryThatAnOlderCopyLacksIsNotGoneAtOnce guards against live servers that are dropped,
-// since the store came back from a copy that is older than their entries.
+// since the store came back from a copy that is older than their entries, and against servers
+// that are used although their entries were removed since.
 func TestEntryThatAnOlderCopyLacksIsNotGoneAtOnce(t *testing.T) {
 	bubble(t, func(x *fixture) {
-		s1, s2 := plain("s1", "a1"), plain("s2", "a1")
-		list := []mangotraffic.ServerChange{{ID: "s1", Server: &s1}, {ID: "s2", Server: &s2}}
+		var list []mangotraffic.ServerChange
+		for id, position := range map[mangomodel.ServerID]uint64{"removed": 2, "lost": 50, "gone": 51} {
+			server := plain(id, "a1")
+			server.Written = mangotraffic.Cursor{Era: 1, Position: position}
+			list = append(list, mangotraffic.ServerChange{ID: id, Server: &server})
+		}
 		x.do(ChangeServers{Full: true, Cursor: mangotraffic.Cursor{Era: 1, Position: 60}, Changes: list})
 		x.do(ChangeServers{Full: true, Cursor: mangotraffic.Cursor{Era: 2, Position: 3}})
+		x.Expect(x.fleet.View().MayUse("removed")).To(gomega.BeFalse(), "the copy has it, so that it was removed since")
 		time.Sleep(relist - time.Millisecond)
-		x.Expect(x.fleet.View().MayUse("s1")).To(gomega.BeTrue())
-		x.do(ChangeServers{Cursor: mangotraffic.Cursor{Era: 2, Position: 4}, Changes: list[:1]})
+		x.Expect(x.fleet.View().MayUse("gone")).To(gomega.BeTrue())
+		lost := plain("lost", "a1")
+		x.do(ChangeServers{Cursor: mangotraffic.Cursor{Era: 2, Position: 4}, Changes: []mangotraffic.ServerChange{{ID: "lost", Server: &lost}}})
 		time.Sleep(time.Second)
 		synctest.Wait()
-		x.Expect(x.fleet.View().MayUse("s1")).To(gomega.BeTrue(), "written again in time")
-		x.Expect(x.fleet.View().MayUse("s2")).To(gomega.BeFalse(), "still missing after the time in which entries are written again")
+		x.Expect(x.fleet.View().MayUse("lost")).To(gomega.BeTrue(), "written again in time")
+		x.Expect(x.fleet.View().MayUse("gone")).To(gomega.BeFalse(), "still missing after the time in which entries are written again")
 	})
 }
--- a/core/mangofleet/list.go
+++ b/core/mangofleet/list.go
@@ -115,7 +115,7 @@
 		s.listRead = read
 	}
 	if c.Full {
-		c.Changes = s.withoutDeparted(c, read, now)
+		c.Changes = s.withoutDeparted(c, now)
 	}
 	c.Changes = s.withGraces(c.Changes, now)
 	if len(c.Changes) > 0 {
@@ -128,7 +128,7 @@
 	}
 	if c.Full {
 		for _, id := range s.pool.Missing(listed) {
-			grace := s.outages.Grace(now)
+			grace := s.graceOfMissing(id, c, now)
 			s.removing(id, grace, now)
 			s.pool.RemoveServer(id, grace, now)
 		}
--- a/core/mangofleet/restore.go
+++ b/core/mangofleet/restore.go
@@ -6,16 +6,16 @@
 
 	"mangolane/core/mangodeparture"
 	"mangolane/core/mangomodel"
+	"mangolane/core/mangooutage"
 	"mangolane/core/mangotraffic"
 )
 
 // withoutDeparted returns the entries of a whole list that are used at once. In the first
-// list of an era, which was read at a time, the store has come back from an older copy: it
-// may name servers that have left since, and lack live ones.
-func (s *state) withoutDeparted(c ChangeServers, read, now time.Time) []mangotraffic.ServerChange {
+// list of an era the store has come back from an older copy, which may name servers that
+// have left since.
+func (s *state) withoutDeparted(c ChangeServers, now time.Time) []mangotraffic.ServerChange {
 	if c.Cursor.Era > s.listCursor.Era && !s.listCursor.IsZero() {
 		s.observer.StoreRestored(s.listCursor, c.Cursor)
-		s.outages.Restored(read)
 		return s.judged(c.Changes, now)
 	}
 	listed := make(map[mangomodel.ServerID]*mangotraffic.Server, len(c.Changes))
@@ -50,6 +50,17 @@
 	})
 }
 
+// graceOfMissing returns how long a server is still used that a whole list lacks. A copy of
+// the store lacks the entries that were written after it: such an entry is as one that was
+// lost in an outage. One that the copy has was removed since.
+func (s *state) graceOfMissing(id mangomodel.ServerID, c ChangeServers, now time.Time) time.Duration {
+	grace := s.outages.Grace(now)
+	if server, ok := s.pool.Server(id); ok && c.Cursor.Era > s.listCursor.Era && server.Written.Position > c.Cursor.Position {
+		grace = max(grace, mangooutage.RelistTime-c.Age)
+	}
+	return grace
+}
+
 // removing records that a server is removed, unless it is in use for a grace first.
 func (s *state) removing(id mangomodel.ServerID, grace time.Duration, now time.Time) {
 	if server, ok := s.pool.Server(id); ok && (grace <= 0 || server.State == mangotraffic.StateLeaving) {
--- a/core/mangooutage/outage.go
+++ b/core/mangooutage/outage.go
@@ -7,9 +7,6 @@
 // list, and which daemons have failed to read it since. The store was away if nobody
 // read it for some time and more than one daemon failed to, or the only one did.
 //
-// A store that comes back from an older copy lacks the entries that were written since. It
-// was away, however shortly.
-//
 // An outage ends with the first read by any daemon, whichever daemon learns of it. The
 // grace of the entries that were lost in it begins there.
 //
@@ -19,7 +16,6 @@
 //	r.Failed(self, now)
 //	r.Failed(other, now.Add(-age))
 //	r.Read(now, others)
-//	r.Restored(now)
 //	grace := r.Grace(now)
 package mangooutage
 
@@ -30,9 +26,9 @@
 )
 
 const (
-	// relistTime is how long live servers whose entries expired take to be listed again
+	// RelistTime is how long live servers whose entries expired take to be listed again
 	// once the store is back. A server that is still missing then is removed.
-	relistTime = 2 * time.Second
+	RelistTime = 2 * time.Second
 	// minWitnesses is how many daemons have to fail to read the list.
 	minWitnesses = 2
 )
@@ -85,8 +81,6 @@
 	failed failures
 	// last is the last gap that may have been an outage.
 	last gap
-	// restored is when the store was first read after it came back from an older copy.
-	restored time.Time
 }
 
 // New returns a record without reads. The store may have been away if nobody read the list
@@ -132,18 +126,10 @@
 	r.last.failed = r.last.failed.within(r.last.from, r.last.to)
 }
 
-// Restored records that the store was read at a time, for the first time since it came back
-// from an older copy.
-func (r *Record) Restored(at time.Time) {
-	if at.After(r.restored) {
-		r.restored = at
-	}
-}
-
 // Returned returns when the store returned from the last outage; zero if there was none.
 func (r *Record) Returned() time.Time {
-	if r.last.to.Sub(r.last.from) < r.minOutage || !r.witnessed() || r.restored.After(r.last.to) {
-		return r.restored
+	if r.last.to.Sub(r.last.from) < r.minOutage || !r.witnessed() {
+		return time.Time{}
 	}
 	return r.last.to
 }
@@ -155,7 +141,7 @@
 	if returned.IsZero() {
 		return 0
 	}
-	return max(returned.Add(relistTime).Sub(now), 0)
+	return max(returned.Add(RelistTime).Sub(now), 0)
 }
 
 // witnessed reports whether enough daemons failed to read the list in the last gap.
--- a/core/mangooutage/outage_test.go
+++ b/core/mangooutage/outage_test.go
@@ -63,21 +63,3 @@
 		})
 	}
 }
-
-// TestRestoredStoreWasAway guards against entries that count as gone at once, since the store
-// came back from an older copy within a moment. A later outage goes before it.
-func TestRestoredStoreWasAway(t *testing.T) {
-	g := gomega.NewWithT(t)
-	start := time.Now()
-	r := New("a", time.Second)
-	r.Read(start, 2)
-	r.Restored(start)
-	g.Expect(r.Grace(start.Add(relistTime - 1))).To(gomega.Equal(time.Duration(1)))
-	g.Expect(r.Grace(start.Add(relistTime))).To(gomega.BeZero())
-	r.Restored(start.Add(-time.Second))
-	g.Expect(r.Returned()).To(gomega.Equal(start), "an older read changes nothing")
-	r.Failed("a", start.Add(time.Second))
-	r.Failed("b", start.Add(time.Second))
-	r.Read(start.Add(5*time.Second), 2)
-	g.Expect(r.Returned()).To(gomega.Equal(start.Add(5 * time.Second)))
-}
