Builds of servers, and the stream that a call resumes

Change: Server.Build, Call.Resumes, StreamID, Demand.Build with Bound, the fault code CannotResume (409, 502 if the call may have run) and the port Origins of the relay. Nothing decides by them yet.

--- a/core/mangolease/lease.go
+++ b/core/mangolease/lease.go
@@ -52,6 +52,10 @@
 	Age, OnTimeFor, Patience time.Duration
 	// Avoid lists the servers that have failed this call.
 	Avoid []mangomodel.ServerID
+	// Build is the only build at which the call may run, if Bound is set: that of the
+	// events that its client has received.
+	Build mangomodel.Build
+	Bound bool
 	// Parts are the shared parts of the prompt.
 	Parts []mangomodel.PartID
 	// Call identifies the call, and Probe is set if it crashed too many servers and is
--- a/core/mangomodel/code_string.go
+++ b/core/mangomodel/code_string.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _CodeName = "InvalidUnauthorisedNotFoundOverloadedUnavailableConflictInProgressQuarantinedUnknownOutcomeCancelledPreemptedBackendTimeoutTooLargeHeaderTooLargeQuotaExceeded"
+const _CodeName = "InvalidUnauthorisedNotFoundOverloadedUnavailableConflictInProgressQuarantinedUnknownOutcomeCancelledPreemptedBackendTimeoutTooLargeHeaderTooLargeQuotaExceededCannotResume"
 
-var _CodeIndex = [...]uint8{0, 7, 19, 27, 37, 48, 56, 66, 77, 91, 100, 109, 116, 123, 131, 145, 158}
+var _CodeIndex = [...]uint8{0, 7, 19, 27, 37, 48, 56, 66, 77, 91, 100, 109, 116, 123, 131, 145, 158, 170}
 
-const _CodeLowerName = "invalidunauthorisednotfoundoverloadedunavailableconflictinprogressquarantinedunknownoutcomecancelledpreemptedbackendtimeouttoolargeheadertoolargequotaexceeded"
+const _CodeLowerName = "invalidunauthorisednotfoundoverloadedunavailableconflictinprogressquarantinedunknownoutcomecancelledpreemptedbackendtimeouttoolargeheadertoolargequotaexceededcannotresume"
 
 func (i Code) String() string {
 	if i < 0 || i >= Code(len(_CodeIndex)-1) {
@@ -40,9 +40,10 @@
 	_ = x[CodeTooLarge-(13)]
 	_ = x[CodeHeaderTooLarge-(14)]
 	_ = x[CodeQuotaExceeded-(15)]
+	_ = x[CodeCannotResume-(16)]
 }
 
-var _CodeValues = []Code{CodeInvalid, CodeUnauthorised, CodeNotFound, CodeOverloaded, CodeUnavailable, CodeConflict, CodeInProgress, CodeQuarantined, CodeUnknownOutcome, CodeCancelled, CodePreempted, CodeBackend, CodeTimeout, CodeTooLarge, CodeHeaderTooLarge, CodeQuotaExceeded}
+var _CodeValues = []Code{CodeInvalid, CodeUnauthorised, CodeNotFound, CodeOverloaded, CodeUnavailable, CodeConflict, CodeInProgress, CodeQuarantined, CodeUnknownOutcome, CodeCancelled, CodePreempted, CodeBackend, CodeTimeout, CodeTooLarge, CodeHeaderTooLarge, CodeQuotaExceeded, CodeCannotResume}
 
 var _CodeNameToValueMap = map[string]Code{
 	_CodeName[0:7]:     CodeInvalid,
@@ -61,6 +62,7 @@
 	_CodeName[123:131]: CodeTooLarge,
 	_CodeName[131:145]: CodeHeaderTooLarge,
 	_CodeName[145:158]: CodeQuotaExceeded,
+	_CodeName[158:170]: CodeCannotResume,
 }
 
 var _CodeLowerNameToValueMap = map[string]Code{
@@ -80,6 +82,7 @@
 	_CodeLowerName[123:131]: CodeTooLarge,
 	_CodeLowerName[131:145]: CodeHeaderTooLarge,
 	_CodeLowerName[145:158]: CodeQuotaExceeded,
+	_CodeLowerName[158:170]: CodeCannotResume,
 }
 
 var _CodeNames = []string{
@@ -99,6 +102,7 @@
 	_CodeName[123:131],
 	_CodeName[131:145],
 	_CodeName[145:158],
+	_CodeName[158:170],
 }
 
 // CodeString retrieves an enum value from the enum constants string name.
--- a/core/mangomodel/enum.go
+++ b/core/mangomodel/enum.go
@@ -105,6 +105,9 @@
 	CodeHeaderTooLarge
 	// CodeQuotaExceeded means that the workspace has used up its quota.
 	CodeQuotaExceeded
+	// CodeCannotResume means that a stream cannot continue after the events that its
+	// client has received: no server of their build serves, or their build is not known.
+	CodeCannotResume
 )
 
 // Run indicates whether the work of a failed request may have run.
--- a/core/mangomodel/id.go
+++ b/core/mangomodel/id.go
@@ -28,6 +28,9 @@
 	Address string
 	// DaemonID names one daemon. A restarted daemon keeps its DaemonID.
 	DaemonID string
+	// Build names a version of the software of a backend server, not of its model's
+	// weights. It is empty if the server's entry states none.
+	Build string
 	// PeerName names the remote end of a failed step in a [Fault].
 	PeerName string
 )
--- a/core/mangorelay/port.go
+++ b/core/mangorelay/port.go
@@ -61,6 +61,16 @@
 	ReleaseCache(ctx context.Context, source mangotraffic.KVSource) error
 }
 
+// Origins knows at which builds streams began.
+type Origins interface {
+	// Begin records that the first event of a stream came from a server. It does not wait.
+	Begin(stream mangotraffic.StreamID, server mangotraffic.Server)
+	// Origin returns the build at which a stream began. It may wait for records that
+	// other daemons have written. The error is a fault with CodeCannotResume if the
+	// build is not known.
+	Origin(ctx context.Context, stream mangotraffic.StreamID) (mangomodel.Build, error)
+}
+
 // Sink writes the response to a client.
 type Sink interface {
 	// Begin sends the response head. It is called once.
--- a/core/mangotraffic/call.go
+++ b/core/mangotraffic/call.go
@@ -35,6 +35,9 @@
 	Parts []mangomodel.PartID
 	// LastEventID is the last event that the client received of an earlier stream.
 	LastEventID EventID
+	// Resumes is the ID of the client's attempt that received the first event of that
+	// stream; empty if the client does not say.
+	Resumes mangomodel.RequestID
 	// Content is set once the whole call has been read. Fingerprint is the same for all
 	// retries of a call by its client, and differs between callers; Identify sets it.
 	Content     ContentHash
@@ -80,6 +83,12 @@
 	return min(expected, max(g.MaxOutput, generated))
 }
 
+// StreamID identifies a stream by the client's attempt that received its first event.
+type StreamID struct {
+	Service ServiceName
+	Request mangomodel.RequestID
+}
+
 // KVSource is a KV cache that a server fetches before it generates.
 type KVSource struct {
 	// Server is the server that holds it.
--- a/core/mangotraffic/server.go
+++ b/core/mangotraffic/server.go
@@ -37,6 +37,8 @@
 	State      State
 	Stage      Stage
 	Slots      mangomodel.Slots
+	// Build is the server's software. A stream cannot continue at another one.
+	Build mangomodel.Build
 	// Written is the position at which the entry was written; zero if that is not known.
 	Written Cursor
 	// Born is when the server process started. A server that restarts under the
--- a/core/mangowire/fault.go
+++ b/core/mangowire/fault.go
@@ -48,7 +48,7 @@
 		return http.StatusTooManyRequests
 	case mangomodel.CodeUnavailable:
 		return http.StatusServiceUnavailable
-	case mangomodel.CodeConflict, mangomodel.CodeInProgress:
+	case mangomodel.CodeConflict, mangomodel.CodeInProgress, mangomodel.CodeCannotResume:
 		return http.StatusConflict
 	case mangomodel.CodeQuarantined:
 		return http.StatusUnprocessableEntity
