A stream continues only at the build that began it

Cause: the relay and the pool chose a continuation among all servers of the service; no demand named a build. Change: the build of the first event binds the later demands of the call, those of a secured handover too; the pool grants them only servers of that build, and refuses them at once with CannotResume if it has none while other builds serve. A call that takes up a stream asks Origins for its build before it demands a server. The build is checked again before the call is sent, since the server may have restarted since its lease. The gateway has no Origins yet, so that streams that clients take up still continue anywhere.

--- a/core/mangofleet/announce.go
+++ b/core/mangofleet/announce.go
@@ -82,7 +82,7 @@
 
 // prospect returns the prospect of a demand.
 func (s *state) prospect(w *waiter, known prospects, now time.Time) mangopool.Prospect {
-	if len(w.Demand.Avoid) > 0 {
+	if len(w.Demand.Avoid) > 0 || w.Demand.Bound {
 		return s.pool.Prospect(w.PendingDemand, now)
 	}
 	key := prospectKey{service: w.Demand.Service, generation: w.Demand.Generation != nil, prefilled: w.Demand.Prefilled}
@@ -99,8 +99,13 @@
 
 // futile returns the fault of a demand for servers that all leave or have asked for more
 // time than the demand may wait, or nil. A stream that has begun is held, since its
-// client cannot return.
+// client cannot return, but not if its build has no server: clients must not wait for what
+// may never come.
 func (s *state) futile(w *waiter, known prospects, now time.Time) error {
+	if s.pool.LacksBuild(&w.Demand) {
+		return refused(mangomodel.CodeCannotResume, "no server of %s has the build %q that began the stream: %s",
+			w.Demand.Service, w.Demand.Build, s.pool.Explain(w.PendingDemand, now))
+	}
 	if w.Demand.Begun {
 		return nil
 	}
--- a/core/mangopool/backoff.go
+++ b/core/mangopool/backoff.go
@@ -42,12 +42,12 @@
 
 // Excludes reports whether a demand may not use some servers that others may use.
 func (p *Pool) Excludes(pending *mangolease.PendingDemand, now time.Time) bool {
-	return len(pending.Demand.Avoid) > 0 || p.BacksOff(pending.Lease.Holder, now)
+	return len(pending.Demand.Avoid) > 0 || p.BacksOff(pending.Lease.Holder, now) || p.hasOtherBuild(&pending.Demand)
 }
 
 // mayUse reports whether a server may get a demand that it has room for.
 func (p *Pool) mayUse(b *backend, pending *mangolease.PendingDemand, now time.Time) bool {
-	return b.usable(now) && !slices.Contains(pending.Demand.Avoid, b.server.ID) &&
+	return b.usable(now) && b.fits(&pending.Demand) && !slices.Contains(pending.Demand.Avoid, b.server.ID) &&
 		(p.backoffs.Empty() || p.backoffs.Open(b.server.Ref(), pending.Lease.Holder, now))
 }
 
@@ -79,7 +79,7 @@
 		list := p.members(group{pending.Demand.Service, stage})
 		ready, found, first := false, false, time.Time{}
 		for _, b := range list {
-			if b.server.State == mangotraffic.StateLeaving {
+			if b.server.State == mangotraffic.StateLeaving || !b.fits(&pending.Demand) {
 				continue
 			}
 			ready = true
--- a/core/mangopool/explain.go
+++ b/core/mangopool/explain.go
@@ -11,16 +11,17 @@
 
 // shortage counts the reasons why the servers of a stage cannot take a demand.
 type shortage struct {
-	listed, leaving, unusable, backoff, avoided, full int
+	listed, leaving, otherBuild, unusable, backoff, avoided, full int
 }
 
 // String returns the counts as text for the log. "Set aside" counts the servers
 // that are not leaving and get no new work for now: they are ejected, had no room
 // within the last [FullBackoff], or were ordered to change stage. "Backing off" counts
-// those that have asked the demand's daemon for time.
+// those that have asked the demand's daemon for time, and "of another build" those at
+// which the stream of the demand cannot continue.
 func (x shortage) String() string {
-	return fmt.Sprintf("%d listed, %d leaving, %d set aside, %d backing off, %d avoided, %d full",
-		x.listed, x.leaving, x.unusable, x.backoff, x.avoided, x.full)
+	return fmt.Sprintf("%d listed, %d leaving, %d of another build, %d set aside, %d backing off, %d avoided, %d full",
+		x.listed, x.leaving, x.otherBuild, x.unusable, x.backoff, x.avoided, x.full)
 }
 
 // Explain returns a text that says why a demand found no server.
@@ -38,6 +39,8 @@
 		switch {
 		case b.server.State == mangotraffic.StateLeaving:
 			x.leaving++
+		case !b.fits(&pending.Demand):
+			x.otherBuild++
 		case !b.usable(now):
 			x.unusable++
 		case !p.backoffs.Open(b.server.Ref(), pending.Lease.Holder, now):
--- /dev/null
+++ b/core/mangorelay/build.go
@@ -0,0 +1,89 @@
+package mangorelay
+
+import (
+	"context"
+	"sync/atomic"
+
+	"mangolane/core/mangolease"
+	"mangolane/core/mangomodel"
+	"mangolane/core/mangotraffic"
+)
+
+// origin is the build of the events that the client of a call has received. The
+// goroutine of the call sets it, and that of a watchdog reads it.
+type origin struct {
+	build atomic.Pointer[mangomodel.Build]
+}
+
+// bind binds a demand to the build.
+func (o *origin) bind(d *mangolease.Demand) {
+	if build := o.build.Load(); build != nil {
+		d.Build, d.Bound = *build, true
+	}
+}
+
+// allows reports whether events of a server may follow those that the client has.
+func (o *origin) allows(server mangotraffic.Server) bool {
+	build := o.build.Load()
+	return build == nil || *build == server.Build
+}
+
+// stream identifies the stream that the client has received events of, or receives now.
+func (j *job) stream() mangotraffic.StreamID {
+	if j.call.LastEventID > 0 {
+		return mangotraffic.StreamID{Service: j.service.Name, Request: j.call.Resumes}
+	}
+	return mangotraffic.StreamID{Service: j.service.Name, Request: j.call.ID}
+}
+
+// resolveOrigin determines the build of the events that the client has received of an
+// earlier stream. It refuses the call if that is not known.
+func (j *job) resolveOrigin(ctx context.Context) error {
+	if j.call.LastEventID <= 0 || j.route.Kind != mangotraffic.KindStreaming || j.relay.origins == nil {
+		return nil
+	}
+	build, err := j.relay.origins.Origin(ctx, j.stream())
+	if err != nil {
+		return err
+	}
+	j.origin.build.Store(&build)
+	return nil
+}
+
+// recordOrigin records the build of the first event that the client receives.
+func (j *job) recordOrigin(server mangotraffic.Server) {
+	if j.origin.build.Load() != nil {
+		return
+	}
+	j.origin.build.Store(&server.Build)
+	if j.relay.origins == nil || !j.route.Retryable() {
+		return
+	}
+	j.relay.origins.Begin(j.stream(), server.Build)
+	if listed := j.listedBuild(server); listed != server.Build {
+		// The server has restarted meanwhile, and either incarnation may have sent the event.
+		j.relay.origins.Begin(j.stream(), listed)
+	}
+}
+
+// checkBuild returns a fault if the events of a leased server may not follow those that
+// the client has. The server may have restarted with another build since it was leased.
+func (j *job) checkBuild(server mangotraffic.Server) error {
+	current := server
+	current.Build = j.listedBuild(server)
+	if j.origin.allows(server) && j.origin.allows(current) {
+		return nil
+	}
+	j.avoid = append(j.avoid, server.ID)
+	return mangomodel.Faultf(mangomodel.StepCall, mangomodel.PeerName(server.ID), mangomodel.CodeUnavailable, mangomodel.RunNot,
+		"its build %q did not begin the stream", current.Build)
+}
+
+// listedBuild returns the build of a server, or that of a later incarnation in the list.
+func (j *job) listedBuild(server mangotraffic.Server) mangomodel.Build {
+	listed, ok := j.relay.fleet.View().Listed[server.ID]
+	if ok && listed.Ref().After(server.Ref()) {
+		return listed.Build
+	}
+	return server.Build
+}
--- a/core/mangorelay/events.go
+++ b/core/mangorelay/events.go
@@ -43,6 +43,9 @@
 			begun = true
 		}
 		if progress || event.ID == 0 && !resumed {
+			if !event.Comment {
+				j.recordOrigin(server)
+			}
 			if err := j.relayEvent(resp.Head, event); err != nil {
 				return err
 			}
--- a/core/mangorelay/handover.go
+++ b/core/mangorelay/handover.go
@@ -22,6 +22,8 @@
 	ctx    context.Context
 	relay  *Relay
 	demand mangolease.Demand
+	// origin is that of the job, which the exchange may set; nil if it has none.
+	origin *origin
 	// phases are those of the continuation, each of which takes a retry.
 	phases []mangoexchange.Phase
 	// passage is nil for a stream that had begun before the exchange.
@@ -43,7 +45,7 @@
 	if j.service.Engine != nil {
 		d.Generation = j.call.Generation
 	}
-	h := &handover{ctx: ctx, relay: j.relay, demand: d, phases: phases, began: time.Now()}
+	h := &handover{ctx: ctx, relay: j.relay, demand: d, origin: &j.origin, phases: phases, began: time.Now()}
 	if !j.headSent {
 		p := j.passage()
 		h.passage = &p
@@ -66,6 +68,9 @@
 		}
 	}
 	d := h.demand
+	if h.origin != nil {
+		h.origin.bind(&d)
+	}
 	d.Age += time.Since(h.began)
 	if !wait {
 		d.Patience = 0
@@ -167,7 +172,8 @@
 		return nil
 	}
 	j.next = nil
-	if !h.grant.Valid() {
+	// The first event may have been received while the lease was secured.
+	if !h.grant.Valid() || !j.origin.allows(h.grant.Lease.Server) {
 		h.Withdraw()
 		return nil
 	}
--- a/core/mangorelay/port.go
+++ b/core/mangorelay/port.go
@@ -63,11 +63,12 @@
 
 // Origins knows at which builds streams began.
 type Origins interface {
-	// Begin records that the first event of a stream came from a server. It does not wait.
-	Begin(stream mangotraffic.StreamID, server mangotraffic.Server)
+	// Begin records that the first event of a stream came from a build. It does not wait.
+	// If it is called for two builds, that of the stream is not known.
+	Begin(stream mangotraffic.StreamID, build mangomodel.Build)
 	// Origin returns the build at which a stream began. It may wait for records that
-	// other daemons have written. The error is a fault with CodeCannotResume if the
-	// build is not known.
+	// other daemons have written. The error is a fault with CodeCannotResume and RunNot
+	// if the build is not known.
 	Origin(ctx context.Context, stream mangotraffic.StreamID) (mangomodel.Build, error)
 }
 
--- a/core/mangorelay/relay.go
+++ b/core/mangorelay/relay.go
@@ -27,6 +27,8 @@
 	observer Observer
 	tracer   Tracer
 	memory   Memory
+	// origins is nil if resumed streams may continue at any build.
+	origins  Origins
 	active   atomic.Int64
 	paces    paces
 	shutdown *shutdown
@@ -47,6 +49,11 @@
 // WithMemory sets the memory that response bodies take before they are sent.
 func WithMemory(m Memory) Option { return func(r *Relay) { r.memory = m } }
 
+// WithOrigins sets what is known of the builds at which streams began. Without it a
+// stream that a client resumes continues at any server; within a response it continues
+// at the build that began it.
+func WithOrigins(o Origins) Option { return func(r *Relay) { r.origins = o } }
+
 // New returns a Relay.
 func New(fleet Fleet, broker Broker, servers Servers, opts ...Option) *Relay {
 	r := &Relay{
@@ -153,6 +160,8 @@
 	// lastEventID is the last event that was sent to the client.
 	lastEventID mangotraffic.EventID
 	lastEventAt time.Time
+	// origin is the build of the events up to lastEventID.
+	origin origin
 	// received counts the events with data of the exchange in progress.
 	received int
 	// endWatch ends the watch for quarantined parts.
@@ -205,6 +214,9 @@
 	if err := j.takeQuota(ctx); err != nil {
 		return j.finalFault(ctx, err)
 	}
+	if err := j.resolveOrigin(ctx); err != nil {
+		return j.finalFault(ctx, err)
+	}
 	defer j.releaseNext()
 	if j.route.Kind == mangotraffic.KindStreaming {
 		ctx, cancel = j.limitStart(ctx)
@@ -265,7 +277,7 @@
 // as clients wait if the queue does not drain or nothing was predicted. The end of a
 // quarantine is known and may be later than clients wait.
 func (j *job) retryAfter(f *mangomodel.Fault) time.Duration {
-	if f.Run != mangomodel.RunNot || f.Code == mangomodel.CodeUnauthorised {
+	if f.Run != mangomodel.RunNot || f.Code == mangomodel.CodeUnauthorised || f.Code == mangomodel.CodeCannotResume {
 		return 0
 	}
 	if f.Code == mangomodel.CodeQuarantined {
@@ -282,6 +294,7 @@
 	d.Request, d.Service, d.Priority, d.Avoid, d.Parts = j.call.ID, j.service.Name, j.route.Priority, j.avoid, j.suspectParts()
 	d.Age = time.Since(j.call.Arrived)
 	j.shareDemand(&d)
+	j.origin.bind(&d)
 	if !j.begun() {
 		d.Call = j.call.Fingerprint
 	}
--- a/core/mangorelay/stream.go
+++ b/core/mangorelay/stream.go
@@ -98,7 +98,7 @@
 func (j *job) generate(ctx context.Context, grant *mangobroker.Grant) error {
 	began := time.Now()
 	server := grant.Lease.Server
-	if err := errors.Join(j.checkStop(), j.checkAccess(), j.checkCall(), j.checkParts(), j.checkLease(), j.checkUsable(server.ID)); err != nil {
+	if err := errors.Join(j.checkStop(), j.checkAccess(), j.checkCall(), j.checkParts(), j.checkLease(), j.checkUsable(server.ID), j.checkBuild(server)); err != nil {
 		return err
 	}
 	if err := j.takeRetry(ctx, mangoexchange.PhaseRun); err != nil {
