A stream of a server that restarted with another build continues nowhere

Cause: the build of a stream was taken from the lease alone. Change: with each event the list is asked whether the server has restarted with another build since. If so, either incarnation may have sent the event: a stream that began in this exchange is recorded with both builds and does not continue, and a continuation ends before its event is sent. What remains: a stream that begins and breaks before any list names the new incarnation.

--- a/core/mangorelay/build.go
+++ b/core/mangorelay/build.go
@@ -12,7 +12,18 @@
 // origin is the build of the events that the client of a call has received. The
 // goroutine of the call sets it, and that of a watchdog reads it.
 type origin struct {
+	// build is nil before the first event.
 	build atomic.Pointer[mangomodel.Build]
+	// ambiguous is set if the events may be of another build.
+	ambiguous atomic.Bool
+}
+
+// check returns a fault if the stream cannot continue.
+func (o *origin) check() error {
+	if !o.ambiguous.Load() {
+		return nil
+	}
+	return notRunFault(mangomodel.CodeCannotResume, "the server that began the stream has restarted with another build")
 }
 
 // bind binds a demand to the build.
@@ -50,19 +61,34 @@
 	return nil
 }
 
-// recordOrigin records the build of the first event that the client receives.
-func (j *job) recordOrigin(server mangotraffic.Server) {
-	if j.origin.build.Load() != nil {
-		return
+// checkEvent records the build of the first event that the client receives of a stream.
+// It returns a fault if an event of a continuation may be of another build. begins is set
+// if the stream began in the exchange with the server.
+func (j *job) checkEvent(server mangotraffic.Server, begins bool) error {
+	if j.origin.build.Load() == nil {
+		j.origin.build.Store(&server.Build)
+		j.begin(server.Build)
 	}
-	j.origin.build.Store(&server.Build)
-	if j.relay.origins == nil || !j.route.Retryable() {
-		return
+	// A server that was listed again with another build has restarted, and either
+	// incarnation may have sent the event.
+	listed := j.listedBuild(server)
+	if listed == server.Build || j.origin.ambiguous.Load() {
+		return nil
 	}
-	j.relay.origins.Begin(j.stream(), server.Build)
-	if listed := j.listedBuild(server); listed != server.Build {
-		// The server has restarted meanwhile, and either incarnation may have sent the event.
-		j.relay.origins.Begin(j.stream(), listed)
+	if begins {
+		j.origin.ambiguous.Store(true)
+		j.begin(listed)
+		return nil
+	}
+	f := *mangomodel.AsFault(j.checkBuild(server), mangomodel.StepCall)
+	f.Run = mangomodel.RunUnknown
+	return &f
+}
+
+// begin records a build that may have begun the stream.
+func (j *job) begin(build mangomodel.Build) {
+	if j.relay.origins != nil && j.route.Retryable() {
+		j.relay.origins.Begin(j.stream(), build)
 	}
 }
 
--- a/core/mangorelay/build_test.go
+++ b/core/mangorelay/build_test.go
@@ -154,16 +154,35 @@
 	})
 }
 
-func TestFirstEventOfARestartedServerHasTwoPossibleBuilds(t *testing.T) {
-	withBuilds(t, "v1", "v1", func(h *harness, o *recordedOrigins) {
-		for _, id := range []mangomodel.ServerID{"d1", "d2"} {
-			h.servers.runs[id] = []step{{events: events(1, 2), responseDelay: 100 * time.Millisecond}}
-		}
+// TestStreamOfARestartedServerContinuesNowhere guards against a continuation at the build
+// that the list had named: the server had restarted with another one before the first event.
+func TestStreamOfARestartedServerContinuesNowhere(t *testing.T) {
+	for _, after := range []time.Duration{50 * time.Millisecond, 120 * time.Millisecond} {
+		withBuilds(t, "v1", "v1", func(h *harness, o *recordedOrigins) {
+			h.servers.runs["d1"] = []step{{events: events(1, 3), responseDelay: 100 * time.Millisecond, aborted: true}}
+			h.servers.runs["d2"] = []step{{events: events(4, 4)}}
+			time.AfterFunc(after, func() {
+				h.listBuilds(3, map[mangomodel.ServerID]mangomodel.Build{"d1": "v2"}, time.Second)
+			})
+			h.Expect(h.serve().Code).To(gomega.Equal(mangomodel.CodeCannotResume))
+			h.Expect(h.client.body).To(gomega.Equal("123"))
+			h.Expect(o.begun["r"]).To(gomega.Equal([]mangomodel.Build{"v1", "v2"}))
+		})
+	}
+}
+
+// TestContinuationAtARestartedServerIsNotSent guards against events of a server that is
+// found to have restarted with another build after it was asked to continue a stream.
+func TestContinuationAtARestartedServerIsNotSent(t *testing.T) {
+	withBuilds(t, "v1", "v2", func(h *harness, o *recordedOrigins) {
+		h.resume("one")
+		h.servers.runs["d1"] = []step{{events: events(3, 4), responseDelay: 100 * time.Millisecond}}
 		time.AfterFunc(50*time.Millisecond, func() {
-			h.listBuilds(3, map[mangomodel.ServerID]mangomodel.Build{"d1": "v2", "d2": "v2"}, time.Second)
+			h.listBuilds(3, map[mangomodel.ServerID]mangomodel.Build{"d1": "v2"}, time.Second)
 		})
-		h.Expect(h.serve()).To(gomega.BeNil())
-		h.Expect(o.begun["r"]).To(gomega.Equal([]mangomodel.Build{"v1", "v2"}))
+		h.Expect(h.serve().Code).To(gomega.Equal(mangomodel.CodeCannotResume))
+		h.Expect(h.client.body).To(gomega.BeEmpty())
+		h.Expect(o.begun).To(gomega.BeEmpty())
 	})
 }
 
--- a/core/mangorelay/events.go
+++ b/core/mangorelay/events.go
@@ -14,6 +14,7 @@
 // stops the stall timer: a server may repeat events or send comments without end.
 func (j *job) relayEvents(ctx context.Context, server mangotraffic.Server, resp *mangoexchange.Response, stall stallTimer) error {
 	resumed, begun := j.headSent, false
+	begins := j.origin.build.Load() == nil
 	for {
 		event, err := resp.Events.Next()
 		if errors.Is(err, io.EOF) {
@@ -44,7 +45,9 @@
 		}
 		if progress || event.ID == 0 && !resumed {
 			if !event.Comment {
-				j.recordOrigin(server)
+				if err := j.checkEvent(server, begins); err != nil {
+					return err
+				}
 			}
 			if err := j.relayEvent(resp.Head, event); err != nil {
 				return err
--- a/core/mangorelay/handover.go
+++ b/core/mangorelay/handover.go
@@ -89,8 +89,14 @@
 	return nil
 }
 
-// checkStop returns a fault if the daemon stops and the continuation would not be sent.
+// checkStop returns a fault if the daemon stops and the continuation would not be sent, or
+// if the build of the stream is not known.
 func (h *handover) checkStop() error {
+	if h.origin != nil {
+		if err := h.origin.check(); err != nil {
+			return err
+		}
+	}
 	if h.passage == nil {
 		return nil
 	}
--- a/core/mangorelay/relay.go
+++ b/core/mangorelay/relay.go
@@ -304,7 +304,7 @@
 // acquire returns the lease that a handover has secured, or waits for one on the
 // servers that a demand needs.
 func (j *job) acquire(ctx context.Context, d mangolease.Demand) (*mangobroker.Grant, error) {
-	if err := errors.Join(j.checkParts(), j.checkStop()); err != nil {
+	if err := errors.Join(j.checkParts(), j.checkStop(), j.origin.check()); err != nil {
 		return nil, err
 	}
 	probe, err := j.admit()
