Origins of streams, over daemons and a kill of all

Change: mangobuilds keeps the builds of each service and when they were present. mangoorigin implements the relay's Origins: it answers from its memory, from the one build that alone was present for longer than a stream lasts, or from the row of the stream, and otherwise refuses with CannotResume. Streams are saved only while a service has several builds, those that were remembered before too. Measured: go vet of core, mangolaned and platform; with the race detector mangoorigin (20 times), mangotables, mangogateway, mangosettings, mangotraffic and mangoquery pass.

--- /dev/null
+++ b/core/mangoorigin/origin.go
@@ -0,0 +1,215 @@
+package mangoorigin
+
+import (
+	"context"
+	"errors"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"mangolane/core/mangofleet"
+	"mangolane/core/mangomodel"
+	"mangolane/core/mangopanic"
+	"mangolane/core/mangoroster"
+	"mangolane/core/mangotraffic"
+)
+
+const (
+	// readInterval is the mean time between reads of rows of streams by one daemon, of which
+	// readBurst may follow each other at once: those of the streams of a server that breaks.
+	readInterval = 25 * time.Millisecond
+	readBurst    = 40
+	// rowWait bounds how long an absent row is awaited, since the daemon at which the stream
+	// began may be about to write it, and rowPause is the pause before the second read.
+	// Each further pause is longer by as much.
+	rowWait  = time.Second
+	rowPause = 100 * time.Millisecond
+	// readyWait bounds how long a daemon that starts waits for the histories.
+	readyWait = time.Second
+)
+
+// Origins records and resolves the builds at which streams began. It implements
+// mangorelay.Origins.
+type Origins struct {
+	fleet    Fleet
+	store    Store
+	observer Observer
+	first    bool
+	began    time.Time
+	memory   *memory
+	reads    *rate.Limiter
+	flights  flights
+	// published is what is known of services.
+	published atomic.Pointer[snapshot]
+	// ready is closed once the histories were read.
+	ready chan struct{}
+	// wake is signalled when a stream waits to be saved or another build has served.
+	wake chan struct{}
+}
+
+// snapshot is what is known of services at a time. It is immutable.
+type snapshot struct {
+	// sole is the build that began all streams of a service, where there is one.
+	sole map[mangotraffic.ServiceName]mangomodel.Build
+	// others is the number of other daemons when the list was last known to be current.
+	others int
+}
+
+// Option configures Origins.
+type Option func(*Origins)
+
+// WithFirstStart states that the whole installation starts for the first time: a service
+// without a history had no servers before.
+func WithFirstStart(first bool) Option { return func(o *Origins) { o.first = first } }
+
+// New returns Origins that save and read nothing before Run.
+func New(fleet Fleet, store Store, observer Observer, opts ...Option) *Origins {
+	o := &Origins{
+		fleet: fleet, store: store, observer: observer, began: time.Now(), memory: newMemory(),
+		reads: rate.NewLimiter(rate.Every(readInterval), readBurst),
+		ready: make(chan struct{}), wake: make(chan struct{}, 1),
+	}
+	o.published.Store(&snapshot{})
+	for _, opt := range opts {
+		opt(o)
+	}
+	return o
+}
+
+// Begin records that the first event of a stream came from a build. It does not wait. If it
+// is called for two builds, that of the stream is not known.
+func (o *Origins) Begin(stream mangotraffic.StreamID, build mangomodel.Build) {
+	queued := o.memory.begin(stream, build, time.Now())
+	if sole, ok := o.published.Load().sole[stream.Service]; queued || ok && sole != build {
+		signal(o.wake)
+	}
+}
+
+// Reasons why a stream cannot continue.
+var (
+	errAmbiguous = errors.New("its first event came from a server that restarted with another build meanwhile")
+	errNoName    = errors.New("several builds serve, and the call does not name the request whose stream it resumes")
+	errNoRow     = errors.New("several builds serve, and no record names the one that began it")
+	errReads     = errors.New("several builds serve, and too many records are being read")
+)
+
+// Origin returns the build at which a stream began. It waits for the row of another daemon
+// for up to a second. The error is a fault with CodeCannotResume and RunNot if the build is
+// not known.
+func (o *Origins) Origin(ctx context.Context, stream mangotraffic.StreamID) (mangomodel.Build, error) {
+	build, evidence, err := o.resolve(ctx, stream)
+	o.observer.OriginResolved(stream, evidence, err)
+	if err != nil {
+		return "", mangomodel.Faultf(mangomodel.StepAdmission, "", mangomodel.CodeCannotResume, mangomodel.RunNot,
+			"the build that began stream %q of %s is not known: %w", stream.Request, stream.Service, err)
+	}
+	if evidence != EvidenceMemory && stream.Request != "" && o.memory.learn(stream, build, evidence == EvidenceRow, time.Now()) {
+		signal(o.wake)
+	}
+	return build, nil
+}
+
+func (o *Origins) resolve(ctx context.Context, stream mangotraffic.StreamID) (mangomodel.Build, Evidence, error) {
+	if known, ok := o.memory.get(stream, time.Now()); ok && stream.Request != "" {
+		if known.ambiguous {
+			return "", EvidenceNone, errAmbiguous
+		}
+		return known.build, EvidenceMemory, nil
+	}
+	o.awaitReady(ctx)
+	if build, ok := o.sole(stream.Service); ok {
+		return build, EvidenceSole, nil
+	}
+	if stream.Request == "" {
+		return "", EvidenceNone, errNoName
+	}
+	row, err := o.flights.do(ctx, stream, o.readRow)
+	switch {
+	case err != nil:
+		return "", EvidenceNone, err
+	case row.Ambiguous:
+		return "", EvidenceNone, errAmbiguous
+	}
+	return row.Build, EvidenceRow, nil
+}
+
+// sole returns the build that began all streams of a service. A list of servers that other
+// daemons have a later one of may lack the build of a stream that began there.
+func (o *Origins) sole(service mangotraffic.ServiceName) (mangomodel.Build, bool) {
+	known := o.published.Load()
+	build, ok := known.sole[service]
+	return build, ok && known.current(o.fleet.View(), time.Now())
+}
+
+// current reports whether no daemon in touch has a later list: it was read lately, or it is
+// that of at least half of the other daemons, none of which can read.
+func (s *snapshot) current(v *mangofleet.View, now time.Time) bool {
+	if !v.Stale(now) {
+		return true
+	}
+	alive := 0
+	for _, m := range v.Members[1:] {
+		if mangomodel.Elapsed(m.At, now) < mangoroster.AliveTimeout {
+			alive++
+		}
+	}
+	return 2*alive >= s.others
+}
+
+// awaitReady waits until the histories were read, and not longer than a start may take.
+func (o *Origins) awaitReady(ctx context.Context) {
+	select {
+	case <-o.ready:
+		return
+	default:
+	}
+	timer := time.NewTimer(readyWait)
+	defer timer.Stop()
+	select {
+	case <-o.ready:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// readRow reads the row of a stream until it is there, for at most rowWait.
+func (o *Origins) readRow(stream mangotraffic.StreamID) (row StreamRow, err error) {
+	defer mangopanic.CatchError(o.observer, "read of a stream's origin", &err)
+	ctx, cancel := context.WithTimeout(context.Background(), rowWait)
+	defer cancel()
+	last := errReads
+	for pause := rowPause; ; pause += rowPause {
+		if o.reads.Wait(ctx) != nil {
+			return StreamRow{}, last
+		}
+		row, ok, _, err := o.store.Stream(ctx, stream)
+		switch {
+		case err == nil && ok:
+			return row, nil
+		case err == nil:
+			last = errNoRow
+		case ctx.Err() == nil || last == errReads:
+			last = err
+		}
+		if sleep(ctx, pause); ctx.Err() != nil {
+			return StreamRow{}, last
+		}
+	}
+}
+
+func signal(c chan<- struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/core/mangoorigin/origin_test.go
@@ -0,0 +1,112 @@
+package mangoorigin
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"mangolane/core/mangomodel"
+)
+
+// TestStreamResumesAfterAKillOfAll guards against a stream that continues at another build,
+// or is refused, since all daemons that knew its build were killed.
+func TestStreamResumesAfterAKillOfAll(t *testing.T) {
+	withWorld(t, func(w *world) {
+		w.serve("a", "b")
+		w.start(3)
+		w.begin(0, "x", "a")
+		w.begin(1, "y", "b")
+		time.Sleep(500 * time.Millisecond)
+		for range 2 {
+			w.killAll()
+			w.start(3)
+			w.expect(2, "x", "a")
+			w.expect(0, "y", "b")
+		}
+	})
+}
+
+// TestOneBuildNeedsNoRecord guards against calls to the store for streams while one build
+// alone serves, and against streams that cannot be resumed for want of these.
+func TestOneBuildNeedsNoRecord(t *testing.T) {
+	withWorld(t, func(w *world) {
+		w.serve("a")
+		w.start(3, WithFirstStart(true))
+		for i := range 100 {
+			w.begin(i%3, mangomodel.RequestID(fmt.Sprint(i)), "a")
+		}
+		w.expect(1, "0", "a")
+		w.expect(1, "", "a")
+		time.Sleep(time.Minute)
+		w.expect(2, "elsewhere", "a")
+		w.killAll()
+		w.start(1)
+		w.expect(0, "0", "a")
+		w.Expect(w.table.count(&w.table.streamReads) + w.table.count(&w.table.streamWrites)).To(gomega.BeZero())
+		w.Expect(w.table.count(&w.table.buildWrites)).To(gomega.Equal(1))
+	})
+}
+
+// TestSecondBuildSavesTheStreamsBeforeIt guards against streams that cannot be resumed
+// elsewhere, since they began before a second build was there and were not saved.
+func TestSecondBuildSavesTheStreamsBeforeIt(t *testing.T) {
+	withWorld(t, func(w *world) {
+		w.serve("a")
+		w.start(2, WithFirstStart(true))
+		w.begin(0, "early", "a")
+		time.Sleep(window)
+		w.begin(0, "x", "a")
+		w.expect(1, "resumed", "a")
+		time.Sleep(time.Second)
+		w.serve("a", "b")
+		time.Sleep(500 * time.Millisecond)
+		w.expect(1, "x", "a")
+		w.expect(0, "resumed", "a")
+		w.expectRefused(1, "early", "no record", rowWait+latency)
+		w.killAll()
+		w.serve("b")
+		w.start(1)
+		w.expect(0, "x", "a")
+		w.expect(0, "resumed", "a")
+	})
+}
+
+// TestEndedBuildIsRemembered guards against a stream that continues at another build, since
+// the one that began it has left.
+func TestEndedBuildIsRemembered(t *testing.T) {
+	withWorld(t, func(w *world) {
+		w.serve("a")
+		w.start(2, WithFirstStart(true))
+		time.Sleep(time.Second)
+		w.serve("b")
+		time.Sleep(3 * time.Second)
+		w.expectRefused(0, "x", "no record", rowWait+latency)
+		w.expectRefused(0, "", "does not name", 0)
+		w.killAll()
+		w.start(2)
+		w.expectRefused(0, "x", "no record", rowWait+latency)
+		time.Sleep(window)
+		w.expect(0, "x", "b")
+	})
+}
+
+// TestStreamOfTwoBuildsIsRefused guards against a stream that continues at one of two
+// builds, either of which may have sent its first event.
+func TestStreamOfTwoBuildsIsRefused(t *testing.T) {
+	withWorld(t, func(w *world) {
+		w.serve("a", "b")
+		w.start(2)
+		w.begin(0, "x", "a")
+		time.Sleep(500 * time.Millisecond)
+		w.expect(1, "x", "a")
+		w.begin(0, "x", "b")
+		w.begin(0, "x", "a")
+		w.expectRefused(0, "x", "restarted", 0)
+		time.Sleep(500 * time.Millisecond)
+		w.killAll()
+		w.start(1)
+		w.expectRefused(0, "x", "restarted", time.Second)
+	})
+}
--- /dev/null
+++ b/core/mangoorigin/run.go
@@ -0,0 +1,254 @@
+package mangoorigin
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"time"
+
+	"mangolane/core/mangobuilds"
+	"mangolane/core/mangomodel"
+	"mangolane/core/mangopanic"
+	"mangolane/core/mangotraffic"
+)
+
+const (
+	// viewInterval is how often the list of servers is looked at.
+	viewInterval = 100 * time.Millisecond
+	// margin is how much longer than its route's timeout a stream may be resumed, and
+	// defaultTimeout that of a service whose routes have none.
+	margin         = 30 * time.Second
+	defaultTimeout = time.Minute
+	// minBackoff and maxBackoff bound the pause after failed calls.
+	minBackoff = 100 * time.Millisecond
+	maxBackoff = 3200 * time.Millisecond
+	// firstStartWindow is how long after its start a daemon may take the absence of a
+	// history for the first start of the installation.
+	firstStartWindow = 10 * time.Second
+)
+
+// controller is the state of the goroutine of Run, which alone uses it.
+type controller struct {
+	*Origins
+	histories map[mangotraffic.ServiceName]*mangobuilds.History
+	// windows are the times for which streams of services may be resumed. They never
+	// become shorter, since a stream keeps the timeout with which it began.
+	windows map[mangotraffic.ServiceName]time.Duration
+	// since is when the list of servers was first received, and others the number of other
+	// daemons when it was last current.
+	since  time.Time
+	others int
+	// mixed are the services whose streams are saved.
+	mixed map[mangotraffic.ServiceName]bool
+	// era is the latest one of the store that this daemon has heard of, and start when the
+	// store's clock was zero.
+	era   mangotraffic.Era
+	start time.Time
+	// results are the ends of calls to the store.
+	results chan func(now time.Time)
+	builds  buildSaver
+	streams streamSaver
+	sweep   sweeper
+	lostAt  time.Time
+}
+
+// Run reads the histories and then saves what changes until ctx ends.
+func (o *Origins) Run(ctx context.Context) {
+	c := &controller{
+		Origins: o, histories: make(map[mangotraffic.ServiceName]*mangobuilds.History),
+		windows: make(map[mangotraffic.ServiceName]time.Duration), mixed: make(map[mangotraffic.ServiceName]bool),
+		results: make(chan func(time.Time)),
+	}
+	ticker := time.NewTicker(viewInterval)
+	defer ticker.Stop()
+	for {
+		c.round(ctx, time.Now())
+		timer := time.NewTimer(c.streams.wait(time.Now()))
+		select {
+		case <-ticker.C:
+		case <-timer.C:
+		case <-o.wake:
+		case apply := <-c.results:
+			apply(time.Now())
+		case <-ctx.Done():
+			timer.Stop()
+			return
+		}
+		timer.Stop()
+	}
+}
+
+// round updates what is known and begins the calls to the store that are due.
+func (c *controller) round(ctx context.Context, now time.Time) {
+	defer mangopanic.Catch(c.observer, "origins of streams")
+	c.observe(now)
+	c.publish(now)
+	c.saveBuilds(ctx, now)
+	c.saveStreams(ctx, now)
+	c.sweepStreams(ctx, now)
+}
+
+// call makes calls to the store on a goroutine of its own, and applies their result on that
+// of Run. A panic counts as a failure.
+func (c *controller) call(ctx context.Context, f func(ctx context.Context) (Stamp, error), apply func(now time.Time, err error)) {
+	go func() {
+		var stamp Stamp
+		err := func() (err error) {
+			defer mangopanic.CatchError(c.observer, "origins of streams", &err)
+			stamp, err = f(ctx)
+			return err
+		}()
+		result := func(now time.Time) {
+			if err == nil || stamp != (Stamp{}) {
+				err = c.accept(stamp, err, now)
+			}
+			c.report(err, now)
+			apply(now, err)
+		}
+		select {
+		case c.results <- result:
+		case <-ctx.Done():
+		}
+	}()
+}
+
+// accept records the era and the clock of a response. One of an earlier era is an error.
+func (c *controller) accept(s Stamp, err error, now time.Time) error {
+	if s.Era < c.era {
+		return errEarlierEra
+	}
+	c.learn(s.Era, now)
+	c.start = now.Add(-time.Duration(s.Clock))
+	return err
+}
+
+// learn records an era of the store. The store may have lost what was written shortly before
+// it began.
+func (c *controller) learn(era mangotraffic.Era, now time.Time) {
+	if era <= c.era {
+		return
+	}
+	if c.era > 0 {
+		c.memory.resave(now.Add(-resaveTime))
+		c.builds.plan(now, c.fleet.View())
+	}
+	c.era = era
+}
+
+// report tells the observer whether calls fail.
+func (c *controller) report(err error, now time.Time) {
+	switch {
+	case isFailure(err) && c.lostAt.IsZero():
+		c.lostAt = now
+		c.observer.OriginsLost(err)
+	case !isFailure(err) && !c.lostAt.IsZero():
+		c.observer.OriginsRegained(now.Sub(c.lostAt))
+		c.lostAt = time.Time{}
+	}
+}
+
+// observe records the builds that are listed and those that have served.
+func (c *controller) observe(now time.Time) {
+	v := c.fleet.View()
+	c.learn(v.ListCursor.Era, now)
+	if !v.Stale(now) {
+		c.others = len(v.Members) - 1
+	}
+	if v.Routing != nil {
+		for service, timeout := range v.Routing.Timeouts(defaultTimeout) {
+			c.windows[service] = max(c.windows[service], timeout+margin)
+		}
+	}
+	if v.ListRead.IsZero() {
+		return
+	}
+	if c.since.IsZero() {
+		c.since = now
+	}
+	listed := make(map[mangotraffic.ServiceName][]mangomodel.Build)
+	for _, server := range v.Listed {
+		if list := listed[server.Service]; !slices.Contains(list, server.Build) {
+			listed[server.Service] = append(list, server.Build)
+		}
+	}
+	for service := range listed {
+		c.history(service)
+	}
+	changed := false
+	for service, h := range c.histories {
+		changed = h.List(listed[service], now) || changed
+	}
+	for s := range c.memory.takeServed() {
+		changed = c.history(s.service).Serve(s.build, now) || changed
+	}
+	if changed {
+		c.builds.plan(now, v)
+	}
+}
+
+// history returns the history of a service. Without a row it begins with the list.
+func (c *controller) history(service mangotraffic.ServiceName) *mangobuilds.History {
+	h, ok := c.histories[service]
+	if !ok {
+		h = mangobuilds.New(c.beginning())
+		c.histories[service] = h
+	}
+	return h
+}
+
+// beginning returns when the history of a service without a row begins.
+func (c *controller) beginning() time.Time {
+	if c.builds.fresh {
+		return time.Time{}
+	}
+	return c.since
+}
+
+// window returns the time for which streams of a service may be resumed.
+func (c *controller) window(service mangotraffic.ServiceName) time.Duration {
+	if w, ok := c.windows[service]; ok {
+		return w
+	}
+	return defaultTimeout + margin
+}
+
+// longest returns the time for which streams of any service may be resumed.
+func (c *controller) longest() time.Duration {
+	longest := defaultTimeout + margin
+	for w := range maps.Values(c.windows) {
+		longest = max(longest, w)
+	}
+	return longest
+}
+
+// publish publishes which services have a sole build, and has the streams of the others
+// saved.
+func (c *controller) publish(now time.Time) {
+	next := &snapshot{sole: make(map[mangotraffic.ServiceName]mangomodel.Build), others: c.others}
+	for service, h := range c.histories {
+		window := c.window(service)
+		build, sole := h.Sole(window, now)
+		if sole {
+			next.sole[service] = build
+		}
+		h.Forget(2*window, now)
+		if !c.builds.read {
+			continue
+		}
+		mixed := h.Mixed(window, now)
+		switch {
+		case mixed && !c.mixed[service]:
+			c.observer.ServiceMixed(service, h.Spans(window, now))
+		case c.mixed[service] && !mixed:
+			c.observer.ServiceSole(service, build)
+			c.builds.plan(now, c.fleet.View())
+		}
+		c.mixed[service] = mixed
+		c.memory.setMixed(service, mixed)
+		if !h.Complete(window, now) {
+			c.builds.planAgain(now)
+		}
+	}
+	c.published.Store(next)
+	c.memory.forget(now.Add(-c.longest()))
+}
--- a/core/mangotraffic/routing.go
+++ b/core/mangotraffic/routing.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"slices"
 	"strings"
+	"time"
 
 	"mangolane/core/mangomodel"
 	"mangolane/core/mangoworkspace"
@@ -95,6 +96,18 @@
 	return s, ok
 }
 
+// Timeouts returns the longest timeout of the routes to each service; none is that of routes
+// without one.
+func (r *Routing) Timeouts(none time.Duration) map[ServiceName]time.Duration {
+	longest := make(map[ServiceName]time.Duration)
+	for i := range r.routes {
+		for _, t := range r.routes[i].Targets {
+			longest[t.Service] = max(longest[t.Service], cmp.Or(r.routes[i].Timeout, none))
+		}
+	}
+	return longest
+}
+
 // Pick returns the target that a call's hash selects by weight. The same hash
 // always selects the same target of a route.
 func (r *Route) Pick(hash uint64) ServiceName {
--- a/mangolaned/mangogateway/gateway.go
+++ b/mangolaned/mangogateway/gateway.go
@@ -27,6 +27,7 @@
 	"mangolane/core/mangofollow"
 	"mangolane/core/mangomemory"
 	"mangolane/core/mangomodel"
+	"mangolane/core/mangoorigin"
 	"mangolane/core/mangopanic"
 	"mangolane/core/mangorelay"
 	"mangolane/core/mangorest"
@@ -75,12 +76,17 @@
 	memory          *mangomemory.Budget
 	// archive is nil if the records of calls that crash servers are not saved.
 	archive *mangoarchive.Archive
+	// origins is nil if streams that clients resume may continue at any build.
+	origins *mangoorigin.Origins
 }
 
 // Option configures a Gateway.
 type Option func(*options)
 
-type options struct{ archive mangoarchive.Store }
+type options struct {
+	archive mangoarchive.Store
+	origins mangoorigin.Store
+}
 
 // WithArchive sets the store in which the records of calls that crash servers are saved.
 // Without one a kill of all daemons forgets them.
@@ -88,6 +94,12 @@
 	return func(o *options) { o.archive = store }
 }
 
+// WithOrigins sets the store in which it is saved at which builds of servers streams began.
+// Without one a stream that a client resumes may continue at another build.
+func WithOrigins(store mangoorigin.Store) Option {
+	return func(o *options) { o.origins = store }
+}
+
 // New returns a Gateway that does not run yet.
 func New(s mangosettings.Gateway, logger *zap.Logger, level zap.AtomicLevel, source Store, newServers NewServers, opts ...Option) *Gateway {
 	var chosen options
@@ -119,6 +131,12 @@
 		archive = mangoarchive.New(fleet, chosen.archive, o)
 		followOptions = append(followOptions, mangofollow.WithPrerequisite(archive))
 	}
+	relayOptions := []mangorelay.Option{mangorelay.WithObserver(o)}
+	var origins *mangoorigin.Origins
+	if chosen.origins != nil {
+		origins = mangoorigin.New(fleet, chosen.origins, o, mangoorigin.WithFirstStart(s.FirstStart))
+		relayOptions = append(relayOptions, mangorelay.WithOrigins(origins))
+	}
 	memory := mangomemory.New(s.BodyMemory, mangomemory.WithObserver(o))
 	m.watch(memory)
 	servers := newServers(fleet, memory)
@@ -127,10 +145,11 @@
 		mangobroker.WithRegions(s.Regions))
 	return &Gateway{
 		settings: s, current: current, level: level, logger: logger, fleet: fleet, broker: broker, metrics: m, observer: o, recorder: recorder, memory: memory,
-		relay: mangorelay.New(fleet, broker, servers, mangorelay.WithObserver(o), mangorelay.WithMemory(memory),
-			mangorelay.WithTracer(mangotrace.Install(recorder, s.Daemon))),
+		relay: mangorelay.New(fleet, broker, servers, append(relayOptions, mangorelay.WithMemory(memory),
+			mangorelay.WithTracer(mangotrace.Install(recorder, s.Daemon)))...),
 		follower: mangofollow.New(fleet, source, o, followOptions...),
 		archive:  archive,
+		origins:  origins,
 		stageController: mangostage.New(self.Holder, fleet, servers, source, servers,
 			mangostage.WithOrderLease(s.OrderLease.Std()), mangostage.WithObserver(o)),
 	}
@@ -177,6 +196,9 @@
 	if g.archive != nil {
 		running.Go(func() { g.archive.Run(workCtx) })
 	}
+	if g.origins != nil {
+		running.Go(func() { g.origins.Run(workCtx) })
+	}
 	running.Go(func() { g.follower.Run(workCtx) })
 	running.Go(func() { g.broker.Run(workCtx) })
 	running.Go(func() { g.stageController.Run(workCtx) })
--- a/mangolaned/mangogateway/reload.go
+++ b/mangolaned/mangogateway/reload.go
@@ -51,9 +51,11 @@
 }
 
 // sameStartupSettings reports whether the settings that are read only at startup are
-// unchanged: all but those that a reload applies.
+// unchanged: all but those that a reload applies, and FirstStart, which concerns the start
+// alone.
 func sameStartupSettings(a, b mangosettings.Gateway) bool {
 	a.LogLevel, a.RetryRatio, a.RetryFixed, a.RetryWindow = b.LogLevel, b.RetryRatio, b.RetryFixed, b.RetryWindow
+	a.FirstStart = b.FirstStart
 	a.GracePeriod, a.QuotaTolerance, a.QuotaSlack = b.GracePeriod, b.QuotaTolerance, b.QuotaSlack
 	return reflect.DeepEqual(a, b)
 }
--- a/mangolaned/mangosettings/gateway.go
+++ b/mangolaned/mangosettings/gateway.go
@@ -58,6 +58,9 @@
 	// distance for ChoiceEstimated, as an increase of load.
 	ServerChoice mangoload.Choice `json:",omitempty"`
 	DistanceCost float64          `json:",omitempty"`
+	// FirstStart is set while the whole installation starts for the first time, so that no
+	// backend server has served before.
+	FirstStart bool `json:",omitempty"`
 	// Seeds are addresses of other daemons to contact at startup.
 	Seeds []mangomodel.Address `json:",omitempty"`
 	// Cores is the number of cores; a value below 1 counts as 1. CoreShare is
