Origins: reads within the fleet's share, lists out of date, tests of troubles

Change: a daemon reads at most its share of 1,200 rows of streams a second. A sole build counts while the list is current, or while at least half of the daemons that were there when it last was still respond: a daemon that is cut off refuses, and daemons that all lost the store do not. A panic in the result of a call to the store is caught. A stream without a name is not kept.

--- a/core/mangoorigin/builds.go
+++ b/core/mangoorigin/builds.go
@@ -109,9 +109,6 @@
 				h.Restore(nil, now)
 			}
 		}
-		for _, r := range rows {
-			c.sweep.needed = c.sweep.needed || len(r.Builds) != 1
-		}
 	}
 	for _, r := range rows {
 		if len(r.Builds) > 0 {
--- a/core/mangoorigin/memory.go
+++ b/core/mangoorigin/memory.go
@@ -70,6 +70,9 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.served[served{id.Service, build}] = true
+	if id.Request == "" {
+		return false
+	}
 	o, ok := m.streams.Get(id)
 	if !ok {
 		o = &origin{build: build}
@@ -84,7 +87,7 @@
 
 // enqueue queues a stream that has to be saved.
 func (m *memory) enqueue(id mangotraffic.StreamID, o *origin) bool {
-	if o.queued || !o.saved.IsZero() || id.Request == "" || !m.mixed[id.Service] {
+	if o.queued || !o.saved.IsZero() || !m.mixed[id.Service] {
 		return false
 	}
 	o.queued = true
@@ -178,13 +181,13 @@
 	}
 }
 
-// waiting returns the number of streams that wait to be saved, and how many rows were
-// written before a time and can be removed.
+// waiting returns the number of streams that wait to be saved, and how many rows of up to a
+// batch were written before a time and can be removed.
 func (m *memory) waiting(before time.Time) (writes, removals int) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for _, r := range m.removals {
-		if !r.at.Before(before) {
+		if !r.at.Before(before) || removals == maxBatch {
 			break
 		}
 		removals++
--- a/core/mangoorigin/origin.go
+++ b/core/mangoorigin/origin.go
@@ -16,10 +16,10 @@
 )
 
 const (
-	// readInterval is the mean time between reads of rows of streams by one daemon, of which
-	// readBurst may follow each other at once: those of the streams of a server that breaks.
-	readInterval = 25 * time.Millisecond
-	readBurst    = 40
+	// maxReads is the number of reads of rows of streams a second by one daemon, of which as
+	// many may follow each other at once: those of the streams of a server that breaks. All
+	// daemons together make allReads. minReads is what each may make in the largest fleet.
+	maxReads, minReads, allReads = 40, 4, 1200
 	// rowWait bounds how long an absent row is awaited, since the daemon at which the stream
 	// began may be about to write it, and rowPause is the pause before the second read.
 	// Each further pause is longer by as much.
@@ -67,7 +67,7 @@
 func New(fleet Fleet, store Store, observer Observer, opts ...Option) *Origins {
 	o := &Origins{
 		fleet: fleet, store: store, observer: observer, began: time.Now(), memory: newMemory(),
-		reads: rate.NewLimiter(rate.Every(readInterval), readBurst),
+		reads: rate.NewLimiter(maxReads, maxReads),
 		ready: make(chan struct{}), wake: make(chan struct{}, 1),
 	}
 	o.published.Store(&snapshot{})
@@ -92,6 +92,7 @@
 	errNoName    = errors.New("several builds serve, and the call does not name the request whose stream it resumes")
 	errNoRow     = errors.New("several builds serve, and no record names the one that began it")
 	errReads     = errors.New("several builds serve, and too many records are being read")
+	errStale     = errors.New("the list of servers may lack its build, and no record names it")
 )
 
 // Origin returns the build at which a stream began. It waits for the row of another daemon
@@ -118,7 +119,8 @@
 		return known.build, EvidenceMemory, nil
 	}
 	o.awaitReady(ctx)
-	if build, ok := o.sole(stream.Service); ok {
+	build, sole, current := o.sole(stream.Service)
+	if sole && current {
 		return build, EvidenceSole, nil
 	}
 	if stream.Request == "" {
@@ -126,6 +128,8 @@
 	}
 	row, err := o.flights.do(ctx, stream, o.readRow)
 	switch {
+	case sole && errors.Is(err, errNoRow):
+		return "", EvidenceNone, errStale
 	case err != nil:
 		return "", EvidenceNone, err
 	case row.Ambiguous:
@@ -134,12 +138,12 @@
 	return row.Build, EvidenceRow, nil
 }
 
-// sole returns the build that began all streams of a service. A list of servers that other
-// daemons have a later one of may lack the build of a stream that began there.
-func (o *Origins) sole(service mangotraffic.ServiceName) (mangomodel.Build, bool) {
+// sole returns the build that began all streams of a service as far as this daemon knows, if
+// there is one, and whether no other daemon in touch can know of another.
+func (o *Origins) sole(service mangotraffic.ServiceName) (build mangomodel.Build, sole, current bool) {
 	known := o.published.Load()
-	build, ok := known.sole[service]
-	return build, ok && known.current(o.fleet.View(), time.Now())
+	build, sole = known.sole[service]
+	return build, sole, known.current(o.fleet.View(), time.Now())
 }
 
 // current reports whether no daemon in touch has a later list: it was read lately, or it is
@@ -149,8 +153,8 @@
 		return true
 	}
 	alive := 0
-	for _, m := range v.Members[1:] {
-		if mangomodel.Elapsed(m.At, now) < mangoroster.AliveTimeout {
+	for i, m := range v.Members {
+		if i > 0 && mangomodel.Elapsed(m.At, now) < mangoroster.AliveTimeout {
 			alive++
 		}
 	}
--- a/core/mangoorigin/origin_test.go
+++ b/core/mangoorigin/origin_test.go
@@ -7,7 +7,9 @@
 
 	"github.com/onsi/gomega"
 
+	"mangolane/core/mangofleet"
 	"mangolane/core/mangomodel"
+	"mangolane/core/mangotraffic"
 )
 
 // TestStreamResumesAfterAKillOfAll guards against a stream that continues at another build,
@@ -92,6 +94,42 @@
 	})
 }
 
+// TestBuildThatWasThereForAMomentIsRemembered guards against a stream of such a build that
+// continues at the other one after a kill of all daemons.
+func TestBuildThatWasThereForAMomentIsRemembered(t *testing.T) {
+	withWorld(t, func(w *world) {
+		w.serve("a")
+		w.start(3, WithFirstStart(true))
+		time.Sleep(5 * time.Second)
+		w.serve("a", "b")
+		w.serve("a")
+		time.Sleep(3 * time.Second)
+		w.killAll()
+		w.start(1)
+		w.expectRefused(0, "x", "no record", rowWait+latency)
+	})
+}
+
+// TestLongStreamsAreRememberedForLonger guards against a stream that continues at another
+// build, since it lasts for longer than those of other services.
+func TestLongStreamsAreRememberedForLonger(t *testing.T) {
+	withWorld(t, func(w *world) {
+		const timeout = 5 * time.Minute
+		routing, err := mangotraffic.NewRouting(1, []mangotraffic.Route{
+			{Name: "r", Host: "h", Prefix: "/", Timeout: timeout, Targets: []mangotraffic.Target{{Service: llm, Weight: 1}}},
+		}, []mangotraffic.Service{{Name: llm}}, mangotraffic.Limits{})
+		w.Expect(err).NotTo(gomega.HaveOccurred())
+		w.serve("a")
+		w.start(1, WithFirstStart(true))
+		w.Expect(w.daemons[0].fleet.Do(w.ctx, mangofleet.InstallRouting{Routing: routing})).To(gomega.Succeed())
+		w.serve("b")
+		time.Sleep(timeout)
+		w.expectRefused(0, "x", "no record", rowWait+latency)
+		time.Sleep(margin)
+		w.expect(0, "x", "b")
+	})
+}
+
 // TestStreamOfTwoBuildsIsRefused guards against a stream that continues at one of two
 // builds, either of which may have sent its first event.
 func TestStreamOfTwoBuildsIsRefused(t *testing.T) {
--- a/core/mangoorigin/run.go
+++ b/core/mangoorigin/run.go
@@ -6,6 +6,8 @@
 	"slices"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"mangolane/core/mangobuilds"
 	"mangolane/core/mangomodel"
 	"mangolane/core/mangopanic"
@@ -57,7 +59,7 @@
 	c := &controller{
 		Origins: o, histories: make(map[mangotraffic.ServiceName]*mangobuilds.History),
 		windows: make(map[mangotraffic.ServiceName]time.Duration), mixed: make(map[mangotraffic.ServiceName]bool),
-		results: make(chan func(time.Time)),
+		results: make(chan func(time.Time)), sweep: sweeper{needed: true},
 	}
 	ticker := time.NewTicker(viewInterval)
 	defer ticker.Stop()
@@ -69,7 +71,7 @@
 		case <-timer.C:
 		case <-o.wake:
 		case apply := <-c.results:
-			apply(time.Now())
+			c.apply(apply)
 		case <-ctx.Done():
 			timer.Stop()
 			return
@@ -88,6 +90,12 @@
 	c.sweepStreams(ctx, now)
 }
 
+// apply applies the result of a call.
+func (c *controller) apply(result func(now time.Time)) {
+	defer mangopanic.Catch(c.observer, "origins of streams")
+	result(time.Now())
+}
+
 // call makes calls to the store on a goroutine of its own, and applies their result on that
 // of Run. A panic counts as a failure.
 func (c *controller) call(ctx context.Context, f func(ctx context.Context) (Stamp, error), apply func(now time.Time, err error)) {
@@ -154,6 +162,7 @@
 	if !v.Stale(now) {
 		c.others = len(v.Members) - 1
 	}
+	c.limitReads(now, len(v.Members))
 	if v.Routing != nil {
 		for service, timeout := range v.Routing.Timeouts(defaultTimeout) {
 			c.windows[service] = max(c.windows[service], timeout+margin)
@@ -186,6 +195,15 @@
 	}
 }
 
+// limitReads sets how many rows this daemon reads, as one of a number of daemons.
+func (c *controller) limitReads(now time.Time, daemons int) {
+	n := min(max(allReads/max(daemons, 1), minReads), maxReads)
+	if n != c.reads.Burst() {
+		c.reads.SetLimitAt(now, rate.Limit(n))
+		c.reads.SetBurstAt(now, n)
+	}
+}
+
 // history returns the history of a service. Without a row it begins with the list.
 func (c *controller) history(service mangotraffic.ServiceName) *mangobuilds.History {
 	h, ok := c.histories[service]
--- a/core/mangoorigin/streams.go
+++ b/core/mangoorigin/streams.go
@@ -108,8 +108,8 @@
 
 // sweeper removes the rows of daemons that were killed.
 type sweeper struct {
-	// needed is set if there may be rows.
-	needed bool
+	// needed is set if there may be rows, and found if this sweep has seen one.
+	needed, found bool
 	// due is when the next page is read, which begins after a key.
 	due   time.Time
 	after Key
@@ -133,13 +133,13 @@
 	s.busy = true
 	longest := Clock(c.longest())
 	var last Key
-	var more bool
+	var more, found bool
 	c.call(ctx, func(ctx context.Context) (Stamp, error) {
 		rows, next, stamp, err := c.store.Streams(ctx, s.after)
 		if err != nil {
 			return stamp, err
 		}
-		more = next
+		more, found = next, len(rows) > 0
 		var old []StoredRow
 		for _, r := range rows {
 			if last = max(last, r.Key); stamp.Clock-r.At > longest {
@@ -160,8 +160,20 @@
 		if s.due = now.Add(sweepInterval); err != nil {
 			return
 		}
+		s.found = s.found || found
 		if s.after = last; !more {
+			s.needed, s.found = s.found || c.saving(), false
 			s.due, s.after = now.Add(sweepSpread), ""
 		}
 	})
 }
+
+// saving reports whether the streams of a service are saved.
+func (c *controller) saving() bool {
+	for _, mixed := range c.mixed {
+		if mixed {
+			return true
+		}
+	}
+	return false
+}
--- a/core/mangoorigin/world_test.go
+++ b/core/mangoorigin/world_test.go
@@ -8,6 +8,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -42,12 +43,16 @@
 	down    bool
 	// late is how much longer calls about streams take.
 	late time.Duration
+	// delayed is set while answers are those of the era before.
+	delayed bool
+	// interfere is called once before the next write of a history.
+	interfere func()
 	// loseAnswers is how many of the next writes of streams are made without an answer.
 	loseAnswers int
 	// largest is the largest write of streams.
 	largest int
 	// buildTries counts the writes that met a conflict too.
-	buildReads, buildTries, buildWrites, streamReads, streamWrites int
+	buildReads, buildTries, buildWrites, streamReads, sweepReads, streamWrites int
 }
 
 func newTable() *table {
@@ -65,6 +70,9 @@
 	if t.down {
 		return Stamp{}, errDown, t.mu.Unlock
 	}
+	if t.delayed {
+		stamp.Era--
+	}
 	return stamp, nil, t.mu.Unlock
 }
 
@@ -87,6 +95,10 @@
 	if err != nil {
 		return stamp, err
 	}
+	if f := t.interfere; f != nil {
+		t.interfere = nil
+		f()
+	}
 	if t.builds[row.Service].Version != row.Version {
 		return stamp, ErrConflict
 	}
@@ -131,7 +143,7 @@
 }
 
 func (t *table) Streams(_ context.Context, after Key) ([]StoredRow, bool, Stamp, error) {
-	stamp, err, end := t.call(&t.streamReads)
+	stamp, err, end := t.call(&t.sweepReads)
 	defer end()
 	rows := slices.DeleteFunc(slices.Collect(maps.Values(t.streams)), func(r StoredRow) bool { return r.Key <= after })
 	slices.SortFunc(rows, func(a, b StoredRow) int { return strings.Compare(string(a.Key), string(b.Key)) })
@@ -183,6 +195,17 @@
 	return *n
 }
 
+// saved returns the builds in the row of the service.
+func (t *table) saved() []mangomodel.Build {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var builds []mangomodel.Build
+	for _, p := range t.builds[llm].Builds {
+		builds = append(builds, p.Build)
+	}
+	return builds
+}
+
 // size returns the number of rows of streams.
 func (t *table) size() int {
 	t.mu.Lock()
@@ -190,6 +213,40 @@
 	return len(t.streams)
 }
 
+// link is the way of a daemon to the table.
+type link struct {
+	*table
+	d *daemon
+}
+
+func (l link) Builds(ctx context.Context) ([]BuildRow, Stamp, error) {
+	if l.d.cut.Load() {
+		return nil, Stamp{}, errDown
+	}
+	return l.table.Builds(ctx)
+}
+
+func (l link) ReplaceBuilds(ctx context.Context, row BuildRow) (Stamp, error) {
+	if l.d.cut.Load() {
+		return Stamp{}, errDown
+	}
+	return l.table.ReplaceBuilds(ctx, row)
+}
+
+func (l link) Stream(ctx context.Context, id mangotraffic.StreamID) (StreamRow, bool, Stamp, error) {
+	if l.d.cut.Load() {
+		return StreamRow{}, false, Stamp{}, errDown
+	}
+	return l.table.Stream(ctx, id)
+}
+
+func (l link) ReplaceStreams(ctx context.Context, write []StreamRow, remove []mangotraffic.StreamID) (Stamp, error) {
+	if l.d.cut.Load() {
+		return Stamp{}, errDown
+	}
+	return l.table.ReplaceStreams(ctx, write, remove)
+}
+
 // observer counts what it is notified of.
 type observer struct {
 	mangopanic.Rethrow
@@ -215,11 +272,12 @@
 // daemon is a daemon of a world.
 type daemon struct {
 	w       *world
+	id      mangomodel.DaemonID
 	fleet   *mangofleet.Fleet
 	origins *Origins
 	stop    context.CancelFunc
-	// cut is set while the daemon gets no list.
-	cut bool
+	// cut is set while the daemon reaches neither the store nor the other daemons.
+	cut atomic.Bool
 }
 
 // world is daemons that share a table and a list of servers.
@@ -232,6 +290,8 @@
 	mu       sync.Mutex
 	list     map[mangomodel.ServerID]mangotraffic.Server
 	position uint64
+	// unlisted is set while no daemon can read the list.
+	unlisted bool
 }
 
 // withWorld runs a test. The list of servers reaches all daemons at once.
@@ -258,11 +318,14 @@
 		self := mangoroster.Member{Holder: mangomodel.Holder{Daemon: id}, DataCentre: "a1", Strong: true}
 		fleet := mangofleet.New(mangofleet.Self{Member: self}, func() mangobudget.Limits { return mangobudget.Limits{Window: time.Second} })
 		ctx, stop := context.WithCancel(w.ctx)
-		d := &daemon{w: w, fleet: fleet, origins: New(fleet, w.table, w.observer, opts...), stop: stop}
+		d := &daemon{w: w, fleet: fleet, stop: stop, id: id}
+		d.origins = New(fleet, link{w.table, d}, w.observer, opts...)
+		w.mu.Lock()
+		w.daemons = append(w.daemons, d)
+		w.mu.Unlock()
 		go fleet.Run(ctx)
 		go d.origins.Run(ctx)
 		go d.follow(ctx)
-		w.daemons = append(w.daemons, d)
 	}
 	time.Sleep(viewInterval + 10*latency)
 }
@@ -275,16 +338,31 @@
 	}
 }
 
+// send sends the list and the sightings of the other daemons to a daemon.
 func (d *daemon) send(ctx context.Context) {
+	if d.cut.Load() {
+		return
+	}
+	d.w.table.mu.Lock()
+	era := d.w.table.era
+	d.w.table.mu.Unlock()
 	d.w.mu.Lock()
-	cut := d.cut
-	cmd := mangofleet.ChangeServers{Full: true, Cursor: mangotraffic.Cursor{Era: d.w.table.era, Position: d.w.position}, From: mangofleet.Platform}
+	cmd := mangofleet.ChangeServers{Full: true, Cursor: mangotraffic.Cursor{Era: era, Position: d.w.position}, From: mangofleet.Platform}
 	for id, server := range d.w.list {
 		cmd.Changes = append(cmd.Changes, mangotraffic.ServerChange{ID: id, Server: &server})
 	}
+	unlisted := d.w.unlisted
+	var seen mangofleet.UpdateMembers
+	for _, other := range d.w.daemons {
+		if other != d && !other.cut.Load() {
+			member := mangoroster.Member{Holder: mangomodel.Holder{Daemon: other.id}, DataCentre: "a1", Strong: true}
+			seen.Sightings = append(seen.Sightings, mangoroster.Sighting{Member: member})
+		}
+	}
 	d.w.mu.Unlock()
-	if !cut {
-		// This fails only when the daemon ends.
+	// These fail only when the daemon ends.
+	_ = d.fleet.Do(ctx, seen)
+	if !unlisted {
 		_ = d.fleet.Do(ctx, cmd)
 	}
 }
@@ -293,7 +371,9 @@
 	for _, d := range w.daemons {
 		d.stop()
 	}
+	w.mu.Lock()
 	w.daemons = nil
+	w.mu.Unlock()
 	synctest.Wait()
 }
 
