--- a/mangolaned/mangogateway/reload_test.go
+++ b/mangolaned/mangogateway/reload_test.go
@@ -32,6 +32,7 @@
 		{"spans", func(s *mangosettings.Gateway) { s.TraceSpans = 9 }, true},
 		{"share of a core", func(s *mangosettings.Gateway) { s.CoreShare = 0.1 }, true},
 		{"server choice", func(s *mangosettings.Gateway) { s.ServerChoice = mangoload.ChoiceEstimated }, true},
+		{"first start", func(s *mangosettings.Gateway) { s.FirstStart = true }, false},
 		{"link rate", func(s *mangosettings.Gateway) { s.LinkRate = 20 }, true},
 	}
 	for _, test := range tests {
--- a/mangolaned/mangosettings/gateway_test.go
+++ b/mangolaned/mangosettings/gateway_test.go
@@ -31,6 +31,17 @@
 	g.Expect(s.ServerChoice).To(gomega.Equal(mangoload.ChoiceEstimated))
 }
 
+// TestFirstStartIsRead guards against a daemon that takes any start for the first one of the
+// installation, or none.
+func TestFirstStartIsRead(t *testing.T) {
+	g := gomega.NewWithT(t)
+	for text, want := range map[string]bool{gateway: false, strings.Replace(gateway, `"Daemon"`, `"FirstStart": true, "Daemon"`, 1): true} {
+		s, err := ParseGateway([]byte(text))
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(s.FirstStart).To(gomega.Equal(want))
+	}
+}
+
 func TestInvalidGatewaySettingIsNamed(t *testing.T) {
 	tests := []struct{ name, old, new string }{
 		{"Daemon", `"d1"`, `""`},
