Streams that began last are saved first

What callers would see: when a second build appears, a daemon of a large fleet needs a minute to save the streams that it remembers, oldest first, so that the ones in progress are refused elsewhere meanwhile. Change: streams that begin go first, then those of before, the last one first. Evidence: with the oldest first, TestLatestStreamsAreSavedFirst fails.

--- a/core/mangoorigin/memory.go
+++ b/core/mangoorigin/memory.go
@@ -42,9 +42,11 @@
 	mu sync.Mutex
 	// streams are ordered by when they began or were resumed.
 	streams *simplelru.LRU[mangotraffic.StreamID, *origin]
-	// mixed are the services whose streams are saved, and queue the streams to be saved.
-	mixed map[mangotraffic.ServiceName]bool
-	queue []mangotraffic.StreamID
+	// mixed are the services whose streams are saved, and queue the streams to be saved as
+	// they begin. Those of the backlog began before; the last ones are saved first, since
+	// most earlier streams have ended.
+	mixed          map[mangotraffic.ServiceName]bool
+	queue, backlog []mangotraffic.StreamID
 	// removals are the rows that this daemon has written, oldest first.
 	removals []savedRow
 	// served are the builds at which streams began since they were last taken.
@@ -82,16 +84,16 @@
 	if o.build != build && !o.ambiguous {
 		o.ambiguous, o.saved = true, time.Time{}
 	}
-	return m.enqueue(id, o)
+	return m.enqueue(&m.queue, id, o)
 }
 
-// enqueue queues a stream that has to be saved.
-func (m *memory) enqueue(id mangotraffic.StreamID, o *origin) bool {
+// enqueue adds a stream to a queue if it has to be saved, and reports whether it has added it.
+func (m *memory) enqueue(queue *[]mangotraffic.StreamID, id mangotraffic.StreamID, o *origin) bool {
 	if o.queued || !o.saved.IsZero() || !m.mixed[id.Service] {
 		return false
 	}
 	o.queued = true
-	m.queue = append(m.queue, id)
+	*queue = append(*queue, id)
 	return true
 }
 
@@ -124,7 +126,7 @@
 	if o.build != build && !o.ambiguous {
 		o.ambiguous, o.saved = true, time.Time{}
 	}
-	return m.enqueue(id, o)
+	return m.enqueue(&m.queue, id, o)
 }
 
 // setMixed sets whether the streams of a service are saved, and queues those that it
@@ -141,7 +143,7 @@
 	}
 	for _, id := range m.streams.Keys() {
 		if o, ok := m.streams.Peek(id); ok && id.Service == service {
-			m.enqueue(id, o)
+			m.enqueue(&m.backlog, id, o)
 		}
 	}
 }
@@ -154,7 +156,7 @@
 	for _, id := range m.streams.Keys() {
 		if o, ok := m.streams.Peek(id); ok && o.saved.After(after) {
 			o.saved = time.Time{}
-			m.enqueue(id, o)
+			m.enqueue(&m.backlog, id, o)
 		}
 	}
 }
@@ -192,7 +194,7 @@
 		}
 		removals++
 	}
-	return len(m.queue), removals
+	return len(m.queue) + len(m.backlog), removals
 }
 
 // batch is what a write to the store changes.
@@ -207,15 +209,27 @@
 	origin
 }
 
+// next removes the stream that is saved next.
+func (m *memory) next() mangotraffic.StreamID {
+	if len(m.queue) > 0 {
+		id := m.queue[0]
+		m.queue = m.queue[1:]
+		return id
+	}
+	last := len(m.backlog) - 1
+	id := m.backlog[last]
+	m.backlog = m.backlog[:last]
+	return id
+}
+
 // take returns up to n streams and rows for a write. Rows are removed that were written
 // before a time.
 func (m *memory) take(n int, before time.Time) batch {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	var b batch
-	for len(m.queue) > 0 && len(b.write) < n {
-		id := m.queue[0]
-		m.queue = m.queue[1:]
+	for len(m.queue)+len(m.backlog) > 0 && len(b.write) < n {
+		id := m.next()
 		if o, ok := m.streams.Peek(id); ok && o.queued {
 			o.queued = false
 			b.write = append(b.write, write{id, *o})
@@ -249,7 +263,7 @@
 	defer m.mu.Unlock()
 	for _, w := range b.write {
 		if o, ok := m.streams.Peek(w.stream); ok {
-			m.enqueue(w.stream, o)
+			m.enqueue(&m.queue, w.stream, o)
 		}
 	}
 	m.removals = append(b.remove, m.removals...)
--- a/core/mangoorigin/run.go
+++ b/core/mangoorigin/run.go
@@ -9,6 +9,7 @@
 	"golang.org/x/time/rate"
 
 	"mangolane/core/mangobuilds"
+	"mangolane/core/mangofleet"
 	"mangolane/core/mangomodel"
 	"mangolane/core/mangopanic"
 	"mangolane/core/mangotraffic"
@@ -36,10 +37,10 @@
 	// windows are the times for which streams of services may be resumed. They never
 	// become shorter, since a stream keeps the timeout with which it began.
 	windows map[mangotraffic.ServiceName]time.Duration
-	// since is when the list of servers was first received, and others the number of other
-	// daemons when it was last current.
-	since  time.Time
-	others int
+	// since is when the list of servers was first received, scanned when it was last looked
+	// at, and others the number of other daemons when it was last current.
+	since, scanned time.Time
+	others         int
 	// mixed are the services whose streams are saved.
 	mixed map[mangotraffic.ServiceName]bool
 	// era is the latest one of the store that this daemon has heard of, and start when the
@@ -155,10 +156,31 @@
 	}
 }
 
-// observe records the builds that are listed and those that have served.
+// observe records what the fleet knows, and the builds at which streams have begun.
 func (c *controller) observe(now time.Time) {
 	v := c.fleet.View()
 	c.learn(v.ListCursor.Era, now)
+	if v.ListRead.IsZero() {
+		return
+	}
+	if c.since.IsZero() {
+		c.since = now
+	}
+	changed := false
+	if now.Sub(c.scanned) >= viewInterval/2 {
+		c.scanned = now
+		changed = c.scan(v, now)
+	}
+	for s := range c.memory.takeServed() {
+		changed = c.history(s.service).Serve(s.build, now) || changed
+	}
+	if changed {
+		c.builds.plan(now, v)
+	}
+}
+
+// scan records the builds that are listed, and reports whether they have changed.
+func (c *controller) scan(v *mangofleet.View, now time.Time) bool {
 	if !v.Stale(now) {
 		c.others = len(v.Members) - 1
 	}
@@ -168,12 +190,6 @@
 			c.windows[service] = max(c.windows[service], timeout+margin)
 		}
 	}
-	if v.ListRead.IsZero() {
-		return
-	}
-	if c.since.IsZero() {
-		c.since = now
-	}
 	listed := make(map[mangotraffic.ServiceName][]mangomodel.Build)
 	for _, server := range v.Listed {
 		if list := listed[server.Service]; !slices.Contains(list, server.Build) {
@@ -187,12 +203,7 @@
 	for service, h := range c.histories {
 		changed = h.List(listed[service], now) || changed
 	}
-	for s := range c.memory.takeServed() {
-		changed = c.history(s.service).Serve(s.build, now) || changed
-	}
-	if changed {
-		c.builds.plan(now, v)
-	}
+	return changed
 }
 
 // limitReads sets how many rows this daemon reads, as one of a number of daemons.
--- a/core/mangoorigin/trouble_test.go
+++ b/core/mangoorigin/trouble_test.go
@@ -271,6 +271,25 @@
 	})
 }
 
+// TestLatestStreamsAreSavedFirst guards against streams that cannot be resumed when a second
+// build appears, since all those that have ended are saved before them.
+func TestLatestStreamsAreSavedFirst(t *testing.T) {
+	withWorld(t, func(w *world) {
+		w.serve("a")
+		w.start(2, WithFirstStart(true))
+		time.Sleep(3 * time.Second)
+		for i := range 1000 {
+			w.begin(0, mangomodel.RequestID(fmt.Sprint(i)), "a")
+			time.Sleep(time.Millisecond)
+		}
+		w.serve("a", "b")
+		w.begin(0, "new", "b")
+		w.expect(1, "999", "a")
+		w.expect(1, "new", "b")
+		w.Expect(w.table.size()).To(gomega.BeNumerically("<", 500))
+	})
+}
+
 // TestWritesOfSeveralDaemonsLoseNoBuild guards against a daemon that replaces the history
 // that another one has written.
 func TestWritesOfSeveralDaemonsLoseNoBuild(t *testing.T) {
--- a/core/mangoorigin/world_test.go
+++ b/core/mangoorigin/world_test.go
@@ -62,18 +62,18 @@
 }
 
 // call begins a call. The returned function ends it.
-func (t *table) call(count *int) (Stamp, error, func()) {
+func (t *table) call(count *int) (Stamp, func(), error) {
 	time.Sleep(latency)
 	t.mu.Lock()
 	*count++
 	stamp := Stamp{Clock: Clock(time.Since(t.began)), Era: t.era}
 	if t.down {
-		return Stamp{}, errDown, t.mu.Unlock
+		return Stamp{}, t.mu.Unlock, errDown
 	}
 	if t.delayed {
 		stamp.Era--
 	}
-	return stamp, nil, t.mu.Unlock
+	return stamp, t.mu.Unlock, nil
 }
 
 func (t *table) delay() {
@@ -84,13 +84,13 @@
 }
 
 func (t *table) Builds(context.Context) ([]BuildRow, Stamp, error) {
-	stamp, err, end := t.call(&t.buildReads)
+	stamp, end, err := t.call(&t.buildReads)
 	defer end()
 	return slices.Collect(maps.Values(t.builds)), stamp, err
 }
 
 func (t *table) ReplaceBuilds(_ context.Context, row BuildRow) (Stamp, error) {
-	stamp, err, end := t.call(&t.buildTries)
+	stamp, end, err := t.call(&t.buildTries)
 	defer end()
 	if err != nil {
 		return stamp, err
@@ -113,7 +113,7 @@
 
 func (t *table) Stream(_ context.Context, id mangotraffic.StreamID) (StreamRow, bool, Stamp, error) {
 	t.delay()
-	stamp, err, end := t.call(&t.streamReads)
+	stamp, end, err := t.call(&t.streamReads)
 	defer end()
 	row, ok := t.streams[keyOf(id)]
 	return row.StreamRow, ok && err == nil, stamp, err
@@ -121,7 +121,7 @@
 
 func (t *table) ReplaceStreams(_ context.Context, write []StreamRow, remove []mangotraffic.StreamID) (Stamp, error) {
 	t.delay()
-	stamp, err, end := t.call(&t.streamWrites)
+	stamp, end, err := t.call(&t.streamWrites)
 	defer end()
 	t.largest = max(t.largest, len(write)+len(remove))
 	if err != nil {
@@ -143,7 +143,7 @@
 }
 
 func (t *table) Streams(_ context.Context, after Key) ([]StoredRow, bool, Stamp, error) {
-	stamp, err, end := t.call(&t.sweepReads)
+	stamp, end, err := t.call(&t.sweepReads)
 	defer end()
 	rows := slices.DeleteFunc(slices.Collect(maps.Values(t.streams)), func(r StoredRow) bool { return r.Key <= after })
 	slices.SortFunc(rows, func(a, b StoredRow) int { return strings.Compare(string(a.Key), string(b.Key)) })
@@ -151,7 +151,7 @@
 }
 
 func (t *table) RemoveStreams(_ context.Context, rows []StoredRow) (Stamp, error) {
-	stamp, err, end := t.call(&t.streamWrites)
+	stamp, end, err := t.call(&t.streamWrites)
 	defer end()
 	if err != nil {
 		return stamp, err
