Stage changes leave two decode engines to each build

What callers saw: nothing yet; found by reading. With servers of two builds in a service, orders to prefill could take the last decode engines of one build, and its streams could not continue although its servers served. Cause: the choice of the engine did not know builds. Change: while a service lists several builds, no engine of a build is turned to prefill that would leave fewer than two ready decode engines of it; engines that were ordered to prefill, also without an answer, do not count. An order to decode takes an engine of the build with the fewest decode engines, so that one whose servers all prefill gets one first. With one build the choice is as it was. Evidence: without the limit TestStageChangesKeepTwoDecodersOfEachBuild and two others fail, without the order of builds TestBuildWithoutDecodersGetsOneFirst does, and with a limit for a single build TestSingleBuildIsNotProtected does.

--- a/core/mangopool/balance.go
+++ b/core/mangopool/balance.go
@@ -137,12 +137,8 @@
 		if b.server.Service != name || b.server.State != mangotraffic.StateReady {
 			continue
 		}
-		stage := b.server.Stage
-		if now.Before(b.orderedUntil) {
-			stage = b.orderedTo
-			settling = settling || b.orderedUntil.Sub(now) > mangobalance.SettleTime-orderInterval
-		}
-		if stage == mangotraffic.StagePrefill {
+		settling = settling || now.Before(b.orderedUntil) && b.orderedUntil.Sub(now) > mangobalance.SettleTime-orderInterval
+		if b.stage(now) == mangotraffic.StagePrefill {
 			prefillers++
 			work.PrefillRate += b.prefillRate
 		} else {
@@ -158,32 +154,54 @@
 // orderInterval is the minimum time between two stage changes of one service.
 const orderInterval = 1500 * time.Millisecond
 
-// leastLoaded returns the engine to take from a stage to another one: in the data
-// centre that has most engines of the stage, the one with the fewest leases. An engine
-// that did not answer the same order goes first, since it may still carry it out; an
-// order to a second engine would then change two.
+// leastLoaded returns the engine to take from a stage to another one, or nil: in the
+// data centre that has most engines of the stage, the one with the fewest leases. Of
+// several builds, the one with the fewest decode engines gets another one first, and
+// each keeps [minDecoders]. An engine that did not answer the same order goes first,
+// since it may still carry it out; an order to a second engine would then change two.
 func (p *Pool) leastLoaded(name mangotraffic.ServiceName, stage, to mangotraffic.Stage, now time.Time) *backend {
 	perCentre := make(map[mangomodel.DataCentreID]int)
 	candidates := make([]*backend, 0, len(p.backends))
+	decoders := p.decoders(name, now)
 	for _, b := range p.backends {
-		if b.server.Service == name && b.server.Stage == stage && b.usable(now) {
-			perCentre[b.server.DataCentre]++
+		if b.server.Service != name || b.server.Stage != stage || !b.usable(now) {
+			continue
+		}
+		perCentre[b.server.DataCentre]++
+		if decoders.allow(b, to, now) {
 			candidates = append(candidates, b)
 		}
 	}
 	var best *backend
 	for _, b := range candidates {
-		if b.unansweredTo == to && now.Sub(b.unansweredAt) < mangobalance.SettleTime {
+		if b.mayCarryOut(to, now) {
 			return b
 		}
-		if best == nil || b.preferredOver(best, perCentre) {
+		if best == nil || b.preferredOver(best, to, decoders, perCentre) {
 			best = b
 		}
 	}
 	return best
 }
 
-func (b *backend) preferredOver(other *backend, perCentre map[mangomodel.DataCentreID]int) bool {
+// stage returns the stage of an engine, or the one that it was ordered to change to.
+func (b *backend) stage(now time.Time) mangotraffic.Stage {
+	if now.Before(b.orderedUntil) {
+		return b.orderedTo
+	}
+	return b.server.Stage
+}
+
+// mayCarryOut reports whether an engine may still carry out an order that it did not
+// answer.
+func (b *backend) mayCarryOut(to mangotraffic.Stage, now time.Time) bool {
+	return b.unansweredTo == to && now.Sub(b.unansweredAt) < mangobalance.SettleTime
+}
+
+func (b *backend) preferredOver(other *backend, to mangotraffic.Stage, decoders decoders, perCentre map[mangomodel.DataCentreID]int) bool {
+	if x, y := decoders[b.server.Build], decoders[other.server.Build]; x != y && to == mangotraffic.StageDecode {
+		return x < y
+	}
 	x, y := perCentre[b.server.DataCentre], perCentre[other.server.DataCentre]
 	if x != y {
 		return x > y
--- a/core/mangopool/build.go
+++ b/core/mangopool/build.go
@@ -1,10 +1,17 @@
 package mangopool
 
 import (
+	"time"
+
 	"mangolane/core/mangolease"
+	"mangolane/core/mangomodel"
 	"mangolane/core/mangotraffic"
 )
 
+// minDecoders is how many decode engines stage changes leave to each of several builds:
+// a stream whose engine fails continues at another one of its build.
+const minDecoders = 2
+
 // fits reports whether a server has the build that a demand is bound to. Any server may
 // compute the KV cache: the events come from the one that generates them.
 func (b *backend) fits(d *mangolease.Demand) bool {
@@ -47,3 +54,43 @@
 	}
 	return mangotraffic.StageDecode
 }
+
+// decoders counts the ready decode engines of each listed build of a service.
+type decoders map[mangomodel.Build]int
+
+// decoders returns the decode engines of a service by build. A build without any is
+// included.
+func (p *Pool) decoders(name mangotraffic.ServiceName, now time.Time) decoders {
+	counts := make(decoders)
+	for _, b := range p.backends {
+		if b.server.Service != name {
+			continue
+		}
+		n := counts[b.server.Build]
+		if b.staysDecoder(now) {
+			n++
+		}
+		counts[b.server.Build] = n
+	}
+	return counts
+}
+
+// staysDecoder reports whether a server decodes and was not ordered to change that.
+func (b *backend) staysDecoder(now time.Time) bool {
+	return b.server.State == mangotraffic.StateReady && b.stage(now) == mangotraffic.StageDecode &&
+		!b.mayCarryOut(mangotraffic.StagePrefill, now)
+}
+
+// allow reports whether an engine may be ordered to change its stage without its build
+// losing the decode engines that its streams continue at. A single build is not
+// protected: its service needs prefill engines as well.
+func (d decoders) allow(b *backend, to mangotraffic.Stage, now time.Time) bool {
+	if to != mangotraffic.StagePrefill || len(d) < 2 {
+		return true
+	}
+	left := d[b.server.Build]
+	if b.staysDecoder(now) {
+		left--
+	}
+	return left >= minDecoders
+}
