A response of our own interface comes from engines of one build

What callers saw: nothing yet; our engines did not state what software they run. Cause: an attempt that follows a lost engine continues after the delivered tokens at any engine of the model, and so would mix the text of two builds. Change: an engine states its Build in load reports and with each chunk; none is the empty build. A demand for the rest of a response names the build of its first token: schedulers grant it decode engines of that build only, refuse it at once with CannotResume if none accepts requests, also while it waits, and the generator asks all shards for one. Load reports may be out of date, so that a chunk of another build ends the attempt and is not delivered. A status query counts the engines of each build; `mangostand engine -build` states one.

--- a/core/mangomodel/grant.go
+++ b/core/mangomodel/grant.go
@@ -29,6 +29,10 @@
 	// Avoid lists servers that failed earlier attempts of the request. They
 	// are used only if no other server of the role accepts new requests.
 	Avoid []ServerID
+	// Build is the only build of a decode server at which the request may continue, if
+	// Bound is set: that of the tokens that its caller has received.
+	Build Build
+	Bound bool
 }
 
 // Grant is the right to use one prefill and one decode server.
@@ -77,6 +81,8 @@
 	Server ServerID
 	// Boot identifies the incarnation of the server's process.
 	Boot string
+	// Build is the server's software; empty if it states none.
+	Build Build
 	// At is when the report arrived.
 	At time.Time
 	// Draining is set if the server accepts no new work.
--- a/core/mangoquery/snapshot.go
+++ b/core/mangoquery/snapshot.go
@@ -25,6 +25,9 @@
 	Slots   int
 	Used    [mangomodel.Ranks]int
 	Waiting [mangomodel.Ranks]int
+	// Builds counts the decode servers of each build that accept new requests; nil if
+	// none states its build.
+	Builds map[mangomodel.Build]int `json:",omitempty"`
 }
 
 // HostListReading is the result of reading the platform's host list.
--- a/core/mangoroute/attempt.go
+++ b/core/mangoroute/attempt.go
@@ -110,7 +110,8 @@
 }
 
 // decode streams the response. After an error it reconnects to the same server
-// up to maxResumes times, unless the server does not have the sequence.
+// up to maxResumes times, unless the server does not have the sequence or its build
+// did not begin the response.
 func (g *Generator) decode(ctx context.Context, a *attempt) error {
 	server, err := g.server(mangomodel.StepDecode, a.lease.grant.Decode, a.state)
 	if err != nil {
@@ -120,7 +121,8 @@
 	a.decodeStart = time.Now()
 	for resumes := 0; ; resumes++ {
 		err = g.stream(ctx, a, server)
-		if err == nil || ctx.Err() != nil || resumes >= maxResumes || mangomodel.HasCode(err, mangomodel.CodeNotFound) {
+		if err == nil || ctx.Err() != nil || resumes >= maxResumes || mangomodel.HasCode(err, mangomodel.CodeNotFound) ||
+			mangomodel.HasCode(err, mangomodel.CodeCannotResume) {
 			break
 		}
 	}
@@ -185,6 +187,10 @@
 		return mangomodel.Faultf(mangomodel.StepDecode, peer, mangomodel.CodeBackend, mangomodel.RunUnknown,
 			"received chunk %d, expected %d", c.Offset, r.next)
 	}
+	if r.next > 0 && c.Build != r.build {
+		return mangomodel.Faultf(mangomodel.StepDecode, peer, mangomodel.CodeCannotResume, mangomodel.RunUnknown,
+			"the engine's build %q did not begin the response; %q did", c.Build, r.build)
+	}
 	a.receivedChunk = true
 	if err := r.sink.Token(c.Offset, c.Text); err != nil {
 		return mangomodel.NewFault(mangomodel.StepRespond, "", mangomodel.CodeCancelled, mangomodel.RunUnknown, err)
@@ -200,6 +206,7 @@
 	if r.first.IsZero() {
 		r.first = r.last
 	}
+	r.build = c.Build
 	r.generated = append(r.generated, c.Text...)
 	r.next++
 	r.done = c.Last
--- a/core/mangoroute/doc.go
+++ b/core/mangoroute/doc.go
@@ -12,6 +12,7 @@
 //     if it carries the request, the attempt and the next offset.
 //   - A fault with RunNot is returned only if no engine received a request.
 //   - A retry continues after the last token that was delivered.
+//   - All tokens of a response come from engines of one build.
 //
 // # Usage
 //
--- a/core/mangoroute/generator.go
+++ b/core/mangoroute/generator.go
@@ -61,7 +61,9 @@
 	// were delivered to the sink.
 	first, last time.Time
 	// next is the offset of the next token to deliver.
-	next      mangomodel.Tokens
+	next mangomodel.Tokens
+	// build is the build of the engine that generated the delivered tokens.
+	build     mangomodel.Build
 	generated []byte
 	attempt   mangomodel.Attempt
 	avoid     []mangomodel.ServerID
--- a/core/mangoroute/lease.go
+++ b/core/mangoroute/lease.go
@@ -49,21 +49,34 @@
 			mangomodel.CodeUnavailable, mangomodel.RunNot, "no engine serves the model")
 	}
 	targets := candidates(snap, shards)
+	if r.next > 0 {
+		// Few shards may have the build that the response began at.
+		targets = shards
+	}
+	nearest := targets[0]
 	if len(targets) > 1 {
+		var waitAt []mangomodel.ShardID
 		for _, shard := range targets {
 			l, err := g.acquireFrom(ctx, r, shard, prefixes, true)
 			if err == nil || ctx.Err() != nil || !tryNextShard(err) {
 				return l, err
 			}
+			if !mangomodel.HasCode(err, mangomodel.CodeCannotResume) {
+				waitAt = append(waitAt, shard)
+			}
 			g.markShardBusy(ctx, shard, err)
 		}
+		if len(waitAt) > 0 {
+			nearest = waitAt[0]
+		}
 	}
-	return g.acquireFrom(ctx, r, targets[0], prefixes, false)
+	return g.acquireFrom(ctx, r, nearest, prefixes, false)
 }
 
 // tryNextShard reports whether another shard may decide differently.
 func tryNextShard(err error) bool {
-	return mangomodel.HasCode(err, mangomodel.CodeOverloaded) || mangomodel.HasCode(err, mangomodel.CodeUnavailable)
+	return mangomodel.HasCode(err, mangomodel.CodeOverloaded) || mangomodel.HasCode(err, mangomodel.CodeUnavailable) ||
+		mangomodel.HasCode(err, mangomodel.CodeCannotResume)
 }
 
 // candidates returns the shards to query: the nearest one, and others that have
@@ -189,6 +202,7 @@
 		Patience:    r.waitLimit(targets.TTFT.Std()), TPOT: targets.TPOT.Std(),
 		Resumed: r.attempt > 1,
 		Weight:  req.Workspace.Weight, Avoid: slices.Clone(r.avoid),
+		Build: r.build, Bound: r.next > 0,
 	}
 }
 
--- a/core/mangoroute/port.go
+++ b/core/mangoroute/port.go
@@ -120,6 +120,8 @@
 	Text    string
 	// Last is set on the chunk that ends the response.
 	Last bool
+	// Build is the software of the engine that generated the token.
+	Build mangomodel.Build
 }
 
 // Result is the summary of a request for an Observer.
--- a/core/mangosched/report.go
+++ b/core/mangosched/report.go
@@ -7,6 +7,7 @@
 
 	"mangolane/core/mangomodel"
 	"mangolane/core/mangoquery"
+	"mangolane/core/mangoshard"
 	"mangolane/core/mangosuspect"
 )
 
@@ -29,6 +30,7 @@
 		}
 		sv.Boot = load.Boot
 	}
+	sv.Build, sv.ReportedAt = load.Build, now
 	sv.Down = false
 	sv.Draining = load.Draining
 	sv.StepModel.Decay()
@@ -36,9 +38,20 @@
 	sv.Untracked = len(untracked)
 	s.cancelOrphans(now, load.Server, untracked)
 	s.applySuspicions(now)
+	s.refuseWithoutBuild(now)
 	s.dispatchAll(now)
 }
 
+// refuseWithoutBuild refuses the waiting demands whose build no server has any more.
+func (s *Scheduler) refuseWithoutBuild(now time.Time) {
+	for id, w := range s.waiting {
+		if sh := s.shard(w.Shard); sh.LacksBuild(now, &w.Demand) {
+			w.Done = true
+			s.refuse(id, mangoshard.CannotResume(sh.ID, w.Demand.Build))
+		}
+	}
+}
+
 // ServerUnreachable records that a server did not respond. Refused is set when
 // its host refused the connection because no process listens, which confirms a
 // crash.
@@ -115,7 +128,7 @@
 func (s *Scheduler) Status() []mangoquery.ShardStatus {
 	list := make([]mangoquery.ShardStatus, 0, len(s.shards))
 	for id, sh := range s.shards {
-		st := mangoquery.ShardStatus{Shard: id, Slots: sh.Slots(), Used: sh.UsedByRank()}
+		st := mangoquery.ShardStatus{Shard: id, Slots: sh.Slots(), Used: sh.UsedByRank(), Builds: sh.Builds()}
 		for rank := range sh.Queue {
 			st.Waiting[rank] = sh.Queue[rank].Len()
 		}
--- a/core/mangosched/scheduler.go
+++ b/core/mangosched/scheduler.go
@@ -116,6 +116,7 @@
 		}
 	}
 	maps.DeleteFunc(s.servers, func(id mangomodel.ServerID, _ *mangoshard.Server) bool { return !configured[id] })
+	s.refuseWithoutBuild(now)
 	s.dispatchAll(now)
 }
 
@@ -149,7 +150,7 @@
 		return
 	}
 	s.holders[d.Sequence.Holder] = now
-	w := &mangoshard.Waiter{Demand: d, ArrivedAt: now}
+	w := &mangoshard.Waiter{Demand: d, Shard: id, ArrivedAt: now}
 	s.markSuspect(now, w)
 	if err := sh.Admit(now, w); err != nil {
 		s.refuse(d.Grant, err)
--- a/core/mangoshard/placement.go
+++ b/core/mangoshard/placement.go
@@ -99,6 +99,7 @@
 	for _, sv := range sh.Servers {
 		switch {
 		case sv.Host.Role != role || !sv.Usable() || !sh.Backoffs.Open(sv.Ref(), w.Demand.Grant.Holder, now):
+		case !sv.mayContinue(now, &w.Demand):
 		case slices.Contains(w.Demand.Avoid, sv.ID):
 			avoided = append(avoided, sv)
 		default:
@@ -138,5 +139,5 @@
 
 // Restricted reports whether a demand may use only some of the servers.
 func (sh *Shard) Restricted(now time.Time, w *Waiter) bool {
-	return w.Restricted() || sh.Backoffs.Restricts(w.Demand.Grant.Holder, now)
+	return w.Restricted() || sh.Backoffs.Restricts(w.Demand.Grant.Holder, now) || sh.hasOtherBuild(now, &w.Demand)
 }
--- a/core/mangoshard/server.go
+++ b/core/mangoshard/server.go
@@ -36,6 +36,9 @@
 	// BootChanged is when it last changed.
 	Boot        string
 	BootChanged time.Time
+	// Build is the server's software as of ReportedAt, the time of its last load report.
+	Build      mangomodel.Build
+	ReportedAt time.Time
 	// Down is set when the server does not respond or a stream on it fails. The
 	// server's next load report clears it.
 	Down bool
@@ -90,8 +93,11 @@
 }
 
 // Usable reports whether the server accepts new requests.
-func (sv *Server) Usable() bool {
-	return !sv.Down && !sv.Draining && sv.Host.State == mangomodel.ServerLive
+func (sv *Server) Usable() bool { return !sv.Down && sv.accepts() }
+
+// accepts reports whether the server accepts new requests while it is up.
+func (sv *Server) accepts() bool {
+	return !sv.Draining && sv.Host.State == mangomodel.ServerLive
 }
 
 // Occupied returns the number of occupied slots.
--- a/core/mangoshard/shard.go
+++ b/core/mangoshard/shard.go
@@ -52,7 +52,7 @@
 
 // Admit refuses a demand whose predicted time to the first token exceeds its
 // target, before it queues. It also refuses demands of a shard without servers
-// of a role or with servers that want nothing from the holder for longer than that,
+// of a role or of the build at which the request began, or with servers that want nothing from the holder for longer than that,
 // and demands with Immediate set that would wait. Otherwise it sets
 // the deadline of the demand. Resumed demands are not refused for load.
 func (sh *Shard) Admit(now time.Time, w *Waiter) error {
@@ -63,6 +63,9 @@
 		sh.urgentBurst.Add(now)
 		sh.urgentLoad.Add(now)
 	}
+	if w.Demand.Bound && !sh.configured(mangomodel.RoleDecode) || sh.LacksBuild(now, &w.Demand) {
+		return CannotResume(sh.ID, w.Demand.Build)
+	}
 	if !sh.configured(mangomodel.RolePrefill) || !sh.configured(mangomodel.RoleDecode) {
 		return mangomodel.Faultf(mangomodel.StepAdmission, PeerOf(sh.ID), mangomodel.CodeUnavailable,
 			mangomodel.RunNot, "no prefill server or no decode server accepts new requests")
@@ -107,7 +110,7 @@
 // requests while it is up.
 func (sh *Shard) configured(role mangomodel.Role) bool {
 	return slices.ContainsFunc(sh.Servers, func(sv *Server) bool {
-		return sv.Host.Role == role && sv.Host.State == mangomodel.ServerLive && !sv.Draining
+		return sv.Host.Role == role && sv.accepts()
 	})
 }
 
--- a/core/mangoshard/waiter.go
+++ b/core/mangoshard/waiter.go
@@ -10,6 +10,7 @@
 // Waiter is a demand in a queue.
 type Waiter struct {
 	Demand    mangomodel.Demand
+	Shard     mangomodel.ShardID
 	ArrivedAt time.Time
 	// Deadline is when the demand can no longer meet its target.
 	Deadline time.Time
--- a/core/mangowire/engine.go
+++ b/core/mangowire/engine.go
@@ -49,13 +49,15 @@
 	Offset    mangomodel.Tokens
 }
 
-// Chunk is one token of a stream.
+// Chunk is one token of a stream. Build is the software of the engine that generated it;
+// the tokens of one response have the same.
 type Chunk struct {
 	Request mangomodel.RequestID
 	Attempt mangomodel.Attempt
 	Offset  mangomodel.Tokens
 	Text    string
-	Last    bool `json:",omitempty"`
+	Last    bool             `json:",omitempty"`
+	Build   mangomodel.Build `json:",omitempty"`
 }
 
 // Cancel requests that an engine free all resources of a sequence.
@@ -64,6 +66,7 @@
 // Load is a backend server's load report.
 type Load struct {
 	Boot       string
+	Build      mangomodel.Build `json:",omitempty"`
 	Draining   bool
 	Running    []mangomodel.Sequence
 	FreePieces mangomodel.Pieces
--- a/mangolaned/mangobackend/engine.go
+++ b/mangolaned/mangobackend/engine.go
@@ -49,7 +49,7 @@
 		return mangomodel.Load{}, mangorest.IsConnectionRefused(err), err
 	}
 	return mangomodel.Load{
-		Server: mangomodel.ServerID(server.ID), Boot: in.Boot, At: time.Now(),
+		Server: mangomodel.ServerID(server.ID), Boot: in.Boot, Build: in.Build, At: time.Now(),
 		Draining: in.Draining, Running: in.Running, FreePieces: in.FreePieces,
 	}, false, nil
 }
--- a/mangolaned/mangoproof/adapter_test.go
+++ b/mangolaned/mangoproof/adapter_test.go
@@ -125,7 +125,7 @@
 		return mangomodel.Load{}, true, err
 	}
 	return mangomodel.Load{
-		Server: mangomodel.ServerID(server.ID), Boot: load.Boot, At: time.Now(),
+		Server: mangomodel.ServerID(server.ID), Boot: load.Boot, Build: load.Build, At: time.Now(),
 		Draining: load.Draining, Running: load.Running, FreePieces: load.FreePieces,
 	}, false, nil
 }
--- a/mangolaned/mangoproof/caller_test.go
+++ b/mangolaned/mangoproof/caller_test.go
@@ -23,6 +23,7 @@
 	outOfOrder bool
 	// elapsed is the time from sending the request to the end of the response.
 	elapsed time.Duration
+	endedAt time.Time
 	err     error
 }
 
@@ -56,7 +57,7 @@
 func (n *node) generate(ctx context.Context, rank mangomodel.Rank, prompt string, tokens mangomodel.Tokens) *response {
 	r := &response{prompt: prompt, want: tokens}
 	sent := time.Now()
-	defer func() { r.elapsed = time.Since(sent) }()
+	defer func() { r.endedAt = time.Now(); r.elapsed = r.endedAt.Sub(sent) }()
 	r.err = n.generator.Generate(ctx, mangoroute.Request{
 		ID: n.nextID(), Workspace: n.workspace(), Model: model, Rank: rank, Prompt: prompt, MaxTokens: tokens,
 	}, r)
--- a/mangolaned/mangoproof/cluster_test.go
+++ b/mangolaned/mangoproof/cluster_test.go
@@ -71,10 +71,12 @@
 	// than in the profile.
 	slowFactor  float64
 	slowServers []string
-	pool        mangoconfig.Pool
-	targets     [mangomodel.Ranks]mangoconfig.Targets
-	seeds       []mangomodel.Address
-	lastNumber  int
+	// builds are the builds of the servers that state one.
+	builds     map[mangomodel.ServerID]mangomodel.Build
+	pool       mangoconfig.Pool
+	targets    [mangomodel.Ranks]mangoconfig.Targets
+	seeds      []mangomodel.Address
+	lastNumber int
 }
 
 // clusterOption changes a cluster before it starts.
@@ -90,6 +92,10 @@
 	return func(c *cluster) { c.slowFactor, c.slowServers = factor, servers }
 }
 
+func withBuilds(builds map[mangomodel.ServerID]mangomodel.Build) clusterOption {
+	return func(c *cluster) { c.builds = builds }
+}
+
 // newCluster starts a cluster and waits until its configuration is active. The
 // cluster stops when ctx is done.
 func newCluster(ctx context.Context, g *gomega.WithT, dataCentres []dataCentre, opts ...clusterOption) *cluster {
@@ -177,10 +183,11 @@
 	c.publish(mangoconfig.Change{Host: &host})
 }
 
-// profileOf returns the profile of a server, slowed down if it is one of
+// profileOf returns the profile of a server with its build, slowed down if it is one of
 // slowServers.
 func (c *cluster) profileOf(id string) mangoengine.Profile {
 	p := c.profile
+	p.Build = c.builds[mangomodel.ServerID(id)]
 	if slices.Contains(c.slowServers, id) {
 		p.StepBase = time.Duration(c.slowFactor * float64(p.StepBase))
 		p.StepPerSequence = time.Duration(c.slowFactor * float64(p.StepPerSequence))
--- a/mangostand/mangoengine/command.go
+++ b/mangostand/mangoengine/command.go
@@ -63,7 +63,7 @@
 	if s.decoding() == 0 {
 		s.nextStep = now.Add(s.stepTime(1))
 	}
-	s.sequences[p.Sequence] = &sequence{prefill: p, pieces: need, firstOffset: mangomodel.CountTokens(p.Generated)}
+	s.sequences[p.Sequence] = &sequence{prefill: p, build: s.profile.Build, pieces: need, firstOffset: mangomodel.CountTokens(p.Generated)}
 	s.order = append(s.order, p.Sequence)
 	return nil
 }
--- a/mangostand/mangoengine/profile.go
+++ b/mangostand/mangoengine/profile.go
@@ -17,8 +17,11 @@
 	PoisonDecode  = "!poison-decode"
 )
 
-// Profile is an engine's size and speed.
+// Profile is an engine's size, speed and software.
 type Profile struct {
+	// Build is the version of the software. Builds generate different tokens: those of
+	// [Token] for the prompt after the build.
+	Build mangomodel.Build
 	// PrefillRate is the speed of prefill. Prompts are computed one at a time.
 	PrefillRate mangomodel.TokensPerSecond
 	// StepBase and StepPerSequence determine the duration of a decode step:
--- a/mangostand/mangoengine/state.go
+++ b/mangostand/mangoengine/state.go
@@ -59,6 +59,7 @@
 // sequence is a request that is decoded or whose response can still be read.
 type sequence struct {
 	prefill   mangowire.Prefill
+	build     mangomodel.Build
 	pieces    mangomodel.Pieces
 	generated mangomodel.Tokens
 	// firstOffset is the offset of the first token that this engine generates.
@@ -156,7 +157,7 @@
 // that are decoded and those with a prefill result.
 func (s *state) View(_ *View, _ time.Time) *View {
 	v := &View{Down: s.down(), Faults: s.faults, Stats: s.stats, Load: mangowire.Load{
-		Boot: bootName(s.id, s.boots), Draining: s.faults.Draining, FreePieces: s.profile.Pieces - s.usedPieces(),
+		Boot: bootName(s.id, s.boots), Build: s.profile.Build, Draining: s.faults.Draining, FreePieces: s.profile.Pieces - s.usedPieces(),
 	}}
 	for _, id := range s.order {
 		if !s.sequences[id].done {
@@ -309,7 +310,7 @@
 	p := seq.prefill
 	return mangowire.Chunk{
 		Request: p.Sequence.Request, Attempt: p.Sequence.Attempt, Offset: offset,
-		Text: Token(p.Prompt, offset), Last: offset+1 >= p.MaxTokens,
+		Text: Token(string(seq.build)+p.Prompt, offset), Last: offset+1 >= p.MaxTokens, Build: seq.build,
 	}
 }
 
--- a/mangostand/serve.go
+++ b/mangostand/serve.go
@@ -25,10 +25,12 @@
 	listen := flags.String("listen", "127.0.0.1:8001", "address to listen on")
 	id := flags.String("id", "engine", "name of the server")
 	profile := mangoengine.DefaultProfile()
+	build := flags.String("build", "", "version of the software")
 	slots := flags.Int("slots", int(profile.Slots), "requests that can be decoded at once")
 	rate := flags.Float64("prefill-rate", float64(profile.PrefillRate), "prefilled tokens per second")
 	return &ffcli.Command{Name: "engine", FlagSet: flags, ShortHelp: "run an emulated model engine",
 		Exec: func(ctx context.Context, _ []string) error {
+			profile.Build = mangomodel.Build(*build)
 			profile.Slots = mangomodel.Slots(*slots)
 			profile.PrefillRate = mangomodel.TokensPerSecond(*rate)
 			engine := mangoengine.New(mangomodel.ServerID(*id), profile)
