Builds in the log of the list and in query explain

What operators saw: a stream that ends for lack of a build, and no line that says which builds the servers have. Change: `server listed` names the Build of an entry that states one, and query explain shows the lines about the builds of services (`service has several builds`, `service has one build`, `origins lost`, `origins regained`) as context, since a stream that is refused at once has no server whose lines it could show. Evidence: TestListedBuildIsLogged and TestBuildsAreContextOfARefusedStream fail without their changes; the tests of mangogateway and mangoexplain pass.

--- a/mangolanectl/mangoexplain/explain.go
+++ b/mangolanectl/mangoexplain/explain.go
@@ -83,6 +83,7 @@
 	"platform lost", "platform regained", "daemon lost", "daemon regained", "scheduler chosen",
 	"configuration in force", "configuration not applied", "configuration entry left out", "server listed", "servers listed", "server set aside", "server used again",
 	"server withdrawn", "server asked for time", "server asked for an invalid time", "part quarantined", "part released",
+	"service has several builds", "service has one build", "origins lost", "origins regained",
 	"engine moved", "engine not moved", "draining", "started", "log lines dropped", "settings reloaded",
 }
 
--- a/mangolanectl/mangoexplain/explain_test.go
+++ b/mangolanectl/mangoexplain/explain_test.go
@@ -30,6 +30,8 @@
 {"Daemon":"d1","Time":"2026-12-04T10:02:01Z","Message":"call finished","Request":"r8","Route":"read","Key":"1f2e3d4c","Step":"Authorise","Code":"Unauthorised","Run":"Not","EndedBy":"Admission","Cause":"unknown key, want the key of a workspace (revision 7, confirmed 40ms ago, route read)"}
 {"Daemon":"d1","Time":"2026-12-04T10:00:05Z","Message":"call finished","Request":"r4","Status":200,"OnTime":false,"First":1.5,"LongestPause":0.1,"Attempts":1}
 {"Daemon":"d1","Time":"2026-12-04T10:02:00Z","Message":"call finished","Request":"r11","Step":"Admission","Code":"QuotaExceeded","Run":"Not","Workspace":"acme","Unit":"Tokens","Rate":29000,"Burst":29000,"Cost":7000,"Used":28000,"UsedAge":0.04,"Alone":false,"Cause":"workspace acme may use 29000 Tokens/s with a burst of 29000; the call costs 7000, and 28000 of the burst were used 40ms ago"}
+{"Daemon":"d1","Time":"2026-12-04T10:03:00Z","Message":"service has several builds","Service":"mixa34a","Builds":["2.1","2.2"]}
+{"Daemon":"d1","Time":"2026-12-04T10:03:01Z","Message":"call finished","Request":"r12","Step":"Admission","Code":"CannotResume","Run":"Not","Cause":"no record names its build"}
 `
 
 func messages(lines []Line) []string {
@@ -77,6 +79,15 @@
 	gomega.NewWithT(t).Expect(mangomodel.HasCode(err, mangomodel.CodeNotFound)).To(gomega.BeTrue())
 }
 
+// TestBuildsAreContextOfARefusedStream guards against a refusal that no line explains: a
+// stream that is refused at once has no server.
+func TestBuildsAreContextOfARefusedStream(t *testing.T) {
+	g := gomega.NewWithT(t)
+	r, err := Read(strings.NewReader(logs), "r12")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(messages(r.Context)).To(gomega.Equal([]string{"service has several builds"}))
+}
+
 func TestCause(t *testing.T) {
 	tests := []struct {
 		id   mangomodel.RequestID
@@ -86,6 +97,7 @@
 		{"r2", "Cause: none, it was answered in time"},
 		{"r3", "Cause: the logs do not say how it ended"},
 		{"r11", "Cause: QuotaExceeded at step Admission: workspace acme may use 29000 Tokens/s with a burst of 29000; the call costs 7000, and 28000 of the burst were used 40ms ago (it was not run)"},
+		{"r12", "Cause: CannotResume at step Admission: no record names its build (it was not run)"},
 		{"r4", "Cause: answered late: first after 1.5 s, longest pause 0.1 s, 1 attempts"},
 	}
 	for _, test := range tests {
--- a/mangolaned/mangogateway/observe.go
+++ b/mangolaned/mangogateway/observe.go
@@ -263,6 +263,9 @@
 	enc.AddString("DataCentre", string(c.Server.DataCentre))
 	enc.AddString("Stage", c.Server.Stage.String())
 	enc.AddString("State", c.Server.State.String())
+	if c.Server.Build != "" {
+		enc.AddString("Build", string(c.Server.Build))
+	}
 	return nil
 }
 
--- a/mangolaned/mangogateway/observe_test.go
+++ b/mangolaned/mangogateway/observe_test.go
@@ -60,6 +60,23 @@
 	}
 }
 
+// TestListedBuildIsLogged guards against streams that end for lack of a build that no line
+// names.
+func TestListedBuildIsLogged(t *testing.T) {
+	g := gomega.NewWithT(t)
+	for _, build := range []mangomodel.Build{"2.1", ""} {
+		core, logs := zapobserver.New(zap.InfoLevel)
+		change := mangotraffic.ServerChange{ID: "s1", Server: &mangotraffic.Server{ID: "s1", Build: build}}
+		observer{logger: zap.New(core), metrics: newMetrics()}.ServersChanged(mangofleet.ChangeServers{Changes: []mangotraffic.ServerChange{change}})
+		server := logs.All()[0].ContextMap()["Server"].(map[string]any)
+		if build == "" {
+			g.Expect(server).NotTo(gomega.HaveKey("Build"))
+		} else {
+			g.Expect(server).To(gomega.HaveKeyWithValue("Build", string(build)))
+		}
+	}
+}
+
 // TestEntriesLeftOutAreLogged guards against an entry that an operator cannot find, and
 // against a line for each of very many.
 func TestEntriesLeftOutAreLogged(t *testing.T) {
