--- a/core/mangopool/balance.go
+++ b/core/mangopool/balance.go
@@ -162,13 +162,13 @@
 func (p *Pool) leastLoaded(name mangotraffic.ServiceName, stage, to mangotraffic.Stage, now time.Time) *backend {
 	perCentre := make(map[mangomodel.DataCentreID]int)
 	candidates := make([]*backend, 0, len(p.backends))
-	decoders := p.decoders(name, now)
+	counts := p.decoderCounts(name, now)
 	for _, b := range p.backends {
 		if b.server.Service != name || b.server.Stage != stage || !b.usable(now) {
 			continue
 		}
 		perCentre[b.server.DataCentre]++
-		if decoders.allow(b, to, now) {
+		if counts.allow(b, to, now) {
 			candidates = append(candidates, b)
 		}
 	}
@@ -177,7 +177,7 @@
 		if b.mayCarryOut(to, now) {
 			return b
 		}
-		if best == nil || b.preferredOver(best, to, decoders, perCentre) {
+		if best == nil || b.preferredOver(best, to, counts, perCentre) {
 			best = b
 		}
 	}
@@ -198,8 +198,8 @@
 	return b.unansweredTo == to && now.Sub(b.unansweredAt) < mangobalance.SettleTime
 }
 
-func (b *backend) preferredOver(other *backend, to mangotraffic.Stage, decoders decoders, perCentre map[mangomodel.DataCentreID]int) bool {
-	if x, y := decoders[b.server.Build], decoders[other.server.Build]; x != y && to == mangotraffic.StageDecode {
+func (b *backend) preferredOver(other *backend, to mangotraffic.Stage, counts decoderCounts, perCentre map[mangomodel.DataCentreID]int) bool {
+	if x, y := counts[b.server.Build], counts[other.server.Build]; x != y && to == mangotraffic.StageDecode {
 		return x < y
 	}
 	x, y := perCentre[b.server.DataCentre], perCentre[other.server.DataCentre]
--- a/core/mangopool/build.go
+++ b/core/mangopool/build.go
@@ -55,13 +55,13 @@
 	return mangotraffic.StageDecode
 }
 
-// decoders counts the ready decode engines of each listed build of a service.
-type decoders map[mangomodel.Build]int
+// decoderCounts counts the ready decode engines of each listed build of a service.
+type decoderCounts map[mangomodel.Build]int
 
-// decoders returns the decode engines of a service by build. A build without any is
+// decoderCounts counts the decode engines of a service by build. A build without any is
 // included.
-func (p *Pool) decoders(name mangotraffic.ServiceName, now time.Time) decoders {
-	counts := make(decoders)
+func (p *Pool) decoderCounts(name mangotraffic.ServiceName, now time.Time) decoderCounts {
+	counts := make(decoderCounts)
 	for _, b := range p.backends {
 		if b.server.Service != name {
 			continue
@@ -84,11 +84,11 @@
 // allow reports whether an engine may be ordered to change its stage without its build
 // losing the decode engines that its streams continue at. A single build is not
 // protected: its service needs prefill engines as well.
-func (d decoders) allow(b *backend, to mangotraffic.Stage, now time.Time) bool {
-	if to != mangotraffic.StagePrefill || len(d) < 2 {
+func (c decoderCounts) allow(b *backend, to mangotraffic.Stage, now time.Time) bool {
+	if to != mangotraffic.StagePrefill || len(c) < 2 {
 		return true
 	}
-	left := d[b.server.Build]
+	left := c[b.server.Build]
 	if b.staysDecoder(now) {
 		left--
 	}
--- a/core/mangopool/build_test.go
+++ b/core/mangopool/build_test.go
@@ -202,9 +202,9 @@
 	p.OrderBegun("d2", prefilling, p.now)
 	p.OrderFailed("d2", mangomodel.RunUnknown, p.now)
 	p.Expect(p.proposed(prefilling)).To(gomega.BeEquivalentTo("d2"), "the same engine again")
-	p.Expect(p.decoders("llm", p.now).allow(p.backends["d1"], prefilling, p.now)).To(gomega.BeFalse())
+	p.Expect(p.decoderCounts("llm", p.now).allow(p.backends["d1"], prefilling, p.now)).To(gomega.BeFalse())
 	p.now = p.now.Add(mangobalance.SettleTime)
-	p.Expect(p.decoders("llm", p.now).allow(p.backends["d1"], prefilling, p.now)).To(gomega.BeTrue())
+	p.Expect(p.decoderCounts("llm", p.now).allow(p.backends["d1"], prefilling, p.now)).To(gomega.BeTrue())
 }
 
 func TestLeavingEngineIsNoDecoderThatStays(t *testing.T) {
