A removal that is heard again forgets no departure

Cause: each change of an entry made mangodeparture forget that the server had left. A removal recorded it anew only for a server that was still in the list, which at the second hearing it is not. Change: only an entry that is written ends a departure. A further removal, a deferred entry, and a further list without it let it last a minute from then, since a later copy may still name the server.

Two cases of TestRemovalThatIsHeardAgainForgetsNoDeparture failed without the change in mangofleet; the other two and TestDepartureLastsUntilAMinuteAfterTheLastRemoval pin the rest.

--- a/core/mangodeparture/departure.go
+++ b/core/mangodeparture/departure.go
@@ -76,13 +76,23 @@
 	d.left[server.ID] = departure{server.Ref(), server.State == mangotraffic.StateLeaving, now}
 }
 
-// Written records that the entry of a server was written or removed, so that it is no
-// longer that of the older copy.
+// Written records that the entry of a server was written, so that it is no longer that of
+// the older copy.
 func (d *Departures) Written(id mangomodel.ServerID) {
 	delete(d.left, id)
 	delete(d.deferred, id)
 }
 
+// Removed records that the store says that a server has no entry. A departure that is known
+// lasts from then: a later copy may still name the server.
+func (d *Departures) Removed(id mangomodel.ServerID, now time.Time) {
+	delete(d.deferred, id)
+	if x, ok := d.left[id]; ok {
+		x.at = now
+		d.left[id] = x
+	}
+}
+
 // Restored drops the deferred entries, before those of a newer copy are judged.
 func (d *Departures) Restored() { clear(d.deferred) }
 
@@ -96,19 +106,21 @@
 		return VerdictWithdraw
 	default:
 		d.deferred[server.ID] = deferral{*server, now.Add(ConfirmTime)}
+		x.at = now
+		d.left[server.ID] = x
 		return VerdictDefer
 	}
 }
 
 // Keep drops the deferred entries that a whole list does not have, and reports for which
 // servers of the list there is one.
-func (d *Departures) Keep(listed map[mangomodel.ServerID]*mangotraffic.Server) map[mangomodel.ServerID]bool {
+func (d *Departures) Keep(listed map[mangomodel.ServerID]*mangotraffic.Server, now time.Time) map[mangomodel.ServerID]bool {
 	kept := make(map[mangomodel.ServerID]bool)
 	for id, x := range d.deferred {
 		if server := listed[id]; server != nil && !server.Ref().After(x.server.Ref()) {
 			kept[id] = true
 		} else {
-			delete(d.deferred, id)
+			d.Removed(id, now)
 		}
 	}
 	return kept
--- a/core/mangodeparture/departure_test.go
+++ b/core/mangodeparture/departure_test.go
@@ -55,10 +55,11 @@
 		used int
 	}{
 		{"still listed", func(*Departures) {}, 1},
-		{"written or removed", func(d *Departures) { d.Written("s") }, 0},
-		{"in a further list", func(d *Departures) { d.Keep(map[mangomodel.ServerID]*mangotraffic.Server{"s": entry}) }, 1},
-		{"not in a further list", func(d *Departures) { d.Keep(nil) }, 0},
-		{"later incarnation in a further list", func(d *Departures) { d.Keep(map[mangomodel.ServerID]*mangotraffic.Server{"s": later}) }, 0},
+		{"written", func(d *Departures) { d.Written("s") }, 0},
+		{"removed", func(d *Departures) { d.Removed("s", now) }, 0},
+		{"in a further list", func(d *Departures) { d.Keep(map[mangomodel.ServerID]*mangotraffic.Server{"s": entry}, now) }, 1},
+		{"not in a further list", func(d *Departures) { d.Keep(nil, now) }, 0},
+		{"later incarnation in a further list", func(d *Departures) { d.Keep(map[mangomodel.ServerID]*mangotraffic.Server{"s": later}, now) }, 0},
 		{"newer copy", func(d *Departures) { d.Restored() }, 0},
 	}
 	for _, test := range tests {
@@ -74,3 +75,34 @@
 		})
 	}
 }
+
+// TestDepartureLastsUntilAMinuteAfterTheLastRemoval guards against a departure that is
+// forgotten when the removal is heard again, or while a copy still names the server.
+func TestDepartureLastsUntilAMinuteAfterTheLastRemoval(t *testing.T) {
+	now := time.Now()
+	late := now.Add(Retention - time.Second)
+	entry := server(mangotraffic.StateReady, now)
+	tests := []struct {
+		name string
+		then func(d *Departures)
+		want Verdict
+	}{
+		{"heard once", func(*Departures) {}, VerdictUse},
+		{"heard again", func(d *Departures) { d.Removed("s", late) }, VerdictDefer},
+		{"deferred", func(d *Departures) { d.Judge(entry, late) }, VerdictDefer},
+		{"deferred, not in a further list", func(d *Departures) {
+			d.Judge(entry, now)
+			d.Keep(nil, late)
+		}, VerdictDefer},
+		{"written", func(d *Departures) { d.Written("s") }, VerdictUse},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			d := New()
+			d.Left(entry, now)
+			test.then(d)
+			d.Restored()
+			gomega.NewWithT(t).Expect(d.Judge(entry, now.Add(Retention))).To(gomega.Equal(test.want))
+		})
+	}
+}
--- a/core/mangofleet/era_test.go
+++ b/core/mangofleet/era_test.go
@@ -107,6 +107,41 @@
 	}
 }
 
+// TestRemovalThatIsHeardAgainForgetsNoDeparture guards against a server that is used again
+// after a drill, since its removal was heard from two daemons or before two drills.
+func TestRemovalThatIsHeardAgainForgetsNoDeparture(t *testing.T) {
+	at := func(era mangotraffic.Era, position uint64) mangotraffic.Cursor {
+		return mangotraffic.Cursor{Era: era, Position: position}
+	}
+	s1, s2 := plain("s1", "a1"), plain("s2", "a1")
+	list := []mangotraffic.ServerChange{{ID: "s1", Server: &s1}, {ID: "s2", Server: &s2}}
+	removed := func(c mangotraffic.Cursor) ChangeServers {
+		return ChangeServers{Cursor: c, Changes: []mangotraffic.ServerChange{{ID: "s1"}}}
+	}
+	older := ChangeServers{Full: true, Cursor: at(2, 3), Changes: list}
+	tests := []struct {
+		name string
+		then []ChangeServers
+	}{
+		{"from two daemons", []ChangeServers{removed(at(1, 61)), older}},
+		{"in a further list", []ChangeServers{{Full: true, Cursor: at(1, 61), Changes: list[1:]}, older}},
+		{"again before a second drill", []ChangeServers{older, removed(at(2, 4)), {Full: true, Cursor: at(3, 3), Changes: list}}},
+		{"not in a further list before a second drill", []ChangeServers{older, {Full: true, Cursor: at(2, 4), Changes: list[1:]}, {Full: true, Cursor: at(3, 3), Changes: list}}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			bubble(t, func(x *fixture) {
+				x.do(ChangeServers{Full: true, Cursor: at(1, 60), Changes: list})
+				x.do(removed(at(1, 61)))
+				for _, cmd := range test.then {
+					x.do(cmd)
+					x.Expect(x.fleet.View().MayUse("s1")).To(gomega.BeFalse(), "at %v", cmd.Cursor)
+				}
+			})
+		})
+	}
+}
+
 // TestEntryThatAnOlderCopyLacksIsNotGoneAtOnce guards against live servers that are dropped,
 // since the store came back from a copy that is older than their entries, and against servers
 // that are used although their entries were removed since.
--- a/core/mangofleet/list.go
+++ b/core/mangofleet/list.go
@@ -162,12 +162,13 @@
 }
 
 func (s *state) applyChange(change mangotraffic.ServerChange, now time.Time) {
-	s.departures.Written(change.ID)
 	if change.Server == nil {
+		s.departures.Removed(change.ID, now)
 		s.removing(change.ID, change.Grace, now)
 		s.pool.RemoveServer(change.ID, change.Grace, now)
 		return
 	}
+	s.departures.Written(change.ID)
 	s.pool.PutServer(*change.Server)
 }
 
--- a/core/mangofleet/restore.go
+++ b/core/mangofleet/restore.go
@@ -22,7 +22,7 @@
 	for _, change := range c.Changes {
 		listed[change.ID] = change.Server
 	}
-	deferred := s.departures.Keep(listed)
+	deferred := s.departures.Keep(listed, now)
 	if len(deferred) == 0 {
 		return c.Changes
 	}
