The grace of an entry that an older copy lacks is two seconds

What callers saw: a live server that had been listed after the copy was out of use before it could be listed again, if a daemon read a further list, heard one from another daemon whose position had moved on, or learned that an outage just before had been none. Another daemon gave the grace anew from when it heard of the new era, so that a server that had gone was used for longer. Cause: only the first list of an era gave the grace, counted from that list's age, and EndGraces shortened it together with those of outages. Change: a daemon keeps the position of the first list of the era and when some daemon read it, and tells both with its list. The grace of an entry is computed from them wherever graces are begun or shortened. A server whose grace is ended early is recorded as one that has left, as one whose grace runs out is.

--- a/core/mangofleet/era_test.go
+++ b/core/mangofleet/era_test.go
@@ -166,3 +166,80 @@
 		x.Expect(x.fleet.View().MayUse("gone")).To(gomega.BeFalse(), "still missing after the time in which entries are written again")
 	})
 }
+
+// TestGraceOfALostEntryIsTwoSeconds guards against a live server that is dropped early, since
+// a further list lacks its entry or an outage was none, and against one that is used for
+// longer, since the grace begins anew at each daemon.
+func TestGraceOfALostEntryIsTwoSeconds(t *testing.T) {
+	at := func(era mangotraffic.Era, position uint64) mangotraffic.Cursor {
+		return mangotraffic.Cursor{Era: era, Position: position}
+	}
+	lost := plain("lost", "a1")
+	lost.Written = at(1, 50)
+	const later = 1500 * time.Millisecond
+	own := ChangeServers{Full: true, Cursor: at(2, 3), From: Platform}
+	told := ChangeServers{Full: true, Cursor: at(2, 70), Copy: at(2, 3), CopyAge: later, From: "d2"}
+	tests := []struct {
+		name string
+		// failed is set if a read failed before.
+		failed bool
+		first  ChangeServers
+		// then is applied at the time later, if it is set.
+		then  Command
+		grace time.Duration
+	}{
+		{"one list", false, own, nil, relist},
+		{"a further list", false, own, ChangeServers{Full: true, Cursor: at(2, 4)}, relist},
+		{"a further list of another daemon", false, own, ChangeServers{Full: true, Cursor: at(2, 70), Copy: at(2, 3), CopyAge: later, From: "d2"}, relist},
+		{"outage that was none", true, own, RecordReads{Daemon: "d2", Reads: Reads{Read: later + 1500*time.Millisecond}}, relist},
+		{"removed since", false, own, ChangeServers{Cursor: at(2, 4), Changes: []mangotraffic.ServerChange{{ID: "lost"}}}, later},
+		{"another daemon read the first list", false, told, nil, relist - later},
+		{"another daemon read it before", false, own, ChangeServers{Cursor: at(2, 3), Copy: at(2, 3), CopyAge: later + 300*time.Millisecond, From: "d2"}, relist - 300*time.Millisecond},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			bubble(t, func(x *fixture) {
+				x.do(ChangeServers{Full: true, Cursor: at(1, 60), Changes: []mangotraffic.ServerChange{{ID: "lost", Server: &lost}}})
+				time.Sleep(time.Second)
+				if test.failed {
+					x.do(ReadFailed{})
+				}
+				time.Sleep(2 * time.Second)
+				x.do(test.first)
+				began := time.Now()
+				if test.then != nil {
+					time.Sleep(later)
+					x.Expect(x.fleet.View().MayUse("lost")).To(gomega.BeTrue(), "before the event")
+					x.do(test.then)
+				}
+				if wait := time.Until(began.Add(test.grace - time.Millisecond)); wait > 0 {
+					time.Sleep(wait)
+					synctest.Wait()
+					x.Expect(x.fleet.View().MayUse("lost")).To(gomega.BeTrue(), "before the end")
+				}
+				time.Sleep(time.Until(began.Add(test.grace + time.Millisecond)))
+				synctest.Wait()
+				x.Expect(x.fleet.View().MayUse("lost")).To(gomega.BeFalse(), "after the end")
+			})
+		})
+	}
+}
+
+// TestServerWhoseGraceEndedEarlyIsNotRevived guards against a departure that is not recorded,
+// since another daemon's reads showed that the outage was none.
+func TestServerWhoseGraceEndedEarlyIsNotRevived(t *testing.T) {
+	bubble(t, func(x *fixture) {
+		s1 := plain("s1", "a1")
+		list := []mangotraffic.ServerChange{{ID: "s1", Server: &s1}}
+		x.do(ChangeServers{Full: true, Cursor: mangotraffic.Cursor{Era: 1, Position: 60}, Changes: list})
+		time.Sleep(time.Second)
+		x.do(ReadFailed{})
+		time.Sleep(2 * time.Second)
+		x.do(ChangeServers{Full: true, Cursor: mangotraffic.Cursor{Era: 1, Position: 61}})
+		x.Expect(x.fleet.View().MayUse("s1")).To(gomega.BeTrue(), "tolerated after the outage")
+		x.do(RecordReads{Daemon: "d2", Reads: Reads{Read: 1500 * time.Millisecond}})
+		x.Expect(x.fleet.View().MayUse("s1")).To(gomega.BeFalse(), "the outage was none")
+		x.do(ChangeServers{Full: true, Cursor: mangotraffic.Cursor{Era: 2, Position: 3}, Changes: list})
+		x.Expect(x.fleet.View().MayUse("s1")).To(gomega.BeFalse(), "after the drill")
+	})
+}
--- a/core/mangofleet/fleet.go
+++ b/core/mangofleet/fleet.go
@@ -182,6 +182,7 @@
 	// deferred are the entries that are not used yet, since they had been removed before the
 	// store came back from an older copy.
 	deferred []mangotraffic.Server
+	restored restoration
 	// withdrawn holds the servers that have announced that they leave. unconfirmed are
 	// those that the list still names as ready.
 	withdrawn   map[mangomodel.ServerID]mangoleaving.Withdrawal
--- a/core/mangofleet/list.go
+++ b/core/mangofleet/list.go
@@ -89,6 +89,10 @@
 	// cannot be applied if After is beyond that position, or Cursor of a later era,
 	// unless Full is set.
 	After, Cursor mangotraffic.Cursor
+	// Copy is the position of the first list that was read of the era, and CopyAge the time
+	// since then. Copy is zero if the sender knows of no earlier era.
+	Copy    mangotraffic.Cursor
+	CopyAge time.Duration
 	// From is the peer that they were received from.
 	From mangomodel.PeerName
 }
@@ -111,6 +115,7 @@
 	if c.Cursor.Era > s.listCursor.Era && !s.listCursor.IsZero() {
 		s.storeRestored(now)
 	}
+	s.recordCopy(c, now)
 	if read.After(s.listRead) {
 		s.listRead = read
 	}
@@ -128,7 +133,8 @@
 	}
 	if c.Full {
 		for _, id := range s.pool.Missing(listed) {
-			grace := s.graceOfMissing(id, c, now)
+			server, _ := s.pool.Server(id)
+			grace := s.grace(&server, now)
 			s.removing(id, grace, now)
 			s.pool.RemoveServer(id, grace, now)
 		}
@@ -140,9 +146,10 @@
 }
 
 // Delayed returns the command as it holds some time later: what is left of the
-// graces is shorter.
+// graces is shorter, and the copy is older.
 func (c ChangeServers) Delayed(by time.Duration) ChangeServers {
 	c.Changes = slices.Clone(c.Changes)
+	c.CopyAge += by
 	for i := range c.Changes {
 		c.Changes[i].Grace = max(c.Changes[i].Grace-by, 0)
 	}
@@ -197,6 +204,7 @@
 	}
 	return ChangeServers{
 		Changes: changes, Age: now.Sub(v.ListRead), After: mangotraffic.MinCursor(after, v.ListCursor), Cursor: v.ListCursor,
+		Copy: v.restored.copy, CopyAge: v.restored.age(now),
 	}, true
 }
 
@@ -204,7 +212,9 @@
 // Servers whose grace period runs are left out: they reappear or are removed soon. Entries
 // that are deferred are not: the other daemon knows which servers have left.
 func (v *View) List(now time.Time) ChangeServers {
-	cmd := ChangeServers{Full: true, Cursor: v.ListCursor, Age: now.Sub(v.ListRead)}
+	cmd := ChangeServers{
+		Full: true, Cursor: v.ListCursor, Age: now.Sub(v.ListRead), Copy: v.restored.copy, CopyAge: v.restored.age(now),
+	}
 	for id, server := range v.Listed {
 		if v.expired[id] {
 			continue
--- a/core/mangofleet/outage.go
+++ b/core/mangofleet/outage.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"mangolane/core/mangomodel"
+	"mangolane/core/mangotraffic"
 )
 
 // reportTime is how long other daemons are told that the store has returned: as long as
@@ -67,8 +68,9 @@
 func (s *state) readAt(at, now time.Time) {
 	before := s.outages.Grace(now)
 	s.outages.Read(at, s.roster.Len())
-	if grace := s.outages.Grace(now); grace < before {
-		s.pool.EndGraces(now.Add(grace), now)
+	if s.outages.Grace(now) < before {
+		s.pool.EndGraces(func(server *mangotraffic.Server) time.Time { return now.Add(s.grace(server, now)) })
+		s.removeExpired(now)
 	}
 }
 
--- a/core/mangofleet/restore.go
+++ b/core/mangofleet/restore.go
@@ -50,13 +50,57 @@
 	})
 }
 
-// graceOfMissing returns how long a server is still used that a whole list lacks. A copy of
-// the store lacks the entries that were written after it: such an entry is as one that was
-// lost in an outage. One that the copy has was removed since.
-func (s *state) graceOfMissing(id mangomodel.ServerID, c ChangeServers, now time.Time) time.Duration {
+// restoration is the older copy from which the store came back last; zero if it never did.
+type restoration struct {
+	// copy is the position of the first list that was read of the era, and at the time when
+	// some daemon read it.
+	copy mangotraffic.Cursor
+	at   time.Time
+}
+
+// age returns the time since some daemon read the copy.
+func (r restoration) age(now time.Time) time.Duration {
+	if r.copy.IsZero() {
+		return 0
+	}
+	return now.Sub(r.at)
+}
+
+// recordCopy records which copy a list comes from. Graces that began later than at another
+// daemon end earlier then.
+func (s *state) recordCopy(c ChangeServers, now time.Time) {
+	told := restoration{c.Copy, now.Add(-c.CopyAge)}
+	switch {
+	case told.copy.IsZero() || told.copy.Era != c.Cursor.Era:
+		if c.Cursor.Era > s.listCursor.Era && !s.listCursor.IsZero() {
+			s.restored = restoration{c.Cursor, now.Add(-c.Age)}
+		}
+	case told.copy.Era != s.restored.copy.Era:
+		s.restored = told
+	case told.at.Before(s.restored.at):
+		s.restored = restoration{mangotraffic.MinCursor(told.copy, s.restored.copy), told.at}
+		s.pool.EndGraces(func(server *mangotraffic.Server) time.Time {
+			if !s.isLost(server) {
+				return time.Time{}
+			}
+			return now.Add(s.grace(server, now))
+		})
+		s.removeExpired(now)
+	}
+}
+
+// isLost reports whether an entry was written after the copy from which the store came back
+// last, so that its absence does not say that it was removed.
+func (s *state) isLost(server *mangotraffic.Server) bool {
+	return server.Written.Era < s.restored.copy.Era && server.Written.Position > s.restored.copy.Position
+}
+
+// grace returns how long a server is still used that a whole list lacks: as long as live
+// servers whose entries were lost, in an outage or since the copy, take to be listed again.
+func (s *state) grace(server *mangotraffic.Server, now time.Time) time.Duration {
 	grace := s.outages.Grace(now)
-	if server, ok := s.pool.Server(id); ok && c.Cursor.Era > s.listCursor.Era && server.Written.Position > c.Cursor.Position {
-		grace = max(grace, mangooutage.RelistTime-c.Age)
+	if s.isLost(server) {
+		grace = max(grace, s.restored.at.Add(mangooutage.RelistTime).Sub(now))
 	}
 	return grace
 }
--- a/core/mangopool/list.go
+++ b/core/mangopool/list.go
@@ -76,15 +76,15 @@
 	}
 }
 
-// EndGraces shortens the grace periods that end after a time.
-func (p *Pool) EndGraces(at, now time.Time) {
-	for id, b := range p.backends {
-		if !b.removeAt.After(at) {
+// EndGraces shortens the grace periods that end after the time that until returns for a
+// server. It leaves those for which that is zero. [Pool.RemoveExpired] removes the servers.
+func (p *Pool) EndGraces(until func(*mangotraffic.Server) time.Time) {
+	for _, b := range p.backends {
+		if b.removeAt.IsZero() {
 			continue
 		}
-		b.removeAt = at
-		if !at.After(now) {
-			p.remove(id, now)
+		if at := until(&b.server); !at.IsZero() && b.removeAt.After(at) {
+			b.removeAt = at
 		}
 	}
 }
