An earlier incarnation in an older copy replaces no later one

What callers saw: calls to the address of a process that had gone, and none to the one that had been started since under the same id, after the store came back from a copy older than the restart, until the server was listed again. Cause: the first list of an era replaced what the pool had, and the pool takes any other incarnation for a new one. Change: the entry of an earlier incarnation is deferred in that list and in further ones, as that of a server that had left.

--- a/core/mangodeparture/departure.go
+++ b/core/mangodeparture/departure.go
@@ -5,7 +5,8 @@
 // servers that have left since the copy. One that had announced that it leaves stays out of
 // use. One whose entry was removed may have lost it while it was cut off, and may live: its
 // entry is deferred until it is written again, or until the store has had the time to remove
-// the entry of a server that is gone.
+// the entry of a server that is gone. So is an entry of an earlier incarnation of a server
+// that has restarted since the copy.
 //
 // # Usage
 //
@@ -105,13 +106,24 @@
 	case x.leaving || server.State == mangotraffic.StateLeaving:
 		return VerdictWithdraw
 	default:
-		d.deferred[server.ID] = deferral{*server, now.Add(ConfirmTime)}
+		d.Defer(server, now.Add(ConfirmTime))
 		x.at = now
 		d.left[server.ID] = x
 		return VerdictDefer
 	}
 }
 
+// Defer keeps an entry that is not used before a time.
+func (d *Departures) Defer(server *mangotraffic.Server, until time.Time) {
+	d.deferred[server.ID] = deferral{*server, until}
+}
+
+// Defers reports whether an entry of a server is deferred.
+func (d *Departures) Defers(id mangomodel.ServerID) bool {
+	_, ok := d.deferred[id]
+	return ok
+}
+
 // Keep drops the deferred entries that a whole list does not have, and reports for which
 // servers of the list there is one.
 func (d *Departures) Keep(listed map[mangomodel.ServerID]*mangotraffic.Server, now time.Time) map[mangomodel.ServerID]bool {
--- a/core/mangofleet/era_test.go
+++ b/core/mangofleet/era_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -243,3 +244,54 @@
 		x.Expect(x.fleet.View().MayUse("s1")).To(gomega.BeFalse(), "after the drill")
 	})
 }
+
+// TestEarlierIncarnationInAnOlderCopyReplacesNoLaterOne guards against calls to a process that
+// has gone, since the copy is older than the server's restart.
+func TestEarlierIncarnationInAnOlderCopyReplacesNoLaterOne(t *testing.T) {
+	at := func(era mangotraffic.Era, position uint64) mangotraffic.Cursor {
+		return mangotraffic.Cursor{Era: era, Position: position}
+	}
+	incarnation := func(n int64, written mangotraffic.Cursor) []mangotraffic.ServerChange {
+		s := plain("s1", "a1")
+		s.Address, s.Born, s.Written = mangomodel.Address(fmt.Sprint("x", n)), time.UnixMilli(n), written
+		return []mangotraffic.ServerChange{{ID: "s1", Server: &s}}
+	}
+	const earlier, later, none = "x1", "x2", ""
+	older := ChangeServers{Full: true, Cursor: at(2, 3), Changes: incarnation(1, at(2, 2))}
+	type use struct {
+		after   time.Duration
+		address mangomodel.Address
+	}
+	tests := []struct {
+		name string
+		list []ChangeServers
+		uses []use
+	}{
+		{"in the first list", []ChangeServers{older}, []use{{0, later}, {relist - 1, later}, {relist, none}, {mangodeparture.ConfirmTime - 1, none}, {mangodeparture.ConfirmTime, earlier}}},
+		{"versions have passed", []ChangeServers{{Full: true, Cursor: at(2, 90), Changes: older.Changes}}, []use{{0, later}, {relist - 1, later}, {relist, none}}},
+		{"in a further list", []ChangeServers{older, {Full: true, Cursor: at(2, 4), Changes: older.Changes}}, []use{{0, later}, {relist - 1, later}, {relist, none}}},
+		{"removed since", []ChangeServers{older, {Cursor: at(2, 4), Changes: []mangotraffic.ServerChange{{ID: "s1"}}}}, []use{{0, none}, {time.Hour, none}}},
+		{"later one written again", []ChangeServers{older, {Cursor: at(2, 4), Changes: incarnation(2, at(2, 4))}}, []use{{0, later}, {time.Hour, later}}},
+		{"later one in a further list", []ChangeServers{older, {Full: true, Cursor: at(2, 4), Changes: incarnation(2, at(2, 4))}}, []use{{0, later}, {time.Hour, later}}},
+		{"later one in the copy", []ChangeServers{{Full: true, Cursor: at(2, 51), Changes: incarnation(2, at(2, 51))}}, []use{{0, later}, {time.Hour, later}}},
+		{"still later one", []ChangeServers{{Full: true, Cursor: at(2, 4), Changes: incarnation(3, at(2, 4))}}, []use{{0, "x3"}, {time.Hour, "x3"}}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			bubble(t, func(x *fixture) {
+				x.do(ChangeServers{Full: true, Cursor: at(1, 40), Changes: incarnation(1, at(1, 2))})
+				x.do(ChangeServers{Cursor: at(1, 49), Changes: []mangotraffic.ServerChange{{ID: "s1"}}})
+				x.do(ChangeServers{Cursor: at(1, 51), Changes: incarnation(2, at(1, 51))})
+				for _, cmd := range test.list {
+					x.do(cmd)
+				}
+				began := time.Now()
+				for _, use := range test.uses {
+					time.Sleep(time.Until(began.Add(use.after)))
+					synctest.Wait()
+					x.Expect(x.fleet.View().Listed["s1"].Address).To(gomega.Equal(use.address), "after %v", use.after)
+				}
+			})
+		})
+	}
+}
--- a/core/mangofleet/restore.go
+++ b/core/mangofleet/restore.go
@@ -39,6 +39,11 @@
 		if c.Server == nil {
 			return false
 		}
+		if last, ok := s.pool.Server(c.ID); ok && last.Born.After(c.Server.Born) {
+			s.departures.Defer(c.Server, now.Add(mangodeparture.ConfirmTime))
+			s.observer.EntryDeferred(c.Server.Ref(), mangodeparture.ConfirmTime)
+			return true
+		}
 		switch s.departures.Judge(c.Server, now) {
 		case mangodeparture.VerdictDefer:
 			s.observer.EntryDeferred(c.Server.Ref(), mangodeparture.ConfirmTime)
@@ -90,9 +95,11 @@
 }
 
 // isLost reports whether an entry was written after the copy from which the store came back
-// last, so that its absence does not say that it was removed.
+// last, so that its absence does not say that it was removed. It was if the copy has an
+// earlier incarnation.
 func (s *state) isLost(server *mangotraffic.Server) bool {
-	return server.Written.Era < s.restored.copy.Era && server.Written.Position > s.restored.copy.Position
+	return server.Written.Era < s.restored.copy.Era &&
+		(server.Written.Position > s.restored.copy.Position || s.departures.Defers(server.ID))
 }
 
 // grace returns how long a server is still used that a whole list lacks: as long as live
