A daemon that starts after a drill learns which servers have left

What callers saw: requests at a server whose entry had been removed, from a daemon that had started after the store came back from an older copy. Cause: daemons passed on the entries that they deferred as usable ones, since each was taken to know which servers have left; one that read the copy itself knew of none either. Change: lists of other daemons carry the servers that have left lately, and so do answers to exchanges while entries of the copy are deferred. A receiver defers the entries of the copy that they name, unless the entry was written since or is of a later incarnation. The entry of an earlier incarnation that is deferred counts as a departure of that incarnation.

--- a/core/mangodeparture/departure.go
+++ b/core/mangodeparture/departure.go
@@ -12,6 +12,7 @@
 //
 //	d := mangodeparture.New()
 //	d.Left(server, now)
+//	d.Restored(now)
 //	switch d.Judge(entry, now) { ... } // for each entry of the older copy
 //	for _, server := range d.Confirmed(now) { ... } // when NextDue says so
 package mangodeparture
@@ -20,6 +21,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 
 	"mangolane/core/mangomodel"
@@ -46,11 +48,12 @@
 	VerdictWithdraw
 )
 
-// departure is a server that has left the list.
-type departure struct {
-	server  mangotraffic.ServerRef
-	leaving bool
-	at      time.Time
+// Departure is a server that has left the list.
+type Departure struct {
+	Server mangotraffic.ServerRef
+	// Leaving is set if the server had announced that it leaves.
+	Leaving bool
+	At      time.Time
 }
 
 // deferral is an entry that is not used yet.
@@ -62,25 +65,52 @@
 // Departures holds the servers that have left lately and the deferred entries. It has no
 // clock and no goroutine: its owner passes in the time.
 type Departures struct {
-	left     map[mangomodel.ServerID]departure
+	left     map[mangomodel.ServerID]Departure
 	deferred map[mangomodel.ServerID]deferral
+	// until is when the entries of the last copy are confirmed.
+	until time.Time
+	// known holds the departures of left; nil after a change.
+	known []Departure
 }
 
 // New returns an empty record.
 func New() *Departures {
-	return &Departures{left: make(map[mangomodel.ServerID]departure), deferred: make(map[mangomodel.ServerID]deferral)}
+	return &Departures{left: make(map[mangomodel.ServerID]Departure), deferred: make(map[mangomodel.ServerID]deferral)}
 }
 
 // Left records that the entry of a server was removed.
 func (d *Departures) Left(server *mangotraffic.Server, now time.Time) {
-	maps.DeleteFunc(d.left, func(_ mangomodel.ServerID, x departure) bool { return now.Sub(x.at) >= Retention })
-	d.left[server.ID] = departure{server.Ref(), server.State == mangotraffic.StateLeaving, now}
+	maps.DeleteFunc(d.left, func(_ mangomodel.ServerID, x Departure) bool { return now.Sub(x.At) >= Retention })
+	d.record(Departure{server.Ref(), server.State == mangotraffic.StateLeaving, now})
+}
+
+// Told records a departure that another daemon knows of, unless a later one is known.
+func (d *Departures) Told(x Departure) {
+	if last, ok := d.left[x.Server.ID]; !ok || x.At.After(last.At) && !last.Server.After(x.Server) {
+		d.record(x)
+	}
+}
+
+func (d *Departures) record(x Departure) {
+	d.left[x.Server.ID] = x
+	d.known = nil
+}
+
+// Known returns the departures, in a slice that is not changed.
+func (d *Departures) Known() []Departure {
+	if d.known == nil && len(d.left) > 0 {
+		d.known = slices.Collect(maps.Values(d.left))
+	}
+	return d.known
 }
 
 // Written records that the entry of a server was written, so that it is no longer that of
 // the older copy.
 func (d *Departures) Written(id mangomodel.ServerID) {
-	delete(d.left, id)
+	if _, ok := d.left[id]; ok {
+		delete(d.left, id)
+		d.known = nil
+	}
 	delete(d.deferred, id)
 }
 
@@ -89,33 +119,38 @@
 func (d *Departures) Removed(id mangomodel.ServerID, now time.Time) {
 	delete(d.deferred, id)
 	if x, ok := d.left[id]; ok {
-		x.at = now
-		d.left[id] = x
+		x.At = now
+		d.record(x)
 	}
 }
 
-// Restored drops the deferred entries, before those of a newer copy are judged.
-func (d *Departures) Restored() { clear(d.deferred) }
+// Restored drops the deferred entries, before those of a newer copy are judged, which was
+// first read at a time.
+func (d *Departures) Restored(at time.Time) {
+	clear(d.deferred)
+	d.until = at.Add(ConfirmTime)
+}
 
 // Judge decides about an entry of an older copy, and keeps it if it is deferred.
 func (d *Departures) Judge(server *mangotraffic.Server, now time.Time) Verdict {
 	x, ok := d.left[server.ID]
 	switch {
-	case !ok || now.Sub(x.at) >= Retention || server.Ref().After(x.server):
+	case !ok || now.Sub(x.At) >= Retention || server.Ref().After(x.Server):
 		return VerdictUse
-	case x.leaving || server.State == mangotraffic.StateLeaving:
+	case x.Leaving || server.State == mangotraffic.StateLeaving:
 		return VerdictWithdraw
 	default:
-		d.Defer(server, now.Add(ConfirmTime))
-		x.at = now
-		d.left[server.ID] = x
+		d.deferred[server.ID] = deferral{*server, d.until}
+		x.At = now
+		d.record(x)
 		return VerdictDefer
 	}
 }
 
-// Defer keeps an entry that is not used before a time.
-func (d *Departures) Defer(server *mangotraffic.Server, until time.Time) {
-	d.deferred[server.ID] = deferral{*server, until}
+// Supersede defers an entry of an earlier incarnation than the one in use.
+func (d *Departures) Supersede(server *mangotraffic.Server, now time.Time) {
+	d.Left(server, now)
+	d.deferred[server.ID] = deferral{*server, d.until}
 }
 
 // Defers reports whether an entry of a server is deferred.
--- a/core/mangodeparture/departure_test.go
+++ b/core/mangodeparture/departure_test.go
@@ -38,6 +38,7 @@
 			if test.left != nil {
 				d.Left(test.left, now.Add(-test.ago))
 			}
+			d.Restored(now)
 			gomega.NewWithT(t).Expect(d.Judge(test.entry, now)).To(gomega.Equal(test.want))
 		})
 	}
@@ -60,13 +61,14 @@
 		{"in a further list", func(d *Departures) { d.Keep(map[mangomodel.ServerID]*mangotraffic.Server{"s": entry}, now) }, 1},
 		{"not in a further list", func(d *Departures) { d.Keep(nil, now) }, 0},
 		{"later incarnation in a further list", func(d *Departures) { d.Keep(map[mangomodel.ServerID]*mangotraffic.Server{"s": later}, now) }, 0},
-		{"newer copy", func(d *Departures) { d.Restored() }, 0},
+		{"newer copy", func(d *Departures) { d.Restored(now) }, 0},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			g := gomega.NewWithT(t)
 			d := New()
 			d.Left(entry, now)
+			d.Restored(now)
 			g.Expect(d.Judge(entry, now)).To(gomega.Equal(VerdictDefer))
 			test.then(d)
 			g.Expect(d.Confirmed(now.Add(ConfirmTime - 1))).To(gomega.BeEmpty())
@@ -101,7 +103,7 @@
 			d := New()
 			d.Left(entry, now)
 			test.then(d)
-			d.Restored()
+			d.Restored(now)
 			gomega.NewWithT(t).Expect(d.Judge(entry, now.Add(Retention))).To(gomega.Equal(test.want))
 		})
 	}
--- a/core/mangofleet/fleet.go
+++ b/core/mangofleet/fleet.go
@@ -10,6 +10,7 @@
 	"mangolane/core/mangobound"
 	"mangolane/core/mangobudget"
 	"mangolane/core/mangocrash"
+	"mangolane/core/mangodeparture"
 	"mangolane/core/mangohealth"
 	"mangolane/core/mangojournal"
 	"mangolane/core/mangolease"
@@ -182,6 +183,8 @@
 	// deferred are the entries that are not used yet, since they had been removed before the
 	// store came back from an older copy.
 	deferred []mangotraffic.Server
+	// left are the servers that have left lately.
+	left     []mangodeparture.Departure
 	restored restoration
 	// withdrawn holds the servers that have announced that they leave. unconfirmed are
 	// those that the list still names as ready.
--- a/core/mangofleet/list.go
+++ b/core/mangofleet/list.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"mangolane/core/mangodeparture"
 	"mangolane/core/mangojournal"
 	"mangolane/core/mangomodel"
 	"mangolane/core/mangotraffic"
@@ -93,6 +94,9 @@
 	// since then. Copy is zero if the sender knows of no earlier era.
 	Copy    mangotraffic.Cursor
 	CopyAge time.Duration
+	// Left are the servers that have left lately. The entries of the older copy may name
+	// them.
+	Left []Departure
 	// From is the peer that they were received from.
 	From mangomodel.PeerName
 }
@@ -139,6 +143,7 @@
 			s.pool.RemoveServer(id, grace, now)
 		}
 	}
+	s.recordLeft(c.Left, now)
 	s.appendJournal(c, now)
 	s.replySynced()
 	s.serveQueue(now)
@@ -146,10 +151,14 @@
 }
 
 // Delayed returns the command as it holds some time later: what is left of the
-// graces is shorter, and the copy is older.
+// graces is shorter, and the copy and the departures are older.
 func (c ChangeServers) Delayed(by time.Duration) ChangeServers {
 	c.Changes = slices.Clone(c.Changes)
 	c.CopyAge += by
+	c.Left = slices.Clone(c.Left)
+	for i := range c.Left {
+		c.Left[i].Age += by
+	}
 	for i := range c.Changes {
 		c.Changes[i].Grace = max(c.Changes[i].Grace-by, 0)
 	}
@@ -202,18 +211,24 @@
 	if !ok {
 		return ChangeServers{}, false
 	}
-	return ChangeServers{
+	cmd := ChangeServers{
 		Changes: changes, Age: now.Sub(v.ListRead), After: mangotraffic.MinCursor(after, v.ListCursor), Cursor: v.ListCursor,
 		Copy: v.restored.copy, CopyAge: v.restored.age(now),
-	}, true
+	}
+	if !cmd.Copy.IsZero() && cmd.CopyAge < mangodeparture.ConfirmTime {
+		cmd.Left = v.departures(now)
+	}
+	return cmd, true
 }
 
 // List returns the command that replaces another daemon's list by this daemon's.
 // Servers whose grace period runs are left out: they reappear or are removed soon. Entries
-// that are deferred are not: the other daemon knows which servers have left.
+// that are deferred are not: the other daemon defers them too, since it is told which servers
+// have left.
 func (v *View) List(now time.Time) ChangeServers {
 	cmd := ChangeServers{
 		Full: true, Cursor: v.ListCursor, Age: now.Sub(v.ListRead), Copy: v.restored.copy, CopyAge: v.restored.age(now),
+		Left: v.departures(now),
 	}
 	for id, server := range v.Listed {
 		if v.expired[id] {
--- a/core/mangofleet/restore.go
+++ b/core/mangofleet/restore.go
@@ -31,7 +31,6 @@
 
 // judged returns the entries of an older copy that are used at once.
 func (s *state) judged(changes []mangotraffic.ServerChange, now time.Time) []mangotraffic.ServerChange {
-	s.departures.Restored()
 	for _, ref := range s.pool.LeavingServers() {
 		s.withdrawServer(ref, "", Platform, now)
 	}
@@ -40,21 +39,27 @@
 			return false
 		}
 		if last, ok := s.pool.Server(c.ID); ok && last.Born.After(c.Server.Born) {
-			s.departures.Defer(c.Server, now.Add(mangodeparture.ConfirmTime))
-			s.observer.EntryDeferred(c.Server.Ref(), mangodeparture.ConfirmTime)
+			s.departures.Supersede(c.Server, now)
+			s.observer.EntryDeferred(c.Server.Ref(), s.confirmTime(now))
 			return true
 		}
-		switch s.departures.Judge(c.Server, now) {
-		case mangodeparture.VerdictDefer:
-			s.observer.EntryDeferred(c.Server.Ref(), mangodeparture.ConfirmTime)
-			return true
-		case mangodeparture.VerdictWithdraw:
-			s.withdrawServer(c.Server.Ref(), "", Platform, now)
-		}
-		return false
+		return s.isDeferred(c.Server, now)
 	})
 }
 
+// isDeferred reports whether an entry of an older copy is not used yet. One that had announced
+// that it leaves is withdrawn.
+func (s *state) isDeferred(server *mangotraffic.Server, now time.Time) bool {
+	switch s.departures.Judge(server, now) {
+	case mangodeparture.VerdictDefer:
+		s.observer.EntryDeferred(server.Ref(), s.confirmTime(now))
+		return true
+	case mangodeparture.VerdictWithdraw:
+		s.withdrawServer(server.Ref(), "", Platform, now)
+	}
+	return false
+}
+
 // restoration is the older copy from which the store came back last; zero if it never did.
 type restoration struct {
 	// copy is the position of the first list that was read of the era, and at the time when
@@ -79,9 +84,11 @@
 	case told.copy.IsZero() || told.copy.Era != c.Cursor.Era:
 		if c.Cursor.Era > s.listCursor.Era && !s.listCursor.IsZero() {
 			s.restored = restoration{c.Cursor, now.Add(-c.Age)}
+			s.departures.Restored(s.restored.at)
 		}
 	case told.copy.Era != s.restored.copy.Era:
 		s.restored = told
+		s.departures.Restored(s.restored.at)
 	case told.at.Before(s.restored.at):
 		s.restored = restoration{mangotraffic.MinCursor(told.copy, s.restored.copy), told.at}
 		s.pool.EndGraces(func(server *mangotraffic.Server) time.Time {
@@ -112,6 +119,56 @@
 	return grace
 }
 
+// Departure tells another daemon of a server that has left.
+type Departure struct {
+	Server mangotraffic.ServerRef
+	// Leaving is set if the server had announced that it leaves.
+	Leaving bool
+	// Age is the time since the server left.
+	Age time.Duration
+}
+
+// departures returns what other daemons are told of servers that have left.
+func (v *View) departures(now time.Time) []Departure {
+	var list []Departure
+	for _, x := range v.left {
+		if age := now.Sub(x.At); age < mangodeparture.Retention {
+			list = append(list, Departure{x.Server, x.Leaving, age})
+		}
+	}
+	return list
+}
+
+// recordLeft records which servers have left as far as another daemon knows. Those whose
+// entries are of the older copy are not used, as if this daemon had known that when it read
+// the copy.
+func (s *state) recordLeft(left []Departure, now time.Time) {
+	judged := s.confirmTime(now) > 0
+	for _, x := range left {
+		server, listed := s.pool.Server(x.Server.ID)
+		if listed && (!judged || server.Ref().After(x.Server) || s.isWrittenSince(&server)) {
+			continue
+		}
+		s.departures.Told(mangodeparture.Departure{Server: x.Server, Leaving: x.Leaving, At: now.Add(-x.Age)})
+		if listed && (s.pool.InGrace(server.ID) || s.isDeferred(&server, now)) {
+			s.pool.RemoveServer(server.ID, 0, now)
+		}
+	}
+}
+
+// confirmTime returns for how much longer entries of the copy may be deferred.
+func (s *state) confirmTime(now time.Time) time.Duration {
+	if s.restored.copy.IsZero() {
+		return 0
+	}
+	return max(mangodeparture.ConfirmTime-s.restored.age(now), 0)
+}
+
+// isWrittenSince reports whether an entry was written after the store came back.
+func (s *state) isWrittenSince(server *mangotraffic.Server) bool {
+	return server.Written.Era == s.restored.copy.Era && server.Written.Position > s.restored.copy.Position
+}
+
 // removing records that a server is removed, unless it is in use for a grace first.
 func (s *state) removing(id mangomodel.ServerID, grace time.Duration, now time.Time) {
 	if server, ok := s.pool.Server(id); ok && (grace <= 0 || server.State == mangotraffic.StateLeaving) {
--- a/core/mangofleet/state.go
+++ b/core/mangofleet/state.go
@@ -163,7 +163,7 @@
 		ListRead: s.listRead, RoutingRead: s.routingRead, granted: s.pool.Granted(), allowances: s.allowances,
 		ListCursor: s.listCursor, RoutingCursor: s.routingCursor, journal: s.journal, self: s.self.Holder.Daemon, times: s.times,
 		quotaAsk: s.quota.ask, quotaReport: s.quota.report, quotaReplies: s.quota.replies,
-		deferred: s.departures.Deferred(), restored: s.restored, Announced: s.announced, readFailed: s.readFailed, returned: s.outages.Returned(),
+		deferred: s.departures.Deferred(), left: s.departures.Known(), restored: s.restored, Announced: s.announced, readFailed: s.readFailed, returned: s.outages.Returned(),
 	}
 	if last != nil {
 		v.Listed, v.Members, v.schedulers = last.Listed, last.Members, last.schedulers
--- a/core/mangopool/observe.go
+++ b/core/mangopool/observe.go
@@ -75,6 +75,12 @@
 	return b.server, true
 }
 
+// InGrace reports whether a server is used although its entry has vanished.
+func (p *Pool) InGrace(id mangomodel.ServerID) bool {
+	b, ok := p.backends[id]
+	return ok && !b.removeAt.IsZero()
+}
+
 // LeavingServers returns the listed servers that finish their current work only.
 func (p *Pool) LeavingServers() []mangotraffic.ServerRef {
 	var list []mangotraffic.ServerRef
