--- a/core/mangofleet/restore.go
+++ b/core/mangofleet/restore.go
@@ -22,7 +22,7 @@
 	for _, change := range c.Changes {
 		listed[change.ID] = change.Server
 	}
-	deferred := s.departures.Keep(listed)
+	deferred := s.departures.Keep(listed, now)
 	if len(deferred) == 0 {
 		return c.Changes
 	}
@@ -31,7 +31,6 @@
 
 // judged returns the entries of an older copy that are used at once.
 func (s *state) judged(changes []mangotraffic.ServerChange, now time.Time) []mangotraffic.ServerChange {
-	s.departures.Restored()
 	for _, ref := range s.pool.LeavingServers() {
 		s.withdrawServer(ref, "", Platform, now)
 	}
@@ -39,28 +38,137 @@
 		if c.Server == nil {
 			return false
 		}
-		switch s.departures.Judge(c.Server, now) {
-		case mangodeparture.VerdictDefer:
-			s.observer.EntryDeferred(c.Server.Ref(), mangodeparture.ConfirmTime)
+		if last, ok := s.pool.Server(c.ID); ok && last.Born.After(c.Server.Born) {
+			s.departures.Supersede(c.Server, now)
+			s.observer.EntryDeferred(c.Server.Ref(), s.confirmTime(now))
 			return true
-		case mangodeparture.VerdictWithdraw:
-			s.withdrawServer(c.Server.Ref(), "", Platform, now)
 		}
-		return false
+		return s.isDeferred(c.Server, now)
 	})
 }
 
-// graceOfMissing returns how long a server is still used that a whole list lacks. A copy of
-// the store lacks the entries that were written after it: such an entry is as one that was
-// lost in an outage. One that the copy has was removed since.
-func (s *state) graceOfMissing(id mangomodel.ServerID, c ChangeServers, now time.Time) time.Duration {
+// isDeferred reports whether an entry of an older copy is not used yet. One that had announced
+// that it leaves is withdrawn.
+func (s *state) isDeferred(server *mangotraffic.Server, now time.Time) bool {
+	switch s.departures.Judge(server, now) {
+	case mangodeparture.VerdictDefer:
+		s.observer.EntryDeferred(server.Ref(), s.confirmTime(now))
+		return true
+	case mangodeparture.VerdictWithdraw:
+		s.withdrawServer(server.Ref(), "", Platform, now)
+	}
+	return false
+}
+
+// restoration is the older copy from which the store came back last; zero if it never did.
+type restoration struct {
+	// copy is the position of the first list that was read of the era, and at the time when
+	// some daemon read it.
+	copy mangotraffic.Cursor
+	at   time.Time
+}
+
+// age returns the time since some daemon read the copy.
+func (r restoration) age(now time.Time) time.Duration {
+	if r.copy.IsZero() {
+		return 0
+	}
+	return now.Sub(r.at)
+}
+
+// recordCopy records which copy a list comes from. Graces that began later than at another
+// daemon end earlier then.
+func (s *state) recordCopy(c ChangeServers, now time.Time) {
+	told := restoration{c.Copy, now.Add(-c.CopyAge)}
+	switch {
+	case told.copy.IsZero() || told.copy.Era != c.Cursor.Era:
+		if c.Cursor.Era > s.listCursor.Era && !s.listCursor.IsZero() {
+			s.restored = restoration{c.Cursor, now.Add(-c.Age)}
+			s.departures.Restored(s.restored.at)
+		}
+	case told.copy.Era != s.restored.copy.Era:
+		s.restored = told
+		s.departures.Restored(s.restored.at)
+	case told.at.Before(s.restored.at):
+		s.restored = restoration{mangotraffic.MinCursor(told.copy, s.restored.copy), told.at}
+		s.pool.EndGraces(func(server *mangotraffic.Server) time.Time {
+			if !s.isLost(server) {
+				return time.Time{}
+			}
+			return now.Add(s.grace(server, now))
+		})
+		s.removeExpired(now)
+	}
+}
+
+// isLost reports whether an entry was written after the copy from which the store came back
+// last, so that its absence does not say that it was removed. It was if the copy has an
+// earlier incarnation.
+func (s *state) isLost(server *mangotraffic.Server) bool {
+	return server.Written.Era < s.restored.copy.Era &&
+		(server.Written.Position > s.restored.copy.Position || s.departures.Defers(server.ID))
+}
+
+// grace returns how long a server is still used that a whole list lacks: as long as live
+// servers whose entries were lost, in an outage or since the copy, take to be listed again.
+func (s *state) grace(server *mangotraffic.Server, now time.Time) time.Duration {
 	grace := s.outages.Grace(now)
-	if server, ok := s.pool.Server(id); ok && c.Cursor.Era > s.listCursor.Era && server.Written.Position > c.Cursor.Position {
-		grace = max(grace, mangooutage.RelistTime-c.Age)
+	if s.isLost(server) {
+		grace = max(grace, s.restored.at.Add(mangooutage.RelistTime).Sub(now))
 	}
 	return grace
 }
 
+// Departure tells another daemon of a server that has left.
+type Departure struct {
+	Server mangotraffic.ServerRef
+	// Leaving is set if the server had announced that it leaves.
+	Leaving bool
+	// Age is the time since the server left.
+	Age time.Duration
+}
+
+// departures returns what other daemons are told of servers that have left.
+func (v *View) departures(now time.Time) []Departure {
+	var list []Departure
+	for _, x := range v.left {
+		if age := now.Sub(x.At); age < mangodeparture.Retention {
+			list = append(list, Departure{x.Server, x.Leaving, age})
+		}
+	}
+	return list
+}
+
+// recordLeft records which servers have left as far as another daemon knows. Those whose
+// entries are of the older copy are not used, as if this daemon had known that when it read
+// the copy.
+func (s *state) recordLeft(left []Departure, now time.Time) {
+	judged := s.confirmTime(now) > 0
+	for _, x := range left {
+		server, listed := s.pool.Server(x.Server.ID)
+		if listed && (!judged || server.Ref().After(x.Server) || s.isWrittenSince(&server)) {
+			continue
+		}
+		s.departures.Told(mangodeparture.Departure{Server: x.Server, Leaving: x.Leaving, At: now.Add(-x.Age)})
+		if listed && (s.pool.InGrace(server.ID) || s.isDeferred(&server, now)) {
+			s.pool.RemoveServer(server.ID, 0, now)
+		}
+	}
+}
+
+// confirmTime returns for how much longer entries of the copy may be deferred.
+func (s *state) confirmTime(now time.Time) time.Duration {
+	if s.restored.copy.IsZero() {
+		return 0
+	}
+	return max(mangodeparture.ConfirmTime-s.restored.age(now), 0)
+}
+
+// isWrittenSince reports whether an entry was written after the store came back.
+func (s *state) isWrittenSince(server *mangotraffic.Server) bool {
+	return server.Written.Era == s.restored.copy.Era && server.Written.Position > s.restored.copy.Position
+}
+
 // removing records that a server is removed, unless it is in use for a grace first.
 func (s *state) removing(id mangomodel.ServerID, grace time.Duration, now time.Time) {
 	if server, ok := s.pool.Server(id); ok && (grace <= 0 || server.State == mangotraffic.StateLeaving) {
