A call that resumes a stream waits for its quota

Cause: a daemon that is killed takes the accountant of quotas and many streams with it; until the accountant is replaced, calls that find no loan are refused after 150 ms, and a client that has lost its stream has used a try. Evidence: without the change TestResumedCallWaitsForItsQuota fails.

--- a/core/mangorelay/quota_test.go
+++ b/core/mangorelay/quota_test.go
@@ -93,3 +93,29 @@
 		h.Expect(h.serveFor("acme", "/call/").Code).To(gomega.Equal(mangomodel.CodeQuotaExceeded))
 	})
 }
+
+// TestResumedCallWaitsForItsQuota guards against a stream that is lost because its
+// workspace's quota is free only a moment later.
+func TestResumedCallWaitsForItsQuota(t *testing.T) {
+	withHarness(t, func(h *harness) {
+		h.limit(mangoworkspace.Limit{Rate: 1, Burst: 1})
+		resume := func() *mangomodel.Fault {
+			h.newCall("/feed/")
+			h.call.Key, h.call.HasKey, h.call.LastEventID = keyOf("acme"), true, 2
+			return h.serve()
+		}
+		h.servers.runs["s1"] = []step{{events: events(3, 4)}}
+		h.servers.runs["s2"] = []step{{events: events(3, 4)}}
+		h.Expect(h.serveFor("acme", "/call/")).To(gomega.BeNil())
+		h.Expect(h.serveFor("acme", "/call/").Code).To(gomega.Equal(mangomodel.CodeQuotaExceeded))
+		began := time.Now()
+		h.Expect(resume()).To(gomega.BeNil())
+		h.Expect(time.Since(began)).To(gomega.BeNumerically("<=", resumedQuotaTime))
+		h.limit(mangoworkspace.Limit{Rate: 0.1, Burst: 1})
+		time.Sleep(10 * time.Second)
+		h.Expect(h.serveFor("acme", "/call/")).To(gomega.BeNil())
+		began = time.Now()
+		h.Expect(resume().Code).To(gomega.Equal(mangomodel.CodeQuotaExceeded), "the quota is free too late")
+		h.Expect(time.Since(began)).To(gomega.BeNumerically("<=", resumedQuotaTime))
+	})
+}
