A daemon that was cut off reads the histories of builds again

What callers would see: a build that served only while a daemon was cut off, or stood still, is missing in its history; it takes the other build for the sole one and continues streams there. Change: such a daemon names no sole build until it has read the rows that the others have written meanwhile. A client that resumes a stream meanwhile is not refused if they are read within a second.

--- a/core/mangoorigin/bench_test.go
+++ b/core/mangoorigin/bench_test.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"mangolane/core/mangobudget"
-	"mangolane/core/mangobuilds"
 	"mangolane/core/mangofleet"
 	"mangolane/core/mangomodel"
 	"mangolane/core/mangoroster"
@@ -31,11 +30,8 @@
 		b.Fatal(err)
 	}
 	o := New(fleet, newTable(), &observer{events: make(map[string]int)})
-	c := &controller{
-		Origins: o, histories: make(map[mangotraffic.ServiceName]*mangobuilds.History),
-		windows: make(map[mangotraffic.ServiceName]time.Duration), mixed: make(map[mangotraffic.ServiceName]bool),
-	}
-	c.builds.read = true
+	c := newController(o)
+	c.builds.read, c.unread = true, nil
 	for i := range 2000 {
 		o.Begin(mangotraffic.StreamID{Service: "0", Request: mangomodel.RequestID(fmt.Sprint(i))}, "0")
 	}
--- a/core/mangoorigin/builds.go
+++ b/core/mangoorigin/builds.go
@@ -75,6 +75,7 @@
 		return
 	}
 	b.busy, b.due = true, time.Time{}
+	unread := c.unread
 	var rows []BuildRow
 	c.call(ctx, func(ctx context.Context) (Stamp, error) {
 		list, stamp, err := c.store.Builds(ctx)
@@ -88,6 +89,13 @@
 		}
 		b.pause = 0
 		first := c.merge(rows, now)
+		done := unread != nil && unread == c.unread
+		if done {
+			c.unread = nil
+		}
+		if c.publish(now); done {
+			close(unread)
+		}
 		lacking := c.lacking(rows, now)
 		if first && len(lacking) > 0 {
 			b.plan(now, c.fleet.View())
@@ -115,10 +123,6 @@
 			c.history(r.Service).Restore(c.spansOf(r, now), now)
 		}
 	}
-	c.publish(now)
-	if first {
-		close(c.ready)
-	}
 	return first
 }
 
--- a/core/mangoorigin/origin.go
+++ b/core/mangoorigin/origin.go
@@ -25,7 +25,7 @@
 	// Each further pause is longer by as much.
 	rowWait  = time.Second
 	rowPause = 100 * time.Millisecond
-	// readyWait bounds how long a daemon that starts waits for the histories.
+	// readyWait bounds how long a daemon that starts, or was cut off, waits for the histories.
 	readyWait = time.Second
 )
 
@@ -42,8 +42,6 @@
 	flights  flights
 	// published is what is known of services.
 	published atomic.Pointer[snapshot]
-	// ready is closed once the histories were read.
-	ready chan struct{}
 	// wake is signalled when a stream waits to be saved or another build has served.
 	wake chan struct{}
 }
@@ -54,6 +52,11 @@
 	sole map[mangotraffic.ServiceName]mangomodel.Build
 	// others is the number of other daemons when the list was last known to be current.
 	others int
+	// at is when this was published, and behind is set if the daemon may have missed builds.
+	at     time.Time
+	behind bool
+	// unread is closed once the histories of other daemons were read; nil if they were.
+	unread chan struct{}
 }
 
 // Option configures Origins.
@@ -68,9 +71,9 @@
 	o := &Origins{
 		fleet: fleet, store: store, observer: observer, began: time.Now(), memory: newMemory(),
 		reads: rate.NewLimiter(maxReads, maxReads),
-		ready: make(chan struct{}), wake: make(chan struct{}, 1),
+		wake:  make(chan struct{}, 1),
 	}
-	o.published.Store(&snapshot{})
+	o.published.Store(&snapshot{unread: make(chan struct{})})
 	for _, opt := range opts {
 		opt(o)
 	}
@@ -127,6 +130,12 @@
 		return "", EvidenceNone, errNoName
 	}
 	row, err := o.flights.do(ctx, stream, o.readRow)
+	if err != nil && sole {
+		// The histories may have been read meanwhile.
+		if build, sole, current = o.sole(stream.Service); sole && current {
+			return build, EvidenceSole, nil
+		}
+	}
 	switch {
 	case sole && errors.Is(err, errNoRow):
 		return "", EvidenceNone, errStale
@@ -143,7 +152,9 @@
 func (o *Origins) sole(service mangotraffic.ServiceName) (build mangomodel.Build, sole, current bool) {
 	known := o.published.Load()
 	build, sole = known.sole[service]
-	return build, sole, known.current(o.fleet.View(), time.Now())
+	now := time.Now()
+	current = !known.behind && mangomodel.Elapsed(known.at, now) < mangoroster.AliveTimeout && known.current(o.fleet.View(), now)
+	return build, sole, current
 }
 
 // current reports whether no daemon in touch has a later list: it was read lately, or it is
@@ -163,15 +174,14 @@
 
 // awaitReady waits until the histories were read, and not longer than a start may take.
 func (o *Origins) awaitReady(ctx context.Context) {
-	select {
-	case <-o.ready:
+	unread := o.published.Load().unread
+	if unread == nil {
 		return
-	default:
 	}
 	timer := time.NewTimer(readyWait)
 	defer timer.Stop()
 	select {
-	case <-o.ready:
+	case <-unread:
 	case <-timer.C:
 	case <-ctx.Done():
 	}
--- a/core/mangoorigin/run.go
+++ b/core/mangoorigin/run.go
@@ -12,6 +12,7 @@
 	"mangolane/core/mangofleet"
 	"mangolane/core/mangomodel"
 	"mangolane/core/mangopanic"
+	"mangolane/core/mangoroster"
 	"mangolane/core/mangotraffic"
 )
 
@@ -43,6 +44,11 @@
 	others         int
 	// mixed are the services whose streams are saved.
 	mixed map[mangotraffic.ServiceName]bool
+	// unread is closed and set to nil once the histories of other daemons were read. It is
+	// set again when the daemon comes back after it was cut off, when it may have missed
+	// builds. cut is set until then.
+	unread chan struct{}
+	cut    bool
 	// era is the latest one of the store that this daemon has heard of, and start when the
 	// store's clock was zero.
 	era   mangotraffic.Era
@@ -55,13 +61,17 @@
 	lostAt  time.Time
 }
 
-// Run reads the histories and then saves what changes until ctx ends.
-func (o *Origins) Run(ctx context.Context) {
-	c := &controller{
+func newController(o *Origins) *controller {
+	return &controller{
 		Origins: o, histories: make(map[mangotraffic.ServiceName]*mangobuilds.History),
 		windows: make(map[mangotraffic.ServiceName]time.Duration), mixed: make(map[mangotraffic.ServiceName]bool),
-		results: make(chan func(time.Time)), sweep: sweeper{needed: true},
+		results: make(chan func(time.Time)), sweep: sweeper{needed: true}, unread: o.published.Load().unread,
 	}
+}
+
+// Run reads the histories and then saves what changes until ctx ends.
+func (o *Origins) Run(ctx context.Context) {
+	c := newController(o)
 	ticker := time.NewTicker(viewInterval)
 	defer ticker.Stop()
 	for {
@@ -168,6 +178,7 @@
 	}
 	changed := false
 	if now.Sub(c.scanned) >= viewInterval/2 {
+		c.watchCut(v, now)
 		c.scanned = now
 		changed = c.scan(v, now)
 	}
@@ -179,6 +190,22 @@
 	}
 }
 
+// watchCut has the histories read again after the daemon was cut off, or its process stood
+// still. Until then it names no sole build.
+func (c *controller) watchCut(v *mangofleet.View, now time.Time) {
+	known := snapshot{others: c.others}
+	if !known.current(v, now) || !c.scanned.IsZero() && mangomodel.Elapsed(c.scanned, now) > mangoroster.AliveTimeout {
+		c.cut = true
+	}
+	if c.cut && c.builds.read && !v.Stale(now) {
+		c.cut = false
+		if c.unread == nil {
+			c.unread = make(chan struct{})
+		}
+		c.builds.due = now
+	}
+}
+
 // scan records the builds that are listed, and reports whether they have changed.
 func (c *controller) scan(v *mangofleet.View, now time.Time) bool {
 	if !v.Stale(now) {
@@ -253,7 +280,8 @@
 // publish publishes which services have a sole build, and has the streams of the others
 // saved.
 func (c *controller) publish(now time.Time) {
-	next := &snapshot{sole: make(map[mangotraffic.ServiceName]mangomodel.Build), others: c.others}
+	next := &snapshot{sole: make(map[mangotraffic.ServiceName]mangomodel.Build), others: c.others, at: now, unread: c.unread}
+	next.behind = c.builds.read && (c.cut || c.unread != nil)
 	for service, h := range c.histories {
 		window := c.window(service)
 		build, sole := h.Sole(window, now)
--- a/core/mangoorigin/trouble_test.go
+++ b/core/mangoorigin/trouble_test.go
@@ -216,7 +216,7 @@
 		w.expectRefused(0, "x", "down", rowWait+latency)
 		w.expect(1, "x", "a")
 		w.daemons[0].cut.Store(false)
-		time.Sleep(time.Second)
+		w.daemons[0].send(w.ctx)
 		w.expect(0, "x", "a")
 		w.mu.Lock()
 		w.unlisted = true
@@ -227,6 +227,54 @@
 	})
 }
 
+// TestBuildDuringACutIsNotMissed guards against a stream that continues at another build,
+// since the one that began it was there only while this daemon was cut off.
+func TestBuildDuringACutIsNotMissed(t *testing.T) {
+	withWorld(t, func(w *world) {
+		w.serve("a")
+		w.start(4, WithFirstStart(true))
+		time.Sleep(5 * time.Second)
+		w.daemons[0].cut.Store(true)
+		time.Sleep(3 * time.Second)
+		w.serve("a", "b")
+		time.Sleep(3 * time.Second)
+		w.serve("a")
+		time.Sleep(3 * time.Second)
+		w.daemons[0].cut.Store(false)
+		w.daemons[0].send(w.ctx)
+		w.expectRefused(0, "x", "no record", 2*readyWait)
+		w.expectRefused(1, "x", "no record", rowWait+latency)
+		reads := w.table.count(&w.table.buildReads)
+		time.Sleep(10 * time.Second)
+		w.Expect(w.table.count(&w.table.buildReads)).To(gomega.Equal(reads), "the rows are read once")
+	})
+}
+
+// TestFrozenDaemonNamesNoSoleBuild guards against a stream that continues at another build,
+// since the one that began it was there only while this daemon's process stood still.
+func TestFrozenDaemonNamesNoSoleBuild(t *testing.T) {
+	withWorld(t, func(w *world) {
+		w.serve("a")
+		w.start(1, WithFirstStart(true))
+		o := w.daemons[0].origins
+		_, _, current := o.sole(llm)
+		w.Expect(current).To(gomega.BeTrue())
+		before := *o.published.Load()
+		before.at = before.at.Add(-3 * time.Second)
+		o.published.Store(&before)
+		_, _, current = o.sole(llm)
+		w.Expect(current).To(gomega.BeFalse(), "what is known was published before")
+
+		c := newController(o)
+		c.observe(time.Now())
+		c.builds.read, c.unread = true, nil
+		c.scanned = c.scanned.Add(-3 * time.Second)
+		c.observe(time.Now())
+		c.publish(time.Now())
+		w.Expect(o.published.Load().behind).To(gomega.BeTrue(), "the list was looked at before")
+	})
+}
+
 // TestOldRowsAreRemoved guards against rows that stay for ever, those of killed daemons too.
 func TestOldRowsAreRemoved(t *testing.T) {
 	for _, killed := range []bool{false, true} {
