No stream begins at a build before all daemons can know it

What callers would see: text of two builds over a client's tries (ORDER). Change: while servers of an earlier build are ready, those of a build that is listed for less than 1.5 s get no calls, but for streams that began there. The list of a daemon in touch is read again, or heard, within that time. Evidence: without it TestNewBuildGetsNoStreamsUntilAllKnowIt fails.

--- a/core/mangopool/backend.go
+++ b/core/mangopool/backend.go
@@ -29,6 +29,8 @@
 	// announced that; listedState is the entry's own.
 	server      mangotraffic.Server
 	listedState mangotraffic.State
+	// settled is set once all daemons in touch know the server's build.
+	settled bool
 	// runs are the leases whose call runs on the server; prefills are the leases
 	// whose prompt it computes.
 	runs     map[mangolease.ID]*lease
--- a/core/mangopool/backoff.go
+++ b/core/mangopool/backoff.go
@@ -47,6 +47,9 @@
 
 // mayUse reports whether a server may get a demand that it has room for.
 func (p *Pool) mayUse(b *backend, pending *mangolease.PendingDemand, now time.Time) bool {
+	if !pending.Demand.Bound && p.isNew(b, now) {
+		return false
+	}
 	return b.usable(now) && b.fits(&pending.Demand) && !slices.Contains(pending.Demand.Avoid, b.server.ID) &&
 		(p.backoffs.Empty() || p.backoffs.Open(b.server.Ref(), pending.Lease.Holder, now))
 }
--- a/core/mangopool/build.go
+++ b/core/mangopool/build.go
@@ -12,6 +12,54 @@
 // a stream whose engine fails continues at another one of its build.
 const minDecoders = 2
 
+// listSpread is by how much the lists of daemons in touch may differ in age.
+const listSpread = 1500 * time.Millisecond
+
+// serviceBuild identifies a build of a service.
+type serviceBuild struct {
+	service mangotraffic.ServiceName
+	build   mangomodel.Build
+}
+
+// isNew reports whether a server's build was listed so lately that other daemons may not
+// know it, while servers of an earlier build are ready. Such a daemon would resume a stream
+// that began there at the earlier build.
+func (p *Pool) isNew(b *backend, now time.Time) bool {
+	if b.settled || b.server.Stage == mangotraffic.StagePrefill {
+		return false
+	}
+	if b.settled = p.knownFor(b, now) >= listSpread; b.settled {
+		return false
+	}
+	for _, other := range p.members(group{b.server.Service, b.server.Stage}) {
+		if other.server.State == mangotraffic.StateReady && p.knownFor(other, now) >= listSpread {
+			return true
+		}
+	}
+	return false
+}
+
+// knownFor returns for how long a server's build has been considered in its service.
+func (p *Pool) knownFor(b *backend, now time.Time) time.Duration {
+	key := serviceBuild{b.server.Service, b.server.Build}
+	since, ok := p.builds[key]
+	if !ok {
+		since = now
+		p.builds[key] = since
+	}
+	return now.Sub(since)
+}
+
+// forgetBuild forgets a build of which no server is listed any more.
+func (p *Pool) forgetBuild(gone *mangotraffic.Server) {
+	for _, b := range p.backends {
+		if b.server.Service == gone.Service && b.server.Build == gone.Build {
+			return
+		}
+	}
+	delete(p.builds, serviceBuild{gone.Service, gone.Build})
+}
+
 // fits reports whether a server has the build that a demand is bound to. Any server may
 // compute the KV cache: the events come from the one that generates them.
 func (b *backend) fits(d *mangolease.Demand) bool {
--- a/core/mangopool/build_test.go
+++ b/core/mangopool/build_test.go
@@ -229,3 +229,53 @@
 		p.now = p.now.Add(orderInterval)
 	}
 }
+
+// TestNewBuildGetsNoStreamsUntilAllKnowIt guards against a stream that begins at a build that
+// another daemon's list lacks, which would resume it at the earlier one.
+func TestNewBuildGetsNoStreamsUntilAllKnowIt(t *testing.T) {
+	old, fresh := buildServer{"d1", decoding, "v1"}, buildServer{"d2", decoding, "v2"}
+	prefill := buildServer{"p1", prefilling, "v1"}
+	number := 0
+	granted := func(p *buildPool, d mangolease.Demand) mangomodel.ServerID {
+		number++
+		pending := p.pending(number, d)
+		if !p.Grant(pending, p.now) {
+			return ""
+		}
+		l, _ := p.Granted().Get(pending.Lease)
+		p.Release(pending.Lease, p.now)
+		return l.Server.ID
+	}
+	later := func(p *buildPool, d time.Duration) { p.now = p.now.Add(d) }
+
+	p := newBuildPool(t, old, prefill)
+	p.Expect(granted(p, benchDemand())).To(gomega.BeEquivalentTo("d1"))
+	later(p, listSpread)
+	p.put(fresh)
+	for range 8 {
+		p.Expect(granted(p, benchDemand())).To(gomega.BeEquivalentTo("d1"))
+	}
+	p.Expect(granted(p, bound("v2"))).To(gomega.BeEquivalentTo("d2"), "its stream began there")
+	p.leave(old)
+	p.Expect(granted(p, benchDemand())).To(gomega.BeEquivalentTo("d2"), "there is no other one")
+	p.put(old)
+	later(p, listSpread)
+	var used []mangomodel.ServerID
+	for range 8 {
+		used = append(used, granted(p, benchDemand()))
+	}
+	p.Expect(used).To(gomega.ContainElement(mangomodel.ServerID("d2")))
+
+	p.RemoveServer("d2", 0, p.now)
+	p.put(fresh)
+	for range 8 {
+		p.Expect(granted(p, benchDemand())).To(gomega.BeEquivalentTo("d1"), "the build is back")
+	}
+
+	p = newBuildPool(t, old, fresh, prefill)
+	used = nil
+	for range 8 {
+		used = append(used, granted(p, benchDemand()))
+	}
+	p.Expect(used).To(gomega.ContainElement(mangomodel.ServerID("d2")), "a scheduler that starts knows of no order")
+}
--- a/core/mangopool/explain.go
+++ b/core/mangopool/explain.go
@@ -16,7 +16,8 @@
 
 // String returns the counts as text for the log. "Set aside" counts the servers
 // that are not leaving and get no new work for now: they are ejected, had no room
-// within the last [FullBackoff], or were ordered to change stage. "Backing off" counts
+// within the last [FullBackoff], were ordered to change stage, or are the first of their
+// build and were listed just now. "Backing off" counts
 // those that have asked the demand's daemon for time, and "of another build" those at
 // which the stream of the demand cannot continue.
 func (x shortage) String() string {
@@ -41,7 +42,7 @@
 			x.leaving++
 		case !b.fits(&pending.Demand):
 			x.otherBuild++
-		case !b.usable(now):
+		case !b.usable(now), !pending.Demand.Bound && p.isNew(b, now):
 			x.unusable++
 		case !p.backoffs.Open(b.server.Ref(), pending.Lease.Holder, now):
 			x.backoff++
--- a/core/mangopool/list.go
+++ b/core/mangopool/list.go
@@ -19,10 +19,13 @@
 		p.backends[server.ID] = b
 		p.attach(server.ID)
 	case !b.server.SameIncarnation(&server):
+		earlier := b.server
 		b = newBackend(server)
 		p.backends[server.ID] = b
+		p.forgetBuild(&earlier)
 		p.forgetLoad(server.ID)
 	default:
+		b.settled = b.settled && b.server.Build == server.Build
 		if b.server.Stage != server.Stage {
 			b.orderedUntil = time.Time{}
 		}
@@ -90,7 +93,9 @@
 }
 
 func (p *Pool) remove(id mangomodel.ServerID, now time.Time) {
+	gone := p.backends[id].server
 	delete(p.backends, id)
+	p.forgetBuild(&gone)
 	p.forgetLoad(id)
 	p.withdrawals.Unlisted(id, now)
 	p.changed, p.groups = true, nil
--- a/core/mangopool/pool.go
+++ b/core/mangopool/pool.go
@@ -38,7 +38,9 @@
 	stats    map[mangotraffic.ServiceName]*serviceStats
 	// groups indexes the backends by service and stage; nil after a change of
 	// the list.
-	groups      map[group][]*backend
+	groups map[group][]*backend
+	// builds holds since when the builds of services have been considered.
+	builds      map[serviceBuild]time.Time
 	withdrawals *mangoleaving.Withdrawals
 	backoffs    *mangobackoff.Board
 	// loads estimates the loads of plain servers; nil if they are counted.
@@ -60,6 +62,7 @@
 		self: self, regions: regions,
 		backends: make(map[mangomodel.ServerID]*backend),
 		leases:   make(map[mangolease.ID]*lease),
+		builds:   make(map[serviceBuild]time.Time),
 		stats:    make(map[mangotraffic.ServiceName]*serviceStats),
 		meters:   make(map[mangotraffic.ServiceName][]*mangoload.Meter),
 		changed:  true,
