--- a/mangostand/mangoworker/doc.go
+++ b/mangostand/mangoworker/doc.go
@@ -5,8 +5,9 @@
 //
 // The request's id and body determine the response, so that any caller can check
 // that a response is complete and belongs to its request: see [ExpectedBody] and
-// [ExpectedStream]. A request may ask for the length and the speed of its stream: see
-// [Pace].
+// [ExpectedStream]. Each event of a stream names the build of the server that wrote it:
+// see [ParseEvents] and [Worker.SetBuild]. A request may ask for the length and the speed
+// of its stream: see [Pace].
 //
 // A server can be given faults, which can be combined: see [Faults], [Worker.Silence], [Worker.Freeze],
 // [Worker.AnnounceLeaving] and [Worker.RefuseFor].
--- a/mangostand/mangoworker/response.go
+++ b/mangostand/mangoworker/response.go
@@ -3,11 +3,14 @@
 import (
 	"fmt"
 	"net/http"
+	"regexp"
 	"strconv"
 	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"mangolane/core/mangomodel"
 )
 
 // ExpectedBody returns the response body of a plain service to a request.
@@ -15,8 +18,8 @@
 	return fmt.Sprintf("%s %x", id, xxhash.Sum64(body))
 }
 
-// ExpectedStream returns all events of a request's stream.
-func ExpectedStream(id string) string { return Pace{}.ExpectedStream(id) }
+// ExpectedStream returns all events of a request's stream at a server of [DefaultBuild].
+func ExpectedStream(id string) string { return Pace{}.ExpectedStream(id, 0, DefaultBuild) }
 
 // Pace asks a server for the length and the speed of a stream. A zero field leaves
 // the choice to the server.
@@ -54,20 +57,54 @@
 	return p
 }
 
-// ExpectedStream returns all events of a request's stream at this pace.
-func (p Pace) ExpectedStream(id string) string {
-	length := p.Events
-	if length == 0 {
-		length = streamLength(id)
-	}
+// ExpectedStream returns the events after one of a request's stream at this pace, written
+// by a server of a build.
+func (p Pace) ExpectedStream(id string, after int, build mangomodel.Build) string {
 	var b strings.Builder
-	for n := 1; n <= length; n++ {
-		b.WriteString(event(id, n))
+	for n := after + 1; n <= p.Length(id); n++ {
+		b.WriteString(Event{Number: n, Request: id, Build: build}.String())
 	}
 	return b.String()
 }
 
-func event(id string, n int) string { return fmt.Sprintf("id: %d\ndata: %s.%d\n\n", n, id, n) }
+// Length returns the number of events of a request's stream at this pace.
+func (p Pace) Length(id string) int {
+	if p.Events > 0 {
+		return p.Events
+	}
+	return streamLength(id)
+}
+
+// Event is an event of a stream.
+type Event struct {
+	Number  int
+	Request string
+	// Build is the build of the server that wrote the event.
+	Build mangomodel.Build
+}
+
+// String returns the event as it is sent.
+func (e Event) String() string {
+	return fmt.Sprintf("id: %d\ndata: %s.%d %s\n\n", e.Number, e.Request, e.Number, e.Build)
+}
+
+var eventPattern = regexp.MustCompile(`^id: (\d+)\ndata: ([^\s.]+)\.\d+ (\S+)\n\n`)
+
+// ParseEvents returns the whole events at the beginning of a text, and the rest of it.
+func ParseEvents(text string) (events []Event, rest string) {
+	for {
+		m := eventPattern.FindStringSubmatch(text)
+		if m == nil {
+			return events, text
+		}
+		n, err := strconv.Atoi(m[1])
+		e := Event{Number: n, Request: m[2], Build: mangomodel.Build(m[3])}
+		if err != nil || m[0] != e.String() {
+			return events, text
+		}
+		events, text = append(events, e), text[len(m[0]):]
+	}
+}
 
 // streamLength returns the number of events of a request's stream.
 func streamLength(id string) int {
--- a/mangostand/mangoworker/worker.go
+++ b/mangostand/mangoworker/worker.go
@@ -1,6 +1,7 @@
 package mangoworker
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -64,8 +65,13 @@
 	Stage string
 	Zone  string
 	Slots int
+	// Build is the build of the first start. Empty means [DefaultBuild].
+	Build mangomodel.Build
 }
 
+// DefaultBuild is the build of servers whose profile names none.
+const DefaultBuild mangomodel.Build = "v1"
+
 // Worker is an emulated backend server.
 type Worker struct {
 	Profile
@@ -80,13 +86,18 @@
 	address string
 	running int
 	server  *http.Server
-	// crashed and born belong to the last start.
+	// crashed, born and build belong to the last start.
 	crashed *atomic.Bool
 	born    time.Time
+	build   mangomodel.Build
+	// next is the build of the next start.
+	next mangomodel.Build
 }
 
 // New returns a server that has not started.
-func New(p Profile, r *Recorder) *Worker { return &Worker{Profile: p, recorder: r} }
+func New(p Profile, r *Recorder) *Worker {
+	return &Worker{Profile: p, recorder: r, next: cmp.Or(p.Build, DefaultBuild)}
+}
 
 // Start listens on an address. If it is empty, the server listens on the address
 // of the previous start.
@@ -102,7 +113,7 @@
 	server := &http.Server{Handler: w, ConnContext: withConn}
 	w.resetConduct()
 	w.mu.Lock()
-	w.address, w.server, w.crashed, w.born = l.Addr().String(), server, crashed, time.Now()
+	w.address, w.server, w.crashed, w.born, w.build = l.Addr().String(), server, crashed, time.Now(), w.next
 	w.mu.Unlock()
 	// Serve returns when Crash closes the server.
 	go func() {
@@ -118,6 +129,20 @@
 	return w.address
 }
 
+// SetBuild sets the build of the next starts.
+func (w *Worker) SetBuild(b mangomodel.Build) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.next = b
+}
+
+// RunningBuild returns the build of the last start.
+func (w *Worker) RunningBuild() mangomodel.Build {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.build
+}
+
 // Crash closes the server and resets all its connections.
 func (w *Worker) Crash() { w.end(true) }
 
@@ -136,13 +161,13 @@
 
 // entry is the JSON value of a server's row.
 type entry struct {
-	Service string `json:"service"`
-	Address string `json:"address"`
-	Zone    string `json:"zone"`
-	Version string `json:"version"`
-	Slots   int    `json:"slots"`
-	State   string `json:"state"`
-	Stage   string `json:"stage,omitempty"`
+	Service string           `json:"service"`
+	Address string           `json:"address"`
+	Zone    string           `json:"zone"`
+	Version mangomodel.Build `json:"version"`
+	Slots   int              `json:"slots"`
+	State   string           `json:"state"`
+	Stage   string           `json:"stage,omitempty"`
 	// Born is when the server was last started, in Unix milliseconds.
 	Born int64 `json:"born"`
 	// Sequence counts the heartbeats.
@@ -153,7 +178,7 @@
 // which callers reach it.
 func (w *Worker) Entry(state, address string) any {
 	return entry{
-		Service: w.Service, Address: address, Zone: w.Zone, Version: "v1", Slots: w.Slots, State: state, Stage: w.Stage,
+		Service: w.Service, Address: address, Zone: w.Zone, Version: w.RunningBuild(), Slots: w.Slots, State: state, Stage: w.Stage,
 		Born: w.startTime().UnixMilli(),
 	}
 }
@@ -351,14 +376,14 @@
 	rw.Header().Set("Content-Type", "text/event-stream")
 	// Without a valid field, the stream begins with its first event.
 	after, _ := strconv.Atoi(r.Header.Get(fieldAfter))
-	pace := paceOf(r.Header, id)
+	pace, build := paceOf(r.Header, id), w.RunningBuild()
 	last := pace.Events
 	middle := after + (last-after)/2
 	for n := after + 1; n <= last; n++ {
 		if !pause(r.Context(), pace.Gap) {
 			return
 		}
-		text := event(id, n)
+		text := Event{Number: n, Request: id, Build: build}.String()
 		within := n == middle && faults.CutWithin.includes(w.ID, id, "within")
 		if within {
 			text = text[:len(text)/2]
