An entry of an earlier incarnation replaces no later one for a time

Callers saw calls sent to a process that was gone, and a stream could continue at its build, after an entry of the server's earlier incarnation was written late or replayed after a drill.

Cause: only the first list of an era was compared with the incarnations in use. A change of the feed, and any further whole list, replaced a later incarnation by an earlier one.

Change: such an entry is deferred wherever it comes from, as that of an older copy is. The later incarnation stays in use until its entry is removed, or the earlier one has stood for ConfirmTime without being replaced; writes of the earlier one do not prolong that. A start more than a minute ahead of this daemon's clock keeps nothing out. The list for another daemon names the later incarnation only.

Evidence: TestEarlierIncarnationReplacesNoLaterOne, TestDaemonIsToldOfTheLaterIncarnationOnly and TestEarlierIncarnationIsKeptOutForABoundedTime fail with the previous list.go and pass now; tests of mangofleet, mangodeparture, mangobroker and mangogateway pass. TestEstimatedLoadOfChangingHosts in mangopool, known red, fails.

--- a/core/mangodeparture/departure.go
+++ b/core/mangodeparture/departure.go
@@ -6,7 +6,7 @@
 // use. One whose entry was removed may have lost it while it was cut off, and may live: its
 // entry is deferred until it is written again, or until the store has had the time to remove
 // the entry of a server that is gone. So is an entry of an earlier incarnation of a server
-// that has restarted since the copy.
+// that has restarted since the copy, and one that arrives late.
 //
 // # Usage
 //
@@ -147,10 +147,14 @@
 	}
 }
 
-// Supersede defers an entry of an earlier incarnation than the one in use.
-func (d *Departures) Supersede(server *mangotraffic.Server, now time.Time) {
+// Supersede defers an entry of an earlier incarnation than the one in use until a time. An
+// entry of that incarnation that is deferred already is not deferred for longer.
+func (d *Departures) Supersede(server *mangotraffic.Server, until, now time.Time) {
+	if x, ok := d.deferred[server.ID]; ok && x.server.SameIncarnation(server) {
+		until = x.until
+	}
 	d.Left(server, now)
-	d.deferred[server.ID] = deferral{*server, d.until}
+	d.deferred[server.ID] = deferral{*server, until}
 }
 
 // Defers reports whether an entry of a server is deferred.
--- a/core/mangofleet/fleet.go
+++ b/core/mangofleet/fleet.go
@@ -62,8 +62,8 @@
 	ListIgnored(cmd ChangeServers, reached mangotraffic.Cursor)
 	// StoreRestored is called with the first list of an era, after one of an earlier era.
 	StoreRestored(from, to mangotraffic.Cursor)
-	// EntryDeferred is called for an entry in that list that is not used for some time, since
-	// it had been removed before.
+	// EntryDeferred is called for an entry that is not used for some time, since that list
+	// has it although it had been removed before, or a later incarnation is in use.
 	EntryDeferred(server mangotraffic.ServerRef, d time.Duration)
 	// HealthChanged is called when a server is ejected or becomes usable again.
 	HealthChanged(server mangotraffic.Server, r mangohealth.Record, now time.Time)
--- a/core/mangofleet/list.go
+++ b/core/mangofleet/list.go
@@ -184,6 +184,10 @@
 		s.pool.RemoveServer(change.ID, change.Grace, now)
 		return
 	}
+	if s.isSuperseded(change.Server, now) {
+		s.supersede(change.Server, mangodeparture.ConfirmTime, now)
+		return
+	}
 	s.departures.Written(change.ID)
 	s.pool.PutServer(*change.Server)
 }
@@ -223,8 +227,8 @@
 
 // List returns the command that replaces another daemon's list by this daemon's.
 // Servers whose grace period runs are left out: they reappear or are removed soon. Entries
-// that are deferred are not: the other daemon defers them too, since it is told which servers
-// have left.
+// that are deferred are not, unless a later incarnation is listed: the other daemon defers
+// them too, since it is told which servers have left.
 func (v *View) List(now time.Time) ChangeServers {
 	cmd := ChangeServers{
 		Full: true, Cursor: v.ListCursor, Age: now.Sub(v.ListRead), Copy: v.restored.copy, CopyAge: v.restored.age(now),
@@ -237,6 +241,9 @@
 		cmd.Changes = append(cmd.Changes, mangotraffic.ServerChange{ID: id, Server: &server})
 	}
 	for _, server := range v.deferred {
+		if _, ok := v.Listed[server.ID]; ok && !v.expired[server.ID] {
+			continue
+		}
 		cmd.Changes = append(cmd.Changes, mangotraffic.ServerChange{ID: server.ID, Server: &server})
 	}
 	return cmd
--- a/core/mangofleet/restore.go
+++ b/core/mangofleet/restore.go
@@ -26,7 +26,26 @@
 	if len(deferred) == 0 {
 		return c.Changes
 	}
-	return slices.DeleteFunc(slices.Clone(c.Changes), func(c mangotraffic.ServerChange) bool { return deferred[c.ID] })
+	return slices.DeleteFunc(slices.Clone(c.Changes), func(c mangotraffic.ServerChange) bool {
+		return deferred[c.ID] && !s.isSuperseded(c.Server, now)
+	})
+}
+
+// maxClockOffset is by how much the clocks of hosts may differ.
+const maxClockOffset = time.Minute
+
+// isSuperseded reports whether an entry is of an earlier incarnation than the one in use. A
+// start that lies in the future is not that of a server, and does not keep others out.
+func (s *state) isSuperseded(server *mangotraffic.Server, now time.Time) bool {
+	last, ok := s.pool.Server(server.ID)
+	return ok && last.Born.After(server.Born) && last.Born.Before(now.Add(maxClockOffset))
+}
+
+// supersede defers an entry of an earlier incarnation than the one in use. It is used if it
+// is neither replaced nor removed in a time.
+func (s *state) supersede(server *mangotraffic.Server, d time.Duration, now time.Time) {
+	s.departures.Supersede(server, now.Add(d), now)
+	s.observer.EntryDeferred(server.Ref(), d)
 }
 
 // judged returns the entries of an older copy that are used at once.
@@ -38,9 +57,8 @@
 		if c.Server == nil {
 			return false
 		}
-		if last, ok := s.pool.Server(c.ID); ok && last.Born.After(c.Server.Born) {
-			s.departures.Supersede(c.Server, now)
-			s.observer.EntryDeferred(c.Server.Ref(), s.confirmTime(now))
+		if s.isSuperseded(c.Server, now) {
+			s.supersede(c.Server, s.confirmTime(now), now)
 			return true
 		}
 		return s.isDeferred(c.Server, now)
--- a/mangolaned/mangogateway/observe.go
+++ b/mangolaned/mangogateway/observe.go
@@ -241,7 +241,7 @@
 	o.logger.Warn("platform restored from an older copy", zap.Stringer("Reached", from), zap.Stringer("Cursor", to))
 }
 
-// EntryDeferred logs and counts an entry of that copy that is not used for some time.
+// EntryDeferred logs and counts an entry that is not used for some time.
 func (o observer) EntryDeferred(server mangotraffic.ServerRef, d time.Duration) {
 	o.metrics.count("Servers.Deferred", 1)
 	o.logger.Info("server deferred", zap.String("Server", string(server.ID)), zap.Time("Born", server.Born), zap.Duration("For", d))
