An entry rewritten with another build makes its streams ambiguous

Callers could get events of two builds in one answer: the entry of a server was rewritten with another build and the same start, and a stream that it had begun meanwhile continued at the build that was listed before.

Cause: the relay took another build for that of the events only if the listed incarnation was later than the leased one. Entries that state no start are all of the same one.

Change: any entry that is not of an earlier incarnation counts.

Entries without a version or a start still name servers.

Evidence: TestStreamOfARestartedServerContinuesNowhere, now also played with an equal start, fails without the change (the call ends without a fault); the tests of mangorelay pass under the race detector.

--- a/core/mangorelay/build.go
+++ b/core/mangorelay/build.go
@@ -69,8 +69,8 @@
 		j.origin.build.Store(&server.Build)
 		j.begin(server.Build)
 	}
-	// A server that was listed again with another build has restarted, and either
-	// incarnation may have sent the event.
+	// A server that was listed again with another build has restarted, and either build
+	// may have sent the event.
 	listed := j.listedBuild(server)
 	if listed == server.Build || j.origin.ambiguous.Load() {
 		return nil
@@ -105,10 +105,11 @@
 		"its build %q did not begin the stream", current.Build)
 }
 
-// listedBuild returns the build of a server, or that of a later incarnation in the list.
+// listedBuild returns the build that the list names for a server, unless the entry is that
+// of an earlier incarnation.
 func (j *job) listedBuild(server mangotraffic.Server) mangomodel.Build {
 	listed, ok := j.relay.fleet.View().Listed[server.ID]
-	if ok && listed.Ref().After(server.Ref()) {
+	if ok && !listed.Born.Before(server.Born) {
 		return listed.Build
 	}
 	return server.Build
--- a/core/mangorelay/build_test.go
+++ b/core/mangorelay/build_test.go
@@ -157,12 +157,16 @@
 // TestStreamOfARestartedServerContinuesNowhere guards against a continuation at the build
 // that the list had named: the server had restarted with another one before the first event.
 func TestStreamOfARestartedServerContinuesNowhere(t *testing.T) {
-	for _, after := range []time.Duration{50 * time.Millisecond, 120 * time.Millisecond} {
+	for _, test := range []struct{ after, born time.Duration }{
+		{50 * time.Millisecond, time.Second}, {120 * time.Millisecond, time.Second},
+		// Another writer may have changed the entry without a later start.
+		{50 * time.Millisecond, 0}, {120 * time.Millisecond, 0},
+	} {
 		withBuilds(t, "v1", "v1", func(h *harness, o *recordedOrigins) {
 			h.servers.runs["d1"] = []step{{events: events(1, 3), responseDelay: 100 * time.Millisecond, aborted: true}}
 			h.servers.runs["d2"] = []step{{events: events(4, 4)}}
-			time.AfterFunc(after, func() {
-				h.listBuilds(3, map[mangomodel.ServerID]mangomodel.Build{"d1": "v2"}, time.Second)
+			time.AfterFunc(test.after, func() {
+				h.listBuilds(3, map[mangomodel.ServerID]mangomodel.Build{"d1": "v2"}, test.born)
 			})
 			h.Expect(h.serve().Code).To(gomega.Equal(mangomodel.CodeCannotResume))
 			h.Expect(h.client.body).To(gomega.Equal("123"))
