The build of a rewritten entry is forgotten with its last server

Streams could begin at a build that other daemons did not know yet: a build whose last server was listed with another one and the same start counted as known from then on, also when it came back later.

Cause: builds were forgotten when a server left or restarted, but not when its entry was rewritten.

Evidence: TestBuildOfARewrittenEntryIsForgotten fails without the change; the tests of builds in mangopool pass.

--- a/core/mangopool/build_test.go
+++ b/core/mangopool/build_test.go
@@ -114,6 +114,17 @@
 	p.Expect(lacks(bound("v2"))).To(gomega.BeTrue())
 }
 
+// TestBuildOfARewrittenEntryIsForgotten guards against a build that counts as known to all
+// daemons when it comes back, since its last server was listed with another one.
+func TestBuildOfARewrittenEntryIsForgotten(t *testing.T) {
+	p := newBuildPool(t, buildServer{"d1", decoding, "v1"}, buildServer{"d2", decoding, "v1"})
+	p.Expect(p.isNew(p.backends["d1"], p.now)).To(gomega.BeFalse())
+	p.put(buildServer{"d1", decoding, "v2"}, buildServer{"d2", decoding, "v2"})
+	p.Expect(p.isNew(p.backends["d2"], p.now.Add(listSpread))).To(gomega.BeFalse())
+	p.put(buildServer{"d1", decoding, "v1"})
+	p.Expect(p.isNew(p.backends["d1"], p.now.Add(2*listSpread))).To(gomega.BeTrue())
+}
+
 func TestProspectDependsOnTheBuild(t *testing.T) {
 	d1 := buildServer{"d1", decoding, "v1"}
 	p := newBuildPool(t, d1, buildServer{"d2", decoding, "v2"}, buildServer{"p1", prefilling, "v2"})
--- a/core/mangopool/list.go
+++ b/core/mangopool/list.go
@@ -29,8 +29,12 @@
 		if b.server.Stage != server.Stage {
 			b.orderedUntil = time.Time{}
 		}
+		earlier := b.server
 		b.server = server
 		b.removeAt = time.Time{}
+		if earlier.Build != server.Build {
+			p.forgetBuild(&earlier)
+		}
 	}
 	b.listedState = server.State
 	p.withdrawals.Listed(server.Ref())
