A broken stream asks its server whether it had restarted before

Callers could get events of two builds in one answer: a server had restarted under its id with another build, a stream began there and broke off before the list named the restart, and it continued at the build listed before.

Cause: the relay knew a server's incarnation from the list only. The start that load reports state was used only for responses without a length.

Change: before a stream continues at another server, the one that began it is asked for a load report, once and for at most 100 ms. If that states another start than the list, the stream continues nowhere, and the origins are told that its build is not known (Doubt), so that a client cannot take it up either. A server that does not reply, states no start or has asked for time counts as the listed one. Streams that do not break cause no query.

Not covered: a stream that its client takes up after the daemon itself has gone; and a doubted stream at another daemon while one build alone is listed there.

Evidence: TestStreamOfARestartNotListedYetContinuesNowhere fails without the query; TestDoubtedStreamIsRefused; the tests of mangorelay and mangoorigin pass under the race detector.

--- a/core/mangoorigin/memory.go
+++ b/core/mangoorigin/memory.go
@@ -87,6 +87,26 @@
 	return m.enqueue(&m.queue, id, o)
 }
 
+// doubt records that the build at which a stream began is not known. It reports whether a
+// stream waits to be saved that did not before.
+func (m *memory) doubt(id mangotraffic.StreamID, now time.Time) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if id.Request == "" {
+		return false
+	}
+	o, ok := m.streams.Get(id)
+	if !ok {
+		o = &origin{}
+		m.streams.Add(id, o)
+	}
+	o.at = now
+	if !o.ambiguous {
+		o.ambiguous, o.saved = true, time.Time{}
+	}
+	return m.enqueue(&m.queue, id, o)
+}
+
 // enqueue adds a stream to a queue if it has to be saved, and reports whether it has added it.
 func (m *memory) enqueue(queue *[]mangotraffic.StreamID, id mangotraffic.StreamID, o *origin) bool {
 	if o.queued || !o.saved.IsZero() || !m.mixed[id.Service] {
--- a/core/mangoorigin/origin.go
+++ b/core/mangoorigin/origin.go
@@ -89,6 +89,14 @@
 	}
 }
 
+// Doubt records that the build at which a stream began is not known after all. It does not
+// wait.
+func (o *Origins) Doubt(stream mangotraffic.StreamID) {
+	if o.memory.doubt(stream, time.Now()) {
+		signal(o.wake)
+	}
+}
+
 // Reasons why a stream cannot continue.
 var (
 	errAmbiguous = errors.New("its first event came from a server that restarted with another build meanwhile")
--- a/core/mangoorigin/origin_test.go
+++ b/core/mangoorigin/origin_test.go
@@ -148,3 +148,28 @@
 		w.expectRefused(0, "x", "restarted", time.Second)
 	})
 }
+
+// TestDoubtedStreamIsRefused guards against a stream that continues at the build that was
+// listed for its server, although the server had restarted before the stream.
+func TestDoubtedStreamIsRefused(t *testing.T) {
+	const reason = "restarted with another build"
+	withWorld(t, func(w *world) {
+		w.serve("a")
+		w.start(2, WithFirstStart(true))
+		w.begin(0, "x", "a")
+		w.begin(0, "sound", "a")
+		w.daemons[0].origins.Doubt(mangotraffic.StreamID{Service: llm, Request: "x"})
+		w.expectRefused(0, "x", reason, 0)
+		w.serve("a", "b")
+		time.Sleep(time.Second)
+		w.begin(0, "y", "a")
+		time.Sleep(time.Second)
+		w.daemons[0].origins.Doubt(mangotraffic.StreamID{Service: llm, Request: "y"})
+		time.Sleep(time.Second)
+		w.killAll()
+		w.start(1)
+		w.expectRefused(0, "x", reason, rowWait+latency)
+		w.expectRefused(0, "y", reason, rowWait+latency)
+		w.expect(0, "sound", "a")
+	})
+}
--- a/core/mangorelay/build.go
+++ b/core/mangorelay/build.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"sync/atomic"
+	"time"
 
+	"mangolane/core/mangoending"
 	"mangolane/core/mangolease"
 	"mangolane/core/mangomodel"
 	"mangolane/core/mangotraffic"
@@ -16,8 +18,14 @@
 	build atomic.Pointer[mangomodel.Build]
 	// ambiguous is set if the events may be of another build.
 	ambiguous atomic.Bool
+	// server is the one that began the stream in this call, until it was asked whether it
+	// had restarted; nil if there is none. Only the goroutine of the call uses it.
+	server *mangotraffic.Server
 }
 
+// restartTimeout bounds the wait of a broken stream for the server that began it.
+const restartTimeout = 100 * time.Millisecond
+
 // check returns a fault if the stream cannot continue.
 func (o *origin) check() error {
 	if !o.ambiguous.Load() {
@@ -67,6 +75,7 @@
 func (j *job) checkEvent(server mangotraffic.Server, begins bool) error {
 	if j.origin.build.Load() == nil {
 		j.origin.build.Store(&server.Build)
+		j.origin.server = &server
 		j.begin(server.Build)
 	}
 	// A server that was listed again with another build has restarted, and either build
@@ -92,6 +101,28 @@
 	}
 }
 
+// detectRestart asks the server that began a stream, before the stream continues elsewhere,
+// whether it is another incarnation than the listed one: it may have restarted with another
+// build before the stream, and not be listed with it yet. One that does not reply in time
+// counts as the listed one.
+func (j *job) detectRestart(ctx context.Context) {
+	server := j.origin.server
+	if server == nil || j.origin.ambiguous.Load() {
+		return
+	}
+	j.origin.server = nil
+	ctx, cancel := context.WithTimeout(ctx, restartTimeout)
+	defer cancel()
+	report, err := responders{j.relay}.Report(ctx, *server)
+	if err != nil || mangoending.Weigh(*server, report, nil) != mangoending.EvidenceEnded {
+		return
+	}
+	j.origin.ambiguous.Store(true)
+	if j.relay.origins != nil {
+		j.relay.origins.Doubt(j.stream())
+	}
+}
+
 // checkBuild returns a fault if the events of a leased server may not follow those that
 // the client has. The server may have restarted with another build since it was leased.
 func (j *job) checkBuild(server mangotraffic.Server) error {
--- a/core/mangorelay/build_test.go
+++ b/core/mangorelay/build_test.go
@@ -16,13 +16,19 @@
 type recordedOrigins struct {
 	known map[mangomodel.RequestID]mangomodel.Build
 	begun map[mangomodel.RequestID][]mangomodel.Build
-	asked []mangotraffic.StreamID
+	// doubted are the streams whose build is not known after all.
+	doubted []mangomodel.RequestID
+	asked   []mangotraffic.StreamID
 }
 
 func (o *recordedOrigins) Begin(stream mangotraffic.StreamID, build mangomodel.Build) {
 	o.begun[stream.Request] = append(o.begun[stream.Request], build)
 }
 
+func (o *recordedOrigins) Doubt(stream mangotraffic.StreamID) {
+	o.doubted = append(o.doubted, stream.Request)
+}
+
 func (o *recordedOrigins) Origin(_ context.Context, stream mangotraffic.StreamID) (mangomodel.Build, error) {
 	o.asked = append(o.asked, stream)
 	build, ok := o.known[stream.Request]
@@ -175,6 +181,51 @@
 	}
 }
 
+// TestStreamOfARestartNotListedYetContinuesNowhere guards against a continuation at the listed
+// build of a server that had restarted with another one, of which the list says so later.
+func TestStreamOfARestartNotListedYetContinuesNowhere(t *testing.T) {
+	listed, restarted := time.UnixMilli(1000), time.UnixMilli(2000)
+	tests := []struct {
+		name string
+		// born is when d1 says that it started; silent is for how long it does not reply.
+		born    time.Time
+		silent  time.Duration
+		backoff time.Duration
+		body    string
+		asked   int
+	}{
+		{"restarted", restarted, 0, 0, "123", 1},
+		{"not restarted", listed, 0, 0, "1234", 1},
+		{"start not stated", time.Time{}, 0, 0, "1234", 1},
+		{"no reply", restarted, time.Minute, 0, "1234", 1},
+		{"asked for time", restarted, 0, time.Minute, "1234", 0},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			withBuilds(t, "v1", "v1", func(h *harness, o *recordedOrigins) {
+				d1 := h.fleet.View().Listed["d1"]
+				d1.Born = listed
+				cmd := mangofleet.ChangeServers{Cursor: mangotraffic.Cursor{Position: 3}, Changes: []mangotraffic.ServerChange{{ID: "d1", Server: &d1}}}
+				h.Expect(h.fleet.Do(context.Background(), cmd)).To(gomega.Succeed())
+				h.servers.announce, h.servers.born = h.announce, test.born
+				h.servers.silentUntil = map[mangomodel.ServerID]time.Time{"d1": time.Now().Add(test.silent)}
+				h.servers.runs["d1"] = []step{{events: events(1, 3), aborted: true, backoff: test.backoff}}
+				h.servers.runs["d2"] = []step{{events: events(4, 4)}}
+				fault := h.serve()
+				h.Expect(h.client.body).To(gomega.Equal(test.body))
+				h.Expect(h.servers.reports).To(gomega.Equal(test.asked))
+				if test.body == "1234" {
+					h.Expect(fault).To(gomega.BeNil())
+					h.Expect(o.doubted).To(gomega.BeEmpty())
+					return
+				}
+				h.Expect(fault.Code).To(gomega.Equal(mangomodel.CodeCannotResume))
+				h.Expect(o.doubted).To(gomega.Equal([]mangomodel.RequestID{"r"}))
+			})
+		})
+	}
+}
+
 // TestContinuationAtARestartedServerIsNotSent guards against events of a server that is
 // found to have restarted with another build after it was asked to continue a stream.
 func TestContinuationAtARestartedServerIsNotSent(t *testing.T) {
--- a/core/mangorelay/port.go
+++ b/core/mangorelay/port.go
@@ -66,6 +66,8 @@
 	// Begin records that the first event of a stream came from a build. It does not wait.
 	// If it is called for two builds, that of the stream is not known.
 	Begin(stream mangotraffic.StreamID, build mangomodel.Build)
+	// Doubt records that the build at which a stream began is not known after all.
+	Doubt(stream mangotraffic.StreamID)
 	// Origin returns the build at which a stream began. It may wait for records that
 	// other daemons have written. The error is a fault with CodeCannotResume and RunNot
 	// if the build is not known.
--- a/core/mangorelay/stream.go
+++ b/core/mangorelay/stream.go
@@ -39,6 +39,9 @@
 	for {
 		err := j.attemptStream(ctx)
 		again := err != nil && ctx.Err() == nil && j.canRetry(err)
+		if again {
+			j.detectRestart(ctx)
+		}
 		j.settlePrefill(ctx, err, again)
 		if !again {
 			return err
