Commands and queries about departures are apart

Judge, Keep and Confirmed of a departure record changed it, and so did isDeferred, judged and withoutDeparted of the control state, which return values; withdrawServer reported what it had done. Judge and Confirmed now only read, and Defer, Retain and Written change. The control state judges a copy (judgeCopy, retainDeferred, execute) before it asks which entries are used (withoutDeferred). withdrawServer counts announcements itself.

The tests of mangodeparture call the command after the query and expect the same results as before.

--- a/core/mangodeparture/departure.go
+++ b/core/mangodeparture/departure.go
@@ -13,8 +13,12 @@
 //	d := mangodeparture.New()
 //	d.Left(server, now)
 //	d.Restored(now)
-//	switch d.Judge(entry, now) { ... } // for each entry of the older copy
-//	for _, server := range d.Confirmed(now) { ... } // when NextDue says so
+//	if d.Judge(entry, now) == mangodeparture.VerdictDefer { // for each entry of the older copy
+//		d.Defer(entry, now)
+//	}
+//	for _, server := range d.Confirmed(now) { // when NextDue says so
+//		d.Written(server.ID)
+//	}
 package mangodeparture
 
 //go:generate go run github.com/dmarkham/enumer@v1.7.2 -type=Verdict -trimprefix=Verdict -output=verdict_string.go
@@ -131,7 +135,7 @@
 	d.until = at.Add(ConfirmTime)
 }
 
-// Judge decides about an entry of an older copy, and keeps it if it is deferred.
+// Judge returns what becomes of an entry of an older copy.
 func (d *Departures) Judge(server *mangotraffic.Server, now time.Time) Verdict {
 	x, ok := d.left[server.ID]
 	switch {
@@ -140,10 +144,16 @@
 	case x.Leaving || server.State == mangotraffic.StateLeaving:
 		return VerdictWithdraw
 	default:
-		d.deferred[server.ID] = deferral{*server, d.until}
+		return VerdictDefer
+	}
+}
+
+// Defer defers an entry of an older copy. The departure of its server lasts from now.
+func (d *Departures) Defer(server *mangotraffic.Server, now time.Time) {
+	d.deferred[server.ID] = deferral{*server, d.until}
+	if x, ok := d.left[server.ID]; ok {
 		x.At = now
 		d.record(x)
-		return VerdictDefer
 	}
 }
 
@@ -163,18 +173,13 @@
 	return ok
 }
 
-// Keep drops the deferred entries that a whole list does not have, and reports for which
-// servers of the list there is one.
-func (d *Departures) Keep(listed map[mangomodel.ServerID]*mangotraffic.Server, now time.Time) map[mangomodel.ServerID]bool {
-	kept := make(map[mangomodel.ServerID]bool)
+// Retain drops the deferred entries that a whole list does not have.
+func (d *Departures) Retain(listed map[mangomodel.ServerID]*mangotraffic.Server, now time.Time) {
 	for id, x := range d.deferred {
-		if server := listed[id]; server != nil && !server.Ref().After(x.server.Ref()) {
-			kept[id] = true
-		} else {
+		if server := listed[id]; server == nil || server.Ref().After(x.server.Ref()) {
 			d.Removed(id, now)
 		}
 	}
-	return kept
 }
 
 // Deferred returns the deferred entries.
@@ -186,19 +191,19 @@
 	return list
 }
 
-// Confirmed removes and returns the entries that are deferred no longer.
+// Confirmed returns the entries that have been deferred for long enough. [Departures.Written]
+// removes them.
 func (d *Departures) Confirmed(now time.Time) []mangotraffic.Server {
 	var list []mangotraffic.Server
-	for id, x := range d.deferred {
+	for _, x := range d.deferred {
 		if !now.Before(x.until) {
 			list = append(list, x.server)
-			d.Written(id)
 		}
 	}
 	return list
 }
 
-// NextDue returns when Confirmed has to be called next; zero if nothing is deferred.
+// NextDue returns when Confirmed next returns an entry; zero if nothing is deferred.
 func (d *Departures) NextDue() time.Time {
 	var due time.Time
 	for _, x := range d.deferred {
--- a/core/mangodeparture/departure_test.go
+++ b/core/mangodeparture/departure_test.go
@@ -58,9 +58,9 @@
 		{"still listed", func(*Departures) {}, 1},
 		{"written", func(d *Departures) { d.Written("s") }, 0},
 		{"removed", func(d *Departures) { d.Removed("s", now) }, 0},
-		{"in a further list", func(d *Departures) { d.Keep(map[mangomodel.ServerID]*mangotraffic.Server{"s": entry}, now) }, 1},
-		{"not in a further list", func(d *Departures) { d.Keep(nil, now) }, 0},
-		{"later incarnation in a further list", func(d *Departures) { d.Keep(map[mangomodel.ServerID]*mangotraffic.Server{"s": later}, now) }, 0},
+		{"in a further list", func(d *Departures) { d.Retain(map[mangomodel.ServerID]*mangotraffic.Server{"s": entry}, now) }, 1},
+		{"not in a further list", func(d *Departures) { d.Retain(nil, now) }, 0},
+		{"later incarnation in a further list", func(d *Departures) { d.Retain(map[mangomodel.ServerID]*mangotraffic.Server{"s": later}, now) }, 0},
 		{"newer copy", func(d *Departures) { d.Restored(now) }, 0},
 	}
 	for _, test := range tests {
@@ -70,9 +70,14 @@
 			d.Left(entry, now)
 			d.Restored(now)
 			g.Expect(d.Judge(entry, now)).To(gomega.Equal(VerdictDefer))
+			d.Defer(entry, now)
 			test.then(d)
 			g.Expect(d.Confirmed(now.Add(ConfirmTime - 1))).To(gomega.BeEmpty())
-			g.Expect(d.Confirmed(now.Add(ConfirmTime))).To(gomega.HaveLen(test.used))
+			confirmed := d.Confirmed(now.Add(ConfirmTime))
+			g.Expect(confirmed).To(gomega.HaveLen(test.used))
+			for _, server := range confirmed {
+				d.Written(server.ID)
+			}
 			g.Expect(d.Confirmed(now.Add(time.Hour))).To(gomega.BeEmpty())
 		})
 	}
@@ -91,10 +96,10 @@
 	}{
 		{"heard once", func(*Departures) {}, VerdictUse},
 		{"heard again", func(d *Departures) { d.Removed("s", late) }, VerdictDefer},
-		{"deferred", func(d *Departures) { d.Judge(entry, late) }, VerdictDefer},
+		{"deferred", func(d *Departures) { d.Defer(entry, late) }, VerdictDefer},
 		{"deferred, not in a further list", func(d *Departures) {
-			d.Judge(entry, now)
-			d.Keep(nil, late)
+			d.Defer(entry, now)
+			d.Retain(nil, late)
 		}, VerdictDefer},
 		{"written", func(d *Departures) { d.Written("s") }, VerdictUse},
 	}
--- a/core/mangofleet/announce.go
+++ b/core/mangofleet/announce.go
@@ -29,8 +29,8 @@
 // Apply implements [Command].
 func (c Announce) Apply(s *state, now time.Time) error {
 	a := c.Announcement
-	if a.Leaving && s.withdrawServer(a.Server, a.Request, "", now) {
-		s.announced++
+	if a.Leaving {
+		s.withdrawServer(a.Server, a.Request, "", now)
 	}
 	if a.Backoff > 0 || a.Invalid != nil {
 		s.observer.BackoffAsked(a)
@@ -60,13 +60,16 @@
 }
 
 // withdrawServer records that a server has announced to this daemon, or to the daemon from,
-// that it leaves. It reports whether that was unknown.
-func (s *state) withdrawServer(ref mangotraffic.ServerRef, request mangomodel.RequestID, from mangomodel.PeerName, now time.Time) bool {
-	if !s.pool.Withdraw(ref, from == "", now) {
-		return false
+// that it leaves.
+func (s *state) withdrawServer(ref mangotraffic.ServerRef, request mangomodel.RequestID, from mangomodel.PeerName, now time.Time) {
+	own := from == ""
+	if !s.pool.Withdraw(ref, own, now) {
+		return
+	}
+	if own {
+		s.announced++
 	}
 	s.observer.ServerWithdrawn(ref, request, from)
-	return true
 }
 
 // prospects holds the prospects of demands that do not differ in what they need.
@@ -99,8 +102,7 @@
 
 // futile returns the fault of a demand for servers that all leave or have asked for more
 // time than the demand may wait, or nil. A stream that has begun is held, since its
-// client cannot return, but not if its build has no server: clients must not wait for what
-// may never come.
+// client cannot return, unless its build has no server: the end of that wait is not known.
 func (s *state) futile(w *waiter, known prospects, now time.Time) error {
 	if s.pool.LacksBuild(&w.Demand) {
 		return refused(mangomodel.CodeCannotResume, "no server of %s has the build %q that began the stream: %s",
--- a/core/mangofleet/list.go
+++ b/core/mangofleet/list.go
@@ -116,15 +116,23 @@
 		s.observer.ListIgnored(c, s.listCursor)
 		return nil
 	}
-	if c.Cursor.Era > s.listCursor.Era && !s.listCursor.IsZero() {
+	restored := s.isRestored(c.Cursor)
+	if restored {
 		s.storeRestored(now)
 	}
 	s.recordCopy(c, now)
 	if read.After(s.listRead) {
 		s.listRead = read
 	}
+	switch {
+	case c.Full && restored:
+		s.observer.StoreRestored(s.listCursor, c.Cursor)
+		s.judgeCopy(c.Changes, now)
+	case c.Full:
+		s.retainDeferred(c.Changes, now)
+	}
 	if c.Full {
-		c.Changes = s.withoutDeparted(c, now)
+		c.Changes = s.withoutDeferred(c.Changes, restored, now)
 	}
 	c.Changes = s.withGraces(c.Changes, now)
 	if len(c.Changes) > 0 {
--- a/core/mangofleet/restore.go
+++ b/core/mangofleet/restore.go
@@ -10,27 +10,58 @@
 	"mangolane/core/mangotraffic"
 )
 
-// withoutDeparted returns the entries of a whole list that are used at once. In the first
-// list of an era the store has come back from an older copy, which may name servers that
-// have left since.
-func (s *state) withoutDeparted(c ChangeServers, now time.Time) []mangotraffic.ServerChange {
-	if c.Cursor.Era > s.listCursor.Era && !s.listCursor.IsZero() {
-		s.observer.StoreRestored(s.listCursor, c.Cursor)
-		return s.judged(c.Changes, now)
+// isRestored reports whether a position is of a later era than the one reached: the store has
+// come back from an older copy since.
+func (s *state) isRestored(cursor mangotraffic.Cursor) bool {
+	return cursor.Era > s.listCursor.Era && !s.listCursor.IsZero()
+}
+
+// judgeCopy defers the entries of the first list of an era whose servers have left since the
+// copy, or restarted, and withdraws those that had announced that they leave.
+func (s *state) judgeCopy(changes []mangotraffic.ServerChange, now time.Time) {
+	for _, ref := range s.pool.LeavingServers() {
+		s.withdrawServer(ref, "", Platform, now)
 	}
-	listed := make(map[mangomodel.ServerID]*mangotraffic.Server, len(c.Changes))
-	for _, change := range c.Changes {
-		listed[change.ID] = change.Server
+	for _, c := range changes {
+		switch {
+		case c.Server == nil:
+		case s.isSuperseded(c.Server, now):
+			s.supersede(c.Server, s.confirmTime(now), now)
+		default:
+			s.execute(s.departures.Judge(c.Server, now), c.Server, now)
+		}
 	}
-	deferred := s.departures.Keep(listed, now)
-	if len(deferred) == 0 {
-		return c.Changes
+}
+
+// retainDeferred drops the deferred entries that a further list of the era does not have.
+func (s *state) retainDeferred(changes []mangotraffic.ServerChange, now time.Time) {
+	listed := make(map[mangomodel.ServerID]*mangotraffic.Server, len(changes))
+	for _, c := range changes {
+		listed[c.ID] = c.Server
 	}
-	return slices.DeleteFunc(slices.Clone(c.Changes), func(c mangotraffic.ServerChange) bool {
-		return deferred[c.ID] && !s.isSuperseded(c.Server, now)
+	s.departures.Retain(listed, now)
+}
+
+// withoutDeferred returns the entries of a whole list that are not deferred. In a list that is
+// not the first of its era, an entry of an earlier incarnation shows that the later one is
+// still listed.
+func (s *state) withoutDeferred(changes []mangotraffic.ServerChange, first bool, now time.Time) []mangotraffic.ServerChange {
+	return slices.DeleteFunc(slices.Clone(changes), func(c mangotraffic.ServerChange) bool {
+		return c.Server != nil && s.departures.Defers(c.ID) && (first || !s.isSuperseded(c.Server, now))
 	})
 }
 
+// execute carries out a verdict about an entry of an older copy.
+func (s *state) execute(v mangodeparture.Verdict, server *mangotraffic.Server, now time.Time) {
+	switch v {
+	case mangodeparture.VerdictDefer:
+		s.departures.Defer(server, now)
+		s.observer.EntryDeferred(server.Ref(), s.confirmTime(now))
+	case mangodeparture.VerdictWithdraw:
+		s.withdrawServer(server.Ref(), "", Platform, now)
+	}
+}
+
 // maxClockOffset is by how much the clocks of hosts may differ.
 const maxClockOffset = time.Minute
 
@@ -48,36 +79,6 @@
 	s.observer.EntryDeferred(server.Ref(), d)
 }
 
-// judged returns the entries of an older copy that are used at once.
-func (s *state) judged(changes []mangotraffic.ServerChange, now time.Time) []mangotraffic.ServerChange {
-	for _, ref := range s.pool.LeavingServers() {
-		s.withdrawServer(ref, "", Platform, now)
-	}
-	return slices.DeleteFunc(slices.Clone(changes), func(c mangotraffic.ServerChange) bool {
-		if c.Server == nil {
-			return false
-		}
-		if s.isSuperseded(c.Server, now) {
-			s.supersede(c.Server, s.confirmTime(now), now)
-			return true
-		}
-		return s.isDeferred(c.Server, now)
-	})
-}
-
-// isDeferred reports whether an entry of an older copy is not used yet. One that had announced
-// that it leaves is withdrawn.
-func (s *state) isDeferred(server *mangotraffic.Server, now time.Time) bool {
-	switch s.departures.Judge(server, now) {
-	case mangodeparture.VerdictDefer:
-		s.observer.EntryDeferred(server.Ref(), s.confirmTime(now))
-		return true
-	case mangodeparture.VerdictWithdraw:
-		s.withdrawServer(server.Ref(), "", Platform, now)
-	}
-	return false
-}
-
 // restoration is the older copy from which the store came back last; zero if it never did.
 type restoration struct {
 	// copy is the position of the first list that was read of the era, and at the time when
@@ -100,7 +101,7 @@
 	told := restoration{c.Copy, now.Add(-c.CopyAge)}
 	switch {
 	case told.copy.IsZero() || told.copy.Era != c.Cursor.Era:
-		if c.Cursor.Era > s.listCursor.Era && !s.listCursor.IsZero() {
+		if s.isRestored(c.Cursor) {
 			s.restored = restoration{c.Cursor, now.Add(-c.Age)}
 			s.departures.Restored(s.restored.at)
 		}
@@ -168,7 +169,15 @@
 			continue
 		}
 		s.departures.Told(mangodeparture.Departure{Server: x.Server, Leaving: x.Leaving, At: now.Add(-x.Age)})
-		if listed && (s.pool.InGrace(server.ID) || s.isDeferred(&server, now)) {
+		if !listed {
+			continue
+		}
+		verdict := mangodeparture.VerdictDefer
+		if !s.pool.InGrace(server.ID) {
+			verdict = s.departures.Judge(&server, now)
+			s.execute(verdict, &server, now)
+		}
+		if verdict == mangodeparture.VerdictDefer {
 			s.pool.RemoveServer(server.ID, 0, now)
 		}
 	}
@@ -201,6 +210,7 @@
 		s.departures.Left(&server, now)
 	}
 	for _, server := range s.departures.Confirmed(now) {
+		s.departures.Written(server.ID)
 		s.pool.PutServer(server)
 	}
 }
