--- a/core/mangorelay/build.go
+++ b/core/mangorelay/build.go
@@ -89,6 +89,7 @@
 		j.begin(listed)
 		return nil
 	}
+	j.avoid = append(j.avoid, server.ID)
 	f := *mangomodel.AsFault(j.checkBuild(server), mangomodel.StepCall)
 	f.Run = mangomodel.RunUnknown
 	return &f
@@ -131,7 +132,6 @@
 	if j.origin.allows(server) && j.origin.allows(current) {
 		return nil
 	}
-	j.avoid = append(j.avoid, server.ID)
 	return mangomodel.Faultf(mangomodel.StepCall, mangomodel.PeerName(server.ID), mangomodel.CodeUnavailable, mangomodel.RunNot,
 		"its build %q did not begin the stream", current.Build)
 }
--- a/core/mangorelay/plain.go
+++ b/core/mangorelay/plain.go
@@ -107,7 +107,11 @@
 
 // exchange sends the call and relays the response.
 func (j *job) exchange(ctx context.Context, lease mangolease.Lease, timer stallTimer) error {
-	if err := errors.Join(j.checkStop(), j.checkAccess(), j.checkCall(), j.checkUsable(lease.Server.ID), j.checkBuild(lease.Server)); err != nil {
+	if err := errors.Join(j.checkStop(), j.checkAccess(), j.checkCall(), j.checkUsable(lease.Server.ID)); err != nil {
+		return err
+	}
+	if err := j.checkBuild(lease.Server); err != nil {
+		j.avoid = append(j.avoid, lease.Server.ID)
 		return err
 	}
 	if err := j.takeRetry(ctx, mangoexchange.PhaseRun); err != nil {
--- a/core/mangorelay/stream.go
+++ b/core/mangorelay/stream.go
@@ -101,7 +101,11 @@
 func (j *job) generate(ctx context.Context, grant *mangobroker.Grant) error {
 	began := time.Now()
 	server := grant.Lease.Server
-	if err := errors.Join(j.checkStop(), j.checkAccess(), j.checkCall(), j.checkParts(), j.checkLease(), j.checkUsable(server.ID), j.checkBuild(server)); err != nil {
+	if err := errors.Join(j.checkStop(), j.checkAccess(), j.checkCall(), j.checkParts(), j.checkLease(), j.checkUsable(server.ID)); err != nil {
+		return err
+	}
+	if err := j.checkBuild(server); err != nil {
+		j.avoid = append(j.avoid, server.ID)
 		return err
 	}
 	if err := j.takeRetry(ctx, mangoexchange.PhaseRun); err != nil {
