--- a/core/mangofleet/list.go
+++ b/core/mangofleet/list.go
@@ -116,15 +116,23 @@
 		s.observer.ListIgnored(c, s.listCursor)
 		return nil
 	}
-	if c.Cursor.Era > s.listCursor.Era && !s.listCursor.IsZero() {
+	restored := s.isRestored(c.Cursor)
+	if restored {
 		s.storeRestored(now)
 	}
 	s.recordCopy(c, now)
 	if read.After(s.listRead) {
 		s.listRead = read
 	}
+	switch {
+	case c.Full && restored:
+		s.observer.StoreRestored(s.listCursor, c.Cursor)
+		s.judgeCopy(c.Changes, now)
+	case c.Full:
+		s.retainDeferred(c.Changes, now)
+	}
 	if c.Full {
-		c.Changes = s.withoutDeparted(c, now)
+		c.Changes = s.withoutDeferred(c.Changes, restored, now)
 	}
 	c.Changes = s.withGraces(c.Changes, now)
 	if len(c.Changes) > 0 {
@@ -184,6 +192,10 @@
 		s.pool.RemoveServer(change.ID, change.Grace, now)
 		return
 	}
+	if s.isSuperseded(change.Server, now) {
+		s.supersede(change.Server, mangodeparture.ConfirmTime, now)
+		return
+	}
 	s.departures.Written(change.ID)
 	s.pool.PutServer(*change.Server)
 }
@@ -223,8 +235,8 @@
 
 // List returns the command that replaces another daemon's list by this daemon's.
 // Servers whose grace period runs are left out: they reappear or are removed soon. Entries
-// that are deferred are not: the other daemon defers them too, since it is told which servers
-// have left.
+// that are deferred are not, unless a later incarnation is listed: the other daemon defers
+// them too, since it is told which servers have left.
 func (v *View) List(now time.Time) ChangeServers {
 	cmd := ChangeServers{
 		Full: true, Cursor: v.ListCursor, Age: now.Sub(v.ListRead), Copy: v.restored.copy, CopyAge: v.restored.age(now),
@@ -237,6 +249,9 @@
 		cmd.Changes = append(cmd.Changes, mangotraffic.ServerChange{ID: id, Server: &server})
 	}
 	for _, server := range v.deferred {
+		if _, ok := v.Listed[server.ID]; ok && !v.expired[server.ID] {
+			continue
+		}
 		cmd.Changes = append(cmd.Changes, mangotraffic.ServerChange{ID: server.ID, Server: &server})
 	}
 	return cmd
--- a/core/mangorelay/build.go
+++ b/core/mangorelay/build.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"sync/atomic"
+	"time"
 
+	"mangolane/core/mangoending"
 	"mangolane/core/mangolease"
 	"mangolane/core/mangomodel"
 	"mangolane/core/mangotraffic"
@@ -16,8 +18,14 @@
 	build atomic.Pointer[mangomodel.Build]
 	// ambiguous is set if the events may be of another build.
 	ambiguous atomic.Bool
+	// server is the one that began the stream in this call, until it was asked whether it
+	// had restarted; nil if there is none. Only the goroutine of the call uses it.
+	server *mangotraffic.Server
 }
 
+// restartTimeout bounds the wait of a broken stream for the server that began it.
+const restartTimeout = 100 * time.Millisecond
+
 // check returns a fault if the stream cannot continue.
 func (o *origin) check() error {
 	if !o.ambiguous.Load() {
@@ -67,10 +75,11 @@
 func (j *job) checkEvent(server mangotraffic.Server, begins bool) error {
 	if j.origin.build.Load() == nil {
 		j.origin.build.Store(&server.Build)
+		j.origin.server = &server
 		j.begin(server.Build)
 	}
-	// A server that was listed again with another build has restarted, and either
-	// incarnation may have sent the event.
+	// A server that was listed again with another build has restarted, and either build
+	// may have sent the event.
 	listed := j.listedBuild(server)
 	if listed == server.Build || j.origin.ambiguous.Load() {
 		return nil
@@ -80,6 +89,7 @@
 		j.begin(listed)
 		return nil
 	}
+	j.avoid = append(j.avoid, server.ID)
 	f := *mangomodel.AsFault(j.checkBuild(server), mangomodel.StepCall)
 	f.Run = mangomodel.RunUnknown
 	return &f
@@ -92,6 +102,28 @@
 	}
 }
 
+// detectRestart asks the server that began a stream, before the stream continues elsewhere,
+// whether it is another incarnation than the listed one: it may have restarted with another
+// build before the stream, and not be listed with it yet. One that does not reply in time
+// counts as the listed one.
+func (j *job) detectRestart(ctx context.Context) {
+	server := j.origin.server
+	if server == nil || j.origin.ambiguous.Load() {
+		return
+	}
+	j.origin.server = nil
+	ctx, cancel := context.WithTimeout(ctx, restartTimeout)
+	defer cancel()
+	report, err := responders{j.relay}.Report(ctx, *server)
+	if err != nil || mangoending.Weigh(*server, report, nil) != mangoending.EvidenceEnded {
+		return
+	}
+	j.origin.ambiguous.Store(true)
+	if j.relay.origins != nil {
+		j.relay.origins.Doubt(j.stream())
+	}
+}
+
 // checkBuild returns a fault if the events of a leased server may not follow those that
 // the client has. The server may have restarted with another build since it was leased.
 func (j *job) checkBuild(server mangotraffic.Server) error {
@@ -100,15 +132,15 @@
 	if j.origin.allows(server) && j.origin.allows(current) {
 		return nil
 	}
-	j.avoid = append(j.avoid, server.ID)
 	return mangomodel.Faultf(mangomodel.StepCall, mangomodel.PeerName(server.ID), mangomodel.CodeUnavailable, mangomodel.RunNot,
 		"its build %q did not begin the stream", current.Build)
 }
 
-// listedBuild returns the build of a server, or that of a later incarnation in the list.
+// listedBuild returns the build that the list names for a server, unless the entry is that
+// of an earlier incarnation.
 func (j *job) listedBuild(server mangotraffic.Server) mangomodel.Build {
 	listed, ok := j.relay.fleet.View().Listed[server.ID]
-	if ok && listed.Ref().After(server.Ref()) {
+	if ok && !listed.Born.Before(server.Born) {
 		return listed.Build
 	}
 	return server.Build
