A restart that broke a stream does not end it

Cause: the server that began a stream is asked whether it had restarted before the stream, and any later start counted, also the one that broke it off. Change: a start that is stated to be later than the first event by more than clocks may differ has broken the stream, which began at the listed build.

--- a/core/mangorelay/build.go
+++ b/core/mangorelay/build.go
@@ -19,13 +19,19 @@
 	// ambiguous is set if the events may be of another build.
 	ambiguous atomic.Bool
 	// server is the one that began the stream in this call, until it was asked whether it
-	// had restarted; nil if there is none. Only the goroutine of the call uses it.
-	server *mangotraffic.Server
+	// had restarted, and beganAt when its first event was received; nil if there is none.
+	// Only the goroutine of the call uses them.
+	server  *mangotraffic.Server
+	beganAt time.Time
 }
 
 // restartTimeout bounds the wait of a broken stream for the server that began it.
 const restartTimeout = 100 * time.Millisecond
 
+// clockTolerance is by how much the clocks of hosts may differ. If they differ by more, a
+// restart after the first event may be taken for one before it, or the other way round.
+const clockTolerance = 500 * time.Millisecond
+
 // check returns a fault if the stream cannot continue.
 func (o *origin) check() error {
 	if !o.ambiguous.Load() {
@@ -75,7 +81,7 @@
 func (j *job) checkEvent(server mangotraffic.Server, begins bool) error {
 	if j.origin.build.Load() == nil {
 		j.origin.build.Store(&server.Build)
-		j.origin.server = &server
+		j.origin.server, j.origin.beganAt = &server, time.Now()
 		j.begin(server.Build)
 	}
 	// A server that was listed again with another build has restarted, and either build
@@ -118,6 +124,10 @@
 	if err != nil || mangoending.Weigh(*server, report, nil) != mangoending.EvidenceEnded {
 		return
 	}
+	if report.Born.After(j.origin.beganAt.Add(clockTolerance)) {
+		// The restart has broken the stream.
+		return
+	}
 	j.origin.ambiguous.Store(true)
 	if j.relay.origins != nil {
 		j.relay.origins.Doubt(j.stream())
--- a/core/mangorelay/build_test.go
+++ b/core/mangorelay/build_test.go
@@ -195,6 +195,7 @@
 		asked   int
 	}{
 		{"restarted", restarted, 0, 0, "123", 1},
+		{"restarted after the first event", time.Date(2000, 1, 1, 0, 1, 0, 0, time.UTC), 0, 0, "1234", 1},
 		{"not restarted", listed, 0, 0, "1234", 1},
 		{"start not stated", time.Time{}, 0, 0, "1234", 1},
 		{"no reply", restarted, time.Minute, 0, "1234", 1},
