Daemons that are cut off together name a sole build only if all are in touch

What callers saw: two of three daemons were cut off from the store and from the third, which saw another build. They continued its streams at theirs.

Cause: a list that could not be read lately counted as current if at least half of the other daemons were in touch.

Change: all others have to be in touch.

Evidence: go test -race of mangobuilds, mangoorigin (twice), mangotables and mangogateway passes. TestMajorityThatIsCutOffNamesNoSoleBuild failed before the change.

--- a/core/mangoorigin/origin.go
+++ b/core/mangoorigin/origin.go
@@ -150,7 +150,7 @@
 }
 
 // sole returns the build that began all streams of a service as far as this daemon knows, if
-// there is one, and whether no other daemon in touch can know of another.
+// there is one, and whether no other daemon can know of another.
 func (o *Origins) sole(service mangotraffic.ServiceName) (build mangomodel.Build, sole, current bool) {
 	known := o.published.Load()
 	build, sole = known.sole[service]
@@ -159,8 +159,8 @@
 	return build, sole, current
 }
 
-// current reports whether no daemon in touch has a later list: it was read lately, or it is
-// that of at least half of the other daemons, none of which can read.
+// current reports whether no other daemon can have a later list: it was read lately, or all
+// others are in touch, none of which can read.
 func (s *snapshot) current(v *mangofleet.View, now time.Time) bool {
 	if !v.Stale(now) {
 		return true
@@ -171,7 +171,7 @@
 			alive++
 		}
 	}
-	return 2*alive >= s.others
+	return alive >= s.others
 }
 
 // awaitReady waits until the histories were read, and not longer than a start may take.
