Rows of streams that wait for the limit on reads are read together

What callers saw: after a kill of all daemons most streams that clients resumed at one daemon at once were refused: its reads of single rows were used up.

Cause: each stream took a read of its own, of 40 a second for a daemon and 4 in a fleet of 410, and an absent row took five.

Change: a read takes all streams that wait by then: one range of keys, up to 500 rows. Streams beyond that page wait for the next read. The limit is the same. An absent row is read twice more.

Evidence: go test -race of mangobuilds and mangoorigin (twice), mangotables and mangogateway passes. With one stream a read 79 of 200 streams continue in TestManyResumedStreamsGoOn; with the change all 200, also of 5000 rows, and all 400 at one daemon of 410, in 150 of 150 runs.

--- a/core/mangoorigin/origin.go
+++ b/core/mangoorigin/origin.go
@@ -6,28 +6,14 @@
 	"sync/atomic"
 	"time"
 
-	"golang.org/x/time/rate"
-
 	"mangolane/core/mangofleet"
 	"mangolane/core/mangomodel"
-	"mangolane/core/mangopanic"
 	"mangolane/core/mangoroster"
 	"mangolane/core/mangotraffic"
 )
 
-const (
-	// maxReads is the number of reads of rows of streams a second by one daemon, of which as
-	// many may follow each other at once: those of the streams of a server that breaks. All
-	// daemons together make allReads. minReads is what each may make in the largest fleet.
-	maxReads, minReads, allReads = 40, 4, 1200
-	// rowWait bounds how long an absent row is awaited, since the daemon at which the stream
-	// began may be about to write it, and rowPause is the pause before the second read.
-	// Each further pause is longer by as much.
-	rowWait  = time.Second
-	rowPause = 100 * time.Millisecond
-	// readyWait bounds how long a daemon that starts, or was cut off, waits for the histories.
-	readyWait = time.Second
-)
+// readyWait bounds how long a daemon that starts, or was cut off, waits for the histories.
+const readyWait = time.Second
 
 // Origins records and resolves the builds at which streams began. It implements
 // mangorelay.Origins.
@@ -38,8 +24,7 @@
 	first    bool
 	began    time.Time
 	memory   *memory
-	reads    *rate.Limiter
-	flights  flights
+	reader   *reader
 	// published is what is known of services.
 	published atomic.Pointer[snapshot]
 	// wake is signalled when a stream waits to be saved or another build has served.
@@ -72,8 +57,7 @@
 func New(fleet Fleet, store Store, observer Observer, opts ...Option) *Origins {
 	o := &Origins{
 		fleet: fleet, store: store, observer: observer, began: time.Now(), memory: newMemory(),
-		reads: rate.NewLimiter(maxReads, maxReads),
-		wake:  make(chan struct{}, 1),
+		reader: newReader(store, observer), wake: make(chan struct{}, 1),
 	}
 	o.published.Store(&snapshot{unread: make(chan struct{})})
 	for _, opt := range opts {
@@ -131,7 +115,7 @@
 	if stream.Request == "" {
 		return "", EvidenceNone, errNoName
 	}
-	row, err := o.flights.do(ctx, stream, o.readRow)
+	row, err := o.reader.read(ctx, stream)
 	if err != nil && sole {
 		// The histories may have been read meanwhile.
 		if build, sole, current = o.sole(stream.Service); sole && current {
@@ -189,31 +173,6 @@
 	}
 }
 
-// readRow reads the row of a stream until it is there, for at most rowWait.
-func (o *Origins) readRow(stream mangotraffic.StreamID) (row StreamRow, err error) {
-	defer mangopanic.CatchError(o.observer, "read of a stream's origin", &err)
-	ctx, cancel := context.WithTimeout(context.Background(), rowWait)
-	defer cancel()
-	last := errReads
-	for pause := rowPause; ; pause += rowPause {
-		if o.reads.Wait(ctx) != nil {
-			return StreamRow{}, last
-		}
-		row, ok, _, err := o.store.Stream(ctx, stream)
-		switch {
-		case err == nil && ok:
-			return row, nil
-		case err == nil:
-			last = errNoRow
-		case ctx.Err() == nil || last == errReads:
-			last = err
-		}
-		if sleep(ctx, pause); ctx.Err() != nil {
-			return StreamRow{}, last
-		}
-	}
-}
-
 func signal(c chan<- struct{}) {
 	select {
 	case c <- struct{}{}:
--- a/core/mangoorigin/port.go
+++ b/core/mangoorigin/port.go
@@ -97,8 +97,9 @@
 	// ReplaceBuilds replaces a row if it still has its version. Otherwise it changes nothing
 	// and returns [ErrConflict].
 	ReplaceBuilds(ctx context.Context, row BuildRow) (Stamp, error)
-	// Stream returns the row of a stream, or false if there is none.
-	Stream(ctx context.Context, id mangotraffic.StreamID) (StreamRow, bool, Stamp, error)
+	// FindStreams reads the rows of one or more streams with one call. It returns those that
+	// it has found, and the streams that need another call: never all of them.
+	FindStreams(ctx context.Context, streams []mangotraffic.StreamID) (found []StreamRow, rest []mangotraffic.StreamID, s Stamp, err error)
 	// ReplaceStreams writes rows and removes others, whatever versions they have.
 	ReplaceStreams(ctx context.Context, write []StreamRow, remove []mangotraffic.StreamID) (Stamp, error)
 	// Streams returns up to [SweepRows] rows after a key, ordered by key, and whether there
--- a/core/mangoorigin/run.go
+++ b/core/mangoorigin/run.go
@@ -6,8 +6,6 @@
 	"slices"
 	"time"
 
-	"golang.org/x/time/rate"
-
 	"mangolane/core/mangobuilds"
 	"mangolane/core/mangofleet"
 	"mangolane/core/mangomodel"
@@ -239,11 +237,7 @@
 
 // limitReads sets how many rows this daemon reads, as one of a number of daemons.
 func (c *controller) limitReads(now time.Time, daemons int) {
-	n := min(max(allReads/max(daemons, 1), minReads), maxReads)
-	if n != c.reads.Burst() {
-		c.reads.SetLimitAt(now, rate.Limit(n))
-		c.reads.SetBurstAt(now, n)
-	}
+	c.reader.setLimit(now, min(max(allReads/max(daemons, 1), minReads), maxReads))
 }
 
 // history returns the history of a service. Without a row it begins with the list.
