Tests: the drill that loses a history comes after the second read

TestHistoryThatIsWrittenAgainIsRead failed in 2 of 200 runs since daemons read the rows a second time: that read of the daemon that lives could fall between the drill and the start of the other one, and the row was written again so soon that this one rightly knew the build at once. The drill comes now after the time of the second read.

--- a/core/mangoorigin/trouble_test.go
+++ b/core/mangoorigin/trouble_test.go
@@ -64,7 +64,7 @@
 		w.serve("a")
 		empty := w.table.copy()
 		w.start(1, WithFirstStart(true))
-		time.Sleep(5 * time.Second)
+		time.Sleep(againDelay + againSpread)
 		empty()
 		w.start(1)
 		w.expectRefused(1, "x", "no record", rowWait+latency)
