FirstStart holds for the services that are listed at first, without rows

What callers saw: with FirstStart still set at a later start, a stream continued at the build that was listed though an earlier one had begun it.

Cause: once the rows were read within ten seconds of the start, each service without a history counted as complete, also one that was listed later, and also while rows of streams showed that the installation had run before.

Change: only the services that are listed at the first reading count as new, and only if the table of streams has no row.

Evidence: go test -race of mangobuilds and mangoorigin (three times), mangotables and mangogateway passes.

--- a/core/mangoorigin/builds.go
+++ b/core/mangoorigin/builds.go
@@ -38,10 +38,9 @@
 	// second is when the rows are read once more after a start, a new era or a doubtful row;
 	// zero if they need not be.
 	second time.Time
-	// read is set once the rows were read, and fresh if the installation started then.
-	read, fresh bool
-	busy        bool
-	pause       time.Duration
+	// read is set once the rows were read.
+	read, busy bool
+	pause      time.Duration
 }
 
 // plan has the rows compared some time after a change. The first read is not delayed.
@@ -98,10 +97,15 @@
 	isSecond := b.read && !second.IsZero() && !now.Before(second)
 	b.busy, b.due = true, time.Time{}
 	unread := c.unread
+	firstStart := c.first && !b.read && mangomodel.Elapsed(c.began, now) < firstStartWindow
 	var rows []BuildRow
 	c.call(ctx, func(ctx context.Context) (Stamp, error) {
 		list, stamp, err := c.store.Builds(ctx)
-		rows = list
+		if rows = list; err != nil || !firstStart {
+			return stamp, err
+		}
+		streams, _, stamp, err := c.store.Streams(ctx, "")
+		firstStart = len(streams) == 0
 		return stamp, err
 	}, func(now time.Time, err error) {
 		b.busy = false
@@ -110,11 +114,12 @@
 			return
 		}
 		b.pause = 0
-		first := c.merge(rows, now)
+		first := !b.read
+		c.merge(rows, firstStart, now)
 		done := unread != nil && unread == c.unread
 		if done {
 			c.unread = nil
-			c.doubt(rows, first && b.fresh)
+			c.doubt(rows, firstStart)
 		}
 		if isSecond && second.Equal(b.second) {
 			b.second = time.Time{}
@@ -136,17 +141,13 @@
 	})
 }
 
-// merge adds the rows to the histories. It reports whether these were the first rows, which
-// complete the histories.
-func (c *controller) merge(rows []BuildRow, now time.Time) bool {
-	first := !c.builds.read
+// merge adds the rows to the histories. At the first start of the installation the services
+// that are listed had no servers before.
+func (c *controller) merge(rows []BuildRow, firstStart bool, now time.Time) {
 	c.builds.read = true
-	if first {
-		c.builds.fresh = c.first && mangomodel.Elapsed(c.began, now) < firstStartWindow
-		if c.builds.fresh {
-			for _, h := range c.histories {
-				h.Restore(nil, now)
-			}
+	if firstStart {
+		for _, h := range c.histories {
+			h.Restore(nil, now)
 		}
 	}
 	for _, r := range rows {
@@ -154,7 +155,6 @@
 			c.history(r.Service).Restore(c.spansOf(r, now), now)
 		}
 	}
-	return first
 }
 
 // doubt marks the services whose rows may be from an older copy of the store, which other
--- a/core/mangoorigin/run.go
+++ b/core/mangoorigin/run.go
@@ -24,8 +24,8 @@
 	// minBackoff and maxBackoff bound the pause after failed calls.
 	minBackoff = 100 * time.Millisecond
 	maxBackoff = 3200 * time.Millisecond
-	// firstStartWindow is how long after its start a daemon may take the absence of a
-	// history for the first start of the installation.
+	// firstStartWindow is how long after its start a daemon may take the absence of rows for
+	// the first start of the installation.
 	firstStartWindow = 10 * time.Second
 )
 
@@ -244,20 +244,12 @@
 func (c *controller) history(service mangotraffic.ServiceName) *mangobuilds.History {
 	h, ok := c.histories[service]
 	if !ok {
-		h = mangobuilds.New(c.beginning())
+		h = mangobuilds.New(c.since)
 		c.histories[service] = h
 	}
 	return h
 }
 
-// beginning returns when the history of a service without a row begins.
-func (c *controller) beginning() time.Time {
-	if c.builds.fresh {
-		return time.Time{}
-	}
-	return c.since
-}
-
 // window returns the time for which streams of a service may be resumed.
 func (c *controller) window(service mangotraffic.ServiceName) time.Duration {
 	if w, ok := c.windows[service]; ok {
