A daemon that is behind saves the streams that began last first

What callers saw: while more than 450 streams a second began at one daemon with several builds in the service, the rows fell behind, and after a kill of all daemons the streams that still ran were not known: mostly rows of streams that had ended were written.

Cause: the queue was written oldest first, and streams that were no longer remembered stayed in it.

Change: of a queue longer than a batch the last streams are written first, as of the backlog. A queue of twice the remembered streams drops those forgotten.

Evidence: go test -race of mangobuilds and mangoorigin (three times), mangotables and mangogateway passes.

--- a/core/mangoorigin/memory.go
+++ b/core/mangoorigin/memory.go
@@ -1,6 +1,7 @@
 package mangoorigin
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -43,8 +44,8 @@
 	// streams are ordered by when they began or were resumed.
 	streams *simplelru.LRU[mangotraffic.StreamID, *origin]
 	// mixed are the services whose streams are saved, and queue the streams to be saved as
-	// they begin. Those of the backlog began before; the last ones are saved first, since
-	// most earlier streams have ended.
+	// they begin. Those of the backlog began before. The last ones of the backlog are saved
+	// first, and of a queue longer than a batch, since most earlier streams have ended.
 	mixed          map[mangotraffic.ServiceName]bool
 	queue, backlog []mangotraffic.StreamID
 	// removals are the rows that this daemon has written, oldest first.
@@ -92,11 +93,20 @@
 	if o.queued || !o.saved.IsZero() || !m.mixed[id.Service] {
 		return false
 	}
+	if len(*queue) >= 2*maxStreams {
+		*queue = slices.DeleteFunc(*queue, m.isSaved)
+	}
 	o.queued = true
 	*queue = append(*queue, id)
 	return true
 }
 
+// isSaved reports whether a stream does not wait to be saved, or was forgotten.
+func (m *memory) isSaved(id mangotraffic.StreamID) bool {
+	o, ok := m.streams.Peek(id)
+	return !ok || !o.queued
+}
+
 // get returns what is known of a stream.
 func (m *memory) get(id mangotraffic.StreamID, now time.Time) (origin, bool) {
 	m.mu.Lock()
@@ -211,14 +221,18 @@
 
 // next removes the stream that is saved next.
 func (m *memory) next() mangotraffic.StreamID {
-	if len(m.queue) > 0 {
+	queue := &m.queue
+	switch n := len(m.queue); {
+	case n == 0:
+		queue = &m.backlog
+	case n <= maxBatch:
 		id := m.queue[0]
 		m.queue = m.queue[1:]
 		return id
 	}
-	last := len(m.backlog) - 1
-	id := m.backlog[last]
-	m.backlog = m.backlog[:last]
+	last := len(*queue) - 1
+	id := (*queue)[last]
+	*queue = (*queue)[:last]
 	return id
 }
 
