Ended builds are kept until the timeouts of routes are known

What callers saw: a daemon that had the list of servers before the configuration continued a stream of a route with a long timeout at another build, and took the earlier build out of the saved history.

Cause: builds were forgotten by the default timeout before that of the routes was known, and rows were written without them.

Change: no build is forgotten, and rows keep all builds, until the routes are known.

Evidence: go test -race of mangobuilds and mangoorigin (twice), mangotables and mangogateway passes. TestEndedBuildIsKeptUntilTheRoutesAreKnown fails without either half of the change.

--- a/core/mangoorigin/builds.go
+++ b/core/mangoorigin/builds.go
@@ -204,7 +204,7 @@
 	var list []BuildRow
 	for service, h := range c.histories {
 		next := BuildRow{Service: service}
-		for _, s := range h.Spans(c.window(service), now) {
+		for _, s := range h.Spans(c.kept(service), now) {
 			p := Presence{Build: s.Build}
 			if !s.Until.IsZero() {
 				p.Until = max(Clock(s.Until.Sub(c.start)), 1)
--- a/core/mangoorigin/origin_test.go
+++ b/core/mangoorigin/origin_test.go
@@ -7,9 +7,7 @@
 
 	"github.com/onsi/gomega"
 
-	"mangolane/core/mangofleet"
 	"mangolane/core/mangomodel"
-	"mangolane/core/mangotraffic"
 )
 
 // TestStreamResumesAfterAKillOfAll guards against a stream that continues at another build,
@@ -114,14 +112,10 @@
 // build, since it lasts for longer than those of other services.
 func TestLongStreamsAreRememberedForLonger(t *testing.T) {
 	withWorld(t, func(w *world) {
-		const timeout = 5 * time.Minute
-		routing, err := mangotraffic.NewRouting(1, []mangotraffic.Route{
-			{Name: "r", Host: "h", Prefix: "/", Timeout: timeout, Targets: []mangotraffic.Target{{Service: llm, Weight: 1}}},
-		}, []mangotraffic.Service{{Name: llm}}, mangotraffic.Limits{})
-		w.Expect(err).NotTo(gomega.HaveOccurred())
 		w.serve("a")
 		w.start(1, WithFirstStart(true))
-		w.Expect(w.daemons[0].fleet.Do(w.ctx, mangofleet.InstallRouting{Routing: routing})).To(gomega.Succeed())
+		const timeout = 5 * time.Minute
+		w.install(timeout)
 		w.serve("b")
 		time.Sleep(timeout)
 		w.expectRefused(0, "x", "no record", rowWait+latency)
@@ -130,6 +124,28 @@
 	})
 }
 
+// The daemon starts without the configuration, and another build appears before it is there.
+func TestEndedBuildIsKeptUntilTheRoutesAreKnown(t *testing.T) {
+	for _, changed := range []bool{false, true} {
+		withWorld(t, func(w *world) {
+			w.serve("a")
+			w.start(1, WithFirstStart(true))
+			w.install(10 * time.Minute)
+			w.serve("b")
+			time.Sleep(5 * time.Minute)
+			w.killAll()
+			w.start(1)
+			if changed {
+				w.serve("b", "c")
+			}
+			time.Sleep(5 * time.Second)
+			w.install(10 * time.Minute)
+			w.expectRefused(0, "x", "no record", rowWait+latency)
+			w.Expect(w.table.saved()).To(gomega.ContainElement(mangomodel.Build("a")))
+		})
+	}
+}
+
 // TestStreamOfTwoBuildsIsRefused guards against a stream that continues at one of two
 // builds, either of which may have sent its first event.
 func TestStreamOfTwoBuildsIsRefused(t *testing.T) {
--- a/core/mangoorigin/run.go
+++ b/core/mangoorigin/run.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -36,6 +37,8 @@
 	// windows are the times for which streams of services may be resumed. They never
 	// become shorter, since a stream keeps the timeout with which it began.
 	windows map[mangotraffic.ServiceName]time.Duration
+	// configured is set once the timeouts of routes are known.
+	configured bool
 	// since is when the list of servers was first received, scanned when it was last looked
 	// at, and others the number of other daemons when it was last current.
 	since, scanned time.Time
@@ -215,6 +218,7 @@
 	}
 	c.limitReads(now, len(v.Members))
 	if v.Routing != nil {
+		c.configured = true
 		for service, timeout := range v.Routing.Timeouts(defaultTimeout) {
 			c.windows[service] = max(c.windows[service], timeout+margin)
 		}
@@ -258,6 +262,15 @@
 	return defaultTimeout + margin
 }
 
+// kept returns the time for which ended builds of a service are kept in its row: all, as long
+// as the routes are not known.
+func (c *controller) kept(service mangotraffic.ServiceName) time.Duration {
+	if !c.configured {
+		return math.MaxInt64
+	}
+	return c.window(service)
+}
+
 // longest returns the time for which streams of any service may be resumed.
 func (c *controller) longest() time.Duration {
 	longest := defaultTimeout + margin
@@ -278,7 +291,9 @@
 		if sole {
 			next.sole[service] = build
 		}
-		h.Forget(2*window, now)
+		if c.configured {
+			h.Forget(2*window, now)
+		}
 		if !c.builds.read {
 			continue
 		}
--- a/core/mangoorigin/world_test.go
+++ b/core/mangoorigin/world_test.go
@@ -242,3 +242,13 @@
 	w.Expect(text).To(gomega.ContainSubstring(reason))
 	w.Expect(time.Since(began)).To(gomega.BeNumerically("<=", within))
 }
+
+// install gives the first daemon a configuration whose route has a timeout.
+func (w *world) install(timeout time.Duration) {
+	routing, err := mangotraffic.NewRouting(1, []mangotraffic.Route{
+		{Name: "r", Host: "h", Prefix: "/", Timeout: timeout, Targets: []mangotraffic.Target{{Service: llm, Weight: 1}}},
+	}, []mangotraffic.Service{{Name: llm}}, mangotraffic.Limits{})
+	w.Expect(err).NotTo(gomega.HaveOccurred())
+	w.Expect(w.daemons[0].fleet.Do(w.ctx, mangofleet.InstallRouting{Routing: routing})).To(gomega.Succeed())
+	time.Sleep(viewInterval)
+}
