A stream of two builds stays one when it is saved again after a drill

What callers saw: a stream whose first event came from two builds continued at one of them after a drill, since a daemon at which it had been resumed before saved it again with that build alone, and the one that recorded both was gone.

Cause: rows are saved again after a drill whatever the store holds.

Change: streams that are saved again are looked up first, with one read a batch. One whose row names another build, or several, is saved as that of several.

--- a/core/mangoorigin/drill_test.go
+++ b/core/mangoorigin/drill_test.go
@@ -110,3 +110,26 @@
 		w.Expect(w.table.builds[llm].Era).To(gomega.Equal(w.table.era))
 	})
 }
+
+// The daemon that recorded both builds is gone, and another one saves the stream again.
+func TestStreamOfTwoBuildsIsRefusedAfterADrill(t *testing.T) {
+	withWorld(t, func(w *world) {
+		w.serve("a", "b")
+		w.start(2)
+		w.begin(0, "x", "a")
+		w.begin(0, "y", "a")
+		time.Sleep(500 * time.Millisecond)
+		w.expect(1, "x", "a")
+		w.expect(1, "y", "a")
+		w.begin(0, "x", "b")
+		time.Sleep(500 * time.Millisecond)
+		older := w.table.copy()
+		w.daemons[0].stop()
+		older()
+		time.Sleep(3 * time.Second)
+		w.killAll()
+		w.start(1)
+		w.expectRefused(0, "x", "restarted", time.Second)
+		w.expect(0, "y", "a")
+	})
+}
--- a/core/mangoorigin/memory.go
+++ b/core/mangoorigin/memory.go
@@ -29,6 +29,8 @@
 	// written or read; zero if it was not.
 	queued bool
 	saved  time.Time
+	// again is set while the stream waits to be saved once more.
+	again bool
 }
 
 // savedRow is a row that this daemon has written.
@@ -165,7 +167,19 @@
 	defer m.mu.Unlock()
 	for _, id := range m.streams.Keys() {
 		if o, ok := m.streams.Peek(id); ok && o.saved.After(after) {
-			o.saved = time.Time{}
+			o.saved, o.again = time.Time{}, true
+			m.enqueue(&m.backlog, id, o)
+		}
+	}
+}
+
+// doubt records that rows of the store name other builds than are remembered.
+func (m *memory) doubt(streams []mangotraffic.StreamID) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, id := range streams {
+		if o, ok := m.streams.Peek(id); ok {
+			o.ambiguous, o.saved = true, time.Time{}
 			m.enqueue(&m.backlog, id, o)
 		}
 	}
@@ -263,7 +277,7 @@
 	for _, w := range b.write {
 		m.removals = append(m.removals, savedRow{w.stream, now})
 		if o, ok := m.streams.Peek(w.stream); ok && !o.queued && o.ambiguous == w.ambiguous {
-			o.saved = now
+			o.saved, o.again = now, false
 		}
 	}
 	if excess := len(m.removals) - maxRemovals; excess > 0 {
--- a/core/mangoorigin/streams.go
+++ b/core/mangoorigin/streams.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"mangolane/core/mangotraffic"
@@ -75,19 +76,47 @@
 	s.busy, s.due, s.last = true, time.Time{}, now
 	c.sweep.needed = true
 	rows, remove := c.rowsOf(b)
-	c.call(ctx, func(ctx context.Context) (Stamp, error) { return c.store.ReplaceStreams(ctx, rows, remove) },
-		func(now time.Time, err error) {
-			s.busy = false
+	var again []mangotraffic.StreamID
+	for _, w := range b.write {
+		if w.again && !w.ambiguous {
+			again = append(again, w.stream)
+		}
+	}
+	c.call(ctx, func(ctx context.Context) (Stamp, error) {
+		if len(again) > 0 {
+			stored, _, stamp, err := c.store.FindStreams(ctx, again)
 			if err != nil {
-				c.memory.failed(b)
-				s.pause = min(max(2*s.pause, minBackoff), maxBackoff)
-				s.due = now.Add(s.pause)
-				return
+				return stamp, err
 			}
-			s.pause = 0
-			c.memory.written(b, now)
-			c.observer.StreamsSaved(len(rows), len(remove))
-		})
+			c.memory.doubt(keepAmbiguous(rows, stored))
+		}
+		return c.store.ReplaceStreams(ctx, rows, remove)
+	}, func(now time.Time, err error) {
+		s.busy = false
+		if err != nil {
+			c.memory.failed(b)
+			s.pause = min(max(2*s.pause, minBackoff), maxBackoff)
+			s.due = now.Add(s.pause)
+			return
+		}
+		s.pause = 0
+		c.memory.written(b, now)
+		c.observer.StreamsSaved(len(rows), len(remove))
+	})
+}
+
+// keepAmbiguous marks the rows that would replace one of another build or of several, and
+// returns their streams.
+func keepAmbiguous(rows, stored []StreamRow) []mangotraffic.StreamID {
+	var streams []mangotraffic.StreamID
+	for i := range rows {
+		r := &rows[i]
+		if slices.ContainsFunc(stored, func(s StreamRow) bool { return s.Stream == r.Stream && (s.Ambiguous || s.Build != r.Build) }) {
+			r.Ambiguous = true
+			streams = append(streams, r.Stream)
+		}
+	}
+	return streams
 }
 
 // rowsOf returns the rows of a batch.
