Changes of a history are a revision, apart from the commands that make them

List and Serve of a history changed it and returned whether it had changed. They are commands now, and Revision is the query. What memory.get recorded shows in its name, resume. The types served and origin have the names serviceBuild and record, since a field and a type of mangorelay are called so.

--- a/core/mangobuilds/history.go
+++ b/core/mangobuilds/history.go
@@ -39,6 +39,8 @@
 	// since is when the history begins; zero if no earlier build is missing.
 	since time.Time
 	spans []Span
+	// revision counts the changes by List and Serve.
+	revision int
 }
 
 // New returns a History that begins at a time. The zero time means that no build was
@@ -55,8 +57,11 @@
 	return &h.spans[i]
 }
 
-// List records the builds that are listed now, and reports whether they have changed.
-func (h *History) List(builds []mangomodel.Build, now time.Time) bool {
+// Revision changes when List records a change, or Serve a new build.
+func (h *History) Revision() int { return h.revision }
+
+// List records the builds that are listed now.
+func (h *History) List(builds []mangomodel.Build, now time.Time) {
 	changed := false
 	for i := range h.spans {
 		if s := &h.spans[i]; s.Until.IsZero() && !slices.Contains(builds, s.Build) {
@@ -69,18 +74,21 @@
 		changed = changed || len(h.spans) > known || !s.Until.IsZero()
 		s.Until = time.Time{}
 	}
-	return changed
+	if changed {
+		h.revision++
+	}
 }
 
-// Serve records that a build has served now, though it may not be listed. It reports
-// whether the build is new.
-func (h *History) Serve(build mangomodel.Build, now time.Time) bool {
+// Serve records that a build has served now, though it may not be listed.
+func (h *History) Serve(build mangomodel.Build, now time.Time) {
 	known := len(h.spans)
 	s := h.span(build)
 	if len(h.spans) > known || !s.Until.IsZero() && now.After(s.Until) {
 		s.Until = now
 	}
-	return len(h.spans) > known
+	if len(h.spans) > known {
+		h.revision++
+	}
 }
 
 // Restore adds what another daemon has recorded since the service has existed, so that the
--- a/core/mangobuilds/history_test.go
+++ b/core/mangobuilds/history_test.go
@@ -14,7 +14,7 @@
 // at returns a time of a test.
 func at(seconds int) time.Time { return time.Unix(1000, 0).Add(time.Duration(seconds) * time.Second) }
 
-// since is when the history of a test begins; zero if it is complete.
+// history returns a history that begins at a time, after some steps.
 func history(since time.Time, steps ...func(h *History)) *History {
 	h := New(since)
 	for _, step := range steps {
@@ -87,16 +87,21 @@
 func TestChangesAreReported(t *testing.T) {
 	g := gomega.NewWithT(t)
 	h := New(time.Time{})
-	g.Expect(h.List([]mangomodel.Build{"a"}, at(0))).To(gomega.BeTrue(), "a is new")
-	g.Expect(h.List([]mangomodel.Build{"a"}, at(1))).To(gomega.BeFalse())
-	g.Expect(h.List([]mangomodel.Build{"b", "a"}, at(2))).To(gomega.BeTrue(), "b is new")
-	g.Expect(h.List([]mangomodel.Build{"a", "b"}, at(3))).To(gomega.BeFalse())
-	g.Expect(h.List([]mangomodel.Build{"a"}, at(4))).To(gomega.BeTrue(), "b has ended")
-	g.Expect(h.List([]mangomodel.Build{"a"}, at(5))).To(gomega.BeFalse())
-	g.Expect(h.List([]mangomodel.Build{"a", "b"}, at(6))).To(gomega.BeTrue(), "b is back")
-	g.Expect(h.Serve("a", at(7))).To(gomega.BeFalse())
-	g.Expect(h.Serve("c", at(8))).To(gomega.BeTrue(), "c is new")
-	g.Expect(h.Serve("c", at(9))).To(gomega.BeFalse())
+	changes := func(step func(*History)) bool {
+		before := h.Revision()
+		step(h)
+		return h.Revision() != before
+	}
+	g.Expect(changes(list(0, "a"))).To(gomega.BeTrue(), "a is new")
+	g.Expect(changes(list(1, "a"))).To(gomega.BeFalse())
+	g.Expect(changes(list(2, "b", "a"))).To(gomega.BeTrue(), "b is new")
+	g.Expect(changes(list(3, "a", "b"))).To(gomega.BeFalse())
+	g.Expect(changes(list(4, "a"))).To(gomega.BeTrue(), "b has ended")
+	g.Expect(changes(list(5, "a"))).To(gomega.BeFalse())
+	g.Expect(changes(list(6, "a", "b"))).To(gomega.BeTrue(), "b is back")
+	g.Expect(changes(serve(7, "a"))).To(gomega.BeFalse())
+	g.Expect(changes(serve(8, "c"))).To(gomega.BeTrue(), "c is new")
+	g.Expect(changes(serve(9, "c"))).To(gomega.BeFalse())
 }
 
 // TestSpansEnd guards against builds that are kept for ever, and against the loss of those
--- a/core/mangoorigin/memory.go
+++ b/core/mangoorigin/memory.go
@@ -19,8 +19,8 @@
 	maxRemovals = 16384
 )
 
-// origin is what this daemon knows of a stream.
-type origin struct {
+// record is what this daemon knows of a stream.
+type record struct {
 	build     mangomodel.Build
 	ambiguous bool
 	// at is when the stream began or was last resumed here.
@@ -44,7 +44,7 @@
 type memory struct {
 	mu sync.Mutex
 	// streams are ordered by when they began or were resumed.
-	streams *simplelru.LRU[mangotraffic.StreamID, *origin]
+	streams *simplelru.LRU[mangotraffic.StreamID, *record]
 	// mixed are the services whose streams are saved, and queue the streams to be saved as
 	// they begin. Those of the backlog began before. The last ones of the backlog are saved
 	// first, and of a queue longer than a batch, since most earlier streams have ended.
@@ -53,19 +53,19 @@
 	// removals are the rows that this daemon has written, oldest first.
 	removals []savedRow
 	// served are the builds at which streams began since they were last taken.
-	served map[served]bool
+	served map[serviceBuild]bool
 }
 
-// served is a build that serves a service.
-type served struct {
+// serviceBuild is a build of a service.
+type serviceBuild struct {
 	service mangotraffic.ServiceName
 	build   mangomodel.Build
 }
 
 func newMemory() *memory {
-	m := &memory{mixed: make(map[mangotraffic.ServiceName]bool), served: make(map[served]bool)}
+	m := &memory{mixed: make(map[mangotraffic.ServiceName]bool), served: make(map[serviceBuild]bool)}
 	// The size is positive, so that there is no error.
-	m.streams, _ = simplelru.NewLRU[mangotraffic.StreamID, *origin](maxStreams, nil)
+	m.streams, _ = simplelru.NewLRU[mangotraffic.StreamID, *record](maxStreams, nil)
 	return m
 }
 
@@ -74,13 +74,13 @@
 func (m *memory) begin(id mangotraffic.StreamID, build mangomodel.Build, now time.Time) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.served[served{id.Service, build}] = true
+	m.served[serviceBuild{id.Service, build}] = true
 	if id.Request == "" {
 		return false
 	}
 	o, ok := m.streams.Get(id)
 	if !ok {
-		o = &origin{build: build}
+		o = &record{build: build}
 		m.streams.Add(id, o)
 	}
 	o.at = now
@@ -91,7 +91,7 @@
 }
 
 // enqueue adds a stream to a queue if it has to be saved, and reports whether it has added it.
-func (m *memory) enqueue(queue *[]mangotraffic.StreamID, id mangotraffic.StreamID, o *origin) bool {
+func (m *memory) enqueue(queue *[]mangotraffic.StreamID, id mangotraffic.StreamID, o *record) bool {
 	if o.queued || !o.saved.IsZero() || !m.mixed[id.Service] {
 		return false
 	}
@@ -109,13 +109,13 @@
 	return !ok || !o.queued
 }
 
-// get returns what is known of a stream.
-func (m *memory) get(id mangotraffic.StreamID, now time.Time) (origin, bool) {
+// resume records that a stream is resumed here, and returns what is known of it.
+func (m *memory) resume(id mangotraffic.StreamID, now time.Time) (record, bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	o, ok := m.streams.Get(id)
 	if !ok {
-		return origin{}, false
+		return record{}, false
 	}
 	o.at = now
 	return *o, true
@@ -128,7 +128,7 @@
 	defer m.mu.Unlock()
 	o, ok := m.streams.Get(id)
 	if !ok {
-		o = &origin{build: build}
+		o = &record{build: build}
 		if isSaved {
 			o.saved = now
 		}
@@ -186,11 +186,11 @@
 }
 
 // takeServed returns the builds at which streams have begun since the last call.
-func (m *memory) takeServed() map[served]bool {
+func (m *memory) takeServed() map[serviceBuild]bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	taken := m.served
-	m.served = make(map[served]bool)
+	m.served = make(map[serviceBuild]bool)
 	return taken
 }
 
@@ -230,7 +230,7 @@
 // write is a stream as it is saved.
 type write struct {
 	stream mangotraffic.StreamID
-	origin
+	record
 }
 
 // next removes the stream that is saved next.
--- a/core/mangoorigin/origin.go
+++ b/core/mangoorigin/origin.go
@@ -84,7 +84,7 @@
 	errStale     = errors.New("the list of servers may lack its build, and no record names it")
 )
 
-// Origin returns the build at which a stream began. It waits for the row of another daemon
+// Origin returns the build at which a stream began, which is remembered here. It waits for the row of another daemon
 // for up to a second. The error is a fault with CodeCannotResume and RunNot if the build is
 // not known.
 func (o *Origins) Origin(ctx context.Context, stream mangotraffic.StreamID) (mangomodel.Build, error) {
@@ -101,7 +101,7 @@
 }
 
 func (o *Origins) resolve(ctx context.Context, stream mangotraffic.StreamID) (mangomodel.Build, Evidence, error) {
-	if known, ok := o.memory.get(stream, time.Now()); ok && stream.Request != "" {
+	if known, ok := o.memory.resume(stream, time.Now()); ok && stream.Request != "" {
 		if known.ambiguous {
 			return "", EvidenceNone, errAmbiguous
 		}
--- a/core/mangoorigin/run.go
+++ b/core/mangoorigin/run.go
@@ -181,20 +181,29 @@
 	if c.since.IsZero() {
 		c.since = now
 	}
-	changed := false
+	before := c.revision()
 	if now.Sub(c.scanned) >= viewInterval/2 {
 		c.watchCut(v, now)
 		c.scanned = now
-		changed = c.scan(v, now)
+		c.scan(v, now)
 	}
 	for s := range c.memory.takeServed() {
-		changed = c.history(s.service).Serve(s.build, now) || changed
+		c.history(s.service).Serve(s.build, now)
 	}
-	if changed {
+	if c.revision() != before {
 		c.builds.plan(now, v)
 	}
 }
 
+// revision changes when that of a history does.
+func (c *controller) revision() int {
+	sum := 0
+	for _, h := range c.histories {
+		sum += h.Revision()
+	}
+	return sum
+}
+
 // watchCut has the histories read again after the daemon was cut off, or its process stood
 // still. Until then it names no sole build.
 func (c *controller) watchCut(v *mangofleet.View, now time.Time) {
@@ -211,8 +220,8 @@
 	}
 }
 
-// scan records the builds that are listed, and reports whether they have changed.
-func (c *controller) scan(v *mangofleet.View, now time.Time) bool {
+// scan records the builds that are listed.
+func (c *controller) scan(v *mangofleet.View, now time.Time) {
 	if !v.Stale(now) {
 		c.others = len(v.Members) - 1
 	}
@@ -232,11 +241,9 @@
 	for service := range listed {
 		c.history(service)
 	}
-	changed := false
 	for service, h := range c.histories {
-		changed = h.List(listed[service], now) || changed
+		h.List(listed[service], now)
 	}
-	return changed
 }
 
 // limitReads sets how many rows this daemon reads, as one of a number of daemons.
