--- a/core/mangoorigin/memory.go
+++ b/core/mangoorigin/memory.go
@@ -1,6 +1,7 @@
 package mangoorigin
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -18,8 +19,8 @@
 	maxRemovals = 16384
 )
 
-// origin is what this daemon knows of a stream.
-type origin struct {
+// record is what this daemon knows of a stream.
+type record struct {
 	build     mangomodel.Build
 	ambiguous bool
 	// at is when the stream began or was last resumed here.
@@ -28,6 +29,8 @@
 	// written or read; zero if it was not.
 	queued bool
 	saved  time.Time
+	// again is set while the stream waits to be saved once more.
+	again bool
 }
 
 // savedRow is a row that this daemon has written.
@@ -41,28 +44,28 @@
 type memory struct {
 	mu sync.Mutex
 	// streams are ordered by when they began or were resumed.
-	streams *simplelru.LRU[mangotraffic.StreamID, *origin]
+	streams *simplelru.LRU[mangotraffic.StreamID, *record]
 	// mixed are the services whose streams are saved, and queue the streams to be saved as
-	// they begin. Those of the backlog began before; the last ones are saved first, since
-	// most earlier streams have ended.
+	// they begin. Those of the backlog began before. The last ones of the backlog are saved
+	// first, and of a queue longer than a batch, since most earlier streams have ended.
 	mixed          map[mangotraffic.ServiceName]bool
 	queue, backlog []mangotraffic.StreamID
 	// removals are the rows that this daemon has written, oldest first.
 	removals []savedRow
 	// served are the builds at which streams began since they were last taken.
-	served map[served]bool
+	served map[serviceBuild]bool
 }
 
-// served is a build that serves a service.
-type served struct {
+// serviceBuild is a build of a service.
+type serviceBuild struct {
 	service mangotraffic.ServiceName
 	build   mangomodel.Build
 }
 
 func newMemory() *memory {
-	m := &memory{mixed: make(map[mangotraffic.ServiceName]bool), served: make(map[served]bool)}
+	m := &memory{mixed: make(map[mangotraffic.ServiceName]bool), served: make(map[serviceBuild]bool)}
 	// The size is positive, so that there is no error.
-	m.streams, _ = simplelru.NewLRU[mangotraffic.StreamID, *origin](maxStreams, nil)
+	m.streams, _ = simplelru.NewLRU[mangotraffic.StreamID, *record](maxStreams, nil)
 	return m
 }
 
@@ -71,13 +74,13 @@
 func (m *memory) begin(id mangotraffic.StreamID, build mangomodel.Build, now time.Time) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.served[served{id.Service, build}] = true
+	m.served[serviceBuild{id.Service, build}] = true
 	if id.Request == "" {
 		return false
 	}
 	o, ok := m.streams.Get(id)
 	if !ok {
-		o = &origin{build: build}
+		o = &record{build: build}
 		m.streams.Add(id, o)
 	}
 	o.at = now
@@ -97,7 +100,7 @@
 	}
 	o, ok := m.streams.Get(id)
 	if !ok {
-		o = &origin{}
+		o = &record{}
 		m.streams.Add(id, o)
 	}
 	o.at = now
@@ -108,22 +111,31 @@
 }
 
 // enqueue adds a stream to a queue if it has to be saved, and reports whether it has added it.
-func (m *memory) enqueue(queue *[]mangotraffic.StreamID, id mangotraffic.StreamID, o *origin) bool {
+func (m *memory) enqueue(queue *[]mangotraffic.StreamID, id mangotraffic.StreamID, o *record) bool {
 	if o.queued || !o.saved.IsZero() || !m.mixed[id.Service] {
 		return false
 	}
+	if len(*queue) >= 2*maxStreams {
+		*queue = slices.DeleteFunc(*queue, m.isSaved)
+	}
 	o.queued = true
 	*queue = append(*queue, id)
 	return true
 }
 
-// get returns what is known of a stream.
-func (m *memory) get(id mangotraffic.StreamID, now time.Time) (origin, bool) {
+// isSaved reports whether a stream does not wait to be saved, or was forgotten.
+func (m *memory) isSaved(id mangotraffic.StreamID) bool {
+	o, ok := m.streams.Peek(id)
+	return !ok || !o.queued
+}
+
+// resume records that a stream is resumed here, and returns what is known of it.
+func (m *memory) resume(id mangotraffic.StreamID, now time.Time) (record, bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	o, ok := m.streams.Get(id)
 	if !ok {
-		return origin{}, false
+		return record{}, false
 	}
 	o.at = now
 	return *o, true
@@ -136,7 +148,7 @@
 	defer m.mu.Unlock()
 	o, ok := m.streams.Get(id)
 	if !ok {
-		o = &origin{build: build}
+		o = &record{build: build}
 		if isSaved {
 			o.saved = now
 		}
@@ -175,18 +187,30 @@
 	defer m.mu.Unlock()
 	for _, id := range m.streams.Keys() {
 		if o, ok := m.streams.Peek(id); ok && o.saved.After(after) {
-			o.saved = time.Time{}
+			o.saved, o.again = time.Time{}, true
+			m.enqueue(&m.backlog, id, o)
+		}
+	}
+}
+
+// contradict records that rows of the store name other builds than are remembered.
+func (m *memory) contradict(streams []mangotraffic.StreamID) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, id := range streams {
+		if o, ok := m.streams.Peek(id); ok {
+			o.ambiguous, o.saved = true, time.Time{}
 			m.enqueue(&m.backlog, id, o)
 		}
 	}
 }
 
 // takeServed returns the builds at which streams have begun since the last call.
-func (m *memory) takeServed() map[served]bool {
+func (m *memory) takeServed() map[serviceBuild]bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	taken := m.served
-	m.served = make(map[served]bool)
+	m.served = make(map[serviceBuild]bool)
 	return taken
 }
 
@@ -226,19 +250,23 @@
 // write is a stream as it is saved.
 type write struct {
 	stream mangotraffic.StreamID
-	origin
+	record
 }
 
 // next removes the stream that is saved next.
 func (m *memory) next() mangotraffic.StreamID {
-	if len(m.queue) > 0 {
+	queue := &m.queue
+	switch n := len(m.queue); {
+	case n == 0:
+		queue = &m.backlog
+	case n <= maxBatch:
 		id := m.queue[0]
 		m.queue = m.queue[1:]
 		return id
 	}
-	last := len(m.backlog) - 1
-	id := m.backlog[last]
-	m.backlog = m.backlog[:last]
+	last := len(*queue) - 1
+	id := (*queue)[last]
+	*queue = (*queue)[:last]
 	return id
 }
 
@@ -269,7 +297,7 @@
 	for _, w := range b.write {
 		m.removals = append(m.removals, savedRow{w.stream, now})
 		if o, ok := m.streams.Peek(w.stream); ok && !o.queued && o.ambiguous == w.ambiguous {
-			o.saved = now
+			o.saved, o.again = now, false
 		}
 	}
 	if excess := len(m.removals) - maxRemovals; excess > 0 {
--- a/core/mangoorigin/origin.go
+++ b/core/mangoorigin/origin.go
@@ -6,28 +6,14 @@
 	"sync/atomic"
 	"time"
 
-	"golang.org/x/time/rate"
-
 	"mangolane/core/mangofleet"
 	"mangolane/core/mangomodel"
-	"mangolane/core/mangopanic"
 	"mangolane/core/mangoroster"
 	"mangolane/core/mangotraffic"
 )
 
-const (
-	// maxReads is the number of reads of rows of streams a second by one daemon, of which as
-	// many may follow each other at once: those of the streams of a server that breaks. All
-	// daemons together make allReads. minReads is what each may make in the largest fleet.
-	maxReads, minReads, allReads = 40, 4, 1200
-	// rowWait bounds how long an absent row is awaited, since the daemon at which the stream
-	// began may be about to write it, and rowPause is the pause before the second read.
-	// Each further pause is longer by as much.
-	rowWait  = time.Second
-	rowPause = 100 * time.Millisecond
-	// readyWait bounds how long a daemon that starts, or was cut off, waits for the histories.
-	readyWait = time.Second
-)
+// readyWait bounds how long a daemon that starts, or was cut off, waits for the histories.
+const readyWait = time.Second
 
 // Origins records and resolves the builds at which streams began. It implements
 // mangorelay.Origins.
@@ -38,8 +24,7 @@
 	first    bool
 	began    time.Time
 	memory   *memory
-	reads    *rate.Limiter
-	flights  flights
+	reader   *reader
 	// published is what is known of services.
 	published atomic.Pointer[snapshot]
 	// wake is signalled when a stream waits to be saved or another build has served.
@@ -50,6 +35,8 @@
 type snapshot struct {
 	// sole is the build that began all streams of a service, where there is one.
 	sole map[mangotraffic.ServiceName]mangomodel.Build
+	// doubtful are the services of which a build may be missing.
+	doubtful map[mangotraffic.ServiceName]bool
 	// others is the number of other daemons when the list was last known to be current.
 	others int
 	// at is when this was published, and behind is set if the daemon may have missed builds.
@@ -70,8 +57,7 @@
 func New(fleet Fleet, store Store, observer Observer, opts ...Option) *Origins {
 	o := &Origins{
 		fleet: fleet, store: store, observer: observer, began: time.Now(), memory: newMemory(),
-		reads: rate.NewLimiter(maxReads, maxReads),
-		wake:  make(chan struct{}, 1),
+		reader: newReader(store, observer), wake: make(chan struct{}, 1),
 	}
 	o.published.Store(&snapshot{unread: make(chan struct{})})
 	for _, opt := range opts {
@@ -106,7 +92,7 @@
 	errStale     = errors.New("the list of servers may lack its build, and no record names it")
 )
 
-// Origin returns the build at which a stream began. It waits for the row of another daemon
+// Origin returns the build at which a stream began, which is remembered here. It waits for the row of another daemon
 // for up to a second. The error is a fault with CodeCannotResume and RunNot if the build is
 // not known.
 func (o *Origins) Origin(ctx context.Context, stream mangotraffic.StreamID) (mangomodel.Build, error) {
@@ -123,7 +109,7 @@
 }
 
 func (o *Origins) resolve(ctx context.Context, stream mangotraffic.StreamID) (mangomodel.Build, Evidence, error) {
-	if known, ok := o.memory.get(stream, time.Now()); ok && stream.Request != "" {
+	if known, ok := o.memory.resume(stream, time.Now()); ok && stream.Request != "" {
 		if known.ambiguous {
 			return "", EvidenceNone, errAmbiguous
 		}
@@ -137,7 +123,7 @@
 	if stream.Request == "" {
 		return "", EvidenceNone, errNoName
 	}
-	row, err := o.flights.do(ctx, stream, o.readRow)
+	row, err := o.reader.read(ctx, stream)
 	if err != nil && sole {
 		// The histories may have been read meanwhile.
 		if build, sole, current = o.sole(stream.Service); sole && current {
@@ -156,17 +142,17 @@
 }
 
 // sole returns the build that began all streams of a service as far as this daemon knows, if
-// there is one, and whether no other daemon in touch can know of another.
+// there is one, and whether no other daemon can know of another.
 func (o *Origins) sole(service mangotraffic.ServiceName) (build mangomodel.Build, sole, current bool) {
 	known := o.published.Load()
 	build, sole = known.sole[service]
 	now := time.Now()
-	current = !known.behind && mangomodel.Elapsed(known.at, now) < mangoroster.AliveTimeout && known.current(o.fleet.View(), now)
+	current = !known.behind && !known.doubtful[service] && mangomodel.Elapsed(known.at, now) < mangoroster.AliveTimeout && known.current(o.fleet.View(), now)
 	return build, sole, current
 }
 
-// current reports whether no daemon in touch has a later list: it was read lately, or it is
-// that of at least half of the other daemons, none of which can read.
+// current reports whether no other daemon can have a later list: it was read lately, or all
+// others are in touch, none of which can read.
 func (s *snapshot) current(v *mangofleet.View, now time.Time) bool {
 	if !v.Stale(now) {
 		return true
@@ -177,7 +163,7 @@
 			alive++
 		}
 	}
-	return 2*alive >= s.others
+	return alive >= s.others
 }
 
 // awaitReady waits until the histories were read, and not longer than a start may take.
@@ -195,31 +181,6 @@
 	}
 }
 
-// readRow reads the row of a stream until it is there, for at most rowWait.
-func (o *Origins) readRow(stream mangotraffic.StreamID) (row StreamRow, err error) {
-	defer mangopanic.CatchError(o.observer, "read of a stream's origin", &err)
-	ctx, cancel := context.WithTimeout(context.Background(), rowWait)
-	defer cancel()
-	last := errReads
-	for pause := rowPause; ; pause += rowPause {
-		if o.reads.Wait(ctx) != nil {
-			return StreamRow{}, last
-		}
-		row, ok, _, err := o.store.Stream(ctx, stream)
-		switch {
-		case err == nil && ok:
-			return row, nil
-		case err == nil:
-			last = errNoRow
-		case ctx.Err() == nil || last == errReads:
-			last = err
-		}
-		if sleep(ctx, pause); ctx.Err() != nil {
-			return StreamRow{}, last
-		}
-	}
-}
-
 func signal(c chan<- struct{}) {
 	select {
 	case c <- struct{}{}:
--- a/core/mangoorigin/run.go
+++ b/core/mangoorigin/run.go
@@ -3,11 +3,10 @@
 import (
 	"context"
 	"maps"
+	"math"
 	"slices"
 	"time"
 
-	"golang.org/x/time/rate"
-
 	"mangolane/core/mangobuilds"
 	"mangolane/core/mangofleet"
 	"mangolane/core/mangomodel"
@@ -26,8 +25,8 @@
 	// minBackoff and maxBackoff bound the pause after failed calls.
 	minBackoff = 100 * time.Millisecond
 	maxBackoff = 3200 * time.Millisecond
-	// firstStartWindow is how long after its start a daemon may take the absence of a
-	// history for the first start of the installation.
+	// firstStartWindow is how long after its start a daemon may take the absence of rows for
+	// the first start of the installation.
 	firstStartWindow = 10 * time.Second
 )
 
@@ -38,6 +37,8 @@
 	// windows are the times for which streams of services may be resumed. They never
 	// become shorter, since a stream keeps the timeout with which it began.
 	windows map[mangotraffic.ServiceName]time.Duration
+	// configured is set once the timeouts of routes are known.
+	configured bool
 	// since is when the list of servers was first received, scanned when it was last looked
 	// at, and others the number of other daemons when it was last current.
 	since, scanned time.Time
@@ -49,6 +50,8 @@
 	// builds. cut is set until then.
 	unread chan struct{}
 	cut    bool
+	// doubtful are the services whose rows may be from an older copy of the store.
+	doubtful map[mangotraffic.ServiceName]bool
 	// era is the latest one of the store that this daemon has heard of, and start when the
 	// store's clock was zero.
 	era   mangotraffic.Era
@@ -65,7 +68,8 @@
 	return &controller{
 		Origins: o, histories: make(map[mangotraffic.ServiceName]*mangobuilds.History),
 		windows: make(map[mangotraffic.ServiceName]time.Duration), mixed: make(map[mangotraffic.ServiceName]bool),
-		results: make(chan func(time.Time)), sweep: sweeper{needed: true}, unread: o.published.Load().unread,
+		doubtful: make(map[mangotraffic.ServiceName]bool),
+		results:  make(chan func(time.Time)), sweep: sweeper{needed: true}, unread: o.published.Load().unread,
 	}
 }
 
@@ -152,6 +156,7 @@
 		c.builds.plan(now, c.fleet.View())
 	}
 	c.era = era
+	c.builds.planSecond(now)
 }
 
 // report tells the observer whether calls fail.
@@ -176,20 +181,29 @@
 	if c.since.IsZero() {
 		c.since = now
 	}
-	changed := false
+	before := c.revision()
 	if now.Sub(c.scanned) >= viewInterval/2 {
 		c.watchCut(v, now)
 		c.scanned = now
-		changed = c.scan(v, now)
+		c.scan(v, now)
 	}
 	for s := range c.memory.takeServed() {
-		changed = c.history(s.service).Serve(s.build, now) || changed
+		c.history(s.service).Serve(s.build, now)
 	}
-	if changed {
+	if c.revision() != before {
 		c.builds.plan(now, v)
 	}
 }
 
+// revision changes when that of a history does.
+func (c *controller) revision() int {
+	sum := 0
+	for _, h := range c.histories {
+		sum += h.Revision()
+	}
+	return sum
+}
+
 // watchCut has the histories read again after the daemon was cut off, or its process stood
 // still. Until then it names no sole build.
 func (c *controller) watchCut(v *mangofleet.View, now time.Time) {
@@ -206,13 +220,14 @@
 	}
 }
 
-// scan records the builds that are listed, and reports whether they have changed.
-func (c *controller) scan(v *mangofleet.View, now time.Time) bool {
+// scan records the builds that are listed.
+func (c *controller) scan(v *mangofleet.View, now time.Time) {
 	if !v.Stale(now) {
 		c.others = len(v.Members) - 1
 	}
 	c.limitReads(now, len(v.Members))
 	if v.Routing != nil {
+		c.configured = true
 		for service, timeout := range v.Routing.Timeouts(defaultTimeout) {
 			c.windows[service] = max(c.windows[service], timeout+margin)
 		}
@@ -226,40 +241,26 @@
 	for service := range listed {
 		c.history(service)
 	}
-	changed := false
 	for service, h := range c.histories {
-		changed = h.List(listed[service], now) || changed
+		h.List(listed[service], now)
 	}
-	return changed
 }
 
 // limitReads sets how many rows this daemon reads, as one of a number of daemons.
 func (c *controller) limitReads(now time.Time, daemons int) {
-	n := min(max(allReads/max(daemons, 1), minReads), maxReads)
-	if n != c.reads.Burst() {
-		c.reads.SetLimitAt(now, rate.Limit(n))
-		c.reads.SetBurstAt(now, n)
-	}
+	c.reader.setLimit(now, min(max(allReads/max(daemons, 1), minReads), maxReads))
 }
 
 // history returns the history of a service. Without a row it begins with the list.
 func (c *controller) history(service mangotraffic.ServiceName) *mangobuilds.History {
 	h, ok := c.histories[service]
 	if !ok {
-		h = mangobuilds.New(c.beginning())
+		h = mangobuilds.New(c.since)
 		c.histories[service] = h
 	}
 	return h
 }
 
-// beginning returns when the history of a service without a row begins.
-func (c *controller) beginning() time.Time {
-	if c.builds.fresh {
-		return time.Time{}
-	}
-	return c.since
-}
-
 // window returns the time for which streams of a service may be resumed.
 func (c *controller) window(service mangotraffic.ServiceName) time.Duration {
 	if w, ok := c.windows[service]; ok {
@@ -268,6 +269,15 @@
 	return defaultTimeout + margin
 }
 
+// kept returns the time for which ended builds of a service are kept in its row: all, as long
+// as the routes are not known.
+func (c *controller) kept(service mangotraffic.ServiceName) time.Duration {
+	if !c.configured {
+		return math.MaxInt64
+	}
+	return c.window(service)
+}
+
 // longest returns the time for which streams of any service may be resumed.
 func (c *controller) longest() time.Duration {
 	longest := defaultTimeout + margin
@@ -280,7 +290,7 @@
 // publish publishes which services have a sole build, and has the streams of the others
 // saved.
 func (c *controller) publish(now time.Time) {
-	next := &snapshot{sole: make(map[mangotraffic.ServiceName]mangomodel.Build), others: c.others, at: now, unread: c.unread}
+	next := &snapshot{sole: make(map[mangotraffic.ServiceName]mangomodel.Build), others: c.others, at: now, unread: c.unread, doubtful: maps.Clone(c.doubtful)}
 	next.behind = c.builds.read && (c.cut || c.unread != nil)
 	for service, h := range c.histories {
 		window := c.window(service)
@@ -288,7 +298,9 @@
 		if sole {
 			next.sole[service] = build
 		}
-		h.Forget(2*window, now)
+		if c.configured {
+			h.Forget(2*window, now)
+		}
 		if !c.builds.read {
 			continue
 		}
