Stand-in store: a write ends with its connection during a silent outage

What was seen: TestSoak/40 passed and then hung until its time-out, since the store could not be closed. Cause: net/http notices that a connection is closed only once the body of its request was read, and the silent store did not read it. Records of origins made writes during outages frequent. Change: it reads the body. Evidence: TestWriteToASilentStoreEndsWithItsConnection fails without the change.

--- a/mangostand/mangotable/http.go
+++ b/mangostand/mangotable/http.go
@@ -61,6 +61,8 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	case OutageSilent:
+		// The context ends with the connection only once the body was read.
+		_, _ = io.Copy(io.Discard, r.Body)
 		<-r.Context().Done()
 		return
 	}
