--- a/mangostand/mangoworker/worker.go
+++ b/mangostand/mangoworker/worker.go
@@ -143,6 +143,13 @@
 	return w.build
 }
 
+// Running returns the number of requests that the server runs.
+func (w *Worker) Running() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.running
+}
+
 // Crash closes the server and resets all its connections.
 func (w *Worker) Crash() { w.end(true) }
 
