--- a/core/mangoorigin/run.go
+++ b/core/mangoorigin/run.go
@@ -9,8 +9,10 @@
 	"golang.org/x/time/rate"
 
 	"mangolane/core/mangobuilds"
+	"mangolane/core/mangofleet"
 	"mangolane/core/mangomodel"
 	"mangolane/core/mangopanic"
+	"mangolane/core/mangoroster"
 	"mangolane/core/mangotraffic"
 )
 
@@ -36,12 +38,17 @@
 	// windows are the times for which streams of services may be resumed. They never
 	// become shorter, since a stream keeps the timeout with which it began.
 	windows map[mangotraffic.ServiceName]time.Duration
-	// since is when the list of servers was first received, and others the number of other
-	// daemons when it was last current.
-	since  time.Time
-	others int
+	// since is when the list of servers was first received, scanned when it was last looked
+	// at, and others the number of other daemons when it was last current.
+	since, scanned time.Time
+	others         int
 	// mixed are the services whose streams are saved.
 	mixed map[mangotraffic.ServiceName]bool
+	// unread is closed and set to nil once the histories of other daemons were read. It is
+	// set again when the daemon comes back after it was cut off, when it may have missed
+	// builds. cut is set until then.
+	unread chan struct{}
+	cut    bool
 	// era is the latest one of the store that this daemon has heard of, and start when the
 	// store's clock was zero.
 	era   mangotraffic.Era
@@ -54,13 +61,17 @@
 	lostAt  time.Time
 }
 
-// Run reads the histories and then saves what changes until ctx ends.
-func (o *Origins) Run(ctx context.Context) {
-	c := &controller{
+func newController(o *Origins) *controller {
+	return &controller{
 		Origins: o, histories: make(map[mangotraffic.ServiceName]*mangobuilds.History),
 		windows: make(map[mangotraffic.ServiceName]time.Duration), mixed: make(map[mangotraffic.ServiceName]bool),
-		results: make(chan func(time.Time)), sweep: sweeper{needed: true},
+		results: make(chan func(time.Time)), sweep: sweeper{needed: true}, unread: o.published.Load().unread,
 	}
+}
+
+// Run reads the histories and then saves what changes until ctx ends.
+func (o *Origins) Run(ctx context.Context) {
+	c := newController(o)
 	ticker := time.NewTicker(viewInterval)
 	defer ticker.Stop()
 	for {
@@ -155,10 +166,48 @@
 	}
 }
 
-// observe records the builds that are listed and those that have served.
+// observe records what the fleet knows, and the builds at which streams have begun.
 func (c *controller) observe(now time.Time) {
 	v := c.fleet.View()
 	c.learn(v.ListCursor.Era, now)
+	if v.ListRead.IsZero() {
+		return
+	}
+	if c.since.IsZero() {
+		c.since = now
+	}
+	changed := false
+	if now.Sub(c.scanned) >= viewInterval/2 {
+		c.watchCut(v, now)
+		c.scanned = now
+		changed = c.scan(v, now)
+	}
+	for s := range c.memory.takeServed() {
+		changed = c.history(s.service).Serve(s.build, now) || changed
+	}
+	if changed {
+		c.builds.plan(now, v)
+	}
+}
+
+// watchCut has the histories read again after the daemon was cut off, or its process stood
+// still. Until then it names no sole build.
+func (c *controller) watchCut(v *mangofleet.View, now time.Time) {
+	known := snapshot{others: c.others}
+	if !known.current(v, now) || !c.scanned.IsZero() && mangomodel.Elapsed(c.scanned, now) > mangoroster.AliveTimeout {
+		c.cut = true
+	}
+	if c.cut && c.builds.read && !v.Stale(now) {
+		c.cut = false
+		if c.unread == nil {
+			c.unread = make(chan struct{})
+		}
+		c.builds.due = now
+	}
+}
+
+// scan records the builds that are listed, and reports whether they have changed.
+func (c *controller) scan(v *mangofleet.View, now time.Time) bool {
 	if !v.Stale(now) {
 		c.others = len(v.Members) - 1
 	}
@@ -168,12 +217,6 @@
 			c.windows[service] = max(c.windows[service], timeout+margin)
 		}
 	}
-	if v.ListRead.IsZero() {
-		return
-	}
-	if c.since.IsZero() {
-		c.since = now
-	}
 	listed := make(map[mangotraffic.ServiceName][]mangomodel.Build)
 	for _, server := range v.Listed {
 		if list := listed[server.Service]; !slices.Contains(list, server.Build) {
@@ -187,12 +230,7 @@
 	for service, h := range c.histories {
 		changed = h.List(listed[service], now) || changed
 	}
-	for s := range c.memory.takeServed() {
-		changed = c.history(s.service).Serve(s.build, now) || changed
-	}
-	if changed {
-		c.builds.plan(now, v)
-	}
+	return changed
 }
 
 // limitReads sets how many rows this daemon reads, as one of a number of daemons.
@@ -242,7 +280,8 @@
 // publish publishes which services have a sole build, and has the streams of the others
 // saved.
 func (c *controller) publish(now time.Time) {
-	next := &snapshot{sole: make(map[mangotraffic.ServiceName]mangomodel.Build), others: c.others}
+	next := &snapshot{sole: make(map[mangotraffic.ServiceName]mangomodel.Build), others: c.others, at: now, unread: c.unread}
+	next.behind = c.builds.read && (c.cut || c.unread != nil)
 	for service, h := range c.histories {
 		window := c.window(service)
 		build, sole := h.Sole(window, now)
