A server is checked again after the wait for a retry

What callers saw: an answer that went on at another build (ORDER, restarts with the other build). Cause: a continuation waits for the retry budget for up to a second after its server was checked, and the server may have restarted with another build, left or asked for time meanwhile. Change: the same check right before the call is sent; the retry is refunded. Evidence: without it TestServerIsCheckedAfterTheWaitForARetry fails.

--- a/core/mangorelay/build_test.go
+++ b/core/mangorelay/build_test.go
@@ -256,3 +256,28 @@
 		h.Expect(h.client.body).To(gomega.BeEmpty())
 	})
 }
+
+// TestServerIsCheckedAfterTheWaitForARetry guards against a continuation that is sent to a
+// server that restarted with another build while the call waited for the retry budget.
+func TestServerIsCheckedAfterTheWaitForARetry(t *testing.T) {
+	withBuilds(t, "v1", "v2", func(h *harness, _ *recordedOrigins) {
+		h.listBuilds(3, map[mangomodel.ServerID]mangomodel.Build{"d3": "v1"}, 0)
+		h.servers.runs["d1"] = []step{{events: events(1, 2), aborted: true}}
+		h.servers.runs["d3"] = []step{{events: events(3, 4)}}
+		ctx := context.Background()
+		// A prefill and a run are left.
+		for range retryBudget - 1 {
+			h.Expect(h.fleet.Do(ctx, mangofleet.TakeRetry{Service: "llm"})).To(gomega.Succeed())
+		}
+		broken := 2 * eventInterval
+		time.AfterFunc(broken+3*budgetInterval, func() {
+			h.listBuilds(4, map[mangomodel.ServerID]mangomodel.Build{"d3": "v2"}, time.Second)
+		})
+		time.AfterFunc(broken+4*budgetInterval, func() {
+			h.Expect(h.fleet.Do(ctx, mangofleet.RefundRetry{Service: "llm"})).To(gomega.Succeed())
+		})
+		h.Expect(h.serve()).NotTo(gomega.BeNil())
+		h.Expect(h.client.body).To(gomega.Equal("12"))
+		h.Expect(h.servers.sent).NotTo(gomega.ContainElement(mangomodel.ServerID("d3")))
+	})
+}
--- a/core/mangorelay/plain.go
+++ b/core/mangorelay/plain.go
@@ -107,14 +107,15 @@
 
 // exchange sends the call and relays the response.
 func (j *job) exchange(ctx context.Context, lease mangolease.Lease, timer stallTimer) error {
-	if err := errors.Join(j.checkStop(), j.checkAccess(), j.checkCall(), j.checkUsable(lease.Server.ID)); err != nil {
+	if err := errors.Join(j.checkStop(), j.checkAccess(), j.checkCall(), j.checkServer(lease.Server)); err != nil {
 		return err
 	}
-	if err := j.checkBuild(lease.Server); err != nil {
-		j.avoid = append(j.avoid, lease.Server.ID)
+	if err := j.takeRetry(ctx, mangoexchange.PhaseRun); err != nil {
 		return err
 	}
-	if err := j.takeRetry(ctx, mangoexchange.PhaseRun); err != nil {
+	// The wait for the retry may have been long.
+	if err := j.checkServer(lease.Server); err != nil {
+		j.refundRetry(mangoexchange.PhaseRun)
 		return err
 	}
 	j.received = 0
--- a/core/mangorelay/stream.go
+++ b/core/mangorelay/stream.go
@@ -101,17 +101,18 @@
 func (j *job) generate(ctx context.Context, grant *mangobroker.Grant) error {
 	began := time.Now()
 	server := grant.Lease.Server
-	if err := errors.Join(j.checkStop(), j.checkAccess(), j.checkCall(), j.checkParts(), j.checkLease(), j.checkUsable(server.ID)); err != nil {
-		return err
-	}
-	if err := j.checkBuild(server); err != nil {
-		j.avoid = append(j.avoid, server.ID)
+	if err := errors.Join(j.checkStop(), j.checkAccess(), j.checkCall(), j.checkParts(), j.checkLease(), j.checkServer(server)); err != nil {
 		return err
 	}
 	if err := j.takeRetry(ctx, mangoexchange.PhaseRun); err != nil {
 		j.releaseCache()
 		return err
 	}
+	// The wait for the retry may have been long.
+	if err := j.checkServer(server); err != nil {
+		j.refundRetry(mangoexchange.PhaseRun)
+		return err
+	}
 	j.received = 0
 	opts := mangoexchange.RunOptions{LastEventID: j.lastEventID, Stream: true}
 	if j.cache != nil {
--- a/core/mangorelay/usable.go
+++ b/core/mangorelay/usable.go
@@ -19,6 +19,19 @@
 	return err
 }
 
+// checkServer returns a fault if the call may not be sent to a leased server, which is then
+// avoided.
+func (j *job) checkServer(server mangotraffic.Server) error {
+	if err := j.checkUsable(server.ID); err != nil {
+		return err
+	}
+	err := j.checkBuild(server)
+	if err != nil {
+		j.avoid = append(j.avoid, server.ID)
+	}
+	return err
+}
+
 // usable returns a fault if this daemon may not send a call to a server.
 func (r *Relay) usable(id mangomodel.ServerID) error {
 	view := r.fleet.View()
