A server that has broken off confirms its start before it gets a stream

Cause: a server that restarted under its id is listed with its earlier build for some 0.2 s. A stream that begins there in that time is taken for one of the earlier build, and a continuation that is sent there joins it; the server is asked for its start only when a stream breaks off, and does not reply if it has ended again. Change: a daemon that has seen a server break off, or could not connect, asks it for its start before it sends a stream there, if servers of several builds are listed; one that restarted or does not reply in 100 ms is avoided.

--- a/core/mangorelay/plain.go
+++ b/core/mangorelay/plain.go
@@ -114,7 +114,7 @@
 		return err
 	}
 	// The wait for the retry may have been long.
-	if err := j.checkServer(lease.Server); err != nil {
+	if err := j.confirmServer(ctx, lease.Server); err != nil {
 		j.refundRetry(mangoexchange.PhaseRun)
 		return err
 	}
@@ -237,6 +237,7 @@
 	f := mangomodel.AsFault(err, mangomodel.StepCall)
 	j.avoid = append(j.avoid, server.ID)
 	if f.Run == mangomodel.RunNot {
+		j.relay.unconfirmed.add(&server)
 		j.observe(server.ID, mangolease.OutcomeUnreachable, nil)
 		j.refundRetry(mangoexchange.PhaseRun)
 		return f
@@ -255,6 +256,7 @@
 		j.observe(server.ID, mangolease.OutcomeFailure, nil)
 	}
 	if cause == nil {
+		j.relay.unconfirmed.add(&server)
 		j.apply(mangofleet.CallAborted{Call: j.call.Fingerprint, Server: mangocrash.IncarnationOf(server.ID, server.Born)})
 		j.recordCrash(ctx, server)
 	}
--- a/core/mangorelay/relay.go
+++ b/core/mangorelay/relay.go
@@ -28,10 +28,12 @@
 	tracer   Tracer
 	memory   Memory
 	// origins is nil if resumed streams may continue at any build.
-	origins  Origins
-	active   atomic.Int64
-	paces    paces
-	shutdown *shutdown
+	origins Origins
+	active  atomic.Int64
+	paces   paces
+	// unconfirmed are the servers that may have restarted since they were listed.
+	unconfirmed unconfirmed
+	shutdown    *shutdown
 }
 
 // Active returns the number of calls in progress.
--- a/core/mangorelay/stream.go
+++ b/core/mangorelay/stream.go
@@ -109,7 +109,7 @@
 		return err
 	}
 	// The wait for the retry may have been long.
-	if err := j.checkServer(server); err != nil {
+	if err := j.confirmServer(ctx, server); err != nil {
 		j.refundRetry(mangoexchange.PhaseRun)
 		return err
 	}
