--- a/core/mangoquery/import_test.go
+++ b/core/mangoquery/import_test.go
@@ -53,6 +53,7 @@
 		{"mangofleet", []string{"mangowire", "mangorest", "mangorelay", "mangobroker", "mangofollow"}, "commands must not depend on adapters or traffic"},
 		{"mangopool", []string{"mangofleet", "mangoloop", "mangowire", "mangorest"}, "decisions must not depend on the loop or encodings"},
 		{"mangobuilds", []string{"mangofleet", "mangopool", "mangoloop", "mangowire", "mangorest"}, "decisions must not depend on the loop or encodings"},
+		{"mangodeparture", []string{"mangofleet", "mangopool", "mangoloop", "mangowire", "mangorest"}, "decisions must not depend on the loop or encodings"},
 		{"mangoorigin", []string{"mangowire", "mangorest", "mangorelay"}, "records must not depend on encodings or calls"},
 		{"mangoroster", []string{"mangofleet", "mangopool", "mangoloop", "mangowire", "mangorest"}, "decisions must not depend on the loop or encodings"},
 		{"mangobalance", []string{"mangofleet", "mangopool", "mangoloop", "mangowire", "mangorest"}, "decisions must not depend on the loop or encodings"},
