New streams leave servers to the streams that began at their build

What callers saw: after a kill of all daemons 0.7 s after a release had begun, most streams that clients took up again were refused (LOST): 20 of 67 went on while 298 of 348 new streams began.

Cause: a stream that has begun can use the servers of one build only, a new one those of all. While a release replaces servers, the earlier build has few left, and new streams filled them: "decode: 6 listed, 4 of another build, 2 full". A demand that waited without excluding a server also kept the bound ones behind it from being tried.

Change: once a demand that is bound to a build has to wait, new streams begin at servers of other builds for a second, as long as these take them, and do not hold up bound demands behind them. A bound demand is not refused for the wait that is predicted from the queue of new ones.

--- a/core/mangofleet/admission.go
+++ b/core/mangofleet/admission.go
@@ -106,6 +106,7 @@
 			w.reply.Send(nil)
 			continue
 		}
+		s.pool.RecordBoundWait(&w.Demand, now)
 		if err := s.refusal(w, known, waiting[name], now); err != nil {
 			s.told(w, err, now)
 			w.reply.Send(err)
@@ -124,7 +125,8 @@
 }
 
 // refusal returns the fault of a demand that is not to wait, with others before it,
-// or nil. Waits are predicted for new demands only.
+// or nil. Waits are predicted for new demands only: others do not wait before a demand that
+// is bound to a build.
 func (s *state) refusal(w *waiter, known prospects, ahead int, now time.Time) error {
 	flow, arrived := s.flow(w.Demand.Service), !w.queued
 	w.queued = true
@@ -136,7 +138,7 @@
 	if limit <= 0 {
 		f = refused(mangomodel.CodeOverloaded, "no server of %s had room for %v%s: %s",
 			w.Demand.Service, now.Sub(w.ArrivedAt).Round(time.Millisecond), explainShare(w), s.pool.Explain(w.PendingDemand, now))
-	} else if wait, ok := flow.Hopeless(ahead, limit, now); ok && arrived {
+	} else if wait, ok := flow.Hopeless(ahead, limit, now); ok && arrived && !w.Demand.Bound {
 		f = refused(mangomodel.CodeOverloaded, "%d demands before it wait for servers of %s, predicted wait %v, limit %v%s: %s",
 			ahead, w.Demand.Service, wait.Round(time.Millisecond), limit.Round(time.Millisecond), explainShare(w), s.pool.Explain(w.PendingDemand, now))
 	} else {
--- a/core/mangopool/build_test.go
+++ b/core/mangopool/build_test.go
@@ -294,3 +294,45 @@
 	}
 	p.Expect(used).To(gomega.ContainElement(mangomodel.ServerID("d2")), "a scheduler that starts knows of no order")
 }
+
+// TestNewStreamsLeaveServersToThoseThatBegan guards against streams that cannot go on, since
+// new ones take the servers of their build, and against servers that are left without work.
+func TestNewStreamsLeaveServersToThoseThatBegan(t *testing.T) {
+	p := newBuildPool(t, buildServer{"s1", 0, "v1"}, buildServer{"s2", 0, "v2"})
+	unbound := boundPlain("")
+	unbound.Bound = false
+	number := 0
+	// fill grants new streams until no server takes one, and returns how many each build got.
+	fill := func(after time.Duration) map[mangomodel.Build]int {
+		counts := make(map[mangomodel.Build]int)
+		for {
+			number++
+			if !p.Grant(p.pending(number, unbound), p.now.Add(after)) {
+				break
+			}
+			lease, _ := p.Granted().Get(benchLease(number))
+			counts[lease.Server.Build]++
+		}
+		for i := range number {
+			p.Release(benchLease(i+1), p.now.Add(after))
+		}
+		return counts
+	}
+	d := boundPlain("v1")
+	all := fill(0)
+	p.Expect(all["v1"]).To(gomega.BeNumerically(">", 0))
+	p.RecordBoundWait(&unbound, p.now)
+	p.Expect(fill(0)).To(gomega.Equal(all))
+	p.RecordBoundWait(&d, p.now)
+	p.Expect(p.Excludes(p.pending(0, unbound), p.now)).To(gomega.BeTrue())
+	p.Expect(fill(contendedTime - 1)).To(gomega.Equal(map[mangomodel.Build]int{"v2": all["v2"]}))
+	p.Expect(fill(contendedTime)).To(gomega.Equal(all))
+	p.leave(buildServer{"s2", 0, "v2"})
+	p.Expect(fill(0)).To(gomega.Equal(map[mangomodel.Build]int{"v1": all["v1"]}), "no other build takes them")
+	p.put(buildServer{"s2", 0, "v2"})
+	other := boundPlain("v2")
+	p.RecordBoundWait(&other, p.now)
+	p.Expect(fill(0)).To(gomega.Equal(all), "both are contended")
+	p.RemoveExpired(p.now.Add(contendedTime))
+	p.Expect(p.contended).To(gomega.BeEmpty())
+}
--- a/core/mangopool/list.go
+++ b/core/mangopool/list.go
@@ -118,7 +118,7 @@
 }
 
 // RemoveExpired removes and returns the servers whose grace period has ended. It also removes
-// old withdrawals.
+// old withdrawals and records of contended builds.
 func (p *Pool) RemoveExpired(now time.Time) []mangotraffic.Server {
 	var removed []mangotraffic.Server
 	for id, b := range p.backends {
@@ -129,5 +129,6 @@
 	}
 	p.withdrawals.Expire(now)
 	p.backoffs.Expire(now)
+	p.expireContended(now)
 	return removed
 }
--- a/core/mangopool/pool.go
+++ b/core/mangopool/pool.go
@@ -40,7 +40,9 @@
 	// the list.
 	groups map[group][]*backend
 	// builds holds since when the builds of services have been considered.
-	builds      map[serviceBuild]time.Time
+	builds map[serviceBuild]time.Time
+	// contended holds when a demand that is bound to a build last had to wait.
+	contended   map[serviceBuild]time.Time
 	withdrawals *mangoleaving.Withdrawals
 	backoffs    *mangobackoff.Board
 	// loads estimates the loads of plain servers; nil if they are counted.
@@ -62,10 +64,10 @@
 		self: self, regions: regions,
 		backends: make(map[mangomodel.ServerID]*backend),
 		leases:   make(map[mangolease.ID]*lease),
-		builds:   make(map[serviceBuild]time.Time),
-		stats:    make(map[mangotraffic.ServiceName]*serviceStats),
-		meters:   make(map[mangotraffic.ServiceName][]*mangoload.Meter),
-		changed:  true,
+		builds:   make(map[serviceBuild]time.Time), contended: make(map[serviceBuild]time.Time),
+		stats:   make(map[mangotraffic.ServiceName]*serviceStats),
+		meters:  make(map[mangotraffic.ServiceName][]*mangoload.Meter),
+		changed: true,
 
 		withdrawals: mangoleaving.New(),
 		backoffs:    mangobackoff.New(),
