A stream that goes on is not late

What callers saw: with twice the usual load, most streams that clients took up again after a kill of all daemons beside a release were refused after waiting (LOST): 49 of 151 went on while 617 of 836 new streams began.

Cause: a demand that has waited for longer than the target for a first event is late. It comes after all demands that are on time, and new ones arrive all the time; it also leaves a tenth of the slots free for them. But the target was for the first event of the stream, which its client has received.

Change: a demand that is bound to the build that began its stream is not late.

Evidence: the two new cases of TestOrder fail without the change.

--- a/core/mangolease/lease.go
+++ b/core/mangolease/lease.go
@@ -99,8 +99,11 @@
 	return &PendingDemand{Lease: id, Demand: d, ArrivedAt: now.Add(-d.Age), OnTimeUntil: now.Add(d.OnTimeFor), Deadline: now.Add(d.Patience)}
 }
 
-// Late reports whether the demand can no longer meet its target.
-func (p *PendingDemand) Late(now time.Time) bool { return now.After(p.OnTimeUntil) }
+// Late reports whether the demand can no longer meet its target. That of a stream was for its
+// first event: one that goes on at the build that began it is not late.
+func (p *PendingDemand) Late(now time.Time) bool {
+	return !p.Demand.Bound && now.After(p.OnTimeUntil)
+}
 
 // Lease is a granted demand.
 type Lease struct {
--- a/core/mangoqueue/queue_test.go
+++ b/core/mangoqueue/queue_test.go
@@ -32,6 +32,7 @@
 	longPrompt := demand(0, 9000, 100, nil)
 	old, young := demand(0, 1000, 100, nil), demand(time.Millisecond, 1000, 100, nil)
 	late := demand(0, 1000, 100, func(d *mangolease.Demand) { d.OnTimeFor = -time.Second })
+	goesOn := demand(0, 1000, 100, func(d *mangolease.Demand) { d.OnTimeFor, d.Bound = -time.Second, true })
 	basic := demand(0, 10, 10, func(d *mangolease.Demand) { d.Priority = 2 })
 	cached := demand(0, 9000, 900, func(d *mangolease.Demand) { d.OnTimeFor, d.Priority, d.Prefilled = -time.Second, 2, true })
 	plain := demand(0, 0, 0, func(d *mangolease.Demand) { d.Generation = nil })
@@ -41,6 +42,8 @@
 	}{
 		{"a computed KV cache before all others", cached, small},
 		{"on time before late", large, late},
+		{"a stream that goes on before late ones", goesOn, late},
+		{"a stream that goes on has its place among those on time", goesOn, large},
 		{"late basic work after urgent work on time", large, late},
 		{"urgent before basic, also if it costs more", large, basic},
 		{"less output first, also if younger", small, large},
