Servers are held for streams only if these wait for room

What callers saw: none seen; a review showed it with scratch tests.

Cause: held the servers of a build for each bound demand that was not granted, whatever it waited for, and all of them, full or not. Every new demand that waited counted as one that excludes servers, so that all behind it were tried, each against all servers, with a search of the others for each.

Change: a build is contended only if a server of it that the demand may use has no room, which is looked at four times a second. Servers are held up to three quarters of their slots, not for demands that may not use some of the others. What is held follows once for a group and a time. Behind a new demand that waits only bound ones are tried. The wait of a bound demand is predicted as before if its service has one build.

--- a/core/mangofleet/admission.go
+++ b/core/mangofleet/admission.go
@@ -86,11 +86,12 @@
 
 // serveQueue grants queued demands in order. It refuses those whose deadline has
 // passed, that no server takes in time or that must not be sent any more, and new ones
-// that are predicted to wait beyond theirs. Once a demand that excludes no server remains queued, later demands
-// for the same service are not tried.
+// that are predicted to wait beyond theirs. Once a demand that excludes no server remains
+// queued, later demands for the same service are not tried. If servers are held for streams
+// that began there, those are.
 func (s *state) serveQueue(now time.Time) {
 	mangoshare.Sort(s.shares, s.queue, now)
-	blocked := make(map[mangotraffic.ServiceName]bool)
+	blocked, blockedNew := make(map[mangotraffic.ServiceName]bool), make(map[mangotraffic.ServiceName]bool)
 	waiting := make(map[mangotraffic.ServiceName]int)
 	known := make(prospects)
 	kept := s.queue[:0]
@@ -100,20 +101,27 @@
 			w.reply.Send(err)
 			continue
 		}
-		if !blocked[name] && s.grant(w, now) {
+		tried := !blocked[name] && (w.Demand.Bound || !blockedNew[name])
+		if tried && s.grant(w, now) {
 			s.flow(name).Granted(now)
 			s.shares.Granted(w.PendingDemand, now)
 			w.reply.Send(nil)
 			continue
 		}
-		s.pool.RecordBoundWait(&w.Demand, now)
+		s.pool.RecordBoundWait(w.PendingDemand, now)
 		if err := s.refusal(w, known, waiting[name], now); err != nil {
 			s.told(w, err, now)
 			w.reply.Send(err)
 			continue
 		}
 		s.pool.RecordWait(name, now)
-		blocked[name] = blocked[name] || !s.pool.Excludes(w.PendingDemand, now)
+		switch {
+		case !tried || s.pool.Excludes(w.PendingDemand, now):
+		case s.pool.Yields(w.PendingDemand, now):
+			blockedNew[name] = true
+		default:
+			blocked[name] = true
+		}
 		waiting[name]++
 		kept = append(kept, w)
 	}
@@ -125,8 +133,8 @@
 }
 
 // refusal returns the fault of a demand that is not to wait, with others before it,
-// or nil. Waits are predicted for new demands only: others do not wait before a demand that
-// is bound to a build.
+// or nil. Waits are predicted for new demands only, and not for one that is bound to one of
+// several builds: most of those before it wait for other servers.
 func (s *state) refusal(w *waiter, known prospects, ahead int, now time.Time) error {
 	flow, arrived := s.flow(w.Demand.Service), !w.queued
 	w.queued = true
@@ -138,7 +146,7 @@
 	if limit <= 0 {
 		f = refused(mangomodel.CodeOverloaded, "no server of %s had room for %v%s: %s",
 			w.Demand.Service, now.Sub(w.ArrivedAt).Round(time.Millisecond), explainShare(w), s.pool.Explain(w.PendingDemand, now))
-	} else if wait, ok := flow.Hopeless(ahead, limit, now); ok && arrived && !w.Demand.Bound {
+	} else if wait, ok := flow.Hopeless(ahead, limit, now); ok && arrived && !s.pool.HasOtherBuild(&w.Demand) {
 		f = refused(mangomodel.CodeOverloaded, "%d demands before it wait for servers of %s, predicted wait %v, limit %v%s: %s",
 			ahead, w.Demand.Service, wait.Round(time.Millisecond), limit.Round(time.Millisecond), explainShare(w), s.pool.Explain(w.PendingDemand, now))
 	} else {
--- a/core/mangopool/backoff.go
+++ b/core/mangopool/backoff.go
@@ -42,13 +42,12 @@
 
 // Excludes reports whether a demand may not use some servers that others may use.
 func (p *Pool) Excludes(pending *mangolease.PendingDemand, now time.Time) bool {
-	return len(pending.Demand.Avoid) > 0 || p.BacksOff(pending.Lease.Holder, now) || p.hasOtherBuild(&pending.Demand) ||
-		p.leavesServers(&pending.Demand, now)
+	return len(pending.Demand.Avoid) > 0 || p.BacksOff(pending.Lease.Holder, now) || p.HasOtherBuild(&pending.Demand)
 }
 
 // mayUse reports whether a server may get a demand that it has room for.
 func (p *Pool) mayUse(b *backend, pending *mangolease.PendingDemand, now time.Time) bool {
-	if !pending.Demand.Bound && (p.isNew(b) || p.isLeft(b, now)) {
+	if !pending.Demand.Bound && p.isNew(b) || p.isHeld(b, now) && p.yields(pending, now) {
 		return false
 	}
 	return b.usable(now) && b.fits(&pending.Demand) && !slices.Contains(pending.Demand.Avoid, b.server.ID) &&
--- a/core/mangopool/build.go
+++ b/core/mangopool/build.go
@@ -86,8 +86,8 @@
 	return others
 }
 
-// hasOtherBuild reports whether servers of another build than that of a demand run calls.
-func (p *Pool) hasOtherBuild(d *mangolease.Demand) bool {
+// HasOtherBuild reports whether servers of another build than that of a demand run calls.
+func (p *Pool) HasOtherBuild(d *mangolease.Demand) bool {
 	for _, b := range p.members(group{d.Service, runStage(d)}) {
 		if !b.fits(d) {
 			return true
--- a/core/mangopool/contended.go
+++ b/core/mangopool/contended.go
@@ -5,42 +5,84 @@
 	"time"
 
 	"mangolane/core/mangolease"
+	"mangolane/core/mangomodel"
 	"mangolane/core/mangotraffic"
 )
 
-// contendedTime is how long new streams leave the servers of a build to the streams that
-// began there, after one of these had to wait: clients that were refused return within it.
+// contendedTime is how long servers of a build are held for the streams that began there,
+// after one of these had to wait.
 const contendedTime = time.Second
 
-// RecordBoundWait records that a demand waits or is refused. If it is bound to a build, new
-// streams begin at servers of other builds for some time.
-func (p *Pool) RecordBoundWait(d *mangolease.Demand, now time.Time) {
-	if d.Bound {
-		p.contended[serviceBuild{d.Service, d.Build}] = now
+// heldShare is the share of the slots of a server that is held.
+const heldShare = 0.75
+
+// RecordBoundWait records that a demand that is bound to a build waits for a full server of
+// it. New demands use servers of other builds for some time.
+func (p *Pool) RecordBoundWait(pending *mangolease.PendingDemand, now time.Time) {
+	key := serviceBuild{pending.Demand.Service, pending.Demand.Build}
+	if now.Sub(p.contended[key]) >= contendedTime/4 && p.waitsForRoom(pending, now) {
+		p.contended[key], p.held = now, nil
 	}
 }
 
-// isContended reports whether streams that began at the build of a server have had to wait.
-func (p *Pool) isContended(b *backend, now time.Time) bool {
-	at, ok := p.contended[serviceBuild{b.server.Service, b.server.Build}]
-	return ok && now.Sub(at) < contendedTime
+// waitsForRoom reports whether a demand is bound to a build of which a server may get it that
+// has no room.
+func (p *Pool) waitsForRoom(pending *mangolease.PendingDemand, now time.Time) bool {
+	d := &pending.Demand
+	return d.Bound && slices.ContainsFunc(p.members(group{d.Service, runStage(d)}), func(b *backend) bool {
+		return p.mayUse(b, pending, now) && !p.hasRoom(b, pending, now)
+	})
+}
+
+// heldBuilds are the builds of a group whose servers are held for the streams that began
+// there, at a time.
+type heldBuilds struct {
+	group  group
+	at     time.Time
+	builds []mangomodel.Build
 }
 
-// isLeft reports whether new streams leave a server to those that began at its build. They do
-// if servers of another build take them.
-func (p *Pool) isLeft(b *backend, now time.Time) bool {
-	if b.server.Stage == mangotraffic.StagePrefill || !p.isContended(b, now) {
-		return false
+// heldIn returns the builds of a group whose servers are held: the contended ones, if servers
+// of another build take new demands.
+func (p *Pool) heldIn(g group, now time.Time) []mangomodel.Build {
+	if len(p.contended) == 0 || g.stage == mangotraffic.StagePrefill {
+		return nil
 	}
-	return slices.ContainsFunc(p.members(group{b.server.Service, b.server.Stage}), func(other *backend) bool {
-		return other.usable(now) && !p.isContended(other, now) && !p.isNew(other)
-	})
+	if p.held != nil && p.held.group == g && p.held.at.Equal(now) {
+		return p.held.builds
+	}
+	x := &heldBuilds{group: g, at: now}
+	p.held = x
+	for key, at := range p.contended {
+		if key.service == g.service && now.Sub(at) < contendedTime {
+			x.builds = append(x.builds, key.build)
+		}
+	}
+	if len(x.builds) > 0 && !slices.ContainsFunc(p.members(g), func(b *backend) bool {
+		return !slices.Contains(x.builds, b.server.Build) && b.usable(now) && !p.isNew(b)
+	}) {
+		x.builds = nil
+	}
+	return x.builds
+}
+
+// isHeld reports whether a server is held for the streams that began at its build. Only a
+// part of its slots is, since fewer streams may come than have waited.
+func (p *Pool) isHeld(b *backend, now time.Time) bool {
+	builds := p.heldIn(group{b.server.Service, b.server.Stage}, now)
+	return len(builds) > 0 && slices.Contains(builds, b.server.Build) &&
+		float64(b.free(now)) <= heldShare*float64(b.server.Slots)
+}
+
+// yields reports whether a demand leaves held servers to the streams that began there. One
+// that may not use some of the others does not.
+func (p *Pool) yields(pending *mangolease.PendingDemand, now time.Time) bool {
+	return !pending.Demand.Bound && len(pending.Demand.Avoid) == 0 && !p.BacksOff(pending.Lease.Holder, now)
 }
 
-// leavesServers reports whether a new stream leaves some servers to those that began there.
-func (p *Pool) leavesServers(d *mangolease.Demand, now time.Time) bool {
-	return !d.Bound && len(p.contended) > 0 &&
-		slices.ContainsFunc(p.members(group{d.Service, runStage(d)}), func(b *backend) bool { return p.isLeft(b, now) })
+// Yields reports whether some servers are held for others than a demand.
+func (p *Pool) Yields(pending *mangolease.PendingDemand, now time.Time) bool {
+	return p.yields(pending, now) && len(p.heldIn(group{pending.Demand.Service, runStage(&pending.Demand)}, now)) > 0
 }
 
 // expireContended forgets which builds were contended before.
--- a/core/mangopool/explain.go
+++ b/core/mangopool/explain.go
@@ -42,7 +42,7 @@
 			x.leaving++
 		case !b.fits(&pending.Demand):
 			x.otherBuild++
-		case !b.usable(now), !pending.Demand.Bound && (p.isNew(b) || p.isLeft(b, now)):
+		case !b.usable(now), !pending.Demand.Bound && p.isNew(b), p.isHeld(b, now) && p.yields(pending, now):
 			x.unusable++
 		case !p.backoffs.Open(b.server.Ref(), pending.Lease.Holder, now):
 			x.backoff++
--- a/core/mangopool/pool.go
+++ b/core/mangopool/pool.go
@@ -42,7 +42,10 @@
 	// builds holds since when the builds of services have been considered.
 	builds map[serviceBuild]time.Time
 	// contended holds when a demand that is bound to a build last had to wait.
-	contended   map[serviceBuild]time.Time
+	// held is what follows for a group at a time; nil after a change.
+	contended map[serviceBuild]time.Time
+	held      *heldBuilds
+
 	withdrawals *mangoleaving.Withdrawals
 	backoffs    *mangobackoff.Board
 	// loads estimates the loads of plain servers; nil if they are counted.
@@ -99,6 +102,7 @@
 // members returns the servers of a group.
 func (p *Pool) members(g group) []*backend {
 	if p.groups == nil {
+		p.held = nil
 		p.groups = make(map[group][]*backend)
 		// The meters number the servers as the groups do.
 		clear(p.meters)
