--- a/core/mangofleet/admission.go
+++ b/core/mangofleet/admission.go
@@ -87,11 +87,11 @@
 // serveQueue grants queued demands in order. It refuses those whose deadline has
 // passed, that no server takes in time or that must not be sent any more, and new ones
 // that are predicted to wait beyond theirs. Once a demand that excludes no server remains
-// queued, later demands for the same service are not tried. If servers are held for streams
-// that began there, those are.
+// queued, later demands for the same service are not tried, or only those that are bound to
+// a build, if servers are held for these.
 func (s *state) serveQueue(now time.Time) {
 	mangoshare.Sort(s.shares, s.queue, now)
-	blocked, blockedNew := make(map[mangotraffic.ServiceName]bool), make(map[mangotraffic.ServiceName]bool)
+	blocked, onlyBound := make(map[mangotraffic.ServiceName]bool), make(map[mangotraffic.ServiceName]bool)
 	waiting := make(map[mangotraffic.ServiceName]int)
 	known := make(prospects)
 	kept := s.queue[:0]
@@ -101,7 +101,7 @@
 			w.reply.Send(err)
 			continue
 		}
-		tried := !blocked[name] && (w.Demand.Bound || !blockedNew[name])
+		tried := !blocked[name] && (w.Demand.Bound || !onlyBound[name])
 		if tried && s.grant(w, now) {
 			s.flow(name).Granted(now)
 			s.shares.Granted(w.PendingDemand, now)
@@ -118,7 +118,7 @@
 		switch {
 		case !tried || s.pool.Excludes(w.PendingDemand, now):
 		case s.pool.Yields(w.PendingDemand, now):
-			blockedNew[name] = true
+			onlyBound[name] = true
 		default:
 			blocked[name] = true
 		}
--- a/core/mangopool/contended.go
+++ b/core/mangopool/contended.go
@@ -16,8 +16,8 @@
 // heldShare is the share of the slots of a server that is held.
 const heldShare = 0.75
 
-// RecordBoundWait records that a demand that is bound to a build waits for a full server of
-// it. New demands use servers of other builds for some time.
+// RecordBoundWait records that a demand waits, if it is bound to a build and a server of that
+// is full. New demands use servers of other builds for some time.
 func (p *Pool) RecordBoundWait(pending *mangolease.PendingDemand, now time.Time) {
 	key := serviceBuild{pending.Demand.Service, pending.Demand.Build}
 	if now.Sub(p.contended[key]) >= contendedTime/4 && p.waitsForRoom(pending, now) {
@@ -34,8 +34,7 @@
 	})
 }
 
-// heldBuilds are the builds of a group whose servers are held for the streams that began
-// there, at a time.
+// heldBuilds are the builds of a group whose servers are held at a time.
 type heldBuilds struct {
 	group  group
 	at     time.Time
--- a/core/mangopool/pool.go
+++ b/core/mangopool/pool.go
@@ -41,8 +41,8 @@
 	groups map[group][]*backend
 	// builds holds since when the builds of services have been considered.
 	builds map[serviceBuild]time.Time
-	// contended holds when a demand that is bound to a build last had to wait.
-	// held is what follows for a group at a time; nil after a change.
+	// contended holds when a demand that is bound to a build last waited for room. held is
+	// which servers of a group are held for that reason; nil after a change.
 	contended map[serviceBuild]time.Time
 	held      *heldBuilds
 
