--- a/core/mangopool/explain.go
+++ b/core/mangopool/explain.go
@@ -18,8 +18,8 @@
 // that are not leaving and get no new work for now: they are ejected, had no room
 // within the last [FullBackoff], were ordered to change stage, are the first of their
 // build and were listed just now, or are held for streams that began at their build.
-// "Backing off" counts those that have asked the demand's daemon for time, and "of another build" those at
-// which the stream of the demand cannot continue.
+// "Backing off" counts those that have asked the demand's daemon for time, and "of another
+// build" those at which the stream of the demand cannot continue.
 func (x shortage) String() string {
 	return fmt.Sprintf("%d listed, %d leaving, %d of another build, %d set aside, %d backing off, %d avoided, %d full",
 		x.listed, x.leaving, x.otherBuild, x.unusable, x.backoff, x.avoided, x.full)
